--- /dev/null
+++ b/libs/arbutusrill_base/__init__.py
@@ -0,0 +1,31 @@
+"""Types and helpers that every part of arbutusrill shares."""
+
+from ._budget import RetryBudget, backoff_s
+from ._clock import Clock, ManualClock, SystemClock
+from ._ids import hash_key, new_incarnation, new_key, new_request_id
+from ._logs import PartLog, configure_logs
+from ._settings import Section, SettingsError, load_settings, parse_settings
+from ._tasks import TaskGroup
+from ._verdict import Failure, FailureError, Verdict
+
+__all__ = [
+    "Clock",
+    "Failure",
+    "FailureError",
+    "ManualClock",
+    "PartLog",
+    "RetryBudget",
+    "Section",
+    "SettingsError",
+    "SystemClock",
+    "TaskGroup",
+    "Verdict",
+    "backoff_s",
+    "configure_logs",
+    "hash_key",
+    "load_settings",
+    "new_incarnation",
+    "new_key",
+    "new_request_id",
+    "parse_settings",
+]
--- /dev/null
+++ b/libs/arbutusrill_base/_settings.py
@@ -0,0 +1,69 @@
+"""Settings files: JSON, checked by pydantic, with one clear line for each kind of mistake."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+from typing import Any, TypeVar
+
+import pydantic
+
+__all__ = ["Section", "SettingsError", "load_settings", "parse_settings"]
+
+
+class Section(pydantic.BaseModel):
+    """Base of every section of a settings file: unknown keys and loose types are refused."""
+
+    model_config = pydantic.ConfigDict(extra="forbid", strict=True, frozen=True)
+
+
+SectionT = TypeVar("SectionT", bound=Section)
+
+
+class SettingsError(Exception):
+    """A mistake in a settings file; the message is one line naming file, key and expectation."""
+
+
+def load_settings(path: str | Path, model: type[SectionT]) -> SectionT:
+    """Reads a settings file and returns it as `model`; raises `SettingsError`."""
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+    except OSError as error:
+        raise SettingsError(f"{path}: cannot be read: {error.strerror}") from None
+    except UnicodeDecodeError as error:
+        raise SettingsError(f"{path}: expected UTF-8 text, byte {error.start} is not") from None
+    return parse_settings(text, model, str(path))
+
+
+def parse_settings(text: str, model: type[SectionT], name: str) -> SectionT:
+    """Checks settings given as text; `name` stands for the file in messages."""
+    try:
+        value = json.loads(text, object_pairs_hook=_refuse_repeated_keys)
+    except json.JSONDecodeError as error:
+        raise SettingsError(f"{name}: line {error.lineno}, column {error.colno}: expected JSON: {error.msg}") from None
+    except (ValueError, RecursionError) as error:
+        raise SettingsError(f"{name}: expected JSON: {error}") from None
+    try:
+        return model.model_validate_json(json.dumps(value))
+    except pydantic.ValidationError as error:
+        raise SettingsError(f"{name}: {_first_error(error)}") from None
+
+
+def _refuse_repeated_keys(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+    result = {}
+    for key, value in pairs:
+        if key in result:
+            raise ValueError(f"key {key!r} appears twice")
+        result[key] = value
+    return result
+
+
+def _first_error(error: pydantic.ValidationError) -> str:
+    first = error.errors(include_url=False)[0]
+    path = ".".join(str(part) for part in first["loc"]) or "(top level)"
+    if first["type"] == "extra_forbidden":
+        return f"{path}: unknown key, expected one of the documented settings"
+    if first["type"] == "missing":
+        return f"{path}: missing, expected a value"
+    message = first["msg"][0].lower() + first["msg"][1:]
+    return f"{path}: {message}, found {json.dumps(first['input'])[:80]}"
--- /dev/null
+++ b/libs/arbutusrill_base/tests/test_settings.py
@@ -0,0 +1,36 @@
+"""Guards against settings mistakes that start a daemon or print a traceback."""
+
+import pytest
+
+from arbutusrill_base import Section, SettingsError, load_settings, parse_settings
+
+
+class Inner(Section):
+    port: int
+
+
+class Example(Section):
+    name: str
+    inner: Inner
+
+
+@pytest.mark.parametrize(
+    ("text", "expected"),
+    [
+        ('{"name": "a", "inner": {"port": 1}, "extra": 2}', "s.json: extra: unknown key"),
+        ('{"name": "a", "inner": {"port": "1"}}', "s.json: inner.port: input should be a valid integer"),
+        ('{"name": "a"}', "s.json: inner: missing"),
+        ('{"name": "a",', "s.json: line 1, column"),
+        ('{"name": "a", "name": "b", "inner": {"port": 1}}', "appears twice"),
+    ],
+)
+def test_mistake_gives_one_line_with_file_key_and_expectation(text, expected):
+    with pytest.raises(SettingsError) as caught:
+        parse_settings(text, Example, "s.json")
+    assert expected in str(caught.value)
+    assert "\n" not in str(caught.value)
+
+
+def test_missing_file_is_named(tmp_path):
+    with pytest.raises(SettingsError, match="cannot be read"):
+        load_settings(tmp_path / "none.json", Example)
--- /dev/null
+++ b/libs/arbutusrill_bench/_site.py
@@ -0,0 +1,201 @@
+"""A small site on loopback addresses, each part in a process of its own."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import os
+import secrets
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from arbutusrill_cli import OperatorClient, OperatorError
+from arbutusrill_http import Transfer, fetch
+
+__all__ = ["LocalSite", "Member", "SiteError", "free_address"]
+
+_START_S = 20.0
+_STOP_S = 15.0
+
+
+class SiteError(Exception):
+    """The site did not come up or a member ended by itself."""
+
+
+def free_address(host: str) -> str:
+    """Returns `host` with a port that is free at the moment."""
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        probe.bind((host, 0))
+        return "{}:{}".format(*probe.getsockname())
+
+
+@dataclass(slots=True)
+class Member:
+    """One process of the site with its addresses and, for a daemon, its settings file."""
+
+    name: str
+    command: list[str]
+    address: str
+    rpc: str = ""
+    process: subprocess.Popen | None = None
+    settings: dict[str, Any] = field(default_factory=dict)
+
+
+class LocalSite:
+    """Starts control VMs, entry VMs and stand-ins, and ends all of them when the context is left.
+
+    Entry VM number i listens on 127.0.<net>.<i + 20>, control VM number i on 127.0.<net>.<i + 10>.
+    """
+
+    def __init__(self, controls: int = 3, entries: int = 3, folder: Path | None = None):
+        self._own_folder = tempfile.TemporaryDirectory(prefix="arbutusrill-") if folder is None else None
+        self.folder = folder or Path(self._own_folder.name)
+        self.operator_token = secrets.token_urlsafe(16)
+        self.announce_token = secrets.token_urlsafe(16)
+        net = secrets.randbelow(200) + 20
+        self.members_by_name: dict[str, Member] = {}
+        control = [(f"127.0.{net}.{i + 10}", f"control{i + 1}") for i in range(controls)]
+        rpc = [free_address(host) for host, _ in control]
+        for number, (host, name) in enumerate(control):
+            role = {
+                "rpc": rpc[number],
+                "http": free_address(host),
+                "data_folder": str(self.folder / name),
+                "operator_token_sha256_by_name": {"ops": _sha256(self.operator_token)},
+            }
+            self._add_daemon(name, number, rpc, {"control": role}, role["http"], role["rpc"])
+        for number in range(entries):
+            host = f"127.0.{net}.{number + 20}"
+            role = {
+                "http": free_address(host),
+                "rpc": free_address(host),
+                "announce_token_sha256": _sha256(self.announce_token),
+            }
+            self._add_daemon(f"entry{number + 1}", number, rpc, {"entry": role}, role["http"], role["rpc"])
+        self.operators = OperatorClient([member.address for member in self.of_kind("control")], self.operator_token)
+        self._standin_host = f"127.0.{net}.100"
+
+    def __enter__(self) -> LocalSite:
+        try:
+            for member in self.members_by_name.values():
+                self.start(member.name)
+            self._wait_ready()
+        except BaseException:
+            self.__exit__()
+            raise
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        for name in reversed(list(self.members_by_name)):
+            self.signal(name, signal.SIGCONT)
+            self.signal(name, signal.SIGTERM)
+        deadline = time.monotonic() + _STOP_S
+        for member in self.members_by_name.values():
+            if member.process is not None:
+                try:
+                    member.process.wait(max(0.1, deadline - time.monotonic()))
+                except subprocess.TimeoutExpired:
+                    member.process.kill()
+                    member.process.wait()
+        if self._own_folder is not None:
+            self._own_folder.cleanup()
+
+    def _add_daemon(
+        self, name: str, number: int, control: list[str], roles: dict[str, Any], address: str, rpc: str
+    ) -> None:
+        path = self.folder / f"{name}.json"
+        settings = {"vm": name, "data_centre": f"dc{number % 3 + 1}", "control_addresses": control, **roles}
+        path.parent.mkdir(parents=True, exist_ok=True)
+        path.write_text(json.dumps(settings, indent=2))
+        command = [sys.executable, "-m", "arbutusrill_daemon", "--settings", str(path)]
+        self.members_by_name[name] = Member(name, command, address, rpc, settings=settings)
+
+    def add_engine(self, name: str, *options: str) -> Member:
+        """Adds and starts an engine stand-in; `options` are those of its command line."""
+        return self._add_standin("engine", name, options)
+
+    def add_service(self, name: str, *options: str) -> Member:
+        """Adds and starts a plain service stand-in."""
+        return self._add_standin("service", name, options)
+
+    def _add_standin(self, kind: str, name: str, options: tuple[str, ...]) -> Member:
+        address = free_address(self._standin_host)
+        entries = ",".join(member.address for member in self.of_kind("entry"))
+        command = [sys.executable, "-m", f"arbutusrill_standins.{kind}", "--listen", address, "--entries", entries]
+        command += ["--announce-token", self.announce_token, "--id", name, *options]
+        self.members_by_name[name] = Member(name, command, address)
+        self.start(name)
+        return self.members_by_name[name]
+
+    def of_kind(self, prefix: str) -> list[Member]:
+        """Returns the members whose names start with `prefix`."""
+        return [member for name, member in self.members_by_name.items() if name.startswith(prefix)]
+
+    def start(self, name: str) -> None:
+        """Starts a member, again after it has ended; its log is appended to ``<name>.log``."""
+        member = self.members_by_name[name]
+        with (self.folder / f"{name}.log").open("ab") as log:
+            member.process = subprocess.Popen(
+                member.command, stdin=subprocess.DEVNULL, stdout=log, stderr=log, env=os.environ
+            )
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Sends a signal to a member that still runs."""
+        process = self.members_by_name[name].process
+        if process is not None and process.poll() is None:
+            process.send_signal(number)
+
+    def kill(self, name: str) -> None:
+        """Ends a member at once, without any clean-up of its own."""
+        self.signal(name, signal.SIGKILL)
+        self.members_by_name[name].process.wait()
+
+    def log(self, name: str) -> str:
+        """Returns what a member has logged."""
+        return (self.folder / f"{name}.log").read_text(errors="replace")
+
+    def wait_until(self, condition: Any, what: str, timeout: float = _START_S) -> None:
+        """Waits until `condition()` is true; raises `SiteError` naming `what` otherwise."""
+        deadline = time.monotonic() + timeout
+        while not condition():
+            if time.monotonic() >= deadline:
+                raise SiteError(f"not within {timeout:g} s: {what}")
+            time.sleep(0.05)
+
+    def _wait_ready(self) -> None:
+        for member in self.of_kind("entry"):
+            self.wait_until(lambda url=f"http://{member.address}/readyz": _ok(url), f"{member.name} is ready")
+        self.wait_until(self._control_answers, "a control VM answers operators")
+
+    def _control_answers(self) -> bool:
+        try:
+            self.operators.call("GET", "/status")
+        except OperatorError:
+            return False
+        return True
+
+    def wait_for_pool(self, name: str) -> None:
+        """Waits until every entry VM knows the owner of a pool."""
+
+        def owned() -> bool:
+            pools = self.operators.call("GET", "/status")["pools"]
+            return any(pool["name"] == name and pool["owner"] for pool in pools)
+
+        self.wait_until(owned, f"pool {name} has an owner")
+
+
+def _ok(url: str) -> bool:
+    result = fetch(Transfer("GET", url, timeout_s=1.0))
+    return result.whole and result.status == 200
+
+
+def _sha256(text: str) -> str:
+    return hashlib.sha256(text.encode()).hexdigest()
--- /dev/null
+++ b/libs/arbutusrill_bench/demo.py
@@ -0,0 +1,148 @@
+"""Runs a small site and shows what it does. Run as ``python -m arbutusrill_bench.demo``."""
+
+from __future__ import annotations
+
+import json
+import time
+from typing import Annotated, Any
+
+import typer
+from arbutusrill_http import Transfer, TransferResult, fetch
+
+from ._site import LocalSite, SiteError
+
+__all__ = ["main"]
+
+
+def _say(text: str) -> None:
+    print(text, flush=True)
+
+
+def _call(
+    method: str, address: str, path: str, key: str, body: Any = None, headers: tuple[str, ...] = (), **options: Any
+):
+    lines = [f"Authorization: Bearer {key}", "Content-Type: application/json", *headers]
+    data = b"" if body is None else json.dumps(body).encode()
+    return fetch(Transfer(method, f"http://{address}{path}", lines, data, **options))
+
+
+def _expect(result: TransferResult, status: int, what: str) -> TransferResult:
+    if not result.whole or result.status != status:
+        raise SiteError(f"{what}: expected status {status}, got {result.status} {result.detail} {result.body[:300]!r}")
+    return result
+
+
+def _prepare(site: LocalSite) -> tuple[str, str]:
+    operators = site.operators
+    operators.call("PUT", "/workspaces/dispatch", {"rate": 2000, "burst": 20000})
+    issued = operators.call("POST", "/keys", {"workspace": "dispatch"})
+    routes = [
+        {"method": "POST", "prefix": "/bookings", "repeatable": False},
+        {"method": "GET", "prefix": "/", "repeatable": True},
+    ]
+    revision = operators.call("PUT", "/services/seats", {"routes": routes})["revision"]
+    for name, role in (
+        ("engine-p1", "prefill"),
+        ("engine-p2", "prefill"),
+        ("engine-d1", "decode"),
+        ("engine-d2", "decode"),
+    ):
+        site.add_engine(name, "--role", role, "--models", "route-writer")
+    site.add_service("seats1", "--service", "seats")
+    site.add_service("seats2", "--service", "seats")
+    operators.call("GET", f"/in-force/{revision}")
+    site.wait_for_pool("route-writer")
+    site.wait_for_pool("seats")
+    return issued["key"], issued["id"]
+
+
+def _show_calls(site: LocalSite, key: str) -> None:
+    entries = [member.address for member in site.of_kind("entry")]
+    listed = _expect(_call("GET", entries[0], "/v1/entries", key), 200, "list of entry VMs")
+    _say(f"entry VMs to use: {[row['address'] for row in json.loads(listed.body)['entries']]}")
+    body = {
+        "model": "route-writer",
+        "stream": True,
+        "max_tokens": 16,
+        "messages": [{"role": "user", "content": "Summarise route 7 for the driver."}],
+    }
+    pieces: list[bytes] = []
+    started = time.monotonic()
+    _expect(_call("POST", entries[0], "/v1/chat/completions", key, body, on_data=pieces.append), 200, "completion")
+    events = [line[6:] for line in b"".join(pieces).decode().split("\n\n") if line.startswith("data: ")]
+    if events[-1] != "[DONE]":
+        raise SiteError("the stream has no end mark")
+    choices = [choice for event in events[:-1] for choice in json.loads(event)["choices"]]
+    text = "".join(choice["delta"].get("content", "") for choice in choices)
+    _say(f"streamed completion through {entries[0]} in {time.monotonic() - started:.2f} s: {text.strip()!r}")
+    booking = {"seat": 12, "child": "A. Shrestha"}
+    once = ("Idempotency-Key: booking-12",)
+    first = _expect(_call("POST", entries[1], "/services/seats/bookings", key, booking, once), 201, "booking")
+    again = _expect(_call("POST", entries[2], "/services/seats/bookings", key, booking, once), 201, "resent booking")
+    if json.loads(first.body) != json.loads(again.body):
+        raise SiteError("the resent booking got another answer")
+    _say(f"booking through {entries[1]}: {first.body.decode()}; resent through {entries[2]}: the same answer")
+    lookup = _expect(_call("GET", entries[2], "/services/seats/stops/9", key), 200, "lookup")
+    _say(f"lookup through {entries[2]}: {lookup.body.decode()}")
+
+
+def _show_changes(site: LocalSite, key: str, key_id: str) -> None:
+    operators = site.operators
+    operators.call("PUT", "/defaults/limits.plain_call_tokens", {"value": 2})
+    exception = operators.call(
+        "POST",
+        "/exceptions",
+        {
+            "default": "queue.max_wait_s.briefing",
+            "scope_kind": "workspace",
+            "scope_name": "dispatch",
+            "value": 300,
+            "reason": "briefings may wait until the buses leave",
+        },
+    )
+    force = operators.call("GET", f"/in-force/{exception['revision']}")
+    _say(f"changed a default and added exception {exception['id']}, in force everywhere: {force['in_force']}")
+    revision = operators.call("DELETE", f"/keys/{key_id}")["revision"]
+    operators.call("GET", f"/in-force/{revision}")
+    for member in site.of_kind("entry"):
+        refused = _expect(_call("GET", member.address, "/v1/models", key), 401, "withdrawn key")
+        _say(f"withdrawn key at {member.name}: {json.loads(refused.body)['error']['message']}")
+
+
+def _keep(site: LocalSite, key: str) -> None:
+    entry = site.of_kind("entry")[0].address
+    control = ",".join(member.address for member in site.of_kind("control"))
+    _say(f"entry VMs:   {', '.join(member.address for member in site.of_kind('entry'))}")
+    _say(f"control VMs: {control}")
+    _say(f"key:         {key}")
+    _say("commands to try:")
+    _say(
+        f"  curl -N http://{entry}/v1/chat/completions -H 'Authorization: Bearer {key}' -d '"
+        '{"model": "route-writer", "stream": true, "messages": [{"role": "user", "content": "Hello"}]}\''
+    )
+    _say(f"  curl http://{entry}/services/seats/stops/9 -H 'Authorization: Bearer {key}'")
+    _say(f"  ARBUTUSRILL_CONTROL={control} ARBUTUSRILL_TOKEN={site.operator_token} bin/arbutusrill status")
+    _say("Ctrl-C ends the site.")
+    while True:
+        time.sleep(3600)
+
+
+def main(keep: Annotated[bool, typer.Option(help="stay up and print commands to try")] = False) -> None:
+    """Starts three control VMs, three entry VMs and stand-ins, and shows a site at work."""
+    try:
+        with LocalSite(controls=1) as site:
+            key, key_id = _prepare(site)
+            _show_calls(site, key)
+            if keep:
+                _keep(site, key)
+            _show_changes(site, key, key_id)
+        _say("demo finished")
+    except KeyboardInterrupt:
+        _say("stopped")
+    except SiteError as error:
+        _say(f"demo failed: {error}")
+        raise SystemExit(1) from None
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- /dev/null
+++ b/libs/arbutusrill_control/_service.py
@@ -0,0 +1,190 @@
+"""RPC service of the control role."""
+
+from __future__ import annotations
+
+import threading
+import time
+from typing import Any
+
+from arbutusrill_base import Clock, PartLog
+from arbutusrill_raft import LogUnavailableError, NotLeaderError, ReplicatedLog, StateMachine
+from arbutusrill_state import SharedState, command
+from arbutusrill_wire import decode, encode, messages
+
+from ._leases import VmLeases, rendezvous
+
+__all__ = ["ControlService", "SharedMachine"]
+
+_COMMIT_S = 3.0
+_log = PartLog("control")
+
+
+class SharedMachine(StateMachine):
+    """The shared state as the state machine of a log; wakes the followers after each change."""
+
+    def __init__(self) -> None:
+        self.state = SharedState()
+        self.changed = threading.Condition()
+
+    def apply(self, data: bytes) -> bytes:
+        """Applies one command."""
+        answer = self.state.apply(data)
+        with self.changed:
+            self.changed.notify_all()
+        return answer
+
+    def snapshot(self) -> bytes:
+        """Returns the whole state."""
+        return self.state.snapshot()
+
+    def restore(self, data: bytes) -> None:
+        """Replaces the whole state."""
+        self.state.restore(data)
+        with self.changed:
+            self.changed.notify_all()
+
+
+class ControlService:
+    """Answers entry VMs and operators on a control VM. Only the leader answers calls that change or prove."""
+
+    def __init__(self, log: ReplicatedLog, machine: SharedMachine, clock: Clock):
+        self.log = log
+        self.machine = machine
+        self.leases = VmLeases(clock)
+        self._clock = clock
+        self._led = False
+
+    # ---- RPC methods
+
+    def propose(self, made: Any) -> Any:
+        """Commits a change and returns its outcome."""
+        try:
+            return decode(messages.Outcome, self.log.propose(encode(made), _COMMIT_S))
+        except NotLeaderError as error:
+            raise messages.Refused("not_leader", str(error), leader=error.leader) from None
+        except LogUnavailableError as error:
+            verdict = messages.Verdict.MAY_HAVE_RUN if error.appended else messages.Verdict.NOT_RUN
+            raise messages.Refused("unavailable", str(error), verdict) from None
+
+    def follow(self, request: Any) -> Any:
+        """Waits for changes after the caller's revision, renews its lease and proves freshness."""
+        self._note_vm(request)
+        deadline = time.monotonic() + min(request.wait_ms, 5000) / 1000
+        config = self.machine.state.config
+        with self.machine.changed:
+            while config.revision <= request.revision:
+                remaining = deadline - time.monotonic()
+                if remaining <= 0:
+                    break
+                self.machine.changed.wait(remaining)
+        self._confirm()
+        commands = self.machine.state.commands_after(request.revision)
+        snapshot = None if commands is not None else config.snapshot(with_first_answers=False)
+        lease_s = self.leases.renew(request.vm, request.incarnation, request.revision)
+        revision = snapshot.revision if snapshot is not None else request.revision + len(commands)
+        return messages.FollowReply(commands or [], snapshot, revision, int(lease_s * 1000), "")
+
+    def begin_call(self, made: Any) -> Any:
+        """Writes the intent of a once-only call and returns whether it may be sent."""
+        return decode(messages.BeginAnswer, self.propose(made).detail)
+
+    def finish_call(self, made: Any) -> Any:
+        """Records how a once-only call ended."""
+        return self.propose(made)
+
+    def grant(self, request: Any) -> Any:
+        """Grants tokens of workspaces to an entry VM."""
+        self._confirm()
+        config = self.machine.state.config
+        grants = []
+        for item in request.items:
+            workspace = config.workspaces_by_name.get(item.workspace)
+            burst = workspace.burst if workspace is not None else 0.0
+            grants.append(messages.Grant(item.workspace, item.wanted, 500, burst))
+        return messages.GrantReply(grants, 1)
+
+    def open_pool(self, name: str, kind: str) -> None:
+        """Makes sure that a pool has an owner."""
+        self._confirm()
+        current = self.machine.state.config.pools_by_name.get(name)
+        if current is None or not current.owner:
+            self._assign(name, kind, 1 if current is None else current.epoch + 1)
+
+    def report_burn(self, vm: str, incarnation: int, rows: list[Any]) -> None:
+        """Takes the counts of good and bad requests of an entry VM."""
+
+    def replica_status(self) -> Any:
+        """Returns the state of this control VM's replica."""
+        status = self.log.status()
+        return messages.ReplicaStatus(
+            status.replica,
+            status.role,
+            status.term,
+            status.leader,
+            status.commit_index,
+            status.applied_index,
+            self.machine.state.config.revision,
+            status.voters,
+            status.learners,
+            status.fault,
+        )
+
+    # ---- periodic work of the leader
+
+    def tick(self) -> None:
+        """Declares VMs dead whose lease has ended and gives their pools to others."""
+        leads = self.log.is_leader()
+        if leads and not self._led:
+            self.leases.begin_term()
+        self._led = leads
+        if not leads:
+            return
+        config = self.machine.state.config
+        for vm in list(config.vms_by_id.values()):
+            if vm.state != "dead" and not self.leases.alive(vm.id, vm.incarnation):
+                _log.warning("VM %s is dead, its lease has ended", vm.id)
+                self._change(
+                    messages.PutVm(vm.id, vm.http_address, vm.rpc_address, vm.data_centre, vm.incarnation, "dead")
+                )
+        for pool in list(config.pools_by_name.values()):
+            if not self._owner_is_live(pool):
+                self._assign(pool.name, pool.kind, pool.epoch + 1)
+
+    def _owner_is_live(self, pool: Any) -> bool:
+        vm = self.machine.state.config.vms_by_id.get(pool.owner)
+        return vm is not None and vm.state != "dead" and vm.incarnation == pool.owner_incarnation
+
+    def _assign(self, name: str, kind: str, epoch: int) -> None:
+        live = [vm for vm in self.machine.state.config.vms_by_id.values() if vm.state == "live"]
+        vm = rendezvous(name, live)
+        if vm is not None:
+            self._change(messages.AssignPool(name, kind, vm.id, vm.incarnation, epoch))
+
+    def _note_vm(self, request: Any) -> None:
+        if not request.vm:
+            return
+        known = self.machine.state.config.vms_by_id.get(request.vm)
+        wanted = messages.PutVm(
+            request.vm,
+            request.http_address,
+            request.rpc_address,
+            request.data_centre,
+            request.incarnation,
+            request.state,
+        )
+        if known != wanted:
+            self.propose(command(wanted, "control", self._clock.wall_ms()))
+
+    def _change(self, change: Any) -> None:
+        try:
+            self.propose(command(change, "control", self._clock.wall_ms()))
+        except messages.Refused as refused:
+            _log.warning("change by the control role not committed: %s", refused.message)
+
+    def _confirm(self) -> None:
+        try:
+            self.log.confirm(1.0)
+        except NotLeaderError as error:
+            raise messages.Refused("not_leader", str(error), leader=error.leader) from None
+        except LogUnavailableError as error:
+            raise messages.Refused("unavailable", str(error)) from None
--- /dev/null
+++ b/libs/arbutusrill_daemon/_main.py
@@ -0,0 +1,41 @@
+"""Command line of the daemon."""
+
+from __future__ import annotations
+
+import signal
+import sys
+import threading
+from pathlib import Path
+from typing import Annotated
+
+import typer
+from arbutusrill_base import PartLog, SettingsError, configure_logs, load_settings
+
+from ._roles import run_roles
+from ._settings import DaemonSettings
+
+__all__ = ["main"]
+
+EXIT_BAD_SETTINGS = 2
+_log = PartLog("daemon")
+
+
+def _run(settings: Annotated[Path, typer.Option(help="settings file in JSON")]) -> None:
+    """Serves the roles that the settings file names until SIGTERM or SIGINT."""
+    try:
+        checked = load_settings(settings, DaemonSettings)
+    except SettingsError as error:
+        print(f"arbutusrilld: {error}", file=sys.stderr)
+        raise SystemExit(EXIT_BAD_SETTINGS) from None
+    configure_logs(checked.log_level)
+    stopping = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: stopping.set())
+    _log.info("VM %s starts", checked.vm)
+    run_roles(checked, stopping)
+    _log.info("VM %s stops", checked.vm)
+
+
+def main() -> None:
+    """Runs the daemon."""
+    typer.run(_run)
--- /dev/null
+++ b/libs/arbutusrill_entry/_parse.py
@@ -0,0 +1,122 @@
+"""Checks of the bodies and headers that callers send."""
+
+from __future__ import annotations
+
+import json
+import time
+from dataclasses import dataclass
+from typing import Any
+
+from arbutusrill_base import Failure, FailureError
+from werkzeug.wrappers import Request
+
+__all__ = ["Completion", "bad_request", "deadline_of", "latency_class_of", "parse_completion"]
+
+LATENCY_CLASSES = ("lookup", "interactive", "briefing")
+_DEFAULT_OUTPUT_TOKENS = 256
+_MAX_OUTPUT_TOKENS = 32_768
+_MAX_DEADLINE_MS = 3_600_000
+_BYTES_PER_TOKEN = 4  # usual mean of English text in byte-pair encodings
+
+
+@dataclass(slots=True)
+class Completion:
+    """A checked completion request. Token counts of the prompt are estimates."""
+
+    model: str
+    prompt: str
+    chat: bool
+    stream: bool
+    max_tokens: int
+    prompt_tokens: int
+    include_usage: bool = False
+
+
+def bad_request(param: str | None, message: str, code: str = "invalid_value", status: int = 400) -> FailureError:
+    """Returns the error for a request that is wrong in the field `param`."""
+    return FailureError(Failure(code, message, status=status, param=param))
+
+
+def parse_completion(request: Request, chat: bool) -> Completion:
+    """Checks the body of a completion request; raises `FailureError` naming the wrong field."""
+    body = _json_object(request)
+    model = _take(body, "model", str, required=True)
+    stream = _take(body, "stream", bool) or False
+    options = _take(body, "stream_options", dict) or {}
+    field = "max_completion_tokens" if "max_completion_tokens" in body else "max_tokens"
+    max_tokens = _take(body, field, int)
+    if max_tokens is None:
+        max_tokens = _DEFAULT_OUTPUT_TOKENS
+    if not 1 <= max_tokens <= _MAX_OUTPUT_TOKENS:
+        raise bad_request(field, f"{field} must be between 1 and {_MAX_OUTPUT_TOKENS}")
+    if _take(body, "n", int) not in (None, 1):
+        raise bad_request("n", "n must be 1")
+    prompt = _chat_prompt(body) if chat else _take(body, "prompt", str, required=True)
+    tokens = max(1, -(-len(prompt.encode("utf-8", "replace")) // _BYTES_PER_TOKEN))
+    return Completion(model, prompt, chat, stream, max_tokens, tokens, bool(options.get("include_usage")))
+
+
+def latency_class_of(request: Request, default: str) -> str:
+    """Returns the latency class that the caller names, else `default`."""
+    value = request.headers.get("X-Latency-Class", default)
+    if value not in LATENCY_CLASSES:
+        raise bad_request("X-Latency-Class", f"X-Latency-Class must be one of {', '.join(LATENCY_CLASSES)}")
+    return value
+
+
+def deadline_of(request: Request, longest_s: float) -> float:
+    """Returns the moment, on the monotonic clock, after which an answer is of no use to the caller."""
+    text = request.headers.get("X-Deadline-Ms")
+    if text is None:
+        return time.monotonic() + longest_s
+    if not (text.isascii() and text.isdigit()) or not 1 <= int(text) <= _MAX_DEADLINE_MS:
+        raise bad_request("X-Deadline-Ms", f"X-Deadline-Ms must be a number from 1 to {_MAX_DEADLINE_MS}")
+    return time.monotonic() + int(text) / 1000
+
+
+def _json_object(request: Request) -> dict[str, Any]:
+    try:
+        text = request.get_data().decode("utf-8")
+    except UnicodeDecodeError as error:
+        raise bad_request(None, f"the body is not UTF-8 at byte {error.start}", "invalid_utf8") from None
+    try:
+        body = json.loads(text)
+    except (ValueError, RecursionError) as error:
+        raise bad_request(None, f"the body is not JSON: {error}", "invalid_json") from None
+    if not isinstance(body, dict):
+        raise bad_request(None, "the body must be a JSON object", "invalid_json")
+    return body
+
+
+def _take(body: dict[str, Any], name: str, kind: type, required: bool = False) -> Any:
+    value = body.get(name)
+    if value is None:
+        if required:
+            raise bad_request(name, f"{name} is required", "missing_field")
+        return None
+    if not isinstance(value, kind) or (kind is int and isinstance(value, bool)):
+        raise bad_request(name, f"{name} must be of type {kind.__name__}", "wrong_type")
+    return value
+
+
+def _chat_prompt(body: dict[str, Any]) -> str:
+    messages = _take(body, "messages", list, required=True)
+    if not messages:
+        raise bad_request("messages", "messages must not be empty")
+    parts = []
+    for index, message in enumerate(messages):
+        where = f"messages[{index}]"
+        if not isinstance(message, dict) or not isinstance(message.get("role"), str):
+            raise bad_request(where, f"{where} must be an object with a role", "wrong_type")
+        parts.append(f"{message['role']}: {_content(message.get('content'), where)}")
+    return "\n".join(parts)
+
+
+def _content(content: Any, where: str) -> str:
+    if isinstance(content, str):
+        return content
+    if isinstance(content, list) and all(
+        isinstance(part, dict) and isinstance(part.get("text"), str) for part in content
+    ):
+        return "".join(part["text"] for part in content)
+    raise bad_request(f"{where}.content", f"{where}.content must be text", "wrong_type")
--- /dev/null
+++ b/libs/arbutusrill_entry/_services.py
@@ -0,0 +1,147 @@
+"""Calls to plain services: repeatable ones, and once-only ones through the journal."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from arbutusrill_base import Clock, Failure, FailureError, PartLog, Verdict, new_request_id
+from arbutusrill_http import AbortStreamError, Transfer, TransferResult, fetch
+from arbutusrill_state import ControlClient, ControlUnavailableError, command
+from arbutusrill_wire import messages
+from werkzeug.wrappers import Request, Response
+
+from ._auth import authenticate, passed_headers, passed_query
+from ._backends import PoolClients
+from ._parse import deadline_of, latency_class_of
+from ._slots import Place, Wanted
+
+__all__ = ["Services"]
+
+_CALL_S = 30.0
+_JOURNAL_S = 4.0
+_PASSED_BACK = ("content-type", "location", "etag", "last-modified", "cache-control")
+_log = PartLog("services")
+
+
+class Services:
+    """Serves ``/services/<name>/<path>``."""
+
+    def __init__(self, follower: Any, pools: PoolClients, control: ControlClient, clock: Clock):
+        self._follower = follower
+        self._pools = pools
+        self._control = control
+        self._clock = clock
+
+    def serve(self, request: Request, start_response: Callable, name: str, path: str) -> Iterable[bytes]:
+        """Serves one call; raises `FailureError` for whatever the server did not answer itself."""
+        route = self._route(request, name, f"/{path}")
+        workspace = "" if route.open else authenticate(request, self._follower)
+        key = request.headers.get("Idempotency-Key")
+        if route.repeatable or key is None:
+            response = self._send(request, name, path, workspace, route.repeatable)
+        else:
+            response = self._once(request, name, path, workspace, key)
+        return response(request.environ, start_response)
+
+    def _route(self, request: Request, name: str, path: str) -> Any:
+        service = self._follower.config.services_by_name.get(name)
+        if service is None:
+            raise FailureError(Failure("service_not_found", f"the service {name!r} does not exist", status=404))
+        matching = [
+            route for route in service.routes if route.method in ("*", request.method) and path.startswith(route.prefix)
+        ]
+        safe = request.method in ("GET", "HEAD", "OPTIONS")
+        return max(matching, key=lambda route: len(route.prefix), default=messages.Route(repeatable=safe))
+
+    def _once(self, request: Request, name: str, path: str, workspace: str, key: str) -> Response:
+        digest = hashlib.sha256(f"{request.method} {name} {path}?".encode() + request.query_string)
+        digest.update(request.get_data())
+        me = self._follower.identity
+        begin = messages.JournalBegin(workspace, key, digest.digest(), me.vm, me.incarnation)
+        answer = self._journal("begin_call", begin, Verdict.NOT_RUN)
+        if answer.status != "started":
+            return _recorded(answer)
+        try:
+            response = self._send(request, name, path, workspace, repeatable=False)
+        except FailureError as error:
+            status = "not_run" if error.failure.verdict is Verdict.NOT_RUN else "unknown"
+            self._finish(messages.JournalFinish(workspace, key, answer.attempt, status))
+            raise
+        except BaseException:
+            self._finish(messages.JournalFinish(workspace, key, answer.attempt, "unknown"))
+            raise
+        headers = json.dumps(list(response.headers.items()))
+        body = response.get_data()
+        self._finish(
+            messages.JournalFinish(workspace, key, answer.attempt, "done", response.status_code, headers, body)
+        )
+        return response
+
+    def _journal(self, name: str, change: Any, verdict: Verdict) -> Any:
+        made = command(change, self._follower.identity.vm, self._clock.wall_ms())
+        try:
+            return self._control.call(name, made, timeout=_JOURNAL_S)
+        except (ControlUnavailableError, messages.Refused) as error:
+            message = f"the journal of once-only calls does not answer: {error}"
+            raise FailureError(Failure("journal_unavailable", message, verdict, 503, 1.0)) from None
+
+    def _finish(self, change: Any) -> None:
+        try:
+            self._journal("finish_call", change, Verdict.RAN)
+        except FailureError as error:
+            _log.warning("outcome of a once-only call not recorded: %s", error)
+
+    def _send(self, request: Request, name: str, path: str, workspace: str, repeatable: bool) -> Response:
+        latency_class = latency_class_of(request, "lookup" if repeatable else "interactive")
+        wait_s = self._follower.config.value(f"queue.max_wait_s.{latency_class}", workspace=workspace)
+        request_id = new_request_id()
+        wanted = Wanted(name, request_id, workspace, latency_class, deadline_of(request, wait_s))
+        caller = request.environ["werkzeug.socket"]
+        me = self._follower.identity
+        if self._pools.known(name) is None:
+            raise FailureError(Failure("no_server", f"no server of {name!r} has announced itself", retry_after=1.0))
+        with Place(self._pools, wanted, me.vm, me.incarnation, caller) as place:
+            query = passed_query(request)
+            url = f"{place.assignment.decode_address}/{path}" + (f"?{query}" if query else "")
+            headers = [*passed_headers(request), f"X-Request-Id: {request_id}"]
+            if workspace:
+                headers.append(f"X-Workspace: {workspace}")
+            watched = caller if repeatable else None
+            body = request.get_data()
+            result = fetch(
+                Transfer(request.method, url, headers, body, timeout_s=_CALL_S, fresh=not repeatable, watched=watched)
+            )
+        if result.error == "gone":
+            raise AbortStreamError
+        if not result.whole:
+            raise FailureError(_failure(name, result))
+        kept = {key: value for key, value in result.headers_by_name.items() if key in _PASSED_BACK}
+        return Response(result.body, result.status, {**kept, "X-Request-Id": request_id})
+
+
+def _failure(name: str, result: TransferResult) -> Failure:
+    message = f"the service {name!r} did not answer: {result.detail}"
+    retry_after = 1.0 if result.verdict is Verdict.NOT_RUN else None
+    return Failure("service_unavailable", message, result.verdict, 502, retry_after)
+
+
+def _recorded(answer: Any) -> Response:
+    if answer.status == "done":
+        headers = [*json.loads(answer.headers_json), ("X-Recorded-Answer", "true")]
+        return Response(answer.body or b"", answer.http_status, headers)
+    failures = {
+        "mismatch": Failure(
+            "idempotency_mismatch", "the idempotency key was used with another request", Verdict.NOT_RUN, 422
+        ),
+        "running": Failure(
+            "in_progress", "the call with this idempotency key is under way", Verdict.MAY_HAVE_RUN, 409, 1.0
+        ),
+        "unknown": Failure(
+            "outcome_unknown", "the outcome of the call with this key is unknown", Verdict.MAY_HAVE_RUN, 409
+        ),
+        "ran": Failure("answer_not_kept", "the call ran, its answer was too large to keep", Verdict.RAN, 409),
+    }
+    raise FailureError(failures[answer.status])
--- /dev/null
+++ b/libs/arbutusrill_pool/__init__.py
@@ -0,0 +1,6 @@
+"""Pools of backend servers: their owner, its slots and its queue."""
+
+from ._directory import PoolDirectory
+from ._owner import PoolOwner
+
+__all__ = ["PoolDirectory", "PoolOwner"]
--- /dev/null
+++ b/libs/arbutusrill_state/_client.py
@@ -0,0 +1,85 @@
+"""Client of the control group that finds the leader by itself."""
+
+from __future__ import annotations
+
+import threading
+import time
+from typing import Any
+
+from arbutusrill_base import backoff_s
+from arbutusrill_wire import NotSentError, RpcClient, RpcError, messages
+
+__all__ = ["ControlClient", "ControlUnavailableError"]
+
+
+class ControlUnavailableError(Exception):
+    """No control VM answered as leader in time.
+
+    `sent` is False when the call certainly was not carried out.
+    """
+
+    def __init__(self, message: str, sent: bool):
+        super().__init__(message)
+        self.sent = sent
+
+
+class ControlClient:
+    """Calls the control group's leader, following hints and trying the other control VMs.
+
+    A call may be sent more than once, so that only calls that the group recognises by their request id, or
+    that change nothing, belong here.
+    """
+
+    def __init__(self, addresses: list[str]):
+        self._lock = threading.Lock()
+        self._client_by_address = {address: RpcClient(address) for address in addresses}
+        self._order = list(addresses)
+
+    def __enter__(self) -> ControlClient:
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        for client in self._client_by_address.values():
+            client.close()
+
+    def call(self, name: str, *arguments: Any, timeout: float, try_timeout: float = 1.5) -> Any:
+        """Calls method `name` of the leader within `timeout` seconds; one try takes at most `try_timeout`.
+
+        Raises `messages.Refused` for a refusal by the leader and `ControlUnavailableError`.
+        """
+        deadline = time.monotonic() + timeout
+        sent = False
+        problem = "no control VM is configured"
+        attempt = 0
+        while (remaining := deadline - time.monotonic()) > 0:
+            attempt += 1
+            address = self._first()
+            client = self._client_by_address[address]
+            try:
+                return client.call(messages.Control, name, *arguments, timeout=min(remaining, try_timeout))
+            except messages.Refused as refused:
+                if refused.code not in ("not_leader", "unavailable"):
+                    raise
+                sent = sent or refused.verdict != messages.Verdict.NOT_RUN
+                problem = f"{address}: {refused.message}"
+                self._demote(address, refused.leader)
+                if refused.leader and refused.leader != address:
+                    continue
+            except RpcError as error:
+                sent = sent or not isinstance(error, NotSentError)
+                problem = str(error)
+                self._demote(address, "")
+            time.sleep(min(backoff_s(attempt, 0.02, 0.3), max(0.0, deadline - time.monotonic())))
+        raise ControlUnavailableError(f"the control group does not answer ({problem})", sent)
+
+    def _first(self) -> str:
+        with self._lock:
+            return self._order[0]
+
+    def _demote(self, address: str, better: str) -> None:
+        with self._lock:
+            if self._order[0] == address:
+                self._order.append(self._order.pop(0))
+            if better in self._client_by_address:
+                self._order.remove(better)
+                self._order.insert(0, better)
--- /dev/null
+++ b/libs/arbutusrill_state/_commands.py
@@ -0,0 +1,36 @@
+"""Construction and inspection of the commands that change the shared state."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from arbutusrill_base import new_request_id
+from arbutusrill_wire import messages
+
+__all__ = ["CHANGE_FIELDS", "JOURNAL_FIELDS", "change_of", "command"]
+
+CHANGE_FIELDS = tuple(spec[1] for number, spec in messages.Command.thrift_spec.items() if number >= 10)
+JOURNAL_FIELDS = tuple(name for name in CHANGE_FIELDS if name.startswith("journal_"))
+
+
+def command(change: Any, actor: str, at_ms: int, request_id: str | None = None, if_revision: int = -1) -> Any:
+    """Wraps one change struct in a `Command`.
+
+    >>> made = command(messages.SetDefault("limits.rate", "5.0"), "ops", 0, request_id="r")
+    >>> change_of(made)[0]
+    'set_default'
+    """
+    field = next(
+        spec[1] for number, spec in messages.Command.thrift_spec.items() if number >= 10 and spec[2] is type(change)
+    )
+    made = messages.Command(request_id or new_request_id("chg"), actor, at_ms, if_revision)
+    setattr(made, field, change)
+    return made
+
+
+def change_of(made: Any) -> tuple[str, Any]:
+    """Returns the name and the struct of the one change in a `Command`; raises `ValueError` without one."""
+    found = [(name, getattr(made, name)) for name in CHANGE_FIELDS if getattr(made, name) is not None]
+    if len(found) != 1:
+        raise ValueError(f"a command holds exactly one change, this one holds {len(found)}")
+    return found[0]
--- /dev/null
+++ b/libs/arbutusrill_state/_config.py
@@ -0,0 +1,259 @@
+"""The replicated configuration: a deterministic state machine with a revision."""
+
+from __future__ import annotations
+
+import json
+import threading
+from collections import OrderedDict
+from typing import Any
+
+from arbutusrill_wire import messages
+
+from ._commands import change_of
+from ._defaults import DEFAULT_SPEC_BY_NAME, SCOPE_KINDS, check_value
+
+__all__ = ["ConfigState"]
+
+_KEPT_FIRST_ANSWERS = 10_000  # five days at the target of 2,000 changes a day
+
+
+class RejectedError(Exception):
+    """A change that the state machine does not accept; it leaves the state as it was."""
+
+    def __init__(self, code: str, message: str):
+        super().__init__(message)
+        self.code = code
+
+
+class ConfigState:
+    """Defaults, exceptions, workspaces, keys, services, VMs, pools and orders.
+
+    The same commands in the same order give the same state on every replica: nothing here reads a clock
+    or draws a random number. Readers on other threads see each change as a whole.
+    """
+
+    def __init__(self) -> None:
+        self.lock = threading.RLock()
+        self._clear()
+
+    def _clear(self) -> None:
+        self.revision = 0
+        self.feature_level = 1
+        self.clock_ms = 0
+        self.defaults_by_name: dict[str, str] = {}
+        self.exceptions_by_id: dict[str, Any] = {}
+        self.workspaces_by_name: dict[str, Any] = {}
+        self.keys_by_hash: dict[str, Any] = {}
+        self.services_by_name: dict[str, Any] = {}
+        self.vms_by_id: dict[str, Any] = {}
+        self.pools_by_name: dict[str, Any] = {}
+        self.orders_by_id: dict[str, Any] = {}
+        self.first_answers_by_id: OrderedDict[str, Any] = OrderedDict()
+
+    # ---- changes
+
+    def apply(self, made: Any) -> Any:
+        """Applies a `Command` and returns its `Outcome`; a resent command gets its first outcome again."""
+        with self.lock:
+            first = self.first_answers_by_id.get(made.request_id)
+            if first is not None:
+                return first
+            outcome = self._apply_new(made)
+            self.first_answers_by_id[made.request_id] = outcome
+            while len(self.first_answers_by_id) > _KEPT_FIRST_ANSWERS:
+                self.first_answers_by_id.popitem(last=False)
+            return outcome
+
+    def _apply_new(self, made: Any) -> Any:
+        if made.if_revision >= 0 and made.if_revision != self.revision:
+            message = f"the revision is {self.revision}, not {made.if_revision}; read it again and decide anew"
+            return messages.Outcome(False, self.revision, "revision_conflict", message)
+        kind, change = change_of(made)
+        try:
+            getattr(self, f"_{kind}")(change, made)
+        except RejectedError as rejected:
+            return messages.Outcome(False, self.revision, rejected.code, str(rejected))
+        self.clock_ms = max(self.clock_ms, made.at_ms)
+        self.revision += 1
+        return messages.Outcome(True, self.revision)
+
+    def _set_default(self, change: Any, _: Any) -> None:
+        problem = check_value(change.name, change.value_json)
+        if problem:
+            raise RejectedError("bad_value", problem)
+        self.defaults_by_name[change.name] = change.value_json
+
+    def _unset_default(self, change: Any, _: Any) -> None:
+        if change.name not in DEFAULT_SPEC_BY_NAME:
+            raise RejectedError("not_found", f"unknown default {change.name!r}")
+        self.defaults_by_name.pop(change.name, None)
+
+    def _add_exception(self, change: Any, made: Any) -> None:
+        problem = check_value(change.default_name, change.value_json)
+        if problem:
+            raise RejectedError("bad_value", problem)
+        if change.scope_kind not in SCOPE_KINDS or not change.scope_name:
+            raise RejectedError("bad_value", f"the scope must be one of {', '.join(SCOPE_KINDS)} and a name")
+        if not change.reason.strip():
+            raise RejectedError("bad_value", "an exception needs a reason")
+        if change.id in self.exceptions_by_id:
+            raise RejectedError("conflict", f"exception {change.id} exists")
+        self.exceptions_by_id[change.id] = messages.ExceptionRecord(
+            change.id,
+            change.default_name,
+            change.scope_kind,
+            change.scope_name,
+            change.value_json,
+            change.reason,
+            made.actor,
+            made.at_ms,
+        )
+
+    def _remove_exception(self, change: Any, _: Any) -> None:
+        if self.exceptions_by_id.pop(change.id, None) is None:
+            raise RejectedError("not_found", f"no exception {change.id}")
+
+    def _put_workspace(self, change: Any, _: Any) -> None:
+        if not change.name:
+            raise RejectedError("bad_value", "a workspace needs a name")
+        for field in ("rate", "burst", "weight"):
+            value = getattr(change, field)
+            if not 0 < value < 1e15:
+                raise RejectedError("bad_value", f"{field} must be a positive number")
+        self.workspaces_by_name[change.name] = change
+
+    def _remove_workspace(self, change: Any, _: Any) -> None:
+        if self.workspaces_by_name.pop(change.name, None) is None:
+            raise RejectedError("not_found", f"no workspace {change.name}")
+
+    def _issue_key(self, change: Any, made: Any) -> None:
+        if change.workspace not in self.workspaces_by_name:
+            raise RejectedError("not_found", f"no workspace {change.workspace}")
+        if change.key_hash in self.keys_by_hash or self._key_by_id(change.key_id) is not None:
+            raise RejectedError("conflict", f"key {change.key_id} exists")
+        self.keys_by_hash[change.key_hash] = messages.KeyRecord(
+            change.key_id, change.key_hash, change.workspace, made.at_ms
+        )
+
+    def _withdraw_key(self, change: Any, made: Any) -> None:
+        record = self._key_by_id(change.key_id)
+        if record is None:
+            raise RejectedError("not_found", f"no key {change.key_id}")
+        if record.withdrawn_ms == 0:
+            self.keys_by_hash[record.key_hash] = messages.KeyRecord(
+                record.key_id, record.key_hash, record.workspace, record.issued_ms, max(1, made.at_ms)
+            )
+
+    def _put_service(self, change: Any, _: Any) -> None:
+        if not change.name or "/" in change.name:
+            raise RejectedError("bad_value", "a service needs a name without a slash")
+        for route in change.routes:
+            if not route.prefix.startswith("/"):
+                raise RejectedError("bad_value", f"route prefix {route.prefix!r} must start with a slash")
+        self.services_by_name[change.name] = change
+
+    def _remove_service(self, change: Any, _: Any) -> None:
+        if self.services_by_name.pop(change.name, None) is None:
+            raise RejectedError("not_found", f"no service {change.name}")
+
+    def _put_vm(self, change: Any, _: Any) -> None:
+        if change.state not in ("live", "draining", "dead"):
+            raise RejectedError("bad_value", f"unknown VM state {change.state!r}")
+        self.vms_by_id[change.id] = change
+
+    def _assign_pool(self, change: Any, _: Any) -> None:
+        current = self.pools_by_name.get(change.name)
+        if current is not None and change.epoch != current.epoch + 1:
+            raise RejectedError("conflict", f"pool {change.name} is at epoch {current.epoch}")
+        if current is None and change.epoch != 1:
+            raise RejectedError("conflict", f"pool {change.name} starts at epoch 1")
+        self.pools_by_name[change.name] = change
+
+    def _release_pool(self, change: Any, _: Any) -> None:
+        current = self.pools_by_name.get(change.name)
+        if current is None or current.owner != change.owner or current.epoch != change.epoch:
+            raise RejectedError(
+                "conflict", f"pool {change.name} is not owned by {change.owner} at epoch {change.epoch}"
+            )
+        self.pools_by_name[change.name] = messages.AssignPool(change.name, current.kind, "", 0, current.epoch + 1)
+
+    def _put_order(self, change: Any, _: Any) -> None:
+        self.orders_by_id[change.id] = change
+
+    def _set_feature_level(self, change: Any, _: Any) -> None:
+        if change.level < self.feature_level:
+            raise RejectedError("bad_value", f"the feature level is {self.feature_level} and never goes back")
+        self.feature_level = change.level
+
+    # ---- reading
+
+    def _key_by_id(self, key_id: str) -> Any | None:
+        return next((record for record in self.keys_by_hash.values() if record.key_id == key_id), None)
+
+    def workspace_of_key(self, key_hash: str) -> str | None:
+        """Returns the workspace that a key gives access to, or None for an unknown or withdrawn key."""
+        with self.lock:
+            record = self.keys_by_hash.get(key_hash)
+            if record is None or record.withdrawn_ms or record.workspace not in self.workspaces_by_name:
+                return None
+            return record.workspace
+
+    def value(self, name: str, **scope: str) -> Any:
+        """Returns the value of a default in a scope such as ``workspace="a", model="m"``.
+
+        The most specific matching exception wins, in the order of `SCOPE_KINDS`; of two, the later one.
+        """
+        with self.lock:
+            for kind in SCOPE_KINDS:
+                matching = [
+                    record
+                    for record in self.exceptions_by_id.values()
+                    if record.default_name == name
+                    and record.scope_kind == kind
+                    and record.scope_name == scope.get(kind)
+                ]
+                if matching:
+                    return json.loads(matching[-1].value_json)
+            if name in self.defaults_by_name:
+                return json.loads(self.defaults_by_name[name])
+            return DEFAULT_SPEC_BY_NAME[name].initial
+
+    # ---- snapshots
+
+    def snapshot(self, with_first_answers: bool = True) -> Any:
+        """Returns the whole state as a `ConfigSnapshot`."""
+        with self.lock:
+            answers = []
+            if with_first_answers:
+                answers = [messages.FirstAnswer(key, value) for key, value in self.first_answers_by_id.items()]
+            return messages.ConfigSnapshot(
+                self.revision,
+                dict(self.defaults_by_name),
+                list(self.exceptions_by_id.values()),
+                list(self.workspaces_by_name.values()),
+                list(self.keys_by_hash.values()),
+                list(self.services_by_name.values()),
+                list(self.vms_by_id.values()),
+                list(self.pools_by_name.values()),
+                list(self.orders_by_id.values()),
+                self.feature_level,
+                answers,
+                self.clock_ms,
+            )
+
+    def restore(self, snapshot: Any) -> None:
+        """Replaces the whole state by a snapshot."""
+        with self.lock:
+            self._clear()
+            self.revision = snapshot.revision
+            self.feature_level = snapshot.feature_level
+            self.clock_ms = snapshot.clock_ms
+            self.defaults_by_name.update(snapshot.defaults or {})
+            self.exceptions_by_id.update((record.id, record) for record in snapshot.exceptions)
+            self.workspaces_by_name.update((record.name, record) for record in snapshot.workspaces)
+            self.keys_by_hash.update((record.key_hash, record) for record in snapshot.keys)
+            self.services_by_name.update((record.name, record) for record in snapshot.services)
+            self.vms_by_id.update((record.id, record) for record in snapshot.vms)
+            self.pools_by_name.update((record.name, record) for record in snapshot.pools)
+            self.orders_by_id.update((record.id, record) for record in snapshot.orders)
+            self.first_answers_by_id.update((answer.request_id, answer.outcome) for answer in snapshot.first_answers)
--- /dev/null
+++ b/libs/arbutusrill_state/_defaults.py
@@ -0,0 +1,75 @@
+"""The defaults that operators can change, their types and their initial values."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+
+__all__ = ["DEFAULT_SPEC_BY_NAME", "SCOPE_KINDS", "DefaultSpec", "check_value"]
+
+SCOPE_KINDS = ("workspace", "model", "service", "data_centre")
+
+
+@dataclass(slots=True, frozen=True)
+class DefaultSpec:
+    """Type, initial value, allowed range and meaning of one default."""
+
+    name: str
+    kind: type
+    initial: object
+    help: str
+    minimum: float | None = None
+    maximum: float | None = None
+    choices: tuple[str, ...] = ()
+
+
+_SPECS = (
+    DefaultSpec("limits.rate", float, 2000.0, "tokens/s of a workspace without a rate of its own", 0.001),
+    DefaultSpec("limits.burst", float, 20000.0, "burst in tokens of a workspace without one of its own", 1),
+    DefaultSpec("limits.plain_call_tokens", float, 1.0, "tokens charged for a call to a plain service", 0),
+    DefaultSpec("targets.first_token_s", float, 2.0, "target for the first token, seconds", 0.001),
+    DefaultSpec("targets.token_gap_s", float, 0.031, "target for the time between tokens, seconds", 0.0001),
+    DefaultSpec("targets.quantile", float, 0.95, "part of the requests that must meet a target", 0.5, 0.99999),
+    DefaultSpec(
+        "policy.name",
+        str,
+        "reserving",
+        "placement policy",
+        choices=("round_robin", "least_loaded", "prefill_first", "reserving"),
+    ),
+    DefaultSpec("retry.budget", float, 0.1, "retries as a fraction of requests", 0, 1),
+    DefaultSpec("entries.max_age_s", int, 5, "time for which callers may keep the list of entry VMs, seconds", 1),
+    DefaultSpec("journal.retention_s", int, 86400, "time for which answers of once-only calls are kept, seconds", 60),
+    DefaultSpec("journal.answer_bytes", int, 65536, "largest recorded answer body, bytes", 0, 1048576),
+    DefaultSpec("queue.max_wait_s.lookup", float, 1.0, "longest wait in the queue of a lookup, seconds", 0),
+    DefaultSpec("queue.max_wait_s.interactive", float, 5.0, "longest wait of an interactive request, seconds", 0),
+    DefaultSpec("queue.max_wait_s.briefing", float, 120.0, "longest wait of a briefing, seconds", 0),
+)
+
+DEFAULT_SPEC_BY_NAME = {spec.name: spec for spec in _SPECS}
+
+
+def check_value(name: str, value_json: str) -> str | None:
+    """Returns None when `value_json` is a legal value of the default `name`, else what is wrong with it.
+
+    >>> check_value("limits.rate", "-1")
+    'limits.rate must be at least 0.001'
+    """
+    spec = DEFAULT_SPEC_BY_NAME.get(name)
+    if spec is None:
+        return f"unknown default {name!r}"
+    try:
+        value = json.loads(value_json)
+    except ValueError:
+        return f"{name} must be a JSON value"
+    if spec.kind is float and type(value) is int:
+        value = float(value)
+    if type(value) is not spec.kind or value != value:
+        return f"{name} must be of type {spec.kind.__name__}"
+    if spec.choices and value not in spec.choices:
+        return f"{name} must be one of {', '.join(spec.choices)}"
+    if spec.minimum is not None and value < spec.minimum:
+        return f"{name} must be at least {spec.minimum:g}"
+    if spec.maximum is not None and value > spec.maximum:
+        return f"{name} must be at most {spec.maximum:g}"
+    return None
--- /dev/null
+++ b/libs/arbutusrill_state/_follower.py
@@ -0,0 +1,118 @@
+"""Follower of the configuration on an entry VM: pushed changes, freshness and the VM's lease."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from arbutusrill_base import Clock, PartLog, TaskGroup
+from arbutusrill_wire import messages
+
+from ._client import ControlClient, ControlUnavailableError
+from ._config import ConfigState
+
+__all__ = ["Follower", "VmIdentity"]
+
+FRESH_S = 3.0  # a state not confirmed for this long may miss a withdrawn key
+WAIT_MS = 400  # long poll; also the heartbeat of the VM's lease
+_log = PartLog("follower")
+
+
+@dataclass(slots=True, frozen=True)
+class VmIdentity:
+    """Name, addresses, data centre and incarnation of an entry VM."""
+
+    vm: str
+    incarnation: int
+    http_address: str
+    rpc_address: str
+    data_centre: str
+
+
+class Follower:
+    """Keeps `config` up to date and knows how fresh it is. Times are on the monotonic clock."""
+
+    def __init__(self, identity: VmIdentity, control: ControlClient, clock: Clock):
+        self.identity = identity
+        self.config = ConfigState()
+        self._control = control
+        self._clock = clock
+        self._confirmed_at = float("-inf")
+        self._lease_until = float("-inf")
+        self._draining = False
+        self._listeners: list[Callable[[], None]] = []
+        self._first = threading.Event()
+
+    def start(self, tasks: TaskGroup) -> None:
+        """Follows the control group until `tasks` stops."""
+        tasks.start(self._run, tasks)
+
+    def on_change(self, listener: Callable[[], None]) -> None:
+        """Calls `listener` after each change, on the follower's thread."""
+        self._listeners.append(listener)
+
+    def wait_first(self, timeout: float) -> bool:
+        """Waits until a first confirmed state is there."""
+        return self._first.wait(timeout)
+
+    def fresh(self) -> bool:
+        """Says whether the state was confirmed by a quorum in the last `FRESH_S` seconds."""
+        return self._clock.monotonic() - self._confirmed_at < FRESH_S
+
+    def holds_lease(self) -> bool:
+        """Says whether this VM's lease is still running, so that it may act as an owner."""
+        return self._clock.monotonic() < self._lease_until
+
+    def drain(self) -> None:
+        """Announces from the next poll on that this VM takes no new callers."""
+        self._draining = True
+
+    def _run(self, tasks: TaskGroup) -> None:
+        while not tasks.stopping.is_set():
+            try:
+                self.poll()
+            except ControlUnavailableError as error:
+                _log.warning("state not confirmed: %s", error)
+            except messages.Refused as refused:
+                _log.warning("control group refused to be followed: %s", refused.message)
+                tasks.stopping.wait(0.2)
+            except Exception:
+                _log.exception("following the control group failed")
+                tasks.stopping.wait(0.5)
+
+    def poll(self, wait_ms: int = WAIT_MS) -> None:
+        """Asks once for changes and applies them."""
+        me = self.identity
+        state = "draining" if self._draining else "live"
+        request = messages.FollowRequest(
+            me.vm,
+            me.incarnation,
+            me.http_address,
+            me.rpc_address,
+            me.data_centre,
+            state,
+            self.config.revision,
+            wait_ms,
+        )
+        sent_at = self._clock.monotonic()
+        reply = self._control.call("follow", request, timeout=2.0, try_timeout=1.0 + wait_ms / 1000)
+        changed = self._apply(reply)
+        if self.config.revision >= reply.confirmed_revision:
+            self._confirmed_at = max(self._confirmed_at, sent_at)
+            self._lease_until = max(self._lease_until, sent_at + reply.lease_ms / 1000)
+            self._first.set()
+        if changed:
+            for listener in self._listeners:
+                listener()
+
+    def _apply(self, reply: object) -> bool:
+        before = self.config.revision
+        if reply.snapshot is not None and reply.snapshot.revision > before:
+            self.config.restore(reply.snapshot)
+        for item in reply.commands or []:
+            if item.revision == self.config.revision + 1:
+                self.config.apply(item.command)
+                assert self.config.revision == item.revision, "a change of the log was refused by a follower"
+        assert self.config.revision >= before, "the revision of a follower went back"
+        return self.config.revision > before
--- /dev/null
+++ b/libs/arbutusrill_wire/_server.py
@@ -0,0 +1,123 @@
+"""RPC server: one task for each connection, from a bounded group."""
+
+from __future__ import annotations
+
+import socket
+from typing import Any
+
+from arbutusrill_base import PartLog, TaskGroup
+from thriftpy2.protocol import TBinaryProtocolFactory
+from thriftpy2.thrift import TApplicationException, TMessageType
+from thriftpy2.transport import TMemoryBuffer
+
+from ._frames import read_frame, write_frame
+
+__all__ = ["RpcServer"]
+
+_IDLE_S = 60.0
+_SEND_TIMEOUT_S = 5.0
+_log = PartLog("rpc")
+
+
+class RpcServer:
+    """Serves thrift services on one address until the context ends.
+
+    `handlers` maps a service of the IDL to the object with its methods. Method names are unique over
+    all services, so that one port serves several of them. A connection above `limit` is closed at once.
+    """
+
+    def __init__(self, host: str, port: int, handlers: dict[Any, object], limit: int = 256):
+        self._method_by_name = {
+            name: (service, getattr(handler, name))
+            for service, handler in handlers.items()
+            for name in service.thrift_services
+        }
+        self._listener = socket.create_server((host, port), backlog=256)
+        self._tasks = TaskGroup("rpc", limit + 1)
+        self._connections: set[socket.socket] = set()
+        self.address = "{}:{}".format(*self._listener.getsockname()[:2])
+
+    def __enter__(self) -> RpcServer:
+        self._tasks.start(self._accept)
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self._tasks.stopping.set()
+        for connection in [self._listener, *self._connections]:
+            try:
+                connection.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+            connection.close()
+        self._tasks.close()
+
+    def _accept(self) -> None:
+        while not self._tasks.stopping.is_set():
+            try:
+                connection, _ = self._listener.accept()
+            except OSError:
+                if not self._tasks.stopping.wait(0.05):
+                    continue
+                return
+            connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self._connections.add(connection)
+            if self._tasks.start(self._serve, connection) is None:
+                _log.warning("connection refused, all threads are taken")
+                self._close(connection)
+
+    def _serve(self, connection: socket.socket) -> None:
+        try:
+            while not self._tasks.stopping.is_set():
+                frame = read_frame(connection, _IDLE_S)
+                if frame is None:
+                    return
+                connection.settimeout(_SEND_TIMEOUT_S)
+                write_frame(connection, self._answer(frame))
+        except OSError:
+            pass
+        except Exception as error:
+            _log.warning("connection closed after a malformed message: %r", error)
+        finally:
+            self._close(connection)
+
+    def _close(self, connection: socket.socket) -> None:
+        self._connections.discard(connection)
+        connection.close()
+
+    def _answer(self, frame: bytes) -> bytes:
+        protocol = TBinaryProtocolFactory().get_protocol(TMemoryBuffer(frame))
+        name, _, sequence = protocol.read_message_begin()
+        out = TMemoryBuffer()
+        reply = TBinaryProtocolFactory().get_protocol(out)
+        if name not in self._method_by_name:
+            _write_fault(reply, name, sequence, TApplicationException.UNKNOWN_METHOD, f"unknown method {name}")
+            return out.getvalue()
+        service, method = self._method_by_name[name]
+        arguments = getattr(service, f"{name}_args")()
+        arguments.read(protocol)
+        result = getattr(service, f"{name}_result")()
+        try:
+            result.success = method(*(getattr(arguments, spec[1]) for spec in arguments.thrift_spec.values()))
+        except Exception as error:
+            if not _set_declared(result, error):
+                _log.exception("call of %s failed", name)
+                _write_fault(reply, name, sequence, TApplicationException.INTERNAL_ERROR, repr(error))
+                return out.getvalue()
+        reply.write_message_begin(name, TMessageType.REPLY, sequence)
+        result.write(reply)
+        reply.write_message_end()
+        return out.getvalue()
+
+
+def _set_declared(result: Any, error: Exception) -> bool:
+    for spec in result.thrift_spec.values():
+        if spec[1] != "success" and len(spec) > 2 and isinstance(error, spec[2]):
+            setattr(result, spec[1], error)
+            return True
+    return False
+
+
+def _write_fault(reply: Any, name: str, sequence: int, kind: int, message: str) -> None:
+    reply.write_message_begin(name, TMessageType.EXCEPTION, sequence)
+    TApplicationException(kind, message).write(reply)
+    reply.write_message_end()
--- /dev/null
+++ b/libs/arbutusrill_wire/arbutusrill.thrift
@@ -0,0 +1,345 @@
+// Messages between arbutusrill processes.
+//
+// Compatibility rule: fields are only added, always with a new number and always optional for the reader.
+// A field number is never reused. Readers skip the fields that they do not know.
+
+enum Verdict {
+  NOT_RUN = 0,
+  MAY_HAVE_RUN = 1,
+  RAN = 2
+}
+
+// Raised by any call that is refused. `leader` names the RPC address to try instead, where known.
+exception Refused {
+  1: string code,
+  2: string message,
+  3: Verdict verdict = Verdict.NOT_RUN,
+  4: i64 retry_after_ms = -1,
+  5: string leader = ""
+}
+
+// ---- Replicated log -------------------------------------------------------------------------------------
+
+struct LogEntry {
+  1: i64 index,
+  2: i64 term,
+  3: i32 kind = 0,          // 0 command, 1 no operation, 2 membership change
+  4: binary data
+}
+
+struct VoteRequest {
+  1: i64 term,
+  2: string candidate,
+  3: i64 last_index,
+  4: i64 last_term,
+  5: bool pre_vote = false,
+  6: string disk_id = ""
+}
+
+struct VoteReply {
+  1: i64 term,
+  2: bool granted
+}
+
+struct AppendRequest {
+  1: i64 term,
+  2: string leader,
+  3: i64 previous_index,
+  4: i64 previous_term,
+  5: list<LogEntry> entries,
+  6: i64 commit_index,
+  7: string disk_id = "",
+  8: string target = ""     // replica id that the message is meant for
+}
+
+struct AppendReply {
+  1: i64 term,
+  2: bool success,
+  3: i64 match_index,       // highest index known to match when success, else a hint where to continue
+  4: string disk_id = ""
+}
+
+struct SnapshotRequest {
+  1: i64 term,
+  2: string leader,
+  3: i64 last_index,
+  4: i64 last_term,
+  5: i64 offset,
+  6: binary data,
+  7: bool done = false,
+  8: binary membership
+}
+
+struct SnapshotReply {
+  1: i64 term,
+  2: i64 next_offset
+}
+
+service Raft {
+  VoteReply vote(1: VoteRequest request) throws (1: Refused refused),
+  AppendReply append(1: AppendRequest request) throws (1: Refused refused),
+  SnapshotReply install_snapshot(1: SnapshotRequest request) throws (1: Refused refused)
+}
+
+// ---- Commands of the state machine ----------------------------------------------------------------------
+
+struct Route {
+  1: string method = "*",       // HTTP method or "*"
+  2: string prefix = "/",       // path prefix inside the service
+  3: bool open = false,         // callers need no key
+  4: bool repeatable = true     // false: the call may run at most once
+}
+
+struct SetDefault { 1: string name, 2: string value_json }
+struct UnsetDefault { 1: string name }
+struct AddException {
+  1: string id, 2: string default_name, 3: string scope_kind, 4: string scope_name,
+  5: string value_json, 6: string reason
+}
+struct RemoveException { 1: string id }
+struct PutWorkspace { 1: string name, 2: double rate, 3: double burst, 4: double weight = 1.0 }
+struct RemoveWorkspace { 1: string name }
+struct IssueKey { 1: string key_id, 2: string key_hash, 3: string workspace }
+struct WithdrawKey { 1: string key_id }
+struct PutService { 1: string name, 2: list<Route> routes }
+struct RemoveService { 1: string name }
+struct PutVm {
+  1: string id, 2: string http_address, 3: string rpc_address, 4: string data_centre,
+  5: i64 incarnation, 6: string state      // live, draining or dead
+}
+struct AssignPool { 1: string name, 2: string kind, 3: string owner, 4: i64 owner_incarnation, 5: i64 epoch }
+struct ReleasePool { 1: string name, 2: string owner, 3: i64 epoch }
+struct PutOrder {
+  1: string id, 2: string server, 3: string pool, 4: string action, 5: string argument_json, 6: string state,
+  7: i64 fencing = 0, 8: string detail = ""
+}
+struct SetFeatureLevel { 1: i32 level }
+
+struct JournalBegin {
+  1: string workspace, 2: string key, 3: binary digest, 4: string vm, 5: i64 incarnation
+}
+struct JournalFinish {
+  1: string workspace, 2: string key, 3: i32 attempt, 4: string status,   // done, not_run, ran or unknown
+  5: i32 http_status = 0, 6: string headers_json = "", 7: binary body
+}
+struct JournalSweep { 1: i64 before_ms }
+
+// Exactly one of the fields from 10 on is set.
+struct Command {
+  1: string request_id,
+  2: string actor,
+  3: i64 at_ms,                  // wall clock of the proposer, milliseconds since 1970
+  4: i64 if_revision = -1,       // compare-and-set on the revision; -1: none
+  10: SetDefault set_default,
+  11: UnsetDefault unset_default,
+  12: AddException add_exception,
+  13: RemoveException remove_exception,
+  14: PutWorkspace put_workspace,
+  15: RemoveWorkspace remove_workspace,
+  16: IssueKey issue_key,
+  17: WithdrawKey withdraw_key,
+  18: PutService put_service,
+  19: RemoveService remove_service,
+  20: PutVm put_vm,
+  21: AssignPool assign_pool,
+  22: ReleasePool release_pool,
+  23: PutOrder put_order,
+  24: SetFeatureLevel set_feature_level,
+  40: JournalBegin journal_begin,
+  41: JournalFinish journal_finish,
+  42: JournalSweep journal_sweep
+}
+
+// The state machine's answer to a command.
+struct Outcome {
+  1: bool accepted,
+  2: i64 revision,
+  3: string code = "",           // fixed word when not accepted
+  4: string message = "",
+  5: binary detail               // journal commands: a serialised BeginAnswer
+}
+
+// ---- Snapshots of the config state ----------------------------------------------------------------------
+
+struct ExceptionRecord {
+  1: string id, 2: string default_name, 3: string scope_kind, 4: string scope_name, 5: string value_json,
+  6: string reason, 7: string actor, 8: i64 at_ms
+}
+struct KeyRecord {
+  1: string key_id, 2: string key_hash, 3: string workspace, 4: i64 issued_ms, 5: i64 withdrawn_ms = 0
+}
+struct FirstAnswer { 1: string request_id, 2: Outcome outcome }
+struct ConfigSnapshot {
+  1: i64 revision,
+  2: map<string, string> defaults,
+  3: list<ExceptionRecord> exceptions,
+  4: list<PutWorkspace> workspaces,
+  5: list<KeyRecord> keys,
+  6: list<PutService> services,
+  7: list<PutVm> vms,
+  8: list<AssignPool> pools,
+  9: list<PutOrder> orders,
+  10: i32 feature_level = 1,
+  11: list<FirstAnswer> first_answers,
+  12: i64 clock_ms = 0
+}
+
+// ---- Control --------------------------------------------------------------------------------------------
+
+struct FollowRequest {
+  1: string vm,
+  2: i64 incarnation,
+  3: string http_address,
+  4: string rpc_address,
+  5: string data_centre,
+  6: string state,               // live or draining
+  7: i64 revision,               // highest revision that the caller has applied
+  8: i32 wait_ms
+}
+
+struct RevisionedCommand {
+  1: i64 revision,
+  2: Command command
+}
+
+struct FollowReply {
+  1: list<RevisionedCommand> commands,
+  2: ConfigSnapshot snapshot,            // set instead of commands when the caller is too far behind
+  3: i64 confirmed_revision,     // the state is fresh once this revision is applied
+  4: i32 lease_ms,               // VM lease, counted from when the caller sent the request
+  5: string leader
+}
+
+struct GrantItem {
+  1: string workspace,
+  2: double wanted,              // tokens
+  3: double returned = 0         // unspent or refunded tokens credited back
+}
+struct GrantRequest { 1: string vm, 2: i64 incarnation, 3: list<GrantItem> items, 4: i64 epoch = 0 }
+struct Grant {
+  1: string workspace,
+  2: double tokens,
+  3: i32 lease_ms,
+  4: double capacity,            // largest single charge that can ever be granted
+  5: i32 retry_after_ms = 0
+}
+struct GrantReply { 1: list<Grant> grants, 2: i64 epoch }
+
+struct BeginAnswer {
+  1: string status,              // started, done, ran, running, unknown or mismatch
+  2: i32 attempt = 0,
+  3: i32 http_status = 0,
+  4: string headers_json = "",
+  5: binary body
+}
+
+struct BurnRow {
+  1: string workspace, 2: string route, 3: string target, 4: i64 window_s, 5: i64 good, 6: i64 bad
+}
+
+struct ReplicaStatus {
+  1: string id, 2: string role, 3: i64 term, 4: string leader, 5: i64 commit_index, 6: i64 applied_index,
+  7: i64 revision, 8: list<string> voters, 9: list<string> learners, 10: string fault = ""
+}
+
+service Control {
+  Outcome propose(1: Command command) throws (1: Refused refused),
+  FollowReply follow(1: FollowRequest request) throws (1: Refused refused),
+  GrantReply grant(1: GrantRequest request) throws (1: Refused refused),
+  BeginAnswer begin_call(1: Command command) throws (1: Refused refused),
+  Outcome finish_call(1: Command command) throws (1: Refused refused),
+  void report_burn(1: string vm, 2: i64 incarnation, 3: list<BurnRow> rows) throws (1: Refused refused),
+  void open_pool(1: string name, 2: string kind) throws (1: Refused refused),   // kind: model or service
+  ReplicaStatus replica_status() throws (1: Refused refused)
+}
+
+// ---- Pools ----------------------------------------------------------------------------------------------
+
+// What a backend server says of itself, repeated every half second.
+struct Announcement {
+  1: string id,
+  2: i64 incarnation,
+  3: string address,             // http://IP:port
+  4: string role,                // prefill, decode, both or plain
+  5: list<string> pools,         // model or service names
+  6: string data_centre,
+  7: i32 slots,
+  8: i64 memory_bytes = 0,
+  9: double link_bytes_per_s = 0,
+  10: double prefill_tokens_per_s = 0,
+  11: double token_gap_s = 0,
+  12: bool checks_fencing = false,
+  13: string state = "ready",    // ready, draining or leaving
+  14: i32 running = 0,           // load report, may lag
+  15: i32 queued = 0,
+  16: list<string> versions,
+  17: i64 report_seq = 0,
+  18: i64 kv_bytes_per_token = 0
+}
+
+struct CacheEvents {
+  1: string id,
+  2: i64 incarnation,
+  3: i64 first_seq,
+  4: list<string> added,         // prefix block hashes
+  5: list<string> removed,
+  6: bool full = false           // the whole content, after a resynchronisation
+}
+
+struct AcquireRequest {
+  1: string pool,
+  2: string ticket,              // request id; polling again with it keeps the place in the queue
+  3: string vm,
+  4: i64 incarnation,
+  5: string workspace,
+  6: double weight = 1.0,
+  7: string latency_class,       // lookup, interactive or briefing
+  8: i64 deadline_ms,            // from when the request is sent
+  9: i64 prompt_tokens = 0,
+  10: i64 output_tokens = 0,
+  11: list<string> prefix_blocks,
+  12: string data_centre = "",
+  13: i32 wait_ms = 300,
+  14: list<string> avoid,        // backend servers that already failed this request
+  15: i64 epoch = 0
+}
+
+struct Assignment {
+  1: string ticket,
+  2: string prefill_server, 3: string prefill_address,
+  4: string decode_server, 5: string decode_address,
+  6: i64 decode_incarnation = 0,
+  7: double predicted_first_token_s = 0,
+  8: i32 priority = 0
+}
+
+struct AcquireReply {
+  1: string status,              // assigned, pending or refused
+  2: Assignment assignment,
+  3: string code = "",
+  4: string message = "",
+  5: i64 retry_after_ms = -1
+}
+
+struct ReleaseRequest {
+  1: string pool, 2: string ticket, 3: string outcome,     // done, gone, prefill_failed, decode_failed, not_sent
+  4: double prefill_s = 0, 5: double first_token_s = 0, 6: i64 tokens = 0, 7: double decode_s = 0,
+  8: i64 cached_tokens = 0, 9: string failed_server = ""
+}
+
+struct HeldTicket { 1: string ticket, 2: string pool, 3: Assignment assignment, 4: string workspace, 5: string stage }
+struct RenewRequest { 1: string vm, 2: i64 incarnation, 3: list<HeldTicket> tickets }
+
+struct ServerStatus {
+  1: Announcement announcement, 2: i32 assigned, 3: double heard_s, 4: string health, 5: i64 cached_blocks
+}
+struct PoolStatus { 1: string pool, 2: i64 epoch, 3: i32 queued, 4: list<ServerStatus> servers }
+
+service Pool {
+  AcquireReply acquire(1: AcquireRequest request) throws (1: Refused refused),
+  void release(1: ReleaseRequest request) throws (1: Refused refused),
+  void renew(1: RenewRequest request) throws (1: Refused refused),
+  bool announce(1: Announcement announcement) throws (1: Refused refused),
+  bool cache_events(1: CacheEvents events) throws (1: Refused refused),   // false: please resynchronise
+  list<PoolStatus> pool_status() throws (1: Refused refused)
+}
