limits: fleet-wide token rates by leased grants

Cause: the leader granted whatever was asked, so that a workspace got its burst on every entry VM. Change: the leader keeps one bucket per workspace (GrantOwner), entry VMs pay requests from leased grants (TokenLeases, Charge). Returned tokens are credited as if they had never been granted: credited in full, a window that begins after the grant would exceed rate x time + burst. Requests carry a sequence number, so that a resent one is answered the same. A waiting VM keeps its turn, so that small charges do not starve a large one. Exceptions for limits.rate and limits.burst now count for their workspace; 0 in a workspace means the default. Ruled out: rounding the time of a grant down for its returns, which loses the credit of a full bucket.

--- a/libs/arbutusrill_control/_service.py
+++ b/libs/arbutusrill_control/_service.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from arbutusrill_base import Clock, PartLog
+from arbutusrill_limits import GrantOwner, Limits
 from arbutusrill_raft import LogUnavailableError, NotLeaderError, ReplicatedLog, StateMachine
 from arbutusrill_state import SharedState, command
 from arbutusrill_wire import decode, encode, messages
@@ -51,6 +52,7 @@
         self.log = log
         self.machine = machine
         self.leases = VmLeases(clock)
+        self.grants = GrantOwner(self._limits_of, clock)
         self._clock = clock
         self._led = False
 
@@ -94,14 +96,15 @@
 
     def grant(self, request: Any) -> Any:
         """Grants tokens of workspaces to an entry VM."""
+        term = self.log.status().term
         self._confirm()
-        config = self.machine.state.config
-        grants = []
-        for item in request.items:
-            workspace = config.workspaces_by_name.get(item.workspace)
-            burst = workspace.burst if workspace is not None else 0.0
-            grants.append(messages.Grant(item.workspace, item.wanted, 500, burst))
-        return messages.GrantReply(grants, 1)
+        if self.log.status().term != term:
+            raise messages.Refused("not_leader", "the leadership changed during the call")
+        return self.grants.grant(request, term)
+
+    def _limits_of(self, workspace: str) -> Limits | None:
+        found = self.machine.state.config.limits_of(workspace)
+        return None if found is None else Limits(*found)
 
     def open_pool(self, name: str, kind: str) -> None:
         """Makes sure that a pool has an owner."""
@@ -139,6 +142,7 @@
         self._led = leads
         if not leads:
             return
+        self.grants.enter_epoch(self.log.status().term)
         config = self.machine.state.config
         for vm in list(config.vms_by_id.values()):
             if vm.state != "dead" and not self.leases.alive(vm.id, vm.incarnation):
--- a/libs/arbutusrill_daemon/_roles.py
+++ b/libs/arbutusrill_daemon/_roles.py
@@ -9,6 +9,7 @@
 from arbutusrill_control import ControlService, OperatorApp, SharedMachine
 from arbutusrill_entry import EntryApp, PoolClients
 from arbutusrill_http import HttpLimits, HttpServer
+from arbutusrill_limits import Limits, TokenLeases
 from arbutusrill_pool import PoolDirectory
 from arbutusrill_raft import LocalLog
 from arbutusrill_state import ControlClient, Follower, VmIdentity
@@ -19,6 +20,7 @@
 __all__ = ["run_roles"]
 
 _TICK_S = 0.2
+_RETURN_S = 1.0  # for returning unspent tokens at the end; they are lost to the workspace otherwise
 
 
 def run_roles(settings: DaemonSettings, stopping: threading.Event) -> None:
@@ -53,6 +55,11 @@
             yield
 
 
+def _limits(follower: Follower, workspace: str) -> Limits | None:
+    found = follower.config.limits_of(workspace)
+    return None if found is None else Limits(*found)
+
+
 @contextlib.contextmanager
 def _entry(settings: DaemonSettings):
     role = settings.entry
@@ -64,11 +71,20 @@
         directory = PoolDirectory(settings.vm, incarnation, clock)
         pools = PoolClients(follower, client, directory)
         follower.on_change(lambda: directory.reconcile(list(follower.config.pools_by_name.values())))
-        application = EntryApp(follower, client, pools, clock, role.announce_token_sha256)
+        tokens = TokenLeases(
+            settings.vm,
+            incarnation,
+            lambda request: client.call("grant", request, timeout=1.0),
+            lambda workspace: _limits(follower, workspace),
+            clock,
+        )
+        application = EntryApp(follower, client, pools, tokens, clock, role.announce_token_sha256)
         limits = HttpLimits(connections=role.connections)
         with (
             RpcServer(*_split(role.rpc), {messages.Pool: directory}),
             HttpServer(*_split(role.http), application, limits),
         ):
             follower.start(tasks)
+            tokens.start(tasks)
             yield
+        tokens.drain(clock.monotonic() + _RETURN_S)
--- a/libs/arbutusrill_entry/_app.py
+++ b/libs/arbutusrill_entry/_app.py
@@ -10,6 +10,7 @@
 
 from arbutusrill_base import Clock, Failure, FailureError
 from arbutusrill_http import failure_response, json_response
+from arbutusrill_limits import TokenLeases
 from arbutusrill_state import ControlClient, Follower
 from arbutusrill_wire import messages
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
@@ -32,13 +33,19 @@
     """Serves callers and the announcements of backend servers."""
 
     def __init__(
-        self, follower: Follower, control: ControlClient, pools: PoolClients, clock: Clock, announce_token_hash: str
+        self,
+        follower: Follower,
+        control: ControlClient,
+        pools: PoolClients,
+        limits: TokenLeases,
+        clock: Clock,
+        announce_token_hash: str,
     ):
         self._follower = follower
         self._pools = pools
         self._announce_token_hash = announce_token_hash
-        self._completions = Completions(follower, pools)
-        self._services = Services(follower, pools, control, clock)
+        self._completions = Completions(follower, pools, limits)
+        self._services = Services(follower, pools, control, clock, limits)
         self._routes = Map(
             [
                 Rule("/v1/chat/completions", endpoint=self._chat, methods=["POST"]),
--- a/libs/arbutusrill_entry/_completions.py
+++ b/libs/arbutusrill_entry/_completions.py
@@ -9,13 +9,14 @@
 
 from arbutusrill_base import Failure, FailureError, new_request_id
 from arbutusrill_http import AbortStreamError, error_body, json_response
+from arbutusrill_limits import TokenLeases
 from werkzeug.wrappers import Request
 
 from ._auth import authenticate
 from ._backends import PoolClients
 from ._parse import Completion, deadline_of, latency_class_of, parse_completion
 from ._relay import Relay, RelayEnd
-from ._slots import Place, Wanted
+from ._slots import Place, Wanted, leave_check
 
 __all__ = ["Completions"]
 
@@ -23,8 +24,9 @@
 class Completions:
     """Serves completions, streamed or whole."""
 
-    def __init__(self, follower: Any, pools: PoolClients):
+    def __init__(self, follower: Any, pools: PoolClients, limits: TokenLeases):
         self._follower = follower
+        self._limits = limits
         self._pools = pools
 
     def serve(self, request: Request, start_response: Callable, chat: bool) -> Iterable[bytes]:
@@ -50,11 +52,16 @@
             completion.prompt_tokens,
             completion.max_tokens,
         )
-        with Place(self._pools, wanted, me.vm, me.incarnation, caller) as place:
-            relay = Relay(request_id, me.vm, me.incarnation, completion, caller)
-            if completion.stream:
-                return _stream(relay, place, completion, request_id, start_response)
-            return _whole(relay, place, completion, request_id)(request.environ, start_response)
+        relay = Relay(request_id, me.vm, me.incarnation, completion, caller)
+        tokens = completion.prompt_tokens + completion.max_tokens
+        with self._limits.charge(workspace, tokens, deadline, leave_check(caller)) as charge:
+            try:
+                with Place(self._pools, wanted, me.vm, me.incarnation, caller) as place:
+                    if completion.stream:
+                        return _stream(relay, place, completion, request_id, start_response)
+                    return _whole(relay, place, completion, request_id)(request.environ, start_response)
+            finally:
+                charge.used = completion.prompt_tokens + relay.tokens
 
 
 def _whole(relay: Relay, place: Place, completion: Completion, request_id: str) -> Any:
--- a/libs/arbutusrill_entry/_relay.py
+++ b/libs/arbutusrill_entry/_relay.py
@@ -53,6 +53,11 @@
         prefill = self._prefill(assignment)
         return self._decode(assignment, prefill)
 
+    @property
+    def tokens(self) -> int:
+        """Number of output tokens passed on so far."""
+        return self._next_offset
+
     def _identity(self) -> dict[str, Any]:
         return {"request_id": self._request_id, "vm": self._vm, "incarnation": self._incarnation}
 
--- a/libs/arbutusrill_entry/_services.py
+++ b/libs/arbutusrill_entry/_services.py
@@ -9,6 +9,7 @@
 
 from arbutusrill_base import Clock, Failure, FailureError, PartLog, Verdict, new_request_id
 from arbutusrill_http import AbortStreamError, Transfer, TransferResult, fetch
+from arbutusrill_limits import TokenLeases
 from arbutusrill_state import ControlClient, ControlUnavailableError, command
 from arbutusrill_wire import messages
 from werkzeug.wrappers import Request, Response
@@ -16,7 +17,7 @@
 from ._auth import authenticate, passed_headers, passed_query
 from ._backends import PoolClients
 from ._parse import deadline_of, latency_class_of
-from ._slots import Place, Wanted
+from ._slots import Place, Wanted, leave_check
 
 __all__ = ["Services"]
 
@@ -29,8 +30,9 @@
 class Services:
     """Serves ``/services/<name>/<path>``."""
 
-    def __init__(self, follower: Any, pools: PoolClients, control: ControlClient, clock: Clock):
+    def __init__(self, follower: Any, pools: PoolClients, control: ControlClient, clock: Clock, limits: TokenLeases):
         self._follower = follower
+        self._limits = limits
         self._pools = pools
         self._control = control
         self._clock = clock
@@ -40,12 +42,24 @@
         route = self._route(request, name, f"/{path}")
         workspace = "" if route.open else authenticate(request, self._follower)
         key = request.headers.get("Idempotency-Key")
-        if route.repeatable or key is None:
-            response = self._send(request, name, path, workspace, route.repeatable)
-        else:
-            response = self._once(request, name, path, workspace, key)
+        with self._charge(request, workspace, name, route) as charge:
+            if route.repeatable or key is None:
+                response = self._send(request, name, path, workspace, route.repeatable)
+            else:
+                response = self._once(request, name, path, workspace, key)
+            if "X-Recorded-Answer" in response.headers:
+                charge.settle(0)
         return response(request.environ, start_response)
 
+    def _charge(self, request: Request, workspace: str, name: str, route: Any) -> Any:
+        config = self._follower.config
+        latency_class = latency_class_of(request, "lookup" if route.repeatable else "interactive")
+        wait_s = config.value(f"queue.max_wait_s.{latency_class}", workspace=workspace)
+        # Routes open to all have no workspace to charge.
+        tokens = config.value("limits.plain_call_tokens", workspace=workspace, service=name) if workspace else 0.0
+        caller = request.environ["werkzeug.socket"]
+        return self._limits.charge(workspace, tokens, deadline_of(request, wait_s), leave_check(caller))
+
     def _route(self, request: Request, name: str, path: str) -> Any:
         service = self._follower.config.services_by_name.get(name)
         if service is None:
--- a/libs/arbutusrill_entry/_slots.py
+++ b/libs/arbutusrill_entry/_slots.py
@@ -4,6 +4,7 @@
 
 import socket
 import time
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -13,13 +14,24 @@
 
 from ._backends import PoolClients
 
-__all__ = ["Place", "Wanted"]
+__all__ = ["Place", "Wanted", "leave_check"]
 
 _SLICE_MS = 300
 _PAUSE_S = 0.05
 _log = PartLog("slots")
 
 
+def leave_check(caller: socket.socket) -> Callable[[], bool]:
+    """Returns a function that raises `AbortStreamError` once the caller has left, and otherwise returns False."""
+
+    def check() -> bool:
+        if caller_gone(caller):
+            raise AbortStreamError
+        return False
+
+    return check
+
+
 @dataclass(slots=True)
 class Wanted:
     """What a request needs of a pool. `deadline` is on the monotonic clock, in seconds."""
--- a/libs/arbutusrill_limits/__init__.py
+++ b/libs/arbutusrill_limits/__init__.py
@@ -1,1 +1,7 @@
-"""Placeholder docstring."""
+"""Fleet-wide token rates of workspaces: the owner's buckets and the charges on entry VMs."""
+
+from ._bucket import Bucket, GrantBoundError, Limits, WindowBound
+from ._leases import Charge, TokenLeases
+from ._owner import GrantOwner
+
+__all__ = ["Bucket", "Charge", "GrantBoundError", "GrantOwner", "Limits", "TokenLeases", "WindowBound"]
--- a/libs/arbutusrill_state/_config.py
+++ b/libs/arbutusrill_state/_config.py
@@ -14,6 +14,7 @@
 
 __all__ = ["ConfigState"]
 
+_MAX_NUMBER = 1e15  # sums of floats up to here keep a precision of one token
 _KEPT_FIRST_ANSWERS = 10_000  # five days at the target of 2,000 changes a day
 
 
@@ -42,6 +43,8 @@
         self.clock_ms = 0
         self.defaults_by_name: dict[str, str] = {}
         self.exceptions_by_id: dict[str, Any] = {}
+        # Identifiers by (default, scope kind, scope name), oldest first; a dict serves as an ordered set.
+        self._exception_ids_by_scope: dict[tuple[str, str, str], dict[str, None]] = {}
         self.workspaces_by_name: dict[str, Any] = {}
         self.keys_by_hash: dict[str, Any] = {}
         self.services_by_name: dict[str, Any] = {}
@@ -98,7 +101,7 @@
             raise RejectedError("bad_value", "an exception needs a reason")
         if change.id in self.exceptions_by_id:
             raise RejectedError("conflict", f"exception {change.id} exists")
-        self.exceptions_by_id[change.id] = messages.ExceptionRecord(
+        record = messages.ExceptionRecord(
             change.id,
             change.default_name,
             change.scope_kind,
@@ -108,18 +111,31 @@
             made.actor,
             made.at_ms,
         )
+        self._keep_exception(record)
+
+    def _keep_exception(self, record: Any) -> None:
+        self.exceptions_by_id[record.id] = record
+        scope = (record.default_name, record.scope_kind, record.scope_name)
+        self._exception_ids_by_scope.setdefault(scope, {})[record.id] = None
 
     def _remove_exception(self, change: Any, _: Any) -> None:
-        if self.exceptions_by_id.pop(change.id, None) is None:
+        record = self.exceptions_by_id.pop(change.id, None)
+        if record is None:
             raise RejectedError("not_found", f"no exception {change.id}")
+        scope = (record.default_name, record.scope_kind, record.scope_name)
+        self._exception_ids_by_scope[scope].pop(record.id)
+        if not self._exception_ids_by_scope[scope]:
+            del self._exception_ids_by_scope[scope]
 
     def _put_workspace(self, change: Any, _: Any) -> None:
         if not change.name:
             raise RejectedError("bad_value", "a workspace needs a name")
-        for field in ("rate", "burst", "weight"):
+        for field, least in (("rate", 0.001), ("burst", 1.0)):
             value = getattr(change, field)
-            if not 0 < value < 1e15:
-                raise RejectedError("bad_value", f"{field} must be a positive number")
+            if value != 0 and not least <= value <= _MAX_NUMBER:
+                raise RejectedError("bad_value", f"{field} must be from {least:g} to 1e15, or 0 for the default")
+        if not 1e-3 <= change.weight <= 1e6:
+            raise RejectedError("bad_value", "weight must be from 0.001 to 1e6")
         self.workspaces_by_name[change.name] = change
 
     def _remove_workspace(self, change: Any, _: Any) -> None:
@@ -198,27 +214,40 @@
                 return None
             return record.workspace
 
-    def value(self, name: str, **scope: str) -> Any:
-        """Returns the value of a default in a scope such as ``workspace="a", model="m"``.
+    def exception_for(self, name: str, **scope: str) -> Any | None:
+        """Returns the exception record that decides the default `name` in a scope, or None without any.
 
         The most specific matching exception wins, in the order of `SCOPE_KINDS`; of two, the later one.
         """
         with self.lock:
             for kind in SCOPE_KINDS:
-                matching = [
-                    record
-                    for record in self.exceptions_by_id.values()
-                    if record.default_name == name
-                    and record.scope_kind == kind
-                    and record.scope_name == scope.get(kind)
-                ]
-                if matching:
-                    return json.loads(matching[-1].value_json)
-            if name in self.defaults_by_name:
-                return json.loads(self.defaults_by_name[name])
-            return DEFAULT_SPEC_BY_NAME[name].initial
-
-    # ---- snapshots
+                ids = self._exception_ids_by_scope.get((name, kind, scope.get(kind, "")))
+                if ids:
+                    return self.exceptions_by_id[next(reversed(ids))]
+        return None
+
+    def value(self, name: str, **scope: str) -> Any:
+        """Returns the value of a default in a scope such as ``workspace="a", model="m"``."""
+        with self.lock:
+            record = self.exception_for(name, **scope)
+            text = record.value_json if record is not None else self.defaults_by_name.get(name)
+        spec = DEFAULT_SPEC_BY_NAME[name]
+        return spec.initial if text is None else spec.kind(json.loads(text))
+
+    def limits_of(self, workspace: str) -> tuple[float, float] | None:
+        """Returns rate (tokens/s) and burst (tokens) of a workspace, None for an unknown one.
+
+        An exception for the workspace wins over its own values; a value of 0 stands for the default.
+        """
+        with self.lock:
+            record = self.workspaces_by_name.get(workspace)
+            if record is None:
+                return None
+            numbers = []
+            for name, own in (("limits.rate", record.rate), ("limits.burst", record.burst)):
+                has_exception = self.exception_for(name, workspace=workspace) is not None
+                numbers.append(own if own > 0 and not has_exception else self.value(name, workspace=workspace))
+            return numbers[0], numbers[1]
 
     def snapshot(self, with_first_answers: bool = True) -> Any:
         """Returns the whole state as a `ConfigSnapshot`."""
@@ -249,7 +278,8 @@
             self.feature_level = snapshot.feature_level
             self.clock_ms = snapshot.clock_ms
             self.defaults_by_name.update(snapshot.defaults or {})
-            self.exceptions_by_id.update((record.id, record) for record in snapshot.exceptions)
+            for record in snapshot.exceptions:
+                self._keep_exception(record)
             self.workspaces_by_name.update((record.name, record) for record in snapshot.workspaces)
             self.keys_by_hash.update((record.key_hash, record) for record in snapshot.keys)
             self.services_by_name.update((record.name, record) for record in snapshot.services)
--- a/libs/arbutusrill_wire/arbutusrill.thrift
+++ b/libs/arbutusrill_wire/arbutusrill.thrift
@@ -210,18 +210,27 @@
   5: string leader
 }
 
+// Tokens of an earlier grant that were not spent; `issued_us` and `epoch` are those of the grant.
+struct ReturnedTokens { 1: double tokens, 2: i64 issued_us, 3: i64 epoch }
+
 struct GrantItem {
   1: string workspace,
-  2: double wanted,              // tokens
-  3: double returned = 0         // unspent or refunded tokens credited back
+  2: double wanted,              // tokens, `needed` included
+  3: double returned = 0,        // not used any more, see `returns`
+  4: double needed = 0,          // a smaller grant than this is useless to the caller
+  5: list<ReturnedTokens> returns
+}
+// A request with the `sequence` of the one before gets the same answer again; an older one is refused.
+struct GrantRequest {
+  1: string vm, 2: i64 incarnation, 3: list<GrantItem> items, 4: i64 epoch = 0, 5: i64 sequence = 0
 }
-struct GrantRequest { 1: string vm, 2: i64 incarnation, 3: list<GrantItem> items, 4: i64 epoch = 0 }
 struct Grant {
   1: string workspace,
   2: double tokens,
-  3: i32 lease_ms,
+  3: i32 lease_ms,               // counted from when the caller sent the request for the first time
   4: double capacity,            // largest single charge that can ever be granted
-  5: i32 retry_after_ms = 0
+  5: i32 retry_after_ms = 0,
+  6: i64 issued_us = 0           // the owner's time of the grant, sent back with returned tokens
 }
 struct GrantReply { 1: list<Grant> grants, 2: i64 epoch }
 
