--- a/libs/arbutusrill_standins/__init__.py
+++ b/libs/arbutusrill_standins/__init__.py
@@ -1,3 +1,5 @@
 """Stand-ins for model engines and plain services, for the demo, the tests and the bench."""
 
-__all__: list[str] = []
+from ._announcer import Announcer
+
+__all__ = ["Announcer"]
