--- a/libs/arbutusrill_bench/_site.py
+++ b/libs/arbutusrill_bench/_site.py
@@ -170,9 +170,13 @@
                 raise SiteError(f"not within {timeout:g} s: {what}")
             time.sleep(0.05)
 
-    def _wait_ready(self) -> None:
+    def wait_entries_ready(self) -> None:
+        """Waits until every entry VM says that it is ready for callers."""
         for member in self.of_kind("entry"):
             self.wait_until(lambda url=f"http://{member.address}/readyz": _ok(url), f"{member.name} is ready")
+
+    def _wait_ready(self) -> None:
+        self.wait_entries_ready()
         self.wait_until(self._control_answers, "a control VM answers operators")
 
     def _control_answers(self) -> bool:
