--- a/libs/arbutusrill_control/_leases.py
+++ b/libs/arbutusrill_control/_leases.py
@@ -7,13 +7,12 @@
 from typing import Any
 
 import xxhash
-from arbutusrill_base import Clock, PartLog
+from arbutusrill_base import Clock
 
 __all__ = ["VM_LEASE_S", "VmLeases", "rendezvous"]
 
 VM_LEASE_S = 1.5
 DRIFT_S = 0.2  # added by the granting side to cover clock drift between VMs
-_log = PartLog("leases")
 
 
 @dataclass(slots=True)
@@ -21,6 +20,7 @@
     incarnation: int
     until: float
     revision: int
+    ended: bool = False  # the VM is being declared dead, no renewal until that is in the log
 
 
 class VmLeases:
@@ -39,19 +39,46 @@
             self._lease_by_vm.clear()
 
     def renew(self, vm: str, incarnation: int, revision: int) -> float:
-        """Renews a lease and returns its length in seconds, counted by the VM from its request."""
+        """Renews a lease and returns its length in seconds, counted by the VM from its request.
+
+        Returns 0 while the VM is being declared dead: it may act again only after it has registered anew, with
+        its pools given to others.
+        """
         with self._lock:
+            lease = self._lease_by_vm.get(vm)
+            if lease is not None and lease.incarnation == incarnation and lease.ended:
+                return 0.0
             self._lease_by_vm[vm] = _Lease(incarnation, self._clock.monotonic() + VM_LEASE_S + DRIFT_S, revision)
         return VM_LEASE_S
 
+    def end(self, vm: str, incarnation: int) -> bool:
+        """Ends the lease of a VM for good if it has run out; returns whether the VM can be declared dead."""
+        with self._lock:
+            if self._alive(vm, incarnation):
+                return False
+            lease = self._lease_by_vm.get(vm)
+            if lease is None or lease.incarnation == incarnation:
+                self._lease_by_vm[vm] = _Lease(incarnation, float("-inf"), 0, ended=True)
+            return True
+
+    def forget(self, vm: str, incarnation: int) -> None:
+        """Drops an ended lease once the log says that the VM is dead, so that it may register anew."""
+        with self._lock:
+            lease = self._lease_by_vm.get(vm)
+            if lease is not None and lease.incarnation == incarnation and lease.ended:
+                del self._lease_by_vm[vm]
+
     def alive(self, vm: str, incarnation: int) -> bool:
         """Says whether a VM's lease may still be running."""
-        now = self._clock.monotonic()
         with self._lock:
-            lease = self._lease_by_vm.get(vm)
-            if lease is not None and lease.incarnation == incarnation and now < lease.until:
-                return True
-            return self._led_since is None or now < self._led_since + VM_LEASE_S + DRIFT_S
+            return self._alive(vm, incarnation)
+
+    def _alive(self, vm: str, incarnation: int) -> bool:
+        now = self._clock.monotonic()
+        lease = self._lease_by_vm.get(vm)
+        if lease is not None and lease.incarnation == incarnation and now < lease.until:
+            return True
+        return self._led_since is None or now < self._led_since + VM_LEASE_S + DRIFT_S
 
     def revision_by_vm(self) -> dict[str, int]:
         """Returns the revision that each VM with a running lease had applied at its last poll."""
--- a/libs/arbutusrill_control/_service.py
+++ b/libs/arbutusrill_control/_service.py
@@ -3,20 +3,21 @@
 from __future__ import annotations
 
 import threading
-import time
 from typing import Any
 
 from arbutusrill_base import Clock, PartLog
 from arbutusrill_limits import GrantOwner, Limits
 from arbutusrill_raft import LogUnavailableError, NotLeaderError, ReplicatedLog, StateMachine
-from arbutusrill_state import SharedState, command
+from arbutusrill_state import FEATURE_LEVEL, SharedState, command
 from arbutusrill_wire import decode, encode, messages
 
+from ._housekeeping import Housekeeping
 from ._leases import VmLeases, rendezvous
 
 __all__ = ["ControlService", "SharedMachine"]
 
 _COMMIT_S = 3.0
+_MAX_WAIT_MS = 5000
 _log = PartLog("control")
 
 
@@ -29,11 +30,19 @@
 
     def apply(self, data: bytes) -> bytes:
         """Applies one command."""
+        before = self.state.config.revision
         answer = self.state.apply(data)
-        with self.changed:
-            self.changed.notify_all()
+        # The journal's commands do not move the revision and must not wake hundreds of followers.
+        if self.state.config.revision != before:
+            with self.changed:
+                self.changed.notify_all()
         return answer
 
+    def wait_beyond(self, revision: int, timeout: float) -> None:
+        """Waits until the configuration's revision differs from `revision`, at most `timeout` seconds."""
+        with self.changed:
+            self.changed.wait_for(lambda: self.state.config.revision != revision, timeout)
+
     def snapshot(self) -> bytes:
         """Returns the whole state."""
         return self.state.snapshot()
@@ -53,13 +62,17 @@
         self.machine = machine
         self.leases = VmLeases(clock)
         self.grants = GrantOwner(self._limits_of, clock)
+        self.housekeeping = Housekeeping(clock)
         self._clock = clock
-        self._led = False
+        self._term: int | None = None
 
     # ---- RPC methods
 
     def propose(self, made: Any) -> Any:
         """Commits a change and returns its outcome."""
+        if made.set_feature_level is not None and made.set_feature_level.level > FEATURE_LEVEL:
+            # In the log it would stop every replica of this version.
+            raise messages.Refused("feature_level", f"this version supports feature levels up to {FEATURE_LEVEL}")
         try:
             return decode(messages.Outcome, self.log.propose(encode(made), _COMMIT_S))
         except NotLeaderError as error:
@@ -70,25 +83,30 @@
 
     def follow(self, request: Any) -> Any:
         """Waits for changes after the caller's revision, renews its lease and proves freshness."""
+        self._check_leads()
         self._note_vm(request)
-        deadline = time.monotonic() + min(request.wait_ms, 5000) / 1000
-        config = self.machine.state.config
-        with self.machine.changed:
-            while config.revision <= request.revision:
-                remaining = deadline - time.monotonic()
-                if remaining <= 0:
-                    break
-                self.machine.changed.wait(remaining)
+        self.machine.wait_beyond(request.revision, min(request.wait_ms, _MAX_WAIT_MS) / 1000)
         self._confirm()
-        commands = self.machine.state.commands_after(request.revision)
-        snapshot = None if commands is not None else config.snapshot(with_first_answers=False)
-        lease_s = self.leases.renew(request.vm, request.incarnation, request.revision)
-        revision = snapshot.revision if snapshot is not None else request.revision + len(commands)
+        # Read after the confirmation: the caller is fresh once it has applied this revision.
+        commands, revision = self.machine.state.commands_after(request.revision)
+        snapshot = None
+        if commands is None:
+            snapshot = self.machine.state.config.snapshot(with_first_answers=False)
+            revision = snapshot.revision
+        lease_s = 0.0
+        if request.vm:
+            lease_s = self.leases.renew(request.vm, request.incarnation, request.revision)
+            known = self.machine.state.config.vms_by_id.get(request.vm)
+            if known is None or known.incarnation != request.incarnation or known.state == "dead":
+                lease_s = 0.0
         return messages.FollowReply(commands or [], snapshot, revision, int(lease_s * 1000), "")
 
     def begin_call(self, made: Any) -> Any:
         """Writes the intent of a once-only call and returns whether it may be sent."""
-        return decode(messages.BeginAnswer, self.propose(made).detail)
+        outcome = self.propose(made)
+        if not outcome.accepted:
+            raise messages.Refused(outcome.code, outcome.message)
+        return decode(messages.BeginAnswer, outcome.detail)
 
     def finish_call(self, made: Any) -> Any:
         """Records how a once-only call ended."""
@@ -135,17 +153,19 @@
     # ---- periodic work of the leader
 
     def tick(self) -> None:
-        """Declares VMs dead whose lease has ended and gives their pools to others."""
-        leads = self.log.is_leader()
-        if leads and not self._led:
-            self.leases.begin_term()
-        self._led = leads
-        if not leads:
+        """Declares VMs dead whose lease has ended, gives their pools to others and cleans up."""
+        status = self.log.status()
+        if not self.log.is_leader():
+            self._term = None
             return
-        self.grants.enter_epoch(self.log.status().term)
+        if status.term != self._term:
+            self._term = status.term
+            self.leases.begin_term()
+            self.housekeeping.begin_term()
+        self.grants.enter_epoch(status.term)
         config = self.machine.state.config
         for vm in list(config.vms_by_id.values()):
-            if vm.state != "dead" and not self.leases.alive(vm.id, vm.incarnation):
+            if vm.state != "dead" and self.leases.end(vm.id, vm.incarnation):
                 _log.warning("VM %s is dead, its lease has ended", vm.id)
                 self._change(
                     messages.PutVm(vm.id, vm.http_address, vm.rpc_address, vm.data_centre, vm.incarnation, "dead")
@@ -153,6 +173,11 @@
         for pool in list(config.pools_by_name.values()):
             if not self._owner_is_live(pool):
                 self._assign(pool.name, pool.kind, pool.epoch + 1)
+        for vm in list(config.vms_by_id.values()):
+            if vm.state == "dead":
+                self.leases.forget(vm.id, vm.incarnation)
+        for change in self.housekeeping.due(self.machine.state):
+            self._change(change)
 
     def _owner_is_live(self, pool: Any) -> bool:
         vm = self.machine.state.config.vms_by_id.get(pool.owner)
@@ -185,6 +210,12 @@
         except messages.Refused as refused:
             _log.warning("change by the control role not committed: %s", refused.message)
 
+    def _check_leads(self) -> None:
+        """Refuses at once where the wait for changes would only end in a refusal."""
+        if not self.log.is_leader():
+            leader = self.log.status().leader
+            raise messages.Refused("not_leader", f"not the leader, try {leader or 'another'}", leader=leader)
+
     def _confirm(self) -> None:
         try:
             self.log.confirm(1.0)
--- a/libs/arbutusrill_daemon/_roles.py
+++ b/libs/arbutusrill_daemon/_roles.py
@@ -5,21 +5,23 @@
 import contextlib
 import threading
 
-from arbutusrill_base import SystemClock, TaskGroup, new_incarnation
+from arbutusrill_base import PartLog, SystemClock, TaskGroup, new_incarnation
 from arbutusrill_control import ControlService, OperatorApp, SharedMachine
 from arbutusrill_entry import EntryApp, PoolClients
 from arbutusrill_http import HttpLimits, HttpServer
 from arbutusrill_limits import Limits, TokenLeases
 from arbutusrill_pool import PoolDirectory
 from arbutusrill_raft import LocalLog
-from arbutusrill_state import ControlClient, Follower, VmIdentity
+from arbutusrill_state import ControlClient, Follower, JournalClient, VmIdentity
 from arbutusrill_wire import RpcServer, messages
 
 from ._settings import DaemonSettings
 
 __all__ = ["run_roles"]
 
+_log = PartLog("daemon")
 _TICK_S = 0.2
+_FLUSH_S = 5.0  # for recording outcomes at the end when the control group is briefly away
 _RETURN_S = 1.0  # for returning unspent tokens at the end; they are lost to the workspace otherwise
 
 
@@ -78,7 +80,8 @@
             lambda workspace: _limits(follower, workspace),
             clock,
         )
-        application = EntryApp(follower, client, pools, tokens, clock, role.announce_token_sha256)
+        journal = JournalClient(settings.vm, incarnation, client, clock)
+        application = EntryApp(follower, pools, journal, tokens, role.announce_token_sha256)
         limits = HttpLimits(connections=role.connections)
         with (
             RpcServer(*_split(role.rpc), {messages.Pool: directory}),
@@ -86,5 +89,8 @@
         ):
             follower.start(tasks)
             tokens.start(tasks)
+            journal.start(tasks)
             yield
         tokens.drain(clock.monotonic() + _RETURN_S)
+        if not journal.flush(clock.monotonic() + _FLUSH_S):
+            _log.warning("outcomes of once-only calls are not recorded, resends will be told that they are unknown")
--- a/libs/arbutusrill_entry/_app.py
+++ b/libs/arbutusrill_entry/_app.py
@@ -8,10 +8,10 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
-from arbutusrill_base import Clock, Failure, FailureError
+from arbutusrill_base import Failure, FailureError
 from arbutusrill_http import failure_response, json_response
 from arbutusrill_limits import TokenLeases
-from arbutusrill_state import ControlClient, Follower
+from arbutusrill_state import Follower, JournalClient
 from arbutusrill_wire import messages
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 from werkzeug.exceptions import HTTPException
@@ -35,17 +35,16 @@
     def __init__(
         self,
         follower: Follower,
-        control: ControlClient,
         pools: PoolClients,
+        journal: JournalClient,
         limits: TokenLeases,
-        clock: Clock,
         announce_token_hash: str,
     ):
         self._follower = follower
         self._pools = pools
         self._announce_token_hash = announce_token_hash
         self._completions = Completions(follower, pools, limits)
-        self._services = Services(follower, pools, control, clock, limits)
+        self._services = Services(follower, pools, journal, limits)
         self._routes = Map(
             [
                 Rule("/v1/chat/completions", endpoint=self._chat, methods=["POST"]),
--- a/libs/arbutusrill_entry/_services.py
+++ b/libs/arbutusrill_entry/_services.py
@@ -7,10 +7,10 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
-from arbutusrill_base import Clock, Failure, FailureError, PartLog, Verdict, new_request_id
+from arbutusrill_base import Failure, FailureError, Verdict, new_request_id
 from arbutusrill_http import AbortStreamError, Transfer, TransferResult, fetch
 from arbutusrill_limits import TokenLeases
-from arbutusrill_state import ControlClient, ControlUnavailableError, command
+from arbutusrill_state import Attempt, JournalClient
 from arbutusrill_wire import messages
 from werkzeug.wrappers import Request, Response
 
@@ -22,20 +22,17 @@
 __all__ = ["Services"]
 
 _CALL_S = 30.0
-_JOURNAL_S = 4.0
 _PASSED_BACK = ("content-type", "location", "etag", "last-modified", "cache-control")
-_log = PartLog("services")
 
 
 class Services:
     """Serves ``/services/<name>/<path>``."""
 
-    def __init__(self, follower: Any, pools: PoolClients, control: ControlClient, clock: Clock, limits: TokenLeases):
+    def __init__(self, follower: Any, pools: PoolClients, journal: JournalClient, limits: TokenLeases):
         self._follower = follower
         self._limits = limits
         self._pools = pools
-        self._control = control
-        self._clock = clock
+        self._journal = journal
 
     def serve(self, request: Request, start_response: Callable, name: str, path: str) -> Iterable[bytes]:
         """Serves one call; raises `FailureError` for whatever the server did not answer itself."""
@@ -73,42 +70,29 @@
     def _once(self, request: Request, name: str, path: str, workspace: str, key: str) -> Response:
         digest = hashlib.sha256(f"{request.method} {name} {path}?".encode() + request.query_string)
         digest.update(request.get_data())
-        me = self._follower.identity
-        begin = messages.JournalBegin(workspace, key, digest.digest(), me.vm, me.incarnation)
-        answer = self._journal("begin_call", begin, Verdict.NOT_RUN)
-        if answer.status != "started":
-            return _recorded(answer)
+        attempt = self._journal.begin(workspace, key, digest.digest())
+        if attempt.answer.status != "started":
+            return _recorded(attempt.answer)
         try:
-            response = self._send(request, name, path, workspace, repeatable=False)
-        except FailureError as error:
-            status = "not_run" if error.failure.verdict is Verdict.NOT_RUN else "unknown"
-            self._finish(messages.JournalFinish(workspace, key, answer.attempt, status))
-            raise
-        except BaseException:
-            self._finish(messages.JournalFinish(workspace, key, answer.attempt, "unknown"))
+            response = self._send(request, name, path, workspace, False, attempt)
+        except BaseException as error:
+            verdict = error.failure.verdict if isinstance(error, FailureError) else Verdict.MAY_HAVE_RUN
+            self._journal.fail(attempt, verdict)
             raise
         headers = json.dumps(list(response.headers.items()))
-        body = response.get_data()
-        self._finish(
-            messages.JournalFinish(workspace, key, answer.attempt, "done", response.status_code, headers, body)
-        )
+        kept_bytes = self._follower.config.value("journal.answer_bytes")
+        self._journal.succeed(attempt, response.status_code, headers, response.get_data(), kept_bytes)
         return response
 
-    def _journal(self, name: str, change: Any, verdict: Verdict) -> Any:
-        made = command(change, self._follower.identity.vm, self._clock.wall_ms())
-        try:
-            return self._control.call(name, made, timeout=_JOURNAL_S)
-        except (ControlUnavailableError, messages.Refused) as error:
-            message = f"the journal of once-only calls does not answer: {error}"
-            raise FailureError(Failure("journal_unavailable", message, verdict, 503, 1.0)) from None
-
-    def _finish(self, change: Any) -> None:
-        try:
-            self._journal("finish_call", change, Verdict.RAN)
-        except FailureError as error:
-            _log.warning("outcome of a once-only call not recorded: %s", error)
-
-    def _send(self, request: Request, name: str, path: str, workspace: str, repeatable: bool) -> Response:
+    def _send(
+        self,
+        request: Request,
+        name: str,
+        path: str,
+        workspace: str,
+        repeatable: bool,
+        attempt: Attempt | None = None,
+    ) -> Response:
         latency_class = latency_class_of(request, "lookup" if repeatable else "interactive")
         wait_s = self._follower.config.value(f"queue.max_wait_s.{latency_class}", workspace=workspace)
         request_id = new_request_id()
@@ -125,6 +109,8 @@
                 headers.append(f"X-Workspace: {workspace}")
             watched = caller if repeatable else None
             body = request.get_data()
+            if attempt is not None:
+                self._journal.check_send(attempt, wanted.deadline)
             result = fetch(
                 Transfer(request.method, url, headers, body, timeout_s=_CALL_S, fresh=not repeatable, watched=watched)
             )
--- a/libs/arbutusrill_state/__init__.py
+++ b/libs/arbutusrill_state/__init__.py
@@ -1,23 +1,29 @@
 """The shared state of a site: configuration, journal and the commands that change them."""
 
+from ._checks import FEATURE_LEVEL, UnsupportedLevelError
 from ._client import ControlClient, ControlUnavailableError
 from ._commands import change_of, command
 from ._config import ConfigState
 from ._defaults import DEFAULT_SPEC_BY_NAME, SCOPE_KINDS, DefaultSpec, check_value
 from ._follower import Follower, VmIdentity
 from ._journal import Journal
+from ._journal_client import Attempt, JournalClient
 from ._machine import SharedState
 
 __all__ = [
     "DEFAULT_SPEC_BY_NAME",
+    "FEATURE_LEVEL",
     "SCOPE_KINDS",
+    "Attempt",
     "ConfigState",
     "ControlClient",
     "ControlUnavailableError",
     "DefaultSpec",
     "Follower",
     "Journal",
+    "JournalClient",
     "SharedState",
+    "UnsupportedLevelError",
     "VmIdentity",
     "change_of",
     "check_value",
--- a/libs/arbutusrill_state/_config.py
+++ b/libs/arbutusrill_state/_config.py
@@ -9,23 +9,15 @@
 
 from arbutusrill_wire import messages
 
+from ._checks import ENDED_ORDER_STATES, MAX_ORDERS, RejectedError, check_change, check_envelope, check_order
 from ._commands import change_of
-from ._defaults import DEFAULT_SPEC_BY_NAME, SCOPE_KINDS, check_value
+from ._defaults import DEFAULT_SPEC_BY_NAME, MAX_NUMBER, SCOPE_KINDS, check_value
 
 __all__ = ["ConfigState"]
 
-_MAX_NUMBER = 1e15  # sums of floats up to here keep a precision of one token
 _KEPT_FIRST_ANSWERS = 10_000  # five days at the target of 2,000 changes a day
 
 
-class RejectedError(Exception):
-    """A change that the state machine does not accept; it leaves the state as it was."""
-
-    def __init__(self, code: str, message: str):
-        super().__init__(message)
-        self.code = code
-
-
 class ConfigState:
     """Defaults, exceptions, workspaces, keys, services, VMs, pools and orders.
 
@@ -57,6 +49,9 @@
 
     def apply(self, made: Any) -> Any:
         """Applies a `Command` and returns its `Outcome`; a resent command gets its first outcome again."""
+        problem = check_envelope(made)
+        if problem is not None:
+            return messages.Outcome(False, self.revision, "bad_command", problem)
         with self.lock:
             first = self.first_answers_by_id.get(made.request_id)
             if first is not None:
@@ -73,12 +68,14 @@
             return messages.Outcome(False, self.revision, "revision_conflict", message)
         kind, change = change_of(made)
         try:
+            check_change(kind, change, self.feature_level)
             getattr(self, f"_{kind}")(change, made)
         except RejectedError as rejected:
             return messages.Outcome(False, self.revision, rejected.code, str(rejected))
         self.clock_ms = max(self.clock_ms, made.at_ms)
         self.revision += 1
-        return messages.Outcome(True, self.revision)
+        detail = change.key_id.encode() if kind == "issue_key" else None
+        return messages.Outcome(True, self.revision, detail=detail)
 
     def _set_default(self, change: Any, _: Any) -> None:
         problem = check_value(change.name, change.value_json)
@@ -97,8 +94,6 @@
             raise RejectedError("bad_value", problem)
         if change.scope_kind not in SCOPE_KINDS or not change.scope_name:
             raise RejectedError("bad_value", f"the scope must be one of {', '.join(SCOPE_KINDS)} and a name")
-        if not change.reason.strip():
-            raise RejectedError("bad_value", "an exception needs a reason")
         if change.id in self.exceptions_by_id:
             raise RejectedError("conflict", f"exception {change.id} exists")
         record = messages.ExceptionRecord(
@@ -128,11 +123,9 @@
             del self._exception_ids_by_scope[scope]
 
     def _put_workspace(self, change: Any, _: Any) -> None:
-        if not change.name:
-            raise RejectedError("bad_value", "a workspace needs a name")
         for field, least in (("rate", 0.001), ("burst", 1.0)):
             value = getattr(change, field)
-            if value != 0 and not least <= value <= _MAX_NUMBER:
+            if value != 0 and not least <= value <= MAX_NUMBER:
                 raise RejectedError("bad_value", f"{field} must be from {least:g} to 1e15, or 0 for the default")
         if not 1e-3 <= change.weight <= 1e6:
             raise RejectedError("bad_value", "weight must be from 0.001 to 1e6")
@@ -161,11 +154,6 @@
             )
 
     def _put_service(self, change: Any, _: Any) -> None:
-        if not change.name or "/" in change.name:
-            raise RejectedError("bad_value", "a service needs a name without a slash")
-        for route in change.routes:
-            if not route.prefix.startswith("/"):
-                raise RejectedError("bad_value", f"route prefix {route.prefix!r} must start with a slash")
         self.services_by_name[change.name] = change
 
     def _remove_service(self, change: Any, _: Any) -> None:
@@ -193,8 +181,23 @@
             )
         self.pools_by_name[change.name] = messages.AssignPool(change.name, current.kind, "", 0, current.epoch + 1)
 
-    def _put_order(self, change: Any, _: Any) -> None:
-        self.orders_by_id[change.id] = change
+    def _forget_vm(self, change: Any, _: Any) -> None:
+        known = self.vms_by_id.get(change.id)
+        if known is None or known.state != "dead" or known.incarnation != change.incarnation:
+            raise RejectedError("conflict", f"VM {change.id} is not dead or runs again")
+        del self.vms_by_id[change.id]
+
+    def _put_order(self, change: Any, made: Any) -> None:
+        check_order(self.orders_by_id.get(change.id), change)
+        if change.id not in self.orders_by_id and len(self.orders_by_id) >= MAX_ORDERS:
+            ended = next((key for key, row in self.orders_by_id.items() if row.state in ENDED_ORDER_STATES), None)
+            if ended is None:
+                raise RejectedError("too_many", f"{MAX_ORDERS} orders are under way")
+            del self.orders_by_id[ended]
+        # The newest change last, so that ended orders are dropped in the order of their ends.
+        self.orders_by_id.pop(change.id, None)
+        fields = {name: value for name, value in vars(change).items() if name != "at_ms"}
+        self.orders_by_id[change.id] = messages.PutOrder(**fields, at_ms=max(self.clock_ms, made.at_ms))
 
     def _set_feature_level(self, change: Any, _: Any) -> None:
         if change.level < self.feature_level:
--- a/libs/arbutusrill_state/_defaults.py
+++ b/libs/arbutusrill_state/_defaults.py
@@ -7,6 +7,8 @@
 
 __all__ = ["DEFAULT_SPEC_BY_NAME", "SCOPE_KINDS", "DefaultSpec", "check_value"]
 
+MAX_NUMBER = 1e15  # sums of floats up to here keep a precision of one token
+_MAX_JSON = 1000  # characters of a value
 SCOPE_KINDS = ("workspace", "model", "service", "data_centre")
 
 
@@ -26,7 +28,7 @@
 _SPECS = (
     DefaultSpec("limits.rate", float, 2000.0, "tokens/s of a workspace without a rate of its own", 0.001),
     DefaultSpec("limits.burst", float, 20000.0, "burst in tokens of a workspace without one of its own", 1),
-    DefaultSpec("limits.plain_call_tokens", float, 1.0, "tokens charged for a call to a plain service", 0),
+    DefaultSpec("limits.plain_call_tokens", float, 1.0, "tokens charged for a call to a plain service", 0, 1e9),
     DefaultSpec("targets.first_token_s", float, 2.0, "target for the first token, seconds", 0.001),
     DefaultSpec("targets.token_gap_s", float, 0.031, "target for the time between tokens, seconds", 0.0001),
     DefaultSpec("targets.quantile", float, 0.95, "part of the requests that must meet a target", 0.5, 0.99999),
@@ -38,12 +40,16 @@
         choices=("round_robin", "least_loaded", "prefill_first", "reserving"),
     ),
     DefaultSpec("retry.budget", float, 0.1, "retries as a fraction of requests", 0, 1),
-    DefaultSpec("entries.max_age_s", int, 5, "time for which callers may keep the list of entry VMs, seconds", 1),
-    DefaultSpec("journal.retention_s", int, 86400, "time for which answers of once-only calls are kept, seconds", 60),
+    DefaultSpec("entries.max_age_s", int, 5, "time for which callers may keep the list of entry VMs, seconds", 1, 3600),
+    DefaultSpec(
+        "journal.retention_s", int, 86400, "time for which answers of once-only calls are kept, seconds", 60, 2_592_000
+    ),
     DefaultSpec("journal.answer_bytes", int, 65536, "largest recorded answer body, bytes", 0, 1048576),
-    DefaultSpec("queue.max_wait_s.lookup", float, 1.0, "longest wait in the queue of a lookup, seconds", 0),
-    DefaultSpec("queue.max_wait_s.interactive", float, 5.0, "longest wait of an interactive request, seconds", 0),
-    DefaultSpec("queue.max_wait_s.briefing", float, 120.0, "longest wait of a briefing, seconds", 0),
+    DefaultSpec("orders.parallel", int, 4, "orders to load from the weight store that run at once", 1, 1000),
+    DefaultSpec("orders.timeout_s", int, 900, "time after which a started order has failed, seconds", 10, 86400),
+    DefaultSpec("queue.max_wait_s.lookup", float, 1.0, "longest wait in the queue of a lookup, seconds", 0, 3600),
+    DefaultSpec("queue.max_wait_s.interactive", float, 5.0, "longest wait of an interactive request, seconds", 0, 3600),
+    DefaultSpec("queue.max_wait_s.briefing", float, 120.0, "longest wait of a briefing, seconds", 0, 3600),
 )
 
 DEFAULT_SPEC_BY_NAME = {spec.name: spec for spec in _SPECS}
@@ -57,19 +63,25 @@
     """
     spec = DEFAULT_SPEC_BY_NAME.get(name)
     if spec is None:
-        return f"unknown default {name!r}"
+        return f"unknown default {str(name)[:80]!r}"
+    if len(value_json) > _MAX_JSON:
+        return f"{name} must be shorter"
     try:
-        value = json.loads(value_json)
-    except ValueError:
-        return f"{name} must be a JSON value"
-    if spec.kind is float and type(value) is int:
+        value = json.loads(value_json, parse_constant=_refuse_constant)
+    except (ValueError, RecursionError):
+        return f"{name} must be a JSON value without NaN and infinities"
+    if spec.kind is float and type(value) is int and abs(value) <= MAX_NUMBER:
         value = float(value)
-    if type(value) is not spec.kind or value != value:
+    if type(value) is not spec.kind:
         return f"{name} must be of type {spec.kind.__name__}"
     if spec.choices and value not in spec.choices:
         return f"{name} must be one of {', '.join(spec.choices)}"
     if spec.minimum is not None and value < spec.minimum:
         return f"{name} must be at least {spec.minimum:g}"
-    if spec.maximum is not None and value > spec.maximum:
-        return f"{name} must be at most {spec.maximum:g}"
+    if spec.kind is not str and value > (MAX_NUMBER if spec.maximum is None else spec.maximum):
+        return f"{name} must be at most {MAX_NUMBER if spec.maximum is None else spec.maximum:g}"
     return None
+
+
+def _refuse_constant(name: str) -> float:
+    raise ValueError(f"{name} is not a number")
--- a/libs/arbutusrill_state/_follower.py
+++ b/libs/arbutusrill_state/_follower.py
@@ -10,6 +10,7 @@
 from arbutusrill_wire import messages
 
 from ._client import ControlClient, ControlUnavailableError
+from ._commands import command
 from ._config import ConfigState
 
 __all__ = ["Follower", "VmIdentity"]
@@ -98,7 +99,10 @@
         sent_at = self._clock.monotonic()
         reply = self._control.call("follow", request, timeout=2.0, try_timeout=1.0 + wait_ms / 1000)
         changed = self._apply(reply)
-        if self.config.revision >= reply.confirmed_revision:
+        if reply.confirmed_revision < request.revision:
+            # Only a group that has lost its disks can answer so; its keys may differ from the ones known here.
+            _log.error("the control group is at revision %d, behind %d", reply.confirmed_revision, request.revision)
+        elif self.config.revision >= reply.confirmed_revision:
             self._confirmed_at = max(self._confirmed_at, sent_at)
             self._lease_until = max(self._lease_until, sent_at + reply.lease_ms / 1000)
             self._first.set()
@@ -106,6 +110,26 @@
             for listener in self._listeners:
                 listener()
 
+    def release_pools(self, timeout: float) -> bool:
+        """Proposes the release of every pool that this run of the VM owns; returns whether none is left.
+
+        To be called by a draining VM after it has stopped giving out slots. Once the release is in the log,
+        another VM owns the pool, even if the answer was lost. `timeout` is in seconds, for each pool.
+        """
+        me = self.identity
+        done = True
+        for pool in list(self.config.pools_by_name.values()):
+            if pool.owner != me.vm or pool.owner_incarnation != me.incarnation:
+                continue
+            made = command(messages.ReleasePool(pool.name, me.vm, pool.epoch), me.vm, self._clock.wall_ms())
+            try:
+                outcome = self._control.call("propose", made, timeout=timeout)
+                done = done and (outcome.accepted or outcome.code == "conflict")
+            except (ControlUnavailableError, messages.Refused) as error:
+                _log.warning("pool %s not released: %s", pool.name, error)
+                done = False
+        return done
+
     def _apply(self, reply: object) -> bool:
         before = self.config.revision
         if reply.snapshot is not None and reply.snapshot.revision > before:
--- a/libs/arbutusrill_state/_machine.py
+++ b/libs/arbutusrill_state/_machine.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 from collections import deque
 from typing import Any
 
@@ -13,6 +14,8 @@
 
 __all__ = ["SharedState"]
 
+MAX_COMMANDS = 200  # per answer to a follower; each holds at most some kilobytes
+_MAX_MESSAGE = 300  # characters
 _KEPT_COMMANDS = 2000  # one day of changes at the target; followers further behind get a snapshot
 
 
@@ -24,31 +27,41 @@
 
     def __init__(self) -> None:
         self.config = ConfigState()
-        self.journal = Journal()
+        self.journal = Journal(self.config)
         self._recent: deque[Any] = deque(maxlen=_KEPT_COMMANDS)
 
     def apply(self, data: bytes) -> bytes:
         """Applies one serialised `Command` and returns its serialised `Outcome`."""
-        made = decode(messages.Command, data)
-        kind, change = change_of(made)
+        try:
+            made = decode(messages.Command, data)
+            kind, change = change_of(made)
+        except Exception as error:  # thriftpy2 raises many kinds; every replica sees the same bytes
+            problem = f"not a command that this version knows: {error}"
+            return encode(messages.Outcome(False, self.config.revision, "bad_command", problem[:_MAX_MESSAGE]))
         if kind.startswith("journal_"):
             return encode(self.journal.apply(kind, change, made))
         with self.config.lock:
             before = self.config.revision
             outcome = self.config.apply(made)
+            assert self.config.revision in (before, before + 1), "a change moved the revision by more than one"
             if self.config.revision > before:
                 self._recent.append(messages.RevisionedCommand(self.config.revision, made))
         return encode(outcome)
 
-    def commands_after(self, revision: int) -> list[Any] | None:
-        """Returns the changes after `revision`, or None when they are no longer kept."""
+    def commands_after(self, revision: int, limit: int = MAX_COMMANDS) -> tuple[list[Any] | None, int]:
+        """Returns at most `limit` changes after `revision` and the current revision.
+
+        The changes are None when they are no longer kept, and when `revision` is in the future of this replica.
+        """
         with self.config.lock:
-            if revision > self.config.revision:
-                return None
-            missing = self.config.revision - revision
-            if missing > len(self._recent):
-                return None
-            return list(self._recent)[len(self._recent) - missing :]
+            current = self.config.revision
+            missing = current - revision
+            if missing == 0:
+                return [], current
+            if missing < 0 or missing > len(self._recent):
+                return None, current
+            start = len(self._recent) - missing
+            return list(itertools.islice(self._recent, start, start + limit)), current
 
     def snapshot(self) -> bytes:
         """Returns the whole state as bytes."""
--- /dev/null
+++ b/libs/arbutusrill_state/tests/test_config.py
@@ -0,0 +1,165 @@
+"""Guards against changes that are lost, applied twice, accepted against the rules or different between replicas."""
+
+import threading
+
+import pytest
+from arbutusrill_wire import decode, encode, messages
+
+from arbutusrill_state import SharedState, UnsupportedLevelError, check_value, command
+
+
+def do(state, change, request_id, **options):
+    return decode(messages.Outcome, state.apply(encode(command(change, "ops", 5, request_id, **options))))
+
+
+@pytest.fixture
+def state():
+    made = SharedState()
+    assert do(made, messages.PutWorkspace("w", 10.0, 100.0), "w0").accepted
+    return made
+
+
+def restored(state):
+    made = SharedState()
+    made.restore(state.snapshot())
+    return made
+
+
+def test_retry_gets_the_first_answer_also_after_a_snapshot(state):
+    first = do(state, messages.SetDefault("limits.rate", "5.0"), "r1")
+    refused = do(state, messages.SetDefault("limits.rate", "6.0"), "r2", if_revision=99)
+    state = restored(state)
+    do(state, messages.SetDefault("limits.rate", "7.0"), "r3")
+    assert do(state, messages.SetDefault("limits.rate", "5.0"), "r1") == first
+    assert do(state, messages.SetDefault("limits.rate", "6.0"), "r2", if_revision=99) == refused
+    assert state.config.value("limits.rate") == 7.0
+
+
+def test_exactly_one_of_many_changes_against_a_revision_wins(state):
+    lock, accepted = threading.Lock(), []
+
+    def operator(number):
+        with lock:
+            accepted.append(
+                do(state, messages.SetDefault("limits.rate", str(number + 1)), f"o{number}", if_revision=1).accepted
+            )
+
+    threads = [threading.Thread(target=operator, args=(number,)) for number in range(16)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    assert accepted.count(True) == 1
+
+
+@pytest.mark.parametrize(
+    "text", ["NaN", "Infinity", "-Infinity", "1e999", "1" * 400, "1" * 5000, "[" * 900, '"x"', "true", "null", "1e16"]
+)
+def test_value_that_is_no_usable_number_is_refused(text):
+    assert check_value("limits.rate", text) is not None
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        messages.PutWorkspace("w" * 200, 1.0, 10.0),
+        messages.PutWorkspace("a\nb", 1.0, 10.0),
+        messages.PutWorkspace("w", float("nan"), 10.0),
+        messages.PutWorkspace("w", 1.0, float("inf")),
+        messages.PutWorkspace("w", 1.0, 10.0, float("nan")),
+        messages.AddException("e", "limits.rate", "workspace", "w", "5", " "),
+        messages.AddException("e", "limits.rate", "workspace", "w", "5", "x" * 2000),
+        messages.AddException("e", "limits.rate", "planet", "w", "5", "why"),
+        messages.IssueKey("k", "short", "w"),
+        messages.PutService("s/t", []),
+        messages.PutService("s", [messages.Route("GET", "/")] * 200),
+        messages.PutService("s", [messages.Route("BREW", "/")]),
+        messages.PutOrder("o", "server", "p", "load", "[]", "requested"),
+        messages.PutOrder("o", "server", "p", "explode", "{}", "requested"),
+        messages.PutOrder("o", "server", "p", "load", "{}", "running"),
+    ],
+)
+def test_malformed_change_is_refused_and_moves_nothing(state, change):
+    before = state.config.revision
+    outcome = do(state, change, "bad")
+    assert not outcome.accepted and outcome.code in ("bad_value", "conflict")
+    assert state.config.revision == before
+
+
+def test_newer_kinds_wait_for_their_feature_level(state):
+    do(state, messages.PutVm("v", "a", "b", "", 1, "dead"), "v1")
+    assert do(state, messages.ForgetVm("v", 1), "f1").code == "feature_level"
+    do(state, messages.SetFeatureLevel(2), "l2")
+    assert do(state, messages.ForgetVm("v", 1), "f2").accepted
+    assert not do(state, messages.SetFeatureLevel(1), "l1").accepted
+
+
+def test_replica_stops_at_a_level_that_it_does_not_know(state):
+    with pytest.raises(UnsupportedLevelError):
+        do(state, messages.SetFeatureLevel(99), "l99")
+
+
+def test_vm_that_runs_again_is_not_forgotten(state):
+    do(state, messages.SetFeatureLevel(2), "l2")
+    do(state, messages.PutVm("v", "a", "b", "", 2, "live"), "v1")
+    assert not do(state, messages.ForgetVm("v", 1), "f").accepted
+
+
+def test_withdrawn_key_stays_withdrawn(state):
+    do(state, messages.IssueKey("k1", "a" * 64, "w"), "i1")
+    assert state.config.workspace_of_key("a" * 64) == "w"
+    do(state, messages.WithdrawKey("k1"), "x1")
+    assert not do(state, messages.IssueKey("k1", "a" * 64, "w"), "i2").accepted
+    assert restored(state).config.workspace_of_key("a" * 64) is None
+
+
+def test_most_specific_exception_wins_and_then_the_later_one(state):
+    name = "queue.max_wait_s.lookup"
+    for number, (kind, scope) in enumerate([("workspace", "w"), ("service", "s"), ("workspace", "w")]):
+        do(state, messages.AddException(f"e{number}", name, kind, scope, str(number + 10), "why"), f"e{number}")
+    for config in (state.config, restored(state).config):
+        assert config.value(name, workspace="w", service="s") == 12
+        assert config.value(name, workspace="x", service="s") == 11
+    do(state, messages.RemoveException("e2"), "rm")
+    assert state.config.value(name, workspace="w") == 10
+
+
+def test_exception_decides_the_rate_of_its_workspace(state):
+    assert state.config.limits_of("w") == (10.0, 100.0)
+    do(state, messages.AddException("e", "limits.rate", "workspace", "w", "70", "exam term"), "e")
+    assert state.config.limits_of("w") == (70.0, 100.0)
+
+
+def test_order_never_goes_back_and_ids_are_not_reused(state):
+    def order(state_name, argument="{}", fencing=0):
+        return messages.PutOrder("o", "server", "p", "load", argument, state_name, fencing)
+
+    for number, step in enumerate(["requested", "released", "running"]):
+        assert do(state, order(step, fencing=number), f"s{number}").accepted
+    assert not do(state, order("running", fencing=1), "old").accepted
+    assert not do(state, order("done", '{"model": "m"}', 5), "other").accepted
+    assert do(state, order("done", fencing=5), "end").accepted
+    assert not do(state, order("requested"), "again").accepted
+
+
+def test_ended_orders_make_room_for_new_ones(state):
+    for number in range(1001):
+        change = messages.PutOrder(f"o{number}", "server", "p", "load", "{}", "requested")
+        assert do(state, change, f"r{number}").accepted == (number < 1000)
+    do(state, messages.PutOrder("o7", "server", "p", "load", "{}", "cancelled"), "c")
+    assert do(state, messages.PutOrder("new", "server", "p", "load", "{}", "requested"), "n").accepted
+
+
+def test_followers_get_changes_in_bounded_parts(state):
+    for number in range(450):
+        do(state, messages.SetDefault("limits.rate", str(number + 1)), f"d{number}")
+    revision, parts = 1, []
+    while True:
+        commands, current = state.commands_after(revision)
+        if not commands:
+            break
+        assert [item.revision for item in commands] == list(range(revision + 1, revision + 1 + len(commands)))
+        parts.append(len(commands))
+        revision += len(commands)
+    assert parts == [200, 200, 50] and current == 451
+    assert state.commands_after(current + 1)[0] is None
--- a/libs/arbutusrill_wire/arbutusrill.thrift
+++ b/libs/arbutusrill_wire/arbutusrill.thrift
@@ -111,18 +111,22 @@
 struct ReleasePool { 1: string name, 2: string owner, 3: i64 epoch }
 struct PutOrder {
   1: string id, 2: string server, 3: string pool, 4: string action, 5: string argument_json, 6: string state,
-  7: i64 fencing = 0, 8: string detail = ""
+  7: i64 fencing = 0, 8: string detail = "",
+  9: i64 at_ms = 0               // time of the last change, set by the state machine
 }
 struct SetFeatureLevel { 1: i32 level }
+struct ForgetVm { 1: string id, 2: i64 incarnation }      // feature level 2
 
 struct JournalBegin {
   1: string workspace, 2: string key, 3: binary digest, 4: string vm, 5: i64 incarnation
 }
 struct JournalFinish {
   1: string workspace, 2: string key, 3: i32 attempt, 4: string status,   // done, not_run, ran or unknown
-  5: i32 http_status = 0, 6: string headers_json = "", 7: binary body
+  5: i32 http_status = 0, 6: string headers_json = "", 7: binary body,
+  8: string begin_id = ""        // request id of the begin; with it, `attempt` may be 0 when the answer was lost
 }
-struct JournalSweep { 1: i64 before_ms }
+// `elapsed_ms` is the time since the last sweep on the leader's monotonic clock; `before_ms` is not used any more.
+struct JournalSweep { 1: i64 before_ms = 0, 2: i64 elapsed_ms = 0 }
 
 // Exactly one of the fields from 10 on is set.
 struct Command {
@@ -145,6 +149,7 @@
   22: ReleasePool release_pool,
   23: PutOrder put_order,
   24: SetFeatureLevel set_feature_level,
+  25: ForgetVm forget_vm,
   40: JournalBegin journal_begin,
   41: JournalFinish journal_finish,
   42: JournalSweep journal_sweep
@@ -156,7 +161,7 @@
   2: i64 revision,
   3: string code = "",           // fixed word when not accepted
   4: string message = "",
-  5: binary detail               // journal commands: a serialised BeginAnswer
+  5: binary detail               // journal_begin: a serialised BeginAnswer; issue_key: the key's id
 }
 
 // ---- Snapshots of the config state ----------------------------------------------------------------------
@@ -184,6 +189,13 @@
   12: i64 clock_ms = 0
 }
 
+struct JournalRecord {
+  1: string workspace, 2: string key, 3: string digest, 4: i32 attempt, 5: string status, 6: string vm,
+  7: i64 incarnation, 8: i64 at_ms, 9: i32 http_status, 10: string headers_json, 11: binary body,
+  12: list<string> begin_ids, 13: i32 outstanding
+}
+struct JournalSnapshot { 1: list<JournalRecord> records, 2: i64 clock_ms }
+
 // ---- Control --------------------------------------------------------------------------------------------
 
 struct FollowRequest {
