--- /dev/null
+++ b/libs/arbutusrill_raft/_transport.py
@@ -0,0 +1,48 @@
+"""Calls between replicas, behind an interface that tests replace by a faulty link."""
+
+from __future__ import annotations
+
+import abc
+import threading
+from typing import Any
+
+from arbutusrill_wire import RpcClient, messages
+
+__all__ = ["RpcTransport", "Transport"]
+
+
+class Transport(abc.ABC):
+    """Sends Raft messages to other replicas by RPC address."""
+
+    @abc.abstractmethod
+    def call(self, address: str, name: str, request: Any, timeout: float) -> Any:
+        """Calls method `name` of the Raft service and returns its reply within `timeout` seconds.
+
+        Raises `ConnectionError` without a reply and `messages.Refused` for a refusal.
+        """
+
+    @abc.abstractmethod
+    def close(self) -> None:
+        """Releases connections."""
+
+
+class RpcTransport(Transport):
+    """Sends over TCP; a connection that fails or stays silent is replaced by a new one."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._client_by_address: dict[str, RpcClient] = {}
+
+    def call(self, address: str, name: str, request: Any, timeout: float) -> Any:
+        """Calls method `name` of the Raft service at `address`."""
+        with self._lock:
+            if address not in self._client_by_address:
+                self._client_by_address[address] = RpcClient(address)
+            client = self._client_by_address[address]
+        return client.call(messages.Raft, name, request, timeout=timeout)
+
+    def close(self) -> None:
+        """Closes the idle connections."""
+        with self._lock:
+            for client in self._client_by_address.values():
+                client.close()
--- /dev/null
+++ b/libs/arbutusrill_raft/tests/test_replica.py
@@ -0,0 +1,289 @@
+"""Guards against a group that loses, reorders or reverts accepted entries, or stops without need."""
+
+import errno
+import threading
+import time
+
+import pytest
+from arbutusrill_wire import messages
+
+from arbutusrill_raft import Bounds, LogUnavailableError, MembershipError, NotLeaderError
+
+from .group import PATIENCE_S, SMALL, Group, refused, wait_until
+
+
+def entries(count, first=0):
+    return [f"entry {number}".encode() for number in range(first, first + count)]
+
+
+def propose_all(group, items):
+    for item in items:
+        group.propose(item)
+
+
+def test_accepted_entries_reach_every_replica_in_order():
+    with Group() as group:
+        items = entries(20)
+        assert [group.propose(item) for item in items] == [str(number + 1).encode() for number in range(20)]
+        group.wait_equal(items)
+
+
+def test_group_of_one_serves():
+    with Group(1) as group:
+        assert group.propose(b"a") == b"1"
+
+
+def test_group_does_not_form_before_all_initial_voters_are_there():
+    # A majority could otherwise form a group twice, the second time without the first one's entries.
+    group = Group()
+    group.start(group.initial[0])
+    group.start(group.initial[1])
+    try:
+        time.sleep(1.0)
+        assert not any(replica.status().voters for replica in group.replicas.values())
+        group.start(group.initial[2])
+        assert group.propose(b"a") == b"1"
+    finally:
+        group.__exit__()
+
+
+def test_restart_of_all_keeps_everything():
+    with Group() as group:
+        items = entries(10)
+        propose_all(group, items)
+        for address in group.initial:
+            group.kill(address)
+        for address in group.initial:
+            group.start(address)
+        group.propose(b"later")
+        group.wait_equal([*items, b"later"])
+
+
+def test_killed_leader_is_replaced_and_nothing_is_lost():
+    with Group() as group:
+        propose_all(group, entries(5))
+        leader = group.leader()
+        group.kill(leader)
+        propose_all(group, entries(5, 5))
+        group.start(leader)
+        group.wait_equal(entries(10))
+
+
+def test_cut_off_leader_steps_down_and_its_entries_give_way():
+    with Group() as group:
+        group.propose(b"a")
+        old = group.leader()
+        group.cut(old)
+        with pytest.raises(LogUnavailableError) as caught:
+            group.replicas[old].propose(b"lost", PATIENCE_S)
+        assert caught.value.appended
+        with pytest.raises((NotLeaderError, LogUnavailableError)):
+            group.replicas[old].confirm(0.1)
+        rest = [address for address in group.initial if address != old]
+        group.replicas[group.leader(rest)].propose(b"b", PATIENCE_S)
+        group.heal()
+        group.wait_equal([b"a", b"b"])
+
+
+def test_cut_off_follower_does_not_disturb_the_leader_on_return():
+    # Without pre-vote, the follower's higher term would end a sound leadership.
+    with Group() as group:
+        leader = group.leader()
+        term = group.replicas[leader].status().term
+        follower = group.followers()[0]
+        group.cut(follower)
+        time.sleep(3 * group.timing.election_max_s)
+        assert group.replicas[follower].status().term == term
+        group.heal()
+        group.propose(b"a")
+        group.wait_equal([b"a"])
+
+
+def test_follower_that_hears_nothing_but_can_send_does_not_win():
+    with Group() as group:
+        follower = group.followers()[0]
+        group.cut(follower, inward=True, outward=False)
+        time.sleep(3 * group.timing.election_max_s)
+        assert group.propose(b"a") == b"1"
+        assert group.replicas[follower].status().role != "leader"
+
+
+def test_old_leader_cannot_prove_leadership_after_its_lease():
+    # A paused VM would otherwise answer reads with state that others have changed meanwhile.
+    with Group() as group:
+        old = group.leader()
+        group.cut(old)
+        group.leader([address for address in group.initial if address != old])
+        with pytest.raises((NotLeaderError, LogUnavailableError)):
+            group.replicas[old].confirm(0.2)
+
+
+def test_recently_started_replica_gives_no_vote():
+    # Before its restart it may have promised a leader not to vote during that leader's lease.
+    with Group() as group:
+        follower = group.followers()[0]
+        group.kill(follower)
+        replica = group.start(follower)
+        status = replica.status()
+        request = messages.VoteRequest(status.term + 1, "10.0.0.9:1/x", 999, 999, True, target=status.replica)
+        assert not replica.handler.vote(request).granted
+
+
+def test_far_behind_follower_gets_a_snapshot_in_parts():
+    with Group(bounds=SMALL) as group:
+        follower = group.followers()[0]
+        group.kill(follower)
+        items = entries(300)
+        propose_all(group, items)
+        group.start(follower)
+        group.wait_equal(items)
+        assert any(name.startswith("snapshot-") for name in group.disks[follower].names())
+
+
+def test_log_in_memory_and_on_disk_stays_bounded_with_a_dead_follower():
+    with Group(bounds=SMALL) as group:
+        group.kill(group.followers()[0])
+        propose_all(group, entries(300))
+        leader = group.leader()
+        core = group.replicas[leader]._core
+        wait_until(lambda: core.log.last_index - core.log.base_index < 120, "compaction")
+        assert len([name for name in group.disks[leader].names() if name.startswith("snapshot-")]) == 1
+
+
+def test_proposals_without_a_quorum_are_bounded():
+    with Group(bounds=Bounds(pending_bytes=5000)) as group:
+        leader = group.leader()
+        for follower in group.followers():
+            group.kill(follower)
+        replica = group.replicas[leader]
+        codes = []
+
+        def propose():
+            try:
+                replica.propose(bytes(1000), 0.2)
+            except LogUnavailableError as error:
+                codes.append(error.appended)
+            except NotLeaderError:
+                codes.append(False)
+
+        threads = [threading.Thread(target=propose) for _ in range(10)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        assert codes.count(True) <= 5
+
+
+@pytest.mark.parametrize("kind", ["error", "sync_error"])
+def test_replica_with_a_failing_disk_stops_and_says_so(kind):
+    # Carrying on after a failed sync would acknowledge entries that the disk does not hold.
+    with Group() as group:
+        propose_all(group, entries(3))
+        leader = group.leader()
+        setattr(group.disks[leader], kind, OSError(errno.ENOSPC, "no space left on device"))
+        with pytest.raises((LogUnavailableError, NotLeaderError)):
+            group.replicas[leader].propose(b"x", PATIENCE_S)
+        wait_until(lambda: group.replicas[leader].status().fault, "the fault is reported")
+        status = group.replicas[leader].status()
+        assert "no space left" in status.fault
+        assert status.role == "faulty"
+        rest = [address for address in group.initial if address != leader]
+        group.replicas[group.leader(rest)].propose(b"y", PATIENCE_S)
+        assert refused(group.replicas[leader].handler.vote, messages.VoteRequest(99, "a/b", target=status.replica))
+        setattr(group.disks[leader], kind, None)
+        group.kill(leader)
+        group.start(leader)
+        group.wait_equal()
+        assert group.machines[leader].items[:3] == entries(3)
+
+
+def test_lost_disk_rejoins_only_as_a_new_member():
+    with Group() as group:
+        propose_all(group, entries(5))
+        lost = group.followers()[0]
+        old = group.replicas[lost].status().replica
+        group.lose_disk(lost)
+        replica = group.start(lost)
+        assert replica.status().replica != old
+        vote = messages.VoteRequest(99, "10.0.0.9:1/x", 999, 999, target=old)
+        assert refused(replica.handler.vote, vote) == "wrong_member"
+        time.sleep(2 * group.timing.election_max_s)
+        assert replica.status().voters == []
+        assert group.on_leader("replace", lost, lost) == replica.status().replica
+        group.wait_equal(entries(5))
+        assert old not in replica.status().voters
+        assert len(group.replicas[group.leader()].status().voters) == 3
+
+
+def test_second_loss_right_after_a_repair_loses_nothing():
+    with Group() as group:
+        propose_all(group, entries(5))
+        first, second = group.followers()
+        group.lose_disk(first)
+        group.start(first)
+        group.on_leader("replace", first, first)
+        group.lose_disk(second)
+        propose_all(group, entries(5, 5))
+        group.kill(group.leader())
+        group.start(second)
+        time.sleep(2 * group.timing.election_max_s)
+        assert not any(replica.is_leader() for replica in group.replicas.values())
+        for address in set(group.initial) - set(group.replicas):
+            group.start(address)
+        group.propose(b"later")
+        assert group.machines[group.leader()].items == [*entries(10), b"later"]
+
+
+def test_leader_can_be_replaced_by_another_vm():
+    with Group() as group:
+        group.propose(b"a")
+        old = group.leader()
+        new = "10.0.0.9:7400"
+        group.start(new)
+        group.on_leader("replace", old, new)
+        wait_until(lambda: not group.replicas[old].is_leader(), "the removed leader steps down")
+        group.stop(old)
+        group.propose(b"b")
+        group.wait_equal([b"a", b"b"])
+        assert old not in " ".join(group.replicas[new].status().voters)
+
+
+def test_learner_has_no_vote_before_it_has_caught_up():
+    with Group() as group:
+        group.propose(b"a")
+        new = "10.0.0.9:7400"
+        group.start(new)
+        group.on_leader("add_learner", new)
+        group.kill(new)
+        leader = group.replicas[group.leader()]
+        with pytest.raises(LogUnavailableError):
+            time.sleep(1.1)
+            leader.promote(new, 0.3)
+        assert len(leader.status().voters) == 3
+
+
+def test_replica_of_another_group_is_refused():
+    with Group() as group, Group(1) as other:
+        other.propose(b"b")
+        group.replicas["10.0.0.9:7400"] = other.replicas[other.initial[0]]
+        try:
+            with pytest.raises(MembershipError, match="belongs to group"):
+                group.replicas[group.leader(group.initial)].add_learner("10.0.0.9:7400", 5)
+        finally:
+            del group.replicas["10.0.0.9:7400"]
+
+
+def test_last_voter_cannot_be_removed():
+    with Group(1) as group, pytest.raises(MembershipError, match="last voter"):
+        group.replicas[group.leader()].remove(group.initial[0], 5)
+
+
+def test_entry_that_the_machine_rejects_by_an_exception_stops_nothing():
+    with Group() as group:
+        for machine in group.machines.values():
+            apply = machine.apply
+            machine.apply = lambda data, apply=apply: apply(data) if data != b"bad" else int("bad")
+        with pytest.raises(ValueError, match="invalid literal"):
+            group.propose(b"bad")
+        group.propose(b"good")
+        group.wait_equal([b"good"])
--- a/libs/arbutusrill_wire/arbutusrill.thrift
+++ b/libs/arbutusrill_wire/arbutusrill.thrift
@@ -33,7 +33,8 @@
   3: i64 last_index,
   4: i64 last_term,
   5: bool pre_vote = false,
-  6: string disk_id = ""
+  6: string disk_id = "",
+  7: string target = ""     // member ID that the message is meant for: RPC address "/" disk ID
 }
 
 struct VoteReply {
@@ -49,7 +50,8 @@
   5: list<LogEntry> entries,
   6: i64 commit_index,
   7: string disk_id = "",
-  8: string target = ""     // replica id that the message is meant for
+  8: string target = "",    // member ID that the message is meant for
+  9: i64 previous_chain = 0 // running hash of the log up to previous_index
 }
 
 struct AppendReply {
@@ -67,7 +69,8 @@
   5: i64 offset,
   6: binary data,
   7: bool done = false,
-  8: binary membership
+  8: binary membership,
+  9: string target = ""     // member ID that the message is meant for
 }
 
 struct SnapshotReply {
@@ -75,10 +78,17 @@
   2: i64 next_offset
 }
 
+struct HelloReply {
+  1: string member,         // member ID of the replica that answers
+  2: string group = "",     // group that it belongs to, empty before it has joined one
+  3: string fault = ""      // why it does not take part, empty when it does
+}
+
 service Raft {
   VoteReply vote(1: VoteRequest request) throws (1: Refused refused),
   AppendReply append(1: AppendRequest request) throws (1: Refused refused),
-  SnapshotReply install_snapshot(1: SnapshotRequest request) throws (1: Refused refused)
+  SnapshotReply install_snapshot(1: SnapshotRequest request) throws (1: Refused refused),
+  HelloReply hello(1: string caller) throws (1: Refused refused)
 }
 
 // ---- Commands of the state machine ----------------------------------------------------------------------
