--- a/libs/arbutusrill_daemon/_roles.py
+++ b/libs/arbutusrill_daemon/_roles.py
@@ -4,14 +4,15 @@
 
 import contextlib
 import threading
+from typing import Any
 
-from arbutusrill_base import SystemClock, TaskGroup, new_incarnation
+from arbutusrill_base import Clock, SystemClock, TaskGroup, new_incarnation
 from arbutusrill_control import ControlService, OperatorApp, SharedMachine
 from arbutusrill_entry import EntryApp, PoolClients
 from arbutusrill_http import HttpLimits, HttpServer
 from arbutusrill_pool import PoolDirectory
 from arbutusrill_raft import LocalLog
-from arbutusrill_state import ControlClient, Follower, VmIdentity
+from arbutusrill_state import ConfigState, ControlClient, Follower, VmIdentity, command
 from arbutusrill_wire import RpcServer, messages
 
 from ._settings import DaemonSettings
@@ -19,6 +20,8 @@
 __all__ = ["run_roles"]
 
 _TICK_S = 0.2
+_POOL_TICK_S = 0.1
+_PROPOSE_S = 3.0
 
 
 def run_roles(settings: DaemonSettings, stopping: threading.Event) -> None:
@@ -59,11 +62,21 @@
     clock = SystemClock()
     incarnation = new_incarnation()
     identity = VmIdentity(settings.vm, incarnation, role.http, role.rpc, settings.data_centre)
-    with ControlClient(settings.control_addresses) as client, TaskGroup("entry", 8) as tasks:
+    with contextlib.ExitStack() as stack:
+        client = stack.enter_context(ControlClient(settings.control_addresses))
+        tasks = stack.enter_context(TaskGroup("entry", 8))
         follower = Follower(identity, client, clock)
-        directory = PoolDirectory(settings.vm, incarnation, clock)
+        directory = PoolDirectory(
+            settings.vm,
+            incarnation,
+            clock,
+            follower.holds_lease,
+            follower.config.value,
+            report_order=lambda record: _report_order(client, settings.vm, clock, record),
+        )
+        stack.callback(directory.close)
         pools = PoolClients(follower, client, directory)
-        follower.on_change(lambda: directory.reconcile(list(follower.config.pools_by_name.values())))
+        follower.on_change(lambda: _reconcile(directory, follower.config))
         application = EntryApp(follower, client, pools, clock, role.announce_token_sha256)
         limits = HttpLimits(connections=role.connections)
         with (
@@ -71,4 +84,17 @@
             HttpServer(*_split(role.http), application, limits),
         ):
             follower.start(tasks)
+            tasks.every(_POOL_TICK_S, directory.tick)
             yield
+
+
+def _reconcile(directory: PoolDirectory, config: ConfigState) -> None:
+    with config.lock:
+        pools = list(config.pools_by_name.values())
+        vms = list(config.vms_by_id.values())
+        orders = list(config.orders_by_id.values())
+    directory.reconcile(pools, vms, orders)
+
+
+def _report_order(client: ControlClient, vm: str, clock: Clock, record: Any) -> bool:
+    return client.call("propose", command(record, vm, clock.wall_ms()), timeout=_PROPOSE_S).accepted
--- a/libs/arbutusrill_entry/_backends.py
+++ b/libs/arbutusrill_entry/_backends.py
@@ -44,6 +44,7 @@
 
     def announce(self, announcement: Any) -> None:
         """Passes an announcement on to the owner of each of its pools."""
+        self._directory.saw(announcement)
         kind = "service" if announcement.role == "plain" else "model"
         for pool in announcement.pools:
             assigned = self.known(pool)
