--- a/libs/arbutusrill_state/_checks.py
+++ b/libs/arbutusrill_state/_checks.py
@@ -18,7 +18,7 @@
 
 FEATURE_LEVEL = 2  # highest level of which this version knows all kinds of changes
 MAX_ORDERS = 1000
-ENDED_ORDER_STATES = ("done", "failed", "cancelled")
+ENDED_ORDER_STATES = ("done", "failed", "withdrawn")
 
 _LEVEL_BY_KIND = {"forget_vm": 2}  # kinds that replicas of an older version do not know
 _MAX_NAME = 128  # characters
@@ -27,12 +27,12 @@
 _MAX_ROUTES = 100
 _MAX_ARGUMENT = 2000
 _METHODS = ("*", "GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
-_ORDER_ACTIONS = ("load", "unload", "role", "drain", "resume")
+_ORDER_ACTIONS = ("load", "unload", "set_role", "drain", "resume")
 # An order that is under way may be taken over by a new owner of the pool, which keeps its state.
 _NEXT_ORDER_STATES = {
     "": ("requested",),
-    "requested": ("released", "failed", "cancelled"),
-    "released": ("released", "running", "done", "failed", "cancelled"),
+    "requested": ("released", "failed", "withdrawn"),
+    "released": ("released", "running", "done", "failed", "withdrawn"),
     "running": ("running", "done", "failed"),
 }
 _NAMED_FIELDS = (
--- a/libs/arbutusrill_state/tests/test_config.py
+++ b/libs/arbutusrill_state/tests/test_config.py
@@ -146,7 +146,7 @@
     for number in range(1001):
         change = messages.PutOrder(f"o{number}", "server", "p", "load", "{}", "requested")
         assert do(state, change, f"r{number}").accepted == (number < 1000)
-    do(state, messages.PutOrder("o7", "server", "p", "load", "{}", "cancelled"), "c")
+    do(state, messages.PutOrder("o7", "server", "p", "load", "{}", "withdrawn"), "c")
     assert do(state, messages.PutOrder("new", "server", "p", "load", "{}", "requested"), "n").accepted
 
 
