control: operators' orders, burn, metrics and reads after a quorum round

Cause: a resent key request showed a key that was not the stored one; reads came from any replica without proof; an unreadable if_revision was dropped, so that the change won every race; the tool sent a change to the next control VM under a new request id. Orders, burn and metrics were missing. Change: keys are derived from the operator's token and the request id. Reads need a quorum round (421 or 503 otherwise), /replica answers without. Orders are PutOrder commands with ids from the request id, released by the leader as far as orders.parallel allows. BurnBoard sums the last report of each VM. in-force also waits for VMs that a new leader has not heard. Ruled out: answering only that the secret was shown already: after a lost response nobody has seen it. Conclusion: pool owners execute orders in the states released and running.

--- a/libs/arbutusrill_cli/_main.py
+++ b/libs/arbutusrill_cli/_main.py
@@ -5,32 +5,44 @@
 import json
 import sys
 from typing import Annotated, Any
+from urllib.parse import quote
 
 import typer
 
-from ._client import OperatorClient, OperatorError
+from ._client import EXIT_NOT_IN_FORCE, OperatorClient, OperatorError
 from ._tables import show_table
 
 __all__ = ["main"]
 
-app = typer.Typer(no_args_is_help=True, help="Operates an arbutusrill site.", pretty_exceptions_enable=False)
+_HELP = """Operates an arbutusrill site.
+
+Exit codes: 0 done; 1 fault of this tool; 2 wrong usage or settings; 3 refused, nothing was changed; 4 no control VM
+with a quorum answered, repeat the command with the same --request-id; 5 accepted, but not in force on every VM within
+the time of --wait.
+"""
+app = typer.Typer(no_args_is_help=True, help=_HELP, pretty_exceptions_enable=False)
 defaults = typer.Typer(no_args_is_help=True, help="Fleet-wide defaults.")
 exceptions = typer.Typer(no_args_is_help=True, help="Exceptions to defaults, each with a reason.")
 workspaces = typer.Typer(no_args_is_help=True, help="Workspaces and their limits.")
 keys = typer.Typer(no_args_is_help=True, help="Callers' keys.")
 services = typer.Typer(no_args_is_help=True, help="Plain services and their routes.")
+backends = typer.Typer(no_args_is_help=True, help="Backend servers, and orders to them.")
+orders = typer.Typer(no_args_is_help=True, help="Orders to backend servers and their states.")
 for _name, _group in (
     ("defaults", defaults),
     ("exceptions", exceptions),
     ("workspaces", workspaces),
     ("keys", keys),
     ("services", services),
+    ("backends", backends),
+    ("orders", orders),
 ):
     app.add_typer(_group, name=_name)
 
 Json = Annotated[bool, typer.Option("--json", help="print JSON instead of a table")]
 IfRevision = Annotated[int, typer.Option(help="change only if this is still the revision")]
 RequestId = Annotated[str, typer.Option(help="same id as a command whose answer was lost")]
+Pool = Annotated[str, typer.Option(help="pool of the server; found by its name when left out")]
 Wait = Annotated[bool, typer.Option(help="return when the change is in force on every live VM")]
 
 
@@ -51,13 +63,18 @@
     client = _client()
     query = {"if_revision": if_revision} if if_revision >= 0 else None
     value = client.call(method, path, body, query, request_id or None)
-    if wait:
-        value |= client.call("GET", f"/in-force/{value['revision']}", query={"wait_s": 8})
-    if as_json:
-        print(json.dumps(value, indent=2, ensure_ascii=False))
-        return
-    for name, item in value.items():
-        print(f"{name}: {item}")
+    try:
+        if wait:
+            value |= client.call("GET", f"/in-force/{value['revision']}", query={"wait_s": 8})
+    finally:
+        # The change has been accepted, and a new key is shown only here.
+        if as_json:
+            print(json.dumps(value, indent=2, ensure_ascii=False))
+        else:
+            for name, item in value.items():
+                print(f"{name}: {item}")
+    if wait and not value["in_force"]:
+        raise OperatorError(f"accepted, but not in force yet on {', '.join(value['behind'])}", EXIT_NOT_IN_FORCE)
 
 
 @defaults.command("show")
@@ -80,7 +97,7 @@
         parsed = json.loads(value)
     except ValueError:
         parsed = value
-    _change("PUT", f"/defaults/{name}", {"value": parsed}, if_revision, request_id, wait, as_json)
+    _change("PUT", f"/defaults/{quote(name, '')}", {"value": parsed}, if_revision, request_id, wait, as_json)
 
 
 @defaults.command("unset")
@@ -88,7 +105,7 @@
     name: str, if_revision: IfRevision = -1, request_id: RequestId = "", wait: Wait = False, as_json: Json = False
 ) -> None:
     """Returns a default to its initial value. Example: arbutusrill defaults unset limits.rate"""
-    _change("DELETE", f"/defaults/{name}", None, if_revision, request_id, wait, as_json)
+    _change("DELETE", f"/defaults/{quote(name, '')}", None, if_revision, request_id, wait, as_json)
 
 
 @exceptions.command("list")
@@ -127,7 +144,7 @@
     as_json: Json = False,
 ) -> None:
     """Removes an exception. Example: arbutusrill exceptions remove exc-1a2b3c4d"""
-    _change("DELETE", f"/exceptions/{exception_id}", None, if_revision, request_id, wait, as_json)
+    _change("DELETE", f"/exceptions/{quote(exception_id, '')}", None, if_revision, request_id, wait, as_json)
 
 
 @workspaces.command("list")
@@ -149,7 +166,7 @@
 ) -> None:
     """Creates or changes a workspace. Example: arbutusrill workspaces put dispatch --rate 2000 --burst 20000"""
     body = {"rate": rate, "burst": burst, "weight": weight}
-    _change("PUT", f"/workspaces/{name}", body, if_revision, request_id, wait, as_json)
+    _change("PUT", f"/workspaces/{quote(name, '')}", body, if_revision, request_id, wait, as_json)
 
 
 @workspaces.command("remove")
@@ -157,7 +174,7 @@
     name: str, if_revision: IfRevision = -1, request_id: RequestId = "", wait: Wait = False, as_json: Json = False
 ) -> None:
     """Removes a workspace; its keys stop working. Example: arbutusrill workspaces remove dispatch"""
-    _change("DELETE", f"/workspaces/{name}", None, if_revision, request_id, wait, as_json)
+    _change("DELETE", f"/workspaces/{quote(name, '')}", None, if_revision, request_id, wait, as_json)
 
 
 @keys.command("list")
@@ -175,7 +192,7 @@
 @keys.command("withdraw")
 def keys_withdraw(key_id: str, request_id: RequestId = "", wait: Wait = False, as_json: Json = False) -> None:
     """Withdraws a key. Example: arbutusrill keys withdraw key-1a2b3c4d"""
-    _change("DELETE", f"/keys/{key_id}", None, -1, request_id, wait, as_json)
+    _change("DELETE", f"/keys/{quote(key_id, '')}", None, -1, request_id, wait, as_json)
 
 
 @services.command("list")
@@ -198,7 +215,64 @@
     for text in route:
         method, prefix, *flags = text.split(":")
         routes.append({"method": method, "prefix": prefix, "open": "open" in flags, "repeatable": "once" not in flags})
-    _change("PUT", f"/services/{name}", {"routes": routes}, if_revision, request_id, wait, as_json)
+    _change("PUT", f"/services/{quote(name, '')}", {"routes": routes}, if_revision, request_id, wait, as_json)
+
+
+@backends.command("list")
+def backends_list(as_json: Json = False) -> None:
+    """Lists backend servers by pool. Example: arbutusrill backends list"""
+    value = _client().call("GET", "/backends")
+    _show(value, "backends", as_json)
+    if value["silent_owners"] and not as_json:
+        print(f"no answer from the pool owners {', '.join(value['silent_owners'])}")
+
+
+@backends.command("drain")
+def backends_drain(
+    server: str, pool: Pool = "", request_id: RequestId = "", wait: Wait = False, as_json: Json = False
+) -> None:
+    """Lets a server finish its work and take no more. Example: arbutusrill backends drain engine-d2"""
+    _change("POST", f"/backends/{quote(server, '')}/drain", {"pool": pool}, -1, request_id, wait, as_json)
+
+
+@backends.command("order")
+def backends_order(
+    server: str,
+    action: Annotated[str, typer.Argument(help="load, unload, set_role, drain or resume")],
+    argument: Annotated[list[str], typer.Option(help="NAME=VALUE, repeated")] = [],  # noqa: B006
+    pool: Pool = "",
+    request_id: RequestId = "",
+    wait: Wait = False,
+    as_json: Json = False,
+) -> None:
+    """Gives an order. Example: arbutusrill backends order engine-d2 load --argument model=route-writer"""
+    values = dict(part.partition("=")[::2] for part in argument)
+    body = {"action": action, "argument": values, "pool": pool}
+    _change("POST", f"/backends/{quote(server, '')}/orders", body, -1, request_id, wait, as_json)
+
+
+@orders.command("list")
+def orders_list(as_json: Json = False) -> None:
+    """Lists orders and their states. Example: arbutusrill orders list"""
+    _show(_client().call("GET", "/orders"), "orders", as_json)
+
+
+@orders.command("withdraw")
+def orders_withdraw(order_id: str, request_id: RequestId = "", wait: Wait = False, as_json: Json = False) -> None:
+    """Takes back an order that does not run yet. Example: arbutusrill orders withdraw ord-1a2b3c4d5e6f7a8b"""
+    _change("DELETE", f"/orders/{quote(order_id, '')}", None, -1, request_id, wait, as_json)
+
+
+@app.command("burn")
+def burn(as_json: Json = False) -> None:
+    """Shows good and bad requests by workspace, route and target. Example: arbutusrill burn"""
+    _show(_client().call("GET", "/burn"), "burn", as_json)
+
+
+@app.command("feature-level")
+def feature_level(level: int, request_id: RequestId = "", wait: Wait = False, as_json: Json = False) -> None:
+    """Allows newer changes once all control VMs are upgraded. Example: arbutusrill feature-level 2"""
+    _change("PUT", "/feature-level", {"level": level}, -1, request_id, wait, as_json)
 
 
 @app.command("status")
@@ -214,7 +288,7 @@
 
 
 def main() -> None:
-    """Runs the tool; exits with 2 for wrong usage, 3 for a refusal and 4 when no control VM answers."""
+    """Runs the tool; the module `_client` lists its exit codes."""
     try:
         app()
     except OperatorError as error:
--- a/libs/arbutusrill_control/_service.py
+++ b/libs/arbutusrill_control/_service.py
@@ -11,6 +11,7 @@
 from arbutusrill_state import FEATURE_LEVEL, SharedState, command
 from arbutusrill_wire import decode, encode, messages
 
+from ._burn import BurnBoard
 from ._housekeeping import Housekeeping
 from ._leases import VmLeases, rendezvous
 
@@ -63,6 +64,7 @@
         self.leases = VmLeases(clock)
         self.grants = GrantOwner(self._limits_of, clock)
         self.housekeeping = Housekeeping(clock)
+        self.burn = BurnBoard(clock)
         self._clock = clock
         self._term: int | None = None
 
@@ -133,6 +135,8 @@
 
     def report_burn(self, vm: str, incarnation: int, rows: list[Any]) -> None:
         """Takes the counts of good and bad requests of an entry VM."""
+        self._check_leads()
+        self.burn.report(vm, incarnation, rows)
 
     def replica_status(self) -> Any:
         """Returns the state of this control VM's replica."""
--- /dev/null
+++ b/libs/arbutusrill_control/tests/support.py
@@ -0,0 +1,96 @@
+"""A control role on a log of one replica, whose leadership and quorum tests can take away."""
+
+import hashlib
+
+from arbutusrill_base import ManualClock
+from arbutusrill_raft import LocalLog, LogUnavailableError, NotLeaderError
+from arbutusrill_state import ControlUnavailableError
+from arbutusrill_wire import messages
+from werkzeug.test import Client
+
+from arbutusrill_control import ControlService, OperatorApp, SharedMachine
+
+TOKENS = {"ops": "token-1", "night": "token-2"}
+
+
+class SteeredLog(LocalLog):
+    def __init__(self, machine):
+        super().__init__(machine, "10.0.0.1:1")
+        self.leads, self.quorum, self.term, self.proposed = True, True, 1, 0
+
+    def is_leader(self):
+        return self.leads
+
+    def status(self):
+        found = super().status()
+        found.term = self.term
+        return found
+
+    def _check(self):
+        if not self.leads:
+            raise NotLeaderError("10.0.0.2:1")
+        if not self.quorum:
+            raise LogUnavailableError("no quorum", appended=False)
+
+    def confirm(self, timeout):
+        self._check()
+
+    def propose(self, data, timeout):
+        self._check()
+        self.proposed += 1
+        return super().propose(data, timeout)
+
+
+class DirectControl:
+    """Stands for a `ControlClient` whose answers can be lost."""
+
+    def __init__(self, service):
+        self.service = service
+        self.lose_answers = 0
+
+    def call(self, name, *arguments, timeout, try_timeout=1.5):
+        answer = getattr(self.service, name)(*arguments)
+        if self.lose_answers:
+            self.lose_answers -= 1
+            raise ControlUnavailableError("answer lost", True)
+        return answer
+
+
+class Control:
+    def __init__(self):
+        self.clock = ManualClock(100.0)
+        self.machine = SharedMachine()
+        self.log = SteeredLog(self.machine)
+        self.service = ControlService(self.log, self.machine, self.clock)
+        self.client = DirectControl(self.service)
+        hashes = {name: _sha256(token) for name, token in TOKENS.items()}
+        self.app = OperatorApp(self.service, self.client, self.clock, hashes)
+        self.http = Client(self.app)
+        self.service.tick()
+
+    @property
+    def config(self):
+        return self.machine.state.config
+
+    def follow(self, vm, incarnation=1, state="live", revision=None):
+        revision = self.config.revision if revision is None else revision
+        request = messages.FollowRequest(vm, incarnation, f"{vm}:1", f"{vm}:2", "dc", state, revision, 0)
+        return self.service.follow(request)
+
+    def run(self, seconds, followers=()):
+        for _ in range(round(seconds / 0.2)):
+            self.clock.advance(0.2)
+            for vm in followers:
+                self.follow(vm)
+            self.service.tick()
+
+    def ask(self, method, path, body=None, operator="ops", request_id="", **query):
+        headers = {"Authorization": f"Bearer {TOKENS.get(operator, operator)}"}
+        if request_id:
+            headers["X-Request-Id"] = request_id
+        prefix = "" if path.startswith("/") else "/v1/operator/"
+        return self.http.open(f"{prefix}{path}", method=method, json=body, headers=headers, query_string=query)
+
+
+def _sha256(text):
+    return hashlib.sha256(text.encode()).hexdigest()
--- a/libs/arbutusrill_daemon/_roles.py
+++ b/libs/arbutusrill_daemon/_roles.py
@@ -22,6 +22,7 @@
 
 _log = PartLog("daemon")
 _TICK_S = 0.2
+_CONTROL_CONNECTIONS = 1024  # each of 390 nodes holds one for its long poll and one or two for calls
 _FLUSH_S = 5.0  # for recording outcomes at the end when the control group is briefly away
 _RETURN_S = 1.0  # for returning unspent tokens at the end; they are lost to the workspace otherwise
 _POOL_TICK_S = 0.1
@@ -50,10 +51,10 @@
     machine = SharedMachine()
     with LocalLog(machine, role.rpc) as log, ControlClient(settings.control_addresses) as client:
         service = ControlService(log, machine, clock)
-        operators = OperatorApp(service, client, clock, role.operator_token_sha256_by_name)
         with (
+            OperatorApp(service, client, clock, role.operator_token_sha256_by_name) as operators,
             TaskGroup("control", 4) as tasks,
-            RpcServer(*_split(role.rpc), {messages.Control: service}),
+            RpcServer(*_split(role.rpc), {messages.Control: service}, limit=_CONTROL_CONNECTIONS),
             HttpServer(*_split(role.http), operators),
         ):
             tasks.every(_TICK_S, service.tick)
