standins: engine with KV transfer, prefix cache, faults and counters

Cause: the thin engine had neither KV life, link, prefix cache, priorities nor faults, so policies could not be compared. Change: engine in small modules, faults by POST /stand-in/fault, counters by GET /stand-in/counters; service counts bookings by key or body; base gets prefix_blocks, the block hashes that routers and engines share. Before/after: bin/test libs/arbutusrill_standins: no tests before, 26 pass. Ruled out: a service test on reused connections; libcurl repeats a request by itself when a reused connection breaks (seen: status 201 after a cut).

--- a/libs/arbutusrill_base/__init__.py
+++ b/libs/arbutusrill_base/__init__.py
@@ -1,5 +1,6 @@
 """Types and helpers that every part of arbutusrill shares."""
 
+from ._blocks import BLOCK_BYTES, prefix_blocks
 from ._budget import RetryBudget, backoff_s
 from ._clock import Clock, ManualClock, SystemClock
 from ._ids import hash_key, new_incarnation, new_key, new_request_id
@@ -9,6 +10,7 @@
 from ._verdict import Failure, FailureError, Verdict
 
 __all__ = [
+    "BLOCK_BYTES",
     "Clock",
     "Failure",
     "FailureError",
@@ -28,4 +30,5 @@
     "new_key",
     "new_request_id",
     "parse_settings",
+    "prefix_blocks",
 ]
--- a/libs/arbutusrill_standins/service.py
+++ b/libs/arbutusrill_standins/service.py
@@ -1,61 +1,114 @@
 """Stand-in for a plain service with seat bookings and stop lookups.
 
-Run as ``python -m arbutusrill_standins.service``.
+Run as ``python -m arbutusrill_standins.service``. Faults are switched on by ``POST /stand-in/fault`` and
+counters are read by ``GET /stand-in/counters``.
 """
 
 from __future__ import annotations
 
+import hashlib
 import json
+import os
 import threading
 import time
+from collections import Counter
 from collections.abc import Callable, Iterable
 from typing import Annotated, Any
 
 import typer
 from arbutusrill_base import new_incarnation
-from arbutusrill_http import HttpServer, json_response
+from arbutusrill_http import AbortStreamError, HttpLimits, HttpServer, json_response
 from werkzeug.wrappers import Request
 
 from ._announcer import Announcer
+from ._counters import Counters
 
 __all__ = ["PlainService"]
 
+_LIMITS = HttpLimits(connections=512, idle_s=600.0)
+
 
 class PlainService:
-    """WSGI application: every POST books, every GET looks up; all requests are kept for inspection."""
+    """WSGI application: every POST books, every GET looks up; all requests are kept for inspection.
+
+    Fault command ``{"kind": ..., "count": ..., "delay_s": ..., "after_booking": ...}``: ``slow`` answers the
+    next `count` requests `delay_s` later, ``cut`` closes their connections in the middle of the answer,
+    ``kill`` ends the process at the next request, ``clear`` ends all faults. With `after_booking` false,
+    ``kill`` and ``cut`` act before anything is booked.
+    """
 
-    def __init__(self, name: str):
+    def __init__(self, name: str, work_s: float = 0.0):
+        self.counters = Counters("lookups", "bookings")
         self._name = name
+        self._work_s = work_s
         self._lock = threading.Lock()
-        self._bookings: list[dict[str, Any]] = []
-        self._seen: list[dict[str, Any]] = []
+        self._count_by_booking: Counter[str] = Counter()
+        self._fault: dict[str, Any] = {"kind": "clear"}
+        self._left = 0
 
     def __call__(self, environ: dict, start_response: Callable) -> Iterable[bytes]:
         """Serves one request."""
         request = Request(environ)
+        if request.path.startswith("/stand-in/"):
+            return self._inspect(request)(environ, start_response)
+        query = request.query_string.decode()
+        self.counters.saw(request.path, dict(request.headers), request.headers.get("X-Request-Id", ""), query)
+        fault = self._take_fault()
+        if fault.get("kind") == "slow":
+            time.sleep(float(fault.get("delay_s", 1.0)))
+        if not fault.get("after_booking", True):
+            _break(fault)
+        time.sleep(self._work_s)
+        if request.method == "POST":
+            response = self._book(request)
+        else:
+            self.counters.add("lookups")
+            response = json_response({"server": self._name, "path": request.path, "departs": "07:40"})
+        if fault.get("kind") == "cut":
+            response.headers["Content-Length"] = str(response.content_length or 0)
+            start_response(response.status, list(response.headers.items()))(response.get_data()[:5])
+        _break(fault)
+        return response(environ, start_response)
+
+    def _inspect(self, request: Request) -> Any:
         if request.path == "/stand-in/seen":
+            return json_response(self.counters.seen())
+        if request.path == "/stand-in/fault":
             with self._lock:
-                answer: Any = list(self._seen)
-            return json_response(answer)(environ, start_response)
+                self._fault = json.loads(request.get_data())
+                self._left = int(self._fault.get("count", 1))
+            return json_response({"accepted": True})
         with self._lock:
-            self._seen.append(
-                {"path": request.path, "query": request.query_string.decode(), "headers": dict(request.headers)}
-            )
-        if request.method == "POST":
-            return self._book(request, start_response)
-        answer = {"server": self._name, "path": request.path, "departs": "07:40"}
-        return json_response(answer)(environ, start_response)
+            count_by_booking = dict(self._count_by_booking)
+        values = {**self.counters.values(), "count_by_booking": count_by_booking}
+        return json_response({**values, "repeated": sum(count > 1 for count in count_by_booking.values())})
 
-    def _book(self, request: Request, start_response: Callable) -> Iterable[bytes]:
+    def _take_fault(self) -> dict[str, Any]:
+        with self._lock:
+            if self._fault.get("kind") == "clear" or self._left <= 0:
+                return {}
+            self._left -= 1
+            return dict(self._fault)
+
+    def _book(self, request: Request) -> Any:
+        data = request.get_data()
         try:
-            wanted = json.loads(request.get_data() or b"{}")
+            wanted = json.loads(data or b"{}")
         except ValueError:
-            return json_response({"error": "not JSON"}, 400)(request.environ, start_response)
+            return json_response({"error": "not JSON"}, 400)
+        booking = request.headers.get("Idempotency-Key") or hashlib.sha256(data).hexdigest()
+        self.counters.add("bookings")
         with self._lock:
-            self._bookings.append(wanted)
-            number = len(self._bookings)
-        answer = {"server": self._name, "booking": number, "wanted": wanted}
-        return json_response(answer, 201)(request.environ, start_response)
+            self._count_by_booking[booking] += 1
+            number = self._count_by_booking.total()
+        return json_response({"server": self._name, "booking": number, "wanted": wanted}, 201)
+
+
+def _break(fault: dict[str, Any]) -> None:
+    if fault.get("kind") == "kill":
+        os._exit(70)
+    if fault.get("kind") == "cut":
+        raise AbortStreamError
 
 
 def main(
@@ -66,9 +119,10 @@
     service: Annotated[str, typer.Option(help="name of the service")] = "seats",
     data_centre: Annotated[str, typer.Option(help="data centre of this server")] = "dc1",
     slots: Annotated[int, typer.Option(help="requests held at once")] = 32,
+    work: Annotated[float, typer.Option(help="seconds that a request takes")] = 0.0,
 ) -> None:
     """Serves a plain service stand-in until it is interrupted."""
-    application = PlainService(server_id)
+    application = PlainService(server_id, work)
     incarnation = new_incarnation()
     host, _, port = listen.rpartition(":")
 
@@ -84,7 +138,10 @@
             "state": "ready",
         }
 
-    with HttpServer(host, int(port), application) as server, Announcer(entries.split(","), announce_token, describe):
+    with (
+        HttpServer(host, int(port), application, _LIMITS) as server,
+        Announcer(entries.split(","), announce_token, describe),
+    ):
         while True:
             time.sleep(3600)
 
