--- /dev/null
+++ b/libs/arbutusrill_bench/_measures.py
@@ -0,0 +1,208 @@
+"""Measures of one run, worked out from its plan, its outcomes and the engines' counters."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+from hdrh.histogram import HdrHistogram
+
+from ._load import Outcome
+from ._workload import Planned, Workload
+
+__all__ = ["Measures", "Targets", "excess_tokens", "inside_rate", "measure", "quantiles_ms"]
+
+_QUANTILES = (50.0, 90.0, 95.0, 99.0)
+_CAPACITY_STATUS = (429, 503)
+
+
+@dataclass(slots=True, frozen=True)
+class Targets:
+    """Latency targets in seconds."""
+
+    first_token_s: float = 2.0
+    token_gap_s: float = 0.031
+
+
+@dataclass(slots=True)
+class Measures:
+    """Figures of one run. Shares are parts of 1; `category_counts` sums to `offered`."""
+
+    offered: int = 0
+    good: int = 0
+    goodput_share: float = 0.0
+    goodput_per_s: float = 0.0
+    category_counts: dict[str, int] = field(default_factory=dict)
+    code_counts: dict[str, int] = field(default_factory=dict)
+    prefill_tokens: float = 0.0
+    wasted_prefill_share: float = 0.0
+    goodput_share_by_workspace: dict[str, float] = field(default_factory=dict)
+    worst_workspace_share: float = 0.0
+    worst_to_mean: float = 0.0
+    offered_inside: int = 0
+    refused_inside: int = 0
+    refused_inside_by_limit: int = 0
+    false_rejection_share: float = 0.0
+    first_token_ms: dict[str, float] = field(default_factory=dict)
+    token_gap_ms: dict[str, float] = field(default_factory=dict)
+    plain_ms: dict[str, float] = field(default_factory=dict)
+    plain_offered: int = 0
+    plain_whole: int = 0
+    bookings_repeated: int = 0
+    excess_tokens: float = 0.0
+    sent_late_p99_ms: float = 0.0
+
+
+def category(request: Planned, outcome: Outcome | None, targets: Targets) -> str:
+    """Returns what became of a completion, from the caller's point of view.
+
+    A class with a deadline is good when it is whole in time; the others when the first token and the mean gap
+    between tokens meet the targets. The gap of a request is its mean, so that one late token among many is
+    judged by the time that the whole answer took.
+    """
+    if outcome is None:
+        return "no_outcome"
+    if outcome.wrong:
+        return "wrong_answer"
+    if outcome.left:
+        return "left"
+    if outcome.status in _CAPACITY_STATUS and outcome.tokens == 0 and not outcome.whole:
+        return "refused"
+    if not outcome.whole:
+        return "broken"
+    if request.deadline_s and outcome.end_s > request.deadline_s:
+        return "late"
+    if not request.deadline_s and outcome.first_s > targets.first_token_s:
+        return "late"
+    gaps = outcome.gaps_ms
+    if gaps and sum(gaps) / len(gaps) > targets.token_gap_s * 1000:
+        return "slow"
+    return "good"
+
+
+def inside_rate(requests: list[Planned], load: Workload) -> set[int]:
+    """Returns the numbers of the completions that an ideal token bucket of each workspace would admit."""
+    inside: set[int] = set()
+    for workspace in load.workspaces:
+        rate, burst = load.limit(workspace)
+        level, last = burst, 0.0
+        for request in requests:
+            if request.workspace != workspace.name or request.kind != "completion":
+                continue
+            level = min(burst, level + rate * (request.at - last))
+            last = request.at
+            if request.charge <= level:
+                level -= request.charge
+                inside.add(request.number)
+    return inside
+
+
+def excess_tokens(admitted: list[tuple[float, float, int]], rate: float, burst: float) -> float:
+    """Returns by how many tokens a workspace provably got more than its rate and burst in any window, or 0.
+
+    Each request is given as when it was sent, when its first token came, and its charge. Its admission lies
+    between the two moments, so a window counts the requests that were sent and answered inside it.
+
+    >>> excess_tokens([(0.0, 0.1, 500), (0.2, 0.4, 800)], rate=100, burst=1000)
+    260.0
+    """
+    worst = 0.0
+    by_first = sorted(admitted, key=lambda row: row[1])
+    for start in {row[0] for row in admitted}:
+        total = 0
+        for sent, first, charge in by_first:
+            if sent >= start:
+                total += charge
+                worst = max(worst, total - burst - rate * (first - start))
+    return round(worst, 6)
+
+
+def quantiles_ms(values_ms: list[float]) -> dict[str, float]:
+    """Returns quantiles in milliseconds by a histogram of 3 significant digits, empty without values."""
+    if not values_ms:
+        return {}
+    histogram = HdrHistogram(1, 600_000_000, 3)
+    for value in values_ms:
+        histogram.record_value(max(1, int(value * 1000)))
+    return {f"p{quantile:g}": histogram.get_value_at_percentile(quantile) / 1000 for quantile in _QUANTILES}
+
+
+def measure(
+    load: Workload,
+    requests: list[Planned],
+    outcome_by_number: dict[int, Outcome],
+    targets: Targets,
+    warm_up_s: float,
+    seconds: float,
+) -> Measures:
+    """Works out the measures of the requests that were sent after the warm-up."""
+    result = Measures()
+    inside = inside_rate(requests, load)
+    completions = [row for row in requests if row.kind == "completion" and row.at >= warm_up_s]
+    category_by_number = {row.number: category(row, outcome_by_number.get(row.number), targets) for row in completions}
+    outcomes = [outcome_by_number[number] for number in category_by_number if number in outcome_by_number]
+    result.offered = len(completions)
+    result.category_counts = dict(Counter(category_by_number.values()))
+    result.code_counts = dict(Counter(row.code or row.error for row in outcomes if row.code or row.error))
+    result.good = result.category_counts.get("good", 0)
+    result.goodput_share = result.good / max(1, result.offered)
+    result.goodput_per_s = result.good / max(0.001, seconds - warm_up_s)
+    result.first_token_ms = quantiles_ms([row.first_s * 1000 for row in outcomes if row.first_s >= 0])
+    result.token_gap_ms = quantiles_ms([gap for row in outcomes for gap in row.gaps_ms])
+    result.sent_late_p99_ms = quantiles_ms([row.late_s * 1000 for row in outcomes]).get("p99", 0.0)
+    _by_workspace(result, load, completions, category_by_number, inside)
+    _refusals(result, completions, category_by_number, outcome_by_number, inside)
+    _plain(result, requests, outcome_by_number)
+    for workspace in load.workspaces:
+        admitted = [
+            (row.at, row.at + outcome_by_number[row.number].first_s, row.charge)
+            for row in requests
+            if row.workspace == workspace.name
+            and row.number in outcome_by_number
+            and outcome_by_number[row.number].whole
+            and row.kind == "completion"
+        ]
+        result.excess_tokens = max(result.excess_tokens, excess_tokens(admitted, *load.limit(workspace)))
+    return result
+
+
+def _by_workspace(
+    result: Measures, load: Workload, completions: list[Planned], category_by_number: dict[int, str], inside: set[int]
+) -> None:
+    """Compares the workspaces by the requests inside their rates; callers who left by plan do not count."""
+    for workspace in load.workspaces:
+        mine = [
+            row for row in completions if row.workspace == workspace.name and row.number in inside and not row.leave_s
+        ]
+        if mine:
+            good = sum(category_by_number[row.number] == "good" for row in mine)
+            result.goodput_share_by_workspace[workspace.name] = good / len(mine)
+    within = [workspace.name for workspace in load.workspaces if workspace.factor <= 1]
+    shares = [share for name, share in result.goodput_share_by_workspace.items() if name in within]
+    if shares:
+        result.worst_workspace_share = min(shares)
+        result.worst_to_mean = min(shares) / max(1e-9, sum(shares) / len(shares))
+
+
+def _refusals(
+    result: Measures,
+    completions: list[Planned],
+    category_by_number: dict[int, str],
+    outcome_by_number: dict[int, Outcome],
+    inside: set[int],
+) -> None:
+    for row in completions:
+        if row.number not in inside:
+            continue
+        result.offered_inside += 1
+        if category_by_number[row.number] == "refused":
+            result.refused_inside += 1
+            result.refused_inside_by_limit += outcome_by_number[row.number].code == "rate_limited"
+    result.false_rejection_share = result.refused_inside / max(1, result.offered_inside)
+
+
+def _plain(result: Measures, requests: list[Planned], outcome_by_number: dict[int, Outcome]) -> None:
+    plain = [outcome_by_number.get(row.number) for row in requests if row.kind != "completion"]
+    result.plain_offered = len(plain)
+    result.plain_whole = sum(row is not None and row.whole for row in plain)
+    result.plain_ms = quantiles_ms([row.end_s * 1000 for row in plain if row is not None and row.whole])
--- a/libs/arbutusrill_bench/_site.py
+++ b/libs/arbutusrill_bench/_site.py
@@ -6,6 +6,7 @@
 import json
 import os
 import secrets
+import shutil
 import signal
 import socket
 import subprocess
@@ -52,10 +53,13 @@
 class LocalSite:
     """Starts control VMs, entry VMs and stand-ins, and ends all of them when the context is left.
 
-    Entry VM number i listens on 127.0.<net>.<i + 20>, control VM number i on 127.0.<net>.<i + 10>.
+    `entry_options` are added to the entry section of each entry VM's settings. Entry VM number i listens on
+    127.0.<net>.<i + 20>, control VM number i on 127.0.<net>.<i + 10>.
     """
 
-    def __init__(self, controls: int = 3, entries: int = 3, folder: Path | None = None):
+    def __init__(
+        self, controls: int = 3, entries: int = 3, folder: Path | None = None, entry_options: dict | None = None
+    ):
         self._own_folder = tempfile.TemporaryDirectory(prefix="arbutusrill-") if folder is None else None
         self.folder = folder or Path(self._own_folder.name)
         self.operator_token = secrets.token_urlsafe(16)
@@ -78,6 +82,7 @@
                 "http": free_address(host),
                 "rpc": free_address(host),
                 "announce_token_sha256": _sha256(self.announce_token),
+                **(entry_options or {}),
             }
             self._add_daemon(f"entry{number + 1}", number, rpc, {"entry": role}, role["http"], role["rpc"])
         self.operators = OperatorClient([member.address for member in self.of_kind("control")], self.operator_token)
@@ -158,6 +163,24 @@
         self.signal(name, signal.SIGKILL)
         self.members_by_name[name].process.wait()
 
+    def freeze(self, name: str) -> None:
+        """Cuts a member off silently: it does nothing more while its connections stay open."""
+        self.signal(name, signal.SIGSTOP)
+
+    def thaw(self, name: str) -> None:
+        """Lets a member that was cut off go on where it was."""
+        self.signal(name, signal.SIGCONT)
+
+    def restart(self, name: str, empty: bool = False) -> None:
+        """Starts a member again, killing it first if it runs; `empty` gives it a new, empty data folder."""
+        member = self.members_by_name[name]
+        if member.process is not None and member.process.poll() is None:
+            self.kill(name)
+        data = member.settings.get("control", {}).get("data_folder")
+        if empty and data is not None:
+            shutil.rmtree(data, ignore_errors=True)
+        self.start(name)
+
     def log(self, name: str) -> str:
         """Returns what a member has logged."""
         return (self.folder / f"{name}.log").read_text(errors="replace")
--- /dev/null
+++ b/libs/arbutusrill_bench/bench.py
@@ -0,0 +1,63 @@
+"""Runs load scenarios under each placement policy and reports. Run as ``python -m arbutusrill_bench.bench``."""
+
+from __future__ import annotations
+
+import time
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from ._report import Report, commit_name, table_lines, write_report
+from ._runs import RunOptions, run_scenario
+from ._scenarios import POLICIES, QUICK, SCENARIOS, Scenario
+
+__all__ = ["main"]
+
+_ROOT = Path(__file__).parents[2]
+
+
+def _chosen(names: list[str], full: bool) -> list[Scenario]:
+    known = {scenario.name: scenario for scenario in SCENARIOS}
+    if not names:
+        names = [name for name in known if name != "smoke"] if full else list(QUICK)
+    for name in names:
+        if name not in known:
+            raise typer.BadParameter(f"unknown scenario {name!r}; known are {', '.join(known)}")
+    return [known[name] for name in names]
+
+
+def main(
+    full: Annotated[bool, typer.Option("--full", help="run all scenarios")] = False,
+    scenario: Annotated[list[str] | None, typer.Option(help="run only these scenarios")] = None,
+    policy: Annotated[list[str] | None, typer.Option(help="run only these policies")] = None,
+    seed: Annotated[int, typer.Option(help="seed of the load")] = 1,
+    seconds: Annotated[float, typer.Option(help="seconds of load in each run")] = 14.0,
+    time_scale: Annotated[float, typer.Option(help="multiplies all times of load, engines and targets")] = 1.0,
+    out: Annotated[Path, typer.Option(help="folder for the report")] = _ROOT / "out",
+) -> None:
+    """Runs scenarios under each policy, with the same load for each, and writes a table, JSON and plots."""
+    policies = policy or list(POLICIES)
+    for name in policies:
+        if name not in POLICIES:
+            raise typer.BadParameter(f"unknown policy {name!r}; known are {', '.join(POLICIES)}")
+    options = RunOptions(seed, seconds * time_scale, min(2.0, seconds / 4) * time_scale, time_scale, load_processes=3)
+    started = time.strftime("%Y-%m-%d %H:%M:%S")
+    report = Report(commit_name(_ROOT), seed, options.seconds, time_scale, started)
+    for chosen in _chosen(scenario or [], full):
+        typer.echo(f"{chosen.name}: {chosen.title}", err=True)
+        for name in policies:
+            began = time.monotonic()
+            run = run_scenario(chosen, name, options)
+            report.runs.append(run)
+            share = run.failed or f"goodput {run.measures.goodput_share:.1%}"
+            typer.echo(f"  {name}: {share} ({time.monotonic() - began:.0f} s)", err=True)
+    files = write_report(report, out)
+    typer.echo("\n".join(table_lines(report)))
+    typer.echo(f"written: {', '.join(str(path) for path in files)}", err=True)
+    if any(run.failed for run in report.runs):
+        raise typer.Exit(1)
+
+
+if __name__ == "__main__":
+    typer.run(main)
