--- a/libs/arbutusrill_wire/arbutusrill.thrift
+++ b/libs/arbutusrill_wire/arbutusrill.thrift
@@ -33,7 +33,8 @@
   3: i64 last_index,
   4: i64 last_term,
   5: bool pre_vote = false,
-  6: string disk_id = ""
+  6: string disk_id = "",
+  7: string target = ""     // member ID that the message is meant for: RPC address "/" disk ID
 }
 
 struct VoteReply {
@@ -49,7 +50,8 @@
   5: list<LogEntry> entries,
   6: i64 commit_index,
   7: string disk_id = "",
-  8: string target = ""     // replica id that the message is meant for
+  8: string target = "",    // member ID that the message is meant for
+  9: i64 previous_chain = 0 // running hash of the log up to previous_index
 }
 
 struct AppendReply {
@@ -67,7 +69,8 @@
   5: i64 offset,
   6: binary data,
   7: bool done = false,
-  8: binary membership
+  8: binary membership,
+  9: string target = ""     // member ID that the message is meant for
 }
 
 struct SnapshotReply {
@@ -75,10 +78,17 @@
   2: i64 next_offset
 }
 
+struct HelloReply {
+  1: string member,         // member ID of the replica that answers
+  2: string group = "",     // group that it belongs to, empty before it has joined one
+  3: string fault = ""      // why it does not take part, empty when it does
+}
+
 service Raft {
   VoteReply vote(1: VoteRequest request) throws (1: Refused refused),
   AppendReply append(1: AppendRequest request) throws (1: Refused refused),
-  SnapshotReply install_snapshot(1: SnapshotRequest request) throws (1: Refused refused)
+  SnapshotReply install_snapshot(1: SnapshotRequest request) throws (1: Refused refused),
+  HelloReply hello(1: string caller) throws (1: Refused refused)
 }
 
 // ---- Commands of the state machine ----------------------------------------------------------------------
@@ -210,18 +220,27 @@
   5: string leader
 }
 
+// Tokens of an earlier grant that were not spent; `issued_us` and `epoch` are those of the grant.
+struct ReturnedTokens { 1: double tokens, 2: i64 issued_us, 3: i64 epoch }
+
 struct GrantItem {
   1: string workspace,
-  2: double wanted,              // tokens
-  3: double returned = 0         // unspent or refunded tokens credited back
+  2: double wanted,              // tokens, `needed` included
+  3: double returned = 0,        // not used any more, see `returns`
+  4: double needed = 0,          // a smaller grant than this is useless to the caller
+  5: list<ReturnedTokens> returns
+}
+// A request with the `sequence` of the one before gets the same answer again; an older one is refused.
+struct GrantRequest {
+  1: string vm, 2: i64 incarnation, 3: list<GrantItem> items, 4: i64 epoch = 0, 5: i64 sequence = 0
 }
-struct GrantRequest { 1: string vm, 2: i64 incarnation, 3: list<GrantItem> items, 4: i64 epoch = 0 }
 struct Grant {
   1: string workspace,
   2: double tokens,
-  3: i32 lease_ms,
+  3: i32 lease_ms,               // counted from when the caller sent the request for the first time
   4: double capacity,            // largest single charge that can ever be granted
-  5: i32 retry_after_ms = 0
+  5: i32 retry_after_ms = 0,
+  6: i64 issued_us = 0           // the owner's time of the grant, sent back with returned tokens
 }
 struct GrantReply { 1: list<Grant> grants, 2: i64 epoch }
 
