bench: tests of the measures, a smoke run and what sites do to members

Cause: a bench that loses requests or contradicts itself proves nothing. Change: tests of categories, limits, plans and the report; LocalSite freeze, thaw and restart (same or empty data folder).

--- /dev/null
+++ b/libs/arbutusrill_bench/tests/test_bench.py
@@ -0,0 +1,39 @@
+"""Guards against a bench whose report is incomplete or contradicts itself; judges no figure."""
+
+import json
+
+from arbutusrill_bench._scenarios import SCENARIOS
+from arbutusrill_bench.bench import main
+
+
+def test_smoke_report_is_whole_and_consistent(tmp_path):
+    main(scenario=["smoke"], policy=["least_loaded", "reserving"], seed=3, seconds=3.0, out=tmp_path)
+    report = json.loads((tmp_path / "bench.json").read_text())
+    assert report["seed"] == 3 and report["time_scale"] == 1 and report["commit"]
+    assert [run["policy"] for run in report["runs"]] == ["least_loaded", "reserving"]
+    offered = set()
+    for run in report["runs"]:
+        measures = run["measures"]
+        offered.add((measures["offered"], measures["plain_offered"]))
+        assert sum(measures["category_counts"].values()) == measures["offered"] > 0
+        assert measures["good"] == measures["category_counts"].get("good", 0)
+        assert "wrong_answer" not in measures["category_counts"] and "no_outcome" not in measures["category_counts"]
+        assert measures["refused_inside"] <= measures["offered_inside"] <= measures["offered"]
+        assert set(run["engines"]) == {"engine-p1", "engine-d1", "engine-d2"}
+        assert measures["prefill_tokens"] > 0 and 0 <= measures["wasted_prefill_share"] <= 1
+        assert measures["first_token_ms"]["p50"] <= measures["first_token_ms"]["p99"]
+        assert 0 < run["busy_share"] <= 1
+    assert len(offered) == 1, "both policies get the same load"
+    for name in ("goodput", "wasted-prefill", "worst-workspace", "first-token-p95"):
+        assert (tmp_path / f"{name}.png").stat().st_size > 1000
+    text = (tmp_path / "bench.txt").read_text()
+    assert "seed 3" in text and "time scale 1" in text and "least_loaded" in text
+
+
+def test_scenarios_name_members_that_exist():
+    """An event on a member that is not there would make a fault scenario a run without fault."""
+    for scenario in SCENARIOS:
+        engines = {role: sum(runner.role == role for runner in scenario.runners) for role in ("prefill", "decode")}
+        known = {f"engine-{role[0]}{number + 1}" for role, count in engines.items() for number in range(count)}
+        known |= {f"entry{number + 1}" for number in range(scenario.entries)} | {"control-leader"}
+        assert {event.member for event in scenario.events} <= known
--- /dev/null
+++ b/libs/arbutusrill_bench/tests/test_site.py
@@ -0,0 +1,46 @@
+"""Tests of what proofs and scenarios do to the members of a site."""
+
+import pytest
+from arbutusrill_http import Transfer, fetch
+
+from arbutusrill_bench import LocalSite
+
+
+@pytest.fixture(scope="module")
+def site():
+    with LocalSite(controls=1, entries=1) as site:
+        yield site
+
+
+def answers(member):
+    result = fetch(Transfer("GET", f"http://{member.address}/healthz", timeout_s=1.0, fresh=True))
+    return result.whole and result.status == 200
+
+
+def test_frozen_member_is_silent_and_goes_on_when_thawed(site):
+    entry = site.members_by_name["entry1"]
+    process = entry.process
+    site.freeze("entry1")
+    assert not answers(entry)
+    site.thaw("entry1")
+    site.wait_until(lambda: answers(entry), "the entry VM answers again")
+    assert process.poll() is None
+
+
+def test_restart_ends_a_frozen_member_too(site):
+    entry = site.members_by_name["entry1"]
+    old = entry.process
+    site.freeze("entry1")
+    site.restart("entry1")
+    site.wait_until(lambda: answers(entry), "the entry VM answers again")
+    assert old.poll() is not None and entry.process is not old
+
+
+def test_restart_with_empty_folder_drops_the_data(site):
+    folder = site.folder / "control1"
+    folder.mkdir(exist_ok=True)
+    (folder / "marker").write_text("x")
+    site.restart("control1")
+    assert (folder / "marker").exists()
+    site.restart("control1", empty=True)
+    assert not (folder / "marker").exists()
