bench: capacity measurements of processes, announcements, grants and state

Cause: docs/CAPACITY.md needs slopes measured on this machine. Change: python -m arbutusrill_bench.capacity prints seven series with straight-line fits; a TCP tap counts bytes to control; processor time from schedstat, as /proc/PID/stat counts 10 ms steps (idle entry VMs read as 0).

--- a/libs/arbutusrill_bench/_runs.py
+++ b/libs/arbutusrill_bench/_runs.py
@@ -84,7 +84,10 @@
     cpu = _Cpu()
     try:
         with LocalSite(controls=scenario.controls, entries=scenario.entries) as site:
-            _Driver(site, scenario, policy, options, run).drive()
+            try:
+                _Driver(site, scenario, policy, options, run).drive()
+            finally:
+                site.kill_all()
     except (SiteError, subprocess.TimeoutExpired) as error:
         run.failed = str(error)
     run.load_average = os.getloadavg()[0]
--- a/libs/arbutusrill_bench/_site.py
+++ b/libs/arbutusrill_bench/_site.py
@@ -163,6 +163,11 @@
         self.signal(name, signal.SIGKILL)
         self.members_by_name[name].process.wait()
 
+    def kill_all(self) -> None:
+        """Ends all members at once, where a graceful end of the site proves nothing and takes seconds."""
+        for name in self.members_by_name:
+            self.kill(name)
+
     def freeze(self, name: str) -> None:
         """Cuts a member off silently: it does nothing more while its connections stay open."""
         self.signal(name, signal.SIGSTOP)
--- /dev/null
+++ b/libs/arbutusrill_bench/capacity.py
@@ -0,0 +1,371 @@
+"""Measures how cost grows with size on this machine, for docs/CAPACITY.md.
+
+Run as ``python -m arbutusrill_bench.capacity``; it takes a few minutes and prints straight-line fits.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import time
+from collections.abc import Callable, Iterator
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import ExitStack, contextmanager
+from dataclasses import asdict, dataclass, field
+from pathlib import Path
+from typing import Annotated
+
+import typer
+from arbutusrill_base import SystemClock, hash_key, new_key
+from arbutusrill_cli import OperatorError
+from arbutusrill_http import Transfer, fetch
+from arbutusrill_limits import GrantOwner, Limits
+from arbutusrill_state import SharedState, command
+from arbutusrill_wire import decode, encode, messages
+
+from ._report import commit_name
+from ._site import LocalSite
+from ._tap import Tap
+from ._usage import Fit, fit, usage_over
+
+__all__ = ["main"]
+
+_ROOT = Path(__file__).parents[2]
+_SETTLE_S = 3.0
+_ANNOUNCE_S = 0.5
+_MODEL = "route-writer"
+
+
+@dataclass(slots=True)
+class Table:
+    """One series of measurements: a row for each size and a fit for each column but the first."""
+
+    title: str
+    columns: list[str]
+    rows: list[list[float]] = field(default_factory=list)
+
+    def fits(self) -> dict[str, Fit]:
+        """Returns a straight line for each column over the first."""
+        if len(self.rows) < 2:
+            return {}
+        return {
+            name: fit([(row[0], row[index]) for row in self.rows])
+            for index, name in enumerate(self.columns)
+            if index > 0
+        }
+
+    def lines(self) -> list[str]:
+        """Returns the series as text."""
+        lines = [self.title, "  ".join(f"{name:>22}" for name in self.columns)]
+        lines += ["  ".join(f"{value:>22.4g}" for value in row) for row in self.rows]
+        unit = self.columns[0]
+        lines += [
+            f"  {name} = {line.base:.4g} + {line.slope:.4g} x {unit} (largest deviation {line.deviation:.2g})"
+            for name, line in self.fits().items()
+        ]
+        return [*lines, ""]
+
+
+@contextmanager
+def _site(entries: int, controls: int = 1) -> Iterator[tuple[LocalSite, Tap]]:
+    """Starts a site whose entry VMs reach the first control VM through a byte counter."""
+    with ExitStack() as stack:
+        site = LocalSite(controls=controls, entries=entries)
+        tap = stack.enter_context(Tap(site.of_kind("control")[0].rpc))
+        if controls == 1:
+            for entry in site.of_kind("entry"):
+                path = site.folder / f"{entry.name}.json"
+                path.write_text(json.dumps({**json.loads(path.read_text()), "control_addresses": [tap.address]}))
+        stack.enter_context(site)
+        stack.callback(site.kill_all)
+        yield site, tap
+
+
+def entries_series(counts: list[int], window_s: float) -> Table:
+    """Measures idle entry VMs and the control VM that they follow."""
+    table = Table(
+        "entry VMs at rest, one control VM",
+        ["entries", "core/entry", "MB/entry", "B/s to control", "B/s from control", "core control", "MB control"],
+    )
+    for count in counts:
+        with _site(count) as (site, tap):
+            time.sleep(_SETTLE_S)
+            sent, received = tap.to_target, tap.from_target
+            used = usage_over([*site.of_kind("entry"), *site.of_kind("control")], window_s)
+            mine = [used[member.name] for member in site.of_kind("entry")]
+            control = used["control1"]
+            table.rows.append(
+                [
+                    count,
+                    sum(row.core for row in mine) / count,
+                    sum(row.rss_mb for row in mine) / count,
+                    (tap.to_target - sent) / window_s / count,
+                    (tap.from_target - received) / window_s / count,
+                    control.core,
+                    control.rss_mb,
+                ]
+            )
+    return table
+
+
+def replicas_series(counts: list[int], window_s: float) -> Table:
+    """Measures three control VMs with idle entry VMs."""
+    table = Table(
+        "entry VMs at rest, three control VMs",
+        ["entries", "core leader", "MB leader", "core follower", "MB follower"],
+    )
+    for count in counts:
+        with _site(count, controls=3) as (site, _):
+            time.sleep(_SETTLE_S)
+            used = usage_over(site.of_kind("control"), window_s)
+            leader, *followers = sorted(used.values(), key=lambda usage: -usage.core)
+            follower = followers[0]
+            table.rows.append([count, leader.core, leader.rss_mb, follower.core, follower.rss_mb])
+    return table
+
+
+def workspaces_series(counts: list[int], window_s: float) -> Table:
+    """Measures entry and control VMs that know many workspaces with one key each."""
+    table = Table(
+        "workspaces known, one key each, four entry VMs",
+        ["workspaces", "core/entry", "MB/entry", "core control", "MB control", "follow B/s/entry"],
+    )
+    with _site(4) as (site, tap):
+        known = 0
+        for count in counts:
+            with ThreadPoolExecutor(8) as executor:
+                list(executor.map(lambda number: _add_workspace(site, number), range(known, count)))
+            known = count
+            time.sleep(_SETTLE_S)
+            before = tap.from_target + tap.to_target
+            used = usage_over([*site.of_kind("entry"), *site.of_kind("control")], window_s)
+            passed = (tap.from_target + tap.to_target - before) / window_s / 4
+            mine = [used[member.name] for member in site.of_kind("entry")]
+            control = used["control1"]
+            core = sum(row.core for row in mine) / 4
+            memory = sum(row.rss_mb for row in mine) / 4
+            table.rows.append([count, core, memory, control.core, control.rss_mb, passed])
+    return table
+
+
+def _add_workspace(site: LocalSite, number: int) -> None:
+    name = f"workspace{number}"
+    site.operators.call("PUT", f"/workspaces/{name}", {"rate": 1000.0, "burst": 20_000.0})
+    site.operators.call("POST", "/keys", {"workspace": name})
+
+
+def grants_series(counts: list[int]) -> Table:
+    """Measures one grant request with many workspaces, in this process: processor time and bytes."""
+    table = Table(
+        "one grant request with n workspaces, in process", ["workspaces", "ms leader", "B request", "B reply"]
+    )
+    clock = SystemClock()
+    for count in counts:
+        owner = GrantOwner(lambda _: Limits(1000.0, 20_000.0), clock)
+        owner.enter_epoch(1)
+        request = messages.GrantRequest(
+            "vm", 1, [messages.GrantItem(f"workspace{number}", 50.0, 0.0) for number in range(count)], 1
+        )
+        data = encode(request)
+        replies = []
+
+        def once(data: bytes = data, owner: GrantOwner = owner, replies: list = replies) -> None:
+            replies.append(encode(owner.grant(decode(messages.GrantRequest, data), 1)))
+
+        table.rows.append([count, _ms_of(once), len(data), len(replies[-1])])
+    return table
+
+
+def _ms_of(function: Callable[[], object], seconds: float = 0.5) -> float:
+    """Returns the mean processor time of a call in milliseconds."""
+    calls = 0
+    began = time.process_time()
+    while calls < 3 or time.process_time() - began < seconds:
+        function()
+        calls += 1
+    return (time.process_time() - began) * 1000 / calls
+
+
+def runners_series(counts: list[int], window_s: float) -> Table:
+    """Measures announcements of many runners of one pool at the receiving entry VMs and at the pool's owner.
+
+    The runners are spread over four entry VMs; at most 400 are announced at their true period, more of them at
+    a longer one, and the processor time is scaled to the true period.
+    """
+    table = Table(
+        "runners of one pool announced every 0.5 s to four entry VMs",
+        ["runners", "core owner", "MB owner", "core/receiver", "announcements/s", "failed"],
+    )
+    with _site(4) as (site, _):
+        for count in counts:
+            period = _ANNOUNCE_S * max(1.0, count / 400)
+            with _Announcements(site, count, period) as sender:
+                time.sleep(_SETTLE_S + period)
+                sent, failed, began = sender.sent, sender.failed, time.monotonic()
+                used = usage_over(site.of_kind("entry"), window_s)
+                passed = time.monotonic() - began
+                rate = (sender.sent - sent) / passed
+                owner = _owner(site)
+                others = [usage for name, usage in used.items() if name != owner]
+                factor = count / _ANNOUNCE_S / max(1.0, rate)
+                receiver = sum(usage.core for usage in others) / len(others)
+                row = [count, used[owner].core * factor, used[owner].rss_mb, receiver * factor]
+                table.rows.append([*row, rate, sender.failed - failed])
+    return table
+
+
+def _owner(site: LocalSite) -> str:
+    pools = site.operators.call("GET", "/status")["pools"]
+    return next((pool["owner"] for pool in pools if pool["name"] == _MODEL), site.of_kind("entry")[0].name)
+
+
+class _Announcements:
+    """Announces runners that do not exist, each once in `period` seconds, over kept connections."""
+
+    _THREADS = 12
+
+    def __init__(self, site: LocalSite, count: int, period: float):
+        self._headers = ["Content-Type: application/json", f"Authorization: Bearer {site.announce_token}"]
+        self._entries = [member.address for member in site.of_kind("entry")]
+        self._count = count
+        self._period = period
+        self._stopping = False
+        self.sent = 0
+        self.failed = 0
+
+    def __enter__(self) -> _Announcements:
+        self._executor = ThreadPoolExecutor(self._THREADS)
+        for number in range(self._THREADS):
+            self._executor.submit(self._run, number)
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self._stopping = True
+        self._executor.shutdown()
+
+    def _run(self, first: int) -> None:
+        due = time.monotonic()
+        mine = list(range(first, self._count, self._THREADS))
+        while not self._stopping and mine:
+            for runner in mine:
+                due += self._period / len(mine)
+                time.sleep(max(0.0, due - time.monotonic()))
+                if self._stopping:
+                    return
+                url = f"http://{self._entries[runner % len(self._entries)]}/backends/announce"
+                result = fetch(Transfer("POST", url, self._headers, _announcement(runner), timeout_s=5.0))
+                self.sent += 1
+                self.failed += result.status != 200
+
+
+def _announcement(runner: int) -> bytes:
+    value = {
+        "id": f"runner{runner}",
+        "incarnation": runner + 1,
+        "address": f"http://127.0.0.1:{20_000 + runner}",
+        "role": "prefill" if runner % 2 else "decode",
+        "pools": [_MODEL],
+        "data_centre": f"dc{runner % 21}",
+        "slots": 20,
+        "prefill_tokens_per_s": 10_000.0,
+        "token_gap_s": 0.014,
+        "link_bytes_per_s": 4e9,
+        "kv_bytes_per_token": 100_000,
+        "running": 10,
+        "state": "ready",
+    }
+    return json.dumps(value).encode()
+
+
+def revisions_series(counts: list[int]) -> Table:
+    """Measures the size of the shared state after n changes, and what it takes to write and read it whole."""
+    table = Table(
+        "changes applied, in process (a key issued and withdrawn, a default, a workspace, in turn)",
+        ["revisions", "KB snapshot", "ms encode", "ms restore", "us apply"],
+    )
+    state, applied, apply_s = SharedState(), 0, 0.0
+    for count in counts:
+        commands = [encode(_change(number)) for number in range(applied, count)]
+        began = time.process_time()
+        for data in commands:
+            state.apply(data)
+        apply_s += time.process_time() - began
+        applied = count
+        data = state.snapshot()
+        encode_ms = _ms_of(state.snapshot)
+        restored = SharedState()
+        restore_ms = _ms_of(lambda data=data, restored=restored: restored.restore(data))
+        table.rows.append([count, len(data) / 1024, encode_ms, restore_ms, apply_s * 1e6 / max(1, applied)])
+    return table
+
+
+def _change(number: int) -> object:
+    kind, serial = number % 4, number // 4
+    workspace = f"workspace{serial % 1100}"
+    change = (
+        messages.PutWorkspace(workspace, 1000.0 + serial, 20_000.0, 1.0),
+        messages.IssueKey(f"key{serial}", hash_key(new_key()), workspace),
+        messages.WithdrawKey(f"key{serial}"),
+        messages.SetDefault("limits.rate", str(1000.0 + serial)),
+    )[kind]
+    return command(change, "ops", 1_700_000_000_000 + number)
+
+
+def transfer_series(counts: list[int]) -> Table:
+    """Measures how long changes take one after the other, and how soon a restarted entry VM is ready again."""
+    table = Table(
+        "changes over HTTP at a real site, then an entry VM started anew",
+        ["revisions", "changes/s", "s until ready"],
+    )
+    with _site(2) as (site, _):
+        made = 0
+        for count in counts:
+            began = time.monotonic()
+            with ThreadPoolExecutor(8) as executor:
+                list(executor.map(lambda number: _set_default(site, number), range(made, count)))
+            rate = (count - made) / (time.monotonic() - began)
+            made = count
+            site.restart("entry2")
+            began = time.monotonic()
+            site.wait_entries_ready()
+            table.rows.append([count, rate, time.monotonic() - began])
+    return table
+
+
+def _set_default(site: LocalSite, number: int) -> None:
+    site.operators.call("PUT", f"/workspaces/w{number % 1100}", {"rate": 1000.0 + number, "burst": 9000.0})
+
+
+def main(
+    quick: Annotated[bool, typer.Option("--quick", help="small sizes only, to check the program")] = False,
+    out: Annotated[Path, typer.Option(help="folder for the results")] = _ROOT / "out",
+) -> None:
+    """Measures all series and prints them with their fits."""
+    window_s = 2.0 if quick else 8.0
+    series: list[Callable[[], Table]] = [
+        lambda: entries_series([2, 4] if quick else [4, 16, 48], window_s),
+        lambda: replicas_series([2, 4] if quick else [4, 16, 48], window_s),
+        lambda: workspaces_series([10, 50] if quick else [10, 100, 400, 1100], window_s),
+        lambda: grants_series([1, 10] if quick else [1, 10, 100, 1100]),
+        lambda: runners_series([13, 50] if quick else [13, 100, 400, 1400], window_s),
+        lambda: revisions_series([100, 500] if quick else [100, 1000, 4000, 10_000]),
+        lambda: transfer_series([50, 200] if quick else [100, 1000, 3000]),
+    ]
+    head = f"commit {commit_name(_ROOT)}, {time.strftime('%Y-%m-%d %H:%M')}, {os.cpu_count()} processors"
+    typer.echo(f"{head}, load average at start {os.getloadavg()[0]:.1f}\n")
+    tables = []
+    for measure in series:
+        try:
+            tables.append(measure())
+        except (OperatorError, ValueError) as error:
+            typer.echo(f"series failed: {error}\n")
+            continue
+        typer.echo("\n".join(tables[-1].lines()))
+    typer.echo(f"load average at the end {os.getloadavg()[0]:.1f}")
+    out.mkdir(parents=True, exist_ok=True)
+    rows = [{**asdict(table), "fits": {name: asdict(line) for name, line in table.fits().items()}} for table in tables]
+    (out / "capacity.json").write_text(json.dumps({"head": head, "series": rows}, indent=1))
+
+
+if __name__ == "__main__":
+    typer.run(main)
