control: replicated log in the control role, replicas list and replace

Cause: the control role ran on LocalLog; a lost disk could not be replaced. Change: the daemon serves Replica with the Raft service; RPCs replicas and replace_replica, routes /v1/operator/replicas and /replicas/replace, CLI `arbutusrill replicas list|replace`; exit code 3 for a data folder that cannot be used; the demo runs three control VMs. Ruled out: refusing a replace whose OLD is unknown and whose NEW is a member, because a repeated command whose first answer was lost looks the same.

--- a/libs/arbutusrill_bench/demo.py
+++ b/libs/arbutusrill_bench/demo.py
@@ -130,7 +130,7 @@
 def main(keep: Annotated[bool, typer.Option(help="stay up and print commands to try")] = False) -> None:
     """Starts three control VMs, three entry VMs and stand-ins, and shows a site at work."""
     try:
-        with LocalSite(controls=1) as site:
+        with LocalSite() as site:
             key, key_id = _prepare(site)
             _show_calls(site, key)
             if keep:
--- a/libs/arbutusrill_cli/_main.py
+++ b/libs/arbutusrill_cli/_main.py
@@ -18,6 +18,7 @@
 exceptions = typer.Typer(no_args_is_help=True, help="Exceptions to defaults, each with a reason.")
 workspaces = typer.Typer(no_args_is_help=True, help="Workspaces and their limits.")
 keys = typer.Typer(no_args_is_help=True, help="Callers' keys.")
+replicas = typer.Typer(no_args_is_help=True, help="Replicas of the control group.")
 services = typer.Typer(no_args_is_help=True, help="Plain services and their routes.")
 for _name, _group in (
     ("defaults", defaults),
@@ -25,6 +26,7 @@
     ("workspaces", workspaces),
     ("keys", keys),
     ("services", services),
+    ("replicas", replicas),
 ):
     app.add_typer(_group, name=_name)
 
@@ -201,6 +203,23 @@
     _change("PUT", f"/services/{name}", {"routes": routes}, if_revision, request_id, wait, as_json)
 
 
+@replicas.command("list")
+def replicas_list(as_json: Json = False) -> None:
+    """Lists the control group's members as its leader sees them. Example: arbutusrill replicas list"""
+    _show(_client().call("GET", "/replicas"), "replicas", as_json)
+
+
+@replicas.command("replace")
+def replicas_replace(
+    old: Annotated[str, typer.Argument(help="member ID or RPC address")],
+    new: Annotated[str, typer.Argument(help="RPC address of a running replica with an empty disk")],
+    as_json: Json = False,
+) -> None:
+    """Replaces a lost replica; safe to repeat. Example: arbutusrill replicas replace 10.0.0.1:7300 10.0.0.4:7300"""
+    value = _client().call("POST", "/replicas/replace", {"old": old, "new": new})
+    print(json.dumps(value, indent=2) if as_json else f"member: {value['member']}")
+
+
 @app.command("status")
 def status(as_json: Json = False) -> None:
     """Shows the control group, VMs and pools. Example: arbutusrill status"""
--- a/libs/arbutusrill_control/_operator.py
+++ b/libs/arbutusrill_control/_operator.py
@@ -17,6 +17,7 @@
 from werkzeug.routing import Map, Rule
 from werkzeug.wrappers import Request, Response
 
+from ._replicas import ReplicaRoutes
 from ._service import ControlService
 
 __all__ = ["OperatorApp"]
@@ -56,6 +57,7 @@
                 Rule(f"{_P}/services", endpoint=self._list_services, methods=["GET"]),
                 Rule(f"{_P}/services/<name>", endpoint=self._put_service, methods=["PUT"]),
                 Rule(f"{_P}/services/<name>", endpoint=self._remove_service, methods=["DELETE"]),
+                *ReplicaRoutes(control).rules(_P),
                 Rule(f"{_P}/status", endpoint=self._status, methods=["GET"]),
                 Rule(f"{_P}/in-force/<int:revision>", endpoint=self._in_force, methods=["GET"]),
             ]
--- /dev/null
+++ b/libs/arbutusrill_control/_replicas.py
@@ -0,0 +1,90 @@
+"""Operators' view of the control group's replicas, and the replacement of a lost one."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from arbutusrill_base import Failure, FailureError, Verdict
+from arbutusrill_http import json_response
+from arbutusrill_raft import LogUnavailableError, MembershipError, NotLeaderError, Replica
+from arbutusrill_state import ControlClient, ControlUnavailableError
+from arbutusrill_wire import messages
+from werkzeug.routing import Rule
+from werkzeug.wrappers import Request, Response
+
+__all__ = ["ReplicaCalls", "ReplicaRoutes"]
+
+_REPLACE_S = 8.0  # one attempt at the leader, most of it for the catch-up of the new replica
+_CALL_S = 12.0  # below the operators' tool's 15 s
+
+
+class ReplicaCalls:
+    """Methods of the `Control` RPC service that concern replicas; `log` is a `Replica`."""
+
+    log: Replica
+
+    def replicas(self) -> list[Any]:
+        """Returns the members of the group; only its leader answers."""
+        try:
+            rows = self.log.members()
+        except NotLeaderError as error:
+            raise messages.Refused("not_leader", str(error), leader=error.leader) from None
+        except LogUnavailableError as error:
+            raise messages.Refused("unavailable", str(error)) from None
+        return [
+            messages.ReplicaRow(
+                row.id, row.address, row.kind, row.leads, row.match_index, max(-1, int(row.silent_s * 1000))
+            )
+            for row in rows
+        ]
+
+    def replace_replica(self, old: str, replacement: str) -> str:
+        """Replaces a member and returns the new member's ID; a repeated call continues an interrupted one."""
+        try:
+            return self.log.replace(old, replacement, _REPLACE_S)
+        except MembershipError as error:
+            raise messages.Refused("membership", str(error)) from None
+        except NotLeaderError as error:
+            raise messages.Refused("not_leader", str(error), leader=error.leader) from None
+        except LogUnavailableError as error:
+            raise messages.Refused("unavailable", str(error), messages.Verdict.MAY_HAVE_RUN) from None
+
+
+class ReplicaRoutes:
+    """Operator routes for replicas, answered through the leader."""
+
+    def __init__(self, control: ControlClient):
+        self._control = control
+
+    def rules(self, prefix: str) -> list[Rule]:
+        """Returns the routing rules below a path prefix."""
+        return [
+            Rule(f"{prefix}/replicas", endpoint=self._list, methods=["GET"]),
+            Rule(f"{prefix}/replicas/replace", endpoint=self._replace, methods=["POST"]),
+        ]
+
+    def _list(self, request: Request, actor: str) -> Response:
+        rows = self._call("replicas")
+        return json_response({"replicas": [dict(vars(row)) for row in rows]})
+
+    def _replace(self, request: Request, actor: str) -> Response:
+        try:
+            body = json.loads(request.get_data())
+        except ValueError:
+            body = None
+        names = [body.get(name) if isinstance(body, dict) else None for name in ("old", "new")]
+        for name, value in zip(("old", "new"), names, strict=True):
+            if not isinstance(value, str) or not value:
+                message = f"{name} must be a text: a member ID or RPC address"
+                raise FailureError(Failure("bad_value", message, status=400, param=name))
+        return json_response({"member": self._call("replace_replica", *names)})
+
+    def _call(self, name: str, *arguments: str) -> Any:
+        try:
+            return self._control.call(name, *arguments, timeout=_CALL_S, try_timeout=_REPLACE_S + 1.0)
+        except messages.Refused as refused:
+            raise FailureError(Failure(refused.code, refused.message, status=409)) from None
+        except ControlUnavailableError as error:
+            verdict = Verdict.MAY_HAVE_RUN if error.sent else Verdict.NOT_RUN
+            raise FailureError(Failure("no_quorum", f"{error}; repeat the command", verdict, 503, 1.0)) from None
--- a/libs/arbutusrill_control/_service.py
+++ b/libs/arbutusrill_control/_service.py
@@ -13,6 +13,7 @@
 from arbutusrill_wire import decode, encode, messages
 
 from ._leases import VmLeases, rendezvous
+from ._replicas import ReplicaCalls
 
 __all__ = ["ControlService", "SharedMachine"]
 
@@ -45,7 +46,7 @@
             self.changed.notify_all()
 
 
-class ControlService:
+class ControlService(ReplicaCalls):
     """Answers entry VMs and operators on a control VM. Only the leader answers calls that change or prove."""
 
     def __init__(self, log: ReplicatedLog, machine: SharedMachine, clock: Clock):
--- a/libs/arbutusrill_daemon/_main.py
+++ b/libs/arbutusrill_daemon/_main.py
@@ -10,6 +10,7 @@
 
 import typer
 from arbutusrill_base import PartLog, SettingsError, configure_logs, load_settings
+from arbutusrill_raft import StorageError
 
 from ._roles import run_roles
 from ._settings import DaemonSettings
@@ -17,6 +18,7 @@
 __all__ = ["main"]
 
 EXIT_BAD_SETTINGS = 2
+EXIT_BAD_STORAGE = 3
 _log = PartLog("daemon")
 
 
@@ -32,7 +34,11 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: stopping.set())
     _log.info("VM %s starts", checked.vm)
-    run_roles(checked, stopping)
+    try:
+        run_roles(checked, stopping)
+    except (StorageError, BlockingIOError) as error:
+        print(f"arbutusrilld: data folder: {error}", file=sys.stderr)
+        raise SystemExit(EXIT_BAD_STORAGE) from None
     _log.info("VM %s stops", checked.vm)
 
 
--- a/libs/arbutusrill_daemon/_roles.py
+++ b/libs/arbutusrill_daemon/_roles.py
@@ -11,7 +11,7 @@
 from arbutusrill_http import HttpLimits, HttpServer
 from arbutusrill_limits import Limits, TokenLeases
 from arbutusrill_pool import PoolDirectory
-from arbutusrill_raft import LocalLog
+from arbutusrill_raft import Replica
 from arbutusrill_state import ControlClient, Follower, VmIdentity
 from arbutusrill_wire import RpcServer, messages
 
@@ -43,12 +43,15 @@
     role = settings.control
     clock = SystemClock()
     machine = SharedMachine()
-    with LocalLog(machine, role.rpc) as log, ControlClient(settings.control_addresses) as client:
+    with (
+        Replica(role.rpc, settings.control_addresses, role.data_folder, machine) as log,
+        ControlClient(settings.control_addresses) as client,
+    ):
         service = ControlService(log, machine, clock)
         operators = OperatorApp(service, client, clock, role.operator_token_sha256_by_name)
         with (
             TaskGroup("control", 4) as tasks,
-            RpcServer(*_split(role.rpc), {messages.Control: service}),
+            RpcServer(*_split(role.rpc), {messages.Control: service, messages.Raft: log.handler}),
             HttpServer(*_split(role.http), operators),
         ):
             tasks.every(_TICK_S, service.tick)
--- a/libs/arbutusrill_raft/tests/test_replica.py
+++ b/libs/arbutusrill_raft/tests/test_replica.py
@@ -248,6 +248,15 @@
         assert old not in " ".join(group.replicas[new].status().voters)
 
 
+def test_replacement_of_an_unknown_member_adds_nobody():
+    with Group() as group:
+        group.propose(b"a")
+        group.start("10.0.0.9:7400")
+        with pytest.raises(MembershipError, match="is no member"):
+            group.replicas[group.leader()].replace("10.0.0.8:7400", "10.0.0.9:7400", 5)
+        assert group.replicas[group.leader()].status().learners == []
+
+
 def test_learner_has_no_vote_before_it_has_caught_up():
     with Group() as group:
         group.propose(b"a")
--- a/libs/arbutusrill_wire/arbutusrill.thrift
+++ b/libs/arbutusrill_wire/arbutusrill.thrift
@@ -261,6 +261,16 @@
   7: i64 revision, 8: list<string> voters, 9: list<string> learners, 10: string fault = ""
 }
 
+// A member of the control group as its leader sees it.
+struct ReplicaRow {
+  1: string id,             // member ID: RPC address "/" disk ID
+  2: string address,
+  3: string kind,           // voter or learner
+  4: bool leads,
+  5: i64 match_index,
+  6: i64 silent_ms          // since its last answer, -1 for never
+}
+
 service Control {
   Outcome propose(1: Command command) throws (1: Refused refused),
   FollowReply follow(1: FollowRequest request) throws (1: Refused refused),
@@ -269,7 +279,10 @@
   Outcome finish_call(1: Command command) throws (1: Refused refused),
   void report_burn(1: string vm, 2: i64 incarnation, 3: list<BurnRow> rows) throws (1: Refused refused),
   void open_pool(1: string name, 2: string kind) throws (1: Refused refused),   // kind: model or service
-  ReplicaStatus replica_status() throws (1: Refused refused)
+  ReplicaStatus replica_status() throws (1: Refused refused),
+  list<ReplicaRow> replicas() throws (1: Refused refused),
+  // Replaces member `old` (ID or RPC address) by the replica at RPC address `replacement` and returns its ID.
+  string replace_replica(1: string old, 2: string replacement) throws (1: Refused refused)
 }
 
 // ---- Pools ----------------------------------------------------------------------------------------------
