--- a/libs/arbutusrill_bench/proof_gone.py
+++ b/libs/arbutusrill_bench/proof_gone.py
@@ -102,7 +102,7 @@
     seed: int, rounds: int, actions: tuple[str, ...] = ("leave", "kill", "freeze"), bound_s: float = BOUND_S
 ) -> GoneProof:
     """Runs the proof on a site of its own and returns it with its problems."""
-    with LocalSite(controls=1) as site:
+    with LocalSite() as site:
         operators = site.operators
         operators.call("PUT", "/workspaces/dispatch", {"rate": 1_000_000, "burst": 100_000_000})
         issued = operators.call("POST", "/keys", {"workspace": "dispatch"})
--- a/libs/arbutusrill_bench/proof_key.py
+++ b/libs/arbutusrill_bench/proof_key.py
@@ -130,7 +130,7 @@
 
 def prove(seed: int, rounds: int, actions: tuple[str, ...] = ("none", "control", "freeze")) -> KeyProof:
     """Runs the proof on a site of its own and returns it with its delays and problems."""
-    with LocalSite(controls=1) as site:
+    with LocalSite() as site:
         operators = site.operators
         revision = operators.call("PUT", "/workspaces/dispatch", {"rate": 1_000_000, "burst": 100_000_000})["revision"]
         site.add_engine("engine0", "--role", "both", "--models", _MODEL)
