--- a/libs/arbutusrill_bench/proof_drain.py
+++ b/libs/arbutusrill_bench/proof_drain.py
@@ -133,7 +133,7 @@
 
 def prove(seed: int, rounds: int) -> DrainProof:
     """Runs the proof on a site of its own and returns it with its counts and problems."""
-    with LocalSite(controls=1) as site:
+    with LocalSite() as site:
         operators = site.operators
         operators.call("PUT", "/workspaces/dispatch", {"rate": 1_000_000, "burst": 100_000_000})
         operators.call("PUT", "/defaults/entries.max_age_s", {"value": _MAX_AGE_S})
--- a/libs/arbutusrill_bench/tests/test_rate.py
+++ b/libs/arbutusrill_bench/tests/test_rate.py
@@ -13,7 +13,7 @@
 
 @pytest.fixture(scope="module")
 def site():
-    with LocalSite(controls=1, entries=5) as site:
+    with LocalSite(entries=5) as site:
         operators = site.operators
         operators.call("PUT", "/defaults/limits.plain_call_tokens", {"value": COST})
         operators.call("PUT", "/services/seats", {"routes": [{"method": "*", "prefix": "/", "repeatable": True}]})
--- a/libs/arbutusrill_daemon/_roles.py
+++ b/libs/arbutusrill_daemon/_roles.py
@@ -4,23 +4,28 @@
 
 import contextlib
 import threading
+from typing import Any
 
-from arbutusrill_base import SystemClock, TaskGroup, new_incarnation
+from arbutusrill_base import Clock, PartLog, SystemClock, TaskGroup, new_incarnation
 from arbutusrill_control import ControlService, OperatorApp, SharedMachine
 from arbutusrill_entry import EntryApp, PoolClients
 from arbutusrill_http import HttpLimits, HttpServer
 from arbutusrill_limits import Limits, TokenLeases
 from arbutusrill_pool import PoolDirectory
-from arbutusrill_raft import LocalLog
-from arbutusrill_state import ControlClient, Follower, VmIdentity
+from arbutusrill_raft import Replica
+from arbutusrill_state import ConfigState, ControlClient, Follower, JournalClient, VmIdentity, command
 from arbutusrill_wire import RpcServer, messages
 
 from ._settings import DaemonSettings
 
 __all__ = ["run_roles"]
 
+_log = PartLog("daemon")
 _TICK_S = 0.2
+_FLUSH_S = 5.0  # for recording outcomes at the end when the control group is briefly away
 _RETURN_S = 1.0  # for returning unspent tokens at the end; they are lost to the workspace otherwise
+_POOL_TICK_S = 0.1
+_PROPOSE_S = 3.0
 
 
 def run_roles(settings: DaemonSettings, stopping: threading.Event) -> None:
@@ -43,12 +48,15 @@
     role = settings.control
     clock = SystemClock()
     machine = SharedMachine()
-    with LocalLog(machine, role.rpc) as log, ControlClient(settings.control_addresses) as client:
+    with (
+        Replica(role.rpc, settings.control_addresses, role.data_folder, machine) as log,
+        ControlClient(settings.control_addresses) as client,
+    ):
         service = ControlService(log, machine, clock)
         operators = OperatorApp(service, client, clock, role.operator_token_sha256_by_name)
         with (
             TaskGroup("control", 4) as tasks,
-            RpcServer(*_split(role.rpc), {messages.Control: service}),
+            RpcServer(*_split(role.rpc), {messages.Control: service, messages.Raft: log.handler}),
             HttpServer(*_split(role.http), operators),
         ):
             tasks.every(_TICK_S, service.tick)
@@ -66,11 +74,21 @@
     clock = SystemClock()
     incarnation = new_incarnation()
     identity = VmIdentity(settings.vm, incarnation, role.http, role.rpc, settings.data_centre)
-    with ControlClient(settings.control_addresses) as client, TaskGroup("entry", 8) as tasks:
+    with contextlib.ExitStack() as stack:
+        client = stack.enter_context(ControlClient(settings.control_addresses))
+        tasks = stack.enter_context(TaskGroup("entry", 8))
         follower = Follower(identity, client, clock)
-        directory = PoolDirectory(settings.vm, incarnation, clock)
+        directory = PoolDirectory(
+            settings.vm,
+            incarnation,
+            clock,
+            follower.holds_lease,
+            follower.config.value,
+            report_order=lambda record: _report_order(client, settings.vm, clock, record),
+        )
+        stack.callback(directory.close)
         pools = PoolClients(follower, client, directory)
-        follower.on_change(lambda: directory.reconcile(list(follower.config.pools_by_name.values())))
+        follower.on_change(lambda: _reconcile(directory, follower.config))
         tokens = TokenLeases(
             settings.vm,
             incarnation,
@@ -78,7 +96,8 @@
             lambda workspace: _limits(follower, workspace),
             clock,
         )
-        application = EntryApp(follower, client, pools, tokens, clock, role.announce_token_sha256)
+        journal = JournalClient(settings.vm, incarnation, client, clock)
+        application = EntryApp(follower, pools, journal, tokens, role.announce_token_sha256)
         limits = HttpLimits(connections=role.connections)
         with (
             RpcServer(*_split(role.rpc), {messages.Pool: directory}),
@@ -86,5 +105,21 @@
         ):
             follower.start(tasks)
             tokens.start(tasks)
+            journal.start(tasks)
+            tasks.every(_POOL_TICK_S, directory.tick)
             yield
         tokens.drain(clock.monotonic() + _RETURN_S)
+        if not journal.flush(clock.monotonic() + _FLUSH_S):
+            _log.warning("outcomes of once-only calls are not recorded, resends will be told that they are unknown")
+
+
+def _reconcile(directory: PoolDirectory, config: ConfigState) -> None:
+    with config.lock:
+        pools = list(config.pools_by_name.values())
+        vms = list(config.vms_by_id.values())
+        orders = list(config.orders_by_id.values())
+    directory.reconcile(pools, vms, orders)
+
+
+def _report_order(client: ControlClient, vm: str, clock: Clock, record: Any) -> bool:
+    return client.call("propose", command(record, vm, clock.wall_ms()), timeout=_PROPOSE_S).accepted
