--- a/libs/arbutusrill_bench/proof_once.py
+++ b/libs/arbutusrill_bench/proof_once.py
@@ -126,7 +126,7 @@
 
 def prove(seed: int, seconds: float, faults: bool = True, entries: int = 3) -> OnceProof:
     """Runs the proof on a site of its own and returns it with its counts and problems."""
-    with LocalSite(controls=1, entries=entries) as site:
+    with LocalSite(entries=entries) as site:
         operators = site.operators
         operators.call("PUT", "/workspaces/dispatch", {"rate": 100_000, "burst": 1_000_000})
         key = operators.call("POST", "/keys", {"workspace": "dispatch"})["key"]
--- a/libs/arbutusrill_cli/_main.py
+++ b/libs/arbutusrill_cli/_main.py
@@ -25,6 +25,7 @@
 exceptions = typer.Typer(no_args_is_help=True, help="Exceptions to defaults, each with a reason.")
 workspaces = typer.Typer(no_args_is_help=True, help="Workspaces and their limits.")
 keys = typer.Typer(no_args_is_help=True, help="Callers' keys.")
+replicas = typer.Typer(no_args_is_help=True, help="Replicas of the control group.")
 services = typer.Typer(no_args_is_help=True, help="Plain services and their routes.")
 backends = typer.Typer(no_args_is_help=True, help="Backend servers, and orders to them.")
 orders = typer.Typer(no_args_is_help=True, help="Orders to backend servers and their states.")
@@ -36,6 +37,7 @@
     ("services", services),
     ("backends", backends),
     ("orders", orders),
+    ("replicas", replicas),
 ):
     app.add_typer(_group, name=_name)
 
@@ -275,6 +277,23 @@
     _change("PUT", "/feature-level", {"level": level}, -1, request_id, wait, as_json)
 
 
+@replicas.command("list")
+def replicas_list(as_json: Json = False) -> None:
+    """Lists the control group's members as its leader sees them. Example: arbutusrill replicas list"""
+    _show(_client().call("GET", "/replicas"), "replicas", as_json)
+
+
+@replicas.command("replace")
+def replicas_replace(
+    old: Annotated[str, typer.Argument(help="member ID or RPC address")],
+    new: Annotated[str, typer.Argument(help="RPC address of a running replica with an empty disk")],
+    as_json: Json = False,
+) -> None:
+    """Replaces a lost replica; safe to repeat. Example: arbutusrill replicas replace 10.0.0.1:7300 10.0.0.4:7300"""
+    value = _client().call("POST", "/replicas/replace", {"old": old, "new": new})
+    print(json.dumps(value, indent=2) if as_json else f"member: {value['member']}")
+
+
 @app.command("status")
 def status(as_json: Json = False) -> None:
     """Shows the control group, VMs and pools. Example: arbutusrill status"""
--- a/libs/arbutusrill_control/_operator.py
+++ b/libs/arbutusrill_control/_operator.py
@@ -21,6 +21,7 @@
 from ._bodies import plain
 from ._changes import OperatorChanges
 from ._metrics import control_metrics
+from ._replicas import ReplicaRoutes
 from ._service import ControlService
 
 __all__ = ["OperatorApp"]
@@ -44,7 +45,9 @@
         self._token_hash_by_operator = token_hash_by_operator
         self._backends = BackendViews(service.machine.state.config)
         self._changes = OperatorChanges(service.machine.state.config, control, self._backends, clock)
-        self._routes = Map([*self._read_rules(), *self._change_rules(), *self._open_rules()])
+        self._routes = Map(
+            [*self._read_rules(), *self._change_rules(), *self._open_rules(), *ReplicaRoutes(control).rules(_P)]
+        )
 
     def __enter__(self) -> OperatorApp:
         return self
--- a/libs/arbutusrill_control/_service.py
+++ b/libs/arbutusrill_control/_service.py
@@ -14,6 +14,7 @@
 from ._burn import BurnBoard
 from ._housekeeping import Housekeeping
 from ._leases import VmLeases, rendezvous
+from ._replicas import ReplicaCalls
 
 __all__ = ["ControlService", "SharedMachine"]
 
@@ -55,7 +56,7 @@
             self.changed.notify_all()
 
 
-class ControlService:
+class ControlService(ReplicaCalls):
     """Answers entry VMs and operators on a control VM. Only the leader answers calls that change or prove."""
 
     def __init__(self, log: ReplicatedLog, machine: SharedMachine, clock: Clock):
--- a/libs/arbutusrill_daemon/_roles.py
+++ b/libs/arbutusrill_daemon/_roles.py
@@ -12,7 +12,7 @@
 from arbutusrill_http import HttpLimits, HttpServer
 from arbutusrill_limits import Limits, TokenLeases
 from arbutusrill_pool import PoolDirectory
-from arbutusrill_raft import LocalLog
+from arbutusrill_raft import Replica
 from arbutusrill_state import ConfigState, ControlClient, Follower, JournalClient, VmIdentity, command
 from arbutusrill_wire import RpcServer, messages
 
@@ -49,12 +49,19 @@
     role = settings.control
     clock = SystemClock()
     machine = SharedMachine()
-    with LocalLog(machine, role.rpc) as log, ControlClient(settings.control_addresses) as client:
+    with (
+        Replica(role.rpc, settings.control_addresses, role.data_folder, machine) as log,
+        ControlClient(settings.control_addresses) as client,
+    ):
         service = ControlService(log, machine, clock)
         with (
             OperatorApp(service, client, clock, role.operator_token_sha256_by_name) as operators,
             TaskGroup("control", 4) as tasks,
-            RpcServer(*_split(role.rpc), {messages.Control: service}, limit=_CONTROL_CONNECTIONS),
+            RpcServer(
+                *_split(role.rpc),
+                {messages.Control: service, messages.Raft: log.handler},
+                limit=_CONTROL_CONNECTIONS,
+            ),
             HttpServer(*_split(role.http), operators),
         ):
             tasks.every(_TICK_S, service.tick)
