--- a/libs/arbutusrill_base/_budget.py
+++ b/libs/arbutusrill_base/_budget.py
@@ -31,6 +31,11 @@
         with self._lock:
             self._tokens = min(self._reserve, self._tokens + self._fraction)
 
+    def set_fraction(self, fraction: float) -> None:
+        """Changes how much of a retry each further request earns."""
+        with self._lock:
+            self._fraction = fraction
+
     def take(self) -> bool:
         """Takes one retry from the budget; returns whether there was one."""
         with self._lock:
--- a/libs/arbutusrill_bench/_site.py
+++ b/libs/arbutusrill_bench/_site.py
@@ -23,6 +23,7 @@
 
 _START_S = 20.0
 _STOP_S = 15.0
+_HURRY_S = 0.3  # a second SIGTERM after this time ends the draining of entry VMs
 
 
 class SiteError(Exception):
@@ -97,6 +98,9 @@
         for name in reversed(list(self.members_by_name)):
             self.signal(name, signal.SIGCONT)
             self.signal(name, signal.SIGTERM)
+        time.sleep(_HURRY_S)
+        for name in self.members_by_name:
+            self.signal(name, signal.SIGTERM)
         deadline = time.monotonic() + _STOP_S
         for member in self.members_by_name.values():
             if member.process is not None:
--- a/libs/arbutusrill_daemon/_main.py
+++ b/libs/arbutusrill_daemon/_main.py
@@ -21,18 +21,24 @@
 
 
 def _run(settings: Annotated[Path, typer.Option(help="settings file in JSON")]) -> None:
-    """Serves the roles that the settings file names until SIGTERM or SIGINT."""
+    """Serves the roles that the settings file names until SIGTERM or SIGINT; a second one cuts what is left."""
     try:
         checked = load_settings(settings, DaemonSettings)
     except SettingsError as error:
         print(f"arbutusrilld: {error}", file=sys.stderr)
         raise SystemExit(EXIT_BAD_SETTINGS) from None
     configure_logs(checked.log_level)
-    stopping = threading.Event()
+    stopping, hurry = threading.Event(), threading.Event()
+
+    def on_signal(*_: object) -> None:
+        if stopping.is_set():
+            hurry.set()
+        stopping.set()
+
     for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: stopping.set())
+        signal.signal(number, on_signal)
     _log.info("VM %s starts", checked.vm)
-    run_roles(checked, stopping)
+    run_roles(checked, stopping, hurry)
     _log.info("VM %s stops", checked.vm)
 
 
--- a/libs/arbutusrill_daemon/_settings.py
+++ b/libs/arbutusrill_daemon/_settings.py
@@ -28,12 +28,16 @@
 
 
 class EntrySettings(Section):
-    """An entry VM: `http` serves callers, `rpc` the other VMs."""
+    """An entry VM: `http` serves callers, `rpc` the other VMs.
+
+    After a first SIGTERM, requests under way may take `drain_limit_s` seconds before they are cut.
+    """
 
     http: Address
     rpc: Address
     announce_token_sha256: Digest
     connections: int = Field(default=512, ge=8, le=4096)
+    drain_limit_s: float = Field(default=3600.0, ge=0, le=86_400)
 
 
 class ControlSettings(Section):
--- a/libs/arbutusrill_entry/__init__.py
+++ b/libs/arbutusrill_entry/__init__.py
@@ -1,6 +1,23 @@
-"""Entry role: the callers' interface, once-only calls and the intake of announcements."""
+"""Entry role: the callers' interface, calls that run at most once, and the intake of announcements."""
 
-from ._app import EntryApp
+from ._app import RESERVED_PATHS, EntryApp
 from ._backends import PoolClients
+from ._cleanup import Cleanup
+from ._context import EntryContext
+from ._drain import Drain
+from ._held import HeldTickets
+from ._meters import Meters
+from ._reports import REPORT_S, report_burn
 
-__all__ = ["EntryApp", "PoolClients"]
+__all__ = [
+    "REPORT_S",
+    "RESERVED_PATHS",
+    "Cleanup",
+    "Drain",
+    "EntryApp",
+    "EntryContext",
+    "HeldTickets",
+    "Meters",
+    "PoolClients",
+    "report_burn",
+]
--- a/libs/arbutusrill_entry/_app.py
+++ b/libs/arbutusrill_entry/_app.py
@@ -2,57 +2,60 @@
 
 from __future__ import annotations
 
-import hashlib
-import hmac
-import json
 from collections.abc import Callable, Iterable
-from typing import Any
 
-from arbutusrill_base import Clock, Failure, FailureError
+from arbutusrill_base import Failure, FailureError
 from arbutusrill_http import failure_response, json_response
-from arbutusrill_state import ControlClient, Follower
-from arbutusrill_wire import messages
-from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
-from werkzeug.exceptions import HTTPException
+from prometheus_client import CONTENT_TYPE_LATEST
+from werkzeug.exceptions import HTTPException, MethodNotAllowed, NotFound
 from werkzeug.routing import Map, Rule
 from werkzeug.wrappers import Request, Response
 
+from ._announcements import announcement_of, cache_events_of, check_announce_token
 from ._auth import authenticate
-from ._backends import PoolClients
+from ._call import Call
 from ._completions import Completions
-from ._parse import bad_request
+from ._context import EntryContext
 from ._services import Services
 
-__all__ = ["EntryApp"]
+__all__ = ["RESERVED_PATHS", "EntryApp"]
 
 _ANY = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"]
+# Served on connections above the callers' bound, so that callers cannot keep backend servers from
+# announcing themselves or operators from looking.
+RESERVED_PATHS = ("/backends/", "/healthz", "/readyz", "/metrics", "/v1/entries")
 
 
 class EntryApp:
-    """Serves callers and the announcements of backend servers."""
+    """Serves callers and the announcements of backend servers.
 
-    def __init__(
-        self, follower: Follower, control: ControlClient, pools: PoolClients, clock: Clock, announce_token_hash: str
-    ):
-        self._follower = follower
-        self._pools = pools
+    `draining` makes ``/readyz`` answer 503; callers are still served.
+    """
+
+    def __init__(self, context: EntryContext, announce_token_hash: str):
+        self._context = context
+        self._follower = context.follower
         self._announce_token_hash = announce_token_hash
-        self._completions = Completions(follower, pools)
-        self._services = Services(follower, pools, control, clock)
+        self._completions = Completions(context)
+        self._services = Services(context)
+        self.draining = False
         self._routes = Map(
             [
                 Rule("/v1/chat/completions", endpoint=self._chat, methods=["POST"]),
                 Rule("/v1/completions", endpoint=self._text, methods=["POST"]),
                 Rule("/v1/models", endpoint=self._models, methods=["GET"]),
+                Rule("/v1/models/<path:model>", endpoint=self._model, methods=["GET"]),
                 Rule("/v1/entries", endpoint=self._entries, methods=["GET"]),
                 Rule("/services/<name>/", defaults={"path": ""}, endpoint=self._service, methods=_ANY),
                 Rule("/services/<name>/<path:path>", endpoint=self._service, methods=_ANY),
                 Rule("/backends/announce", endpoint=self._announce, methods=["POST"]),
+                Rule("/backends/cache-events", endpoint=self._cache_events, methods=["POST"]),
                 Rule("/healthz", endpoint=self._healthz, methods=["GET"]),
                 Rule("/readyz", endpoint=self._readyz, methods=["GET"]),
                 Rule("/metrics", endpoint=self._metrics, methods=["GET"]),
             ],
             merge_slashes=False,
+            strict_slashes=False,
         )
 
     def __call__(self, environ: dict, start_response: Callable) -> Iterable[bytes]:
@@ -64,74 +67,81 @@
         except FailureError as error:
             response = failure_response(error.failure)
         except HTTPException as error:
-            response = failure_response(
-                Failure("bad_request", error.description or "", status=error.code or 400, param=request.path)
-            )
+            response = failure_response(_http_failure(error, request))
         return response(environ, start_response)
 
+    def _call(self, route: str) -> Call:
+        return Call(self._context.meters, self._follower, route)
+
     def _chat(self, request: Request, start_response: Callable) -> Iterable[bytes]:
-        return self._completions.serve(request, start_response, chat=True)
+        with self._call("chat") as call:
+            return self._completions.serve(request, start_response, chat=True, call=call)
 
     def _text(self, request: Request, start_response: Callable) -> Iterable[bytes]:
-        return self._completions.serve(request, start_response, chat=False)
+        with self._call("completions") as call:
+            return self._completions.serve(request, start_response, chat=False, call=call)
 
     def _service(self, request: Request, start_response: Callable, name: str, path: str) -> Iterable[bytes]:
-        return self._services.serve(request, start_response, name, path)
+        with self._call("services") as call:
+            return self._services.serve(request, start_response, name, call)
 
     def _models(self, request: Request, start_response: Callable) -> Iterable[bytes]:
         authenticate(request, self._follower)
-        pools = self._follower.config.pools_by_name.values()
-        rows = [
-            {"id": pool.name, "object": "model", "created": 0, "owned_by": "site"}
-            for pool in sorted(pools, key=lambda pool: pool.name)
-            if pool.kind == "model"
-        ]
+        rows = [_model_row(name) for name in self._model_names()]
         return json_response({"object": "list", "data": rows})(request.environ, start_response)
 
+    def _model(self, request: Request, start_response: Callable, model: str) -> Iterable[bytes]:
+        authenticate(request, self._follower)
+        if model not in self._model_names():
+            message = f"the model {model!r} does not exist"
+            raise FailureError(Failure("model_not_found", message, status=404, param="model"))
+        return json_response(_model_row(model))(request.environ, start_response)
+
+    def _model_names(self) -> list[str]:
+        pools = list(self._follower.config.pools_by_name.values())
+        return sorted(pool.name for pool in pools if pool.kind == "model")
+
     def _entries(self, request: Request, start_response: Callable) -> Iterable[bytes]:
         config = self._follower.config
         rows = [
             {"address": vm.http_address, "data_centre": vm.data_centre}
-            for vm in sorted(config.vms_by_id.values(), key=lambda vm: vm.id)
-            if vm.state == "live"
+            for vm in sorted(list(config.vms_by_id.values()), key=lambda vm: vm.id)
+            if vm.state == "live" and not (self.draining and vm.id == self._follower.identity.vm)
         ]
         headers = {"Cache-Control": f"max-age={config.value('entries.max_age_s')}"}
         return json_response({"entries": rows}, headers=headers)(request.environ, start_response)
 
     def _announce(self, request: Request, start_response: Callable) -> Iterable[bytes]:
-        token = request.headers.get("Authorization", "").partition(" ")[2].strip()
-        if not hmac.compare_digest(hashlib.sha256(token.encode()).hexdigest(), self._announce_token_hash):
-            raise FailureError(Failure("bad_announce_token", "the announce token is wrong", status=401))
-        self._pools.announce(_announcement(request))
+        check_announce_token(request, self._announce_token_hash)
+        self._context.pools.announce(announcement_of(request))
         return json_response({"accepted": True})(request.environ, start_response)
 
+    def _cache_events(self, request: Request, start_response: Callable) -> Iterable[bytes]:
+        check_announce_token(request, self._announce_token_hash)
+        events, pools = cache_events_of(request)
+        taken = self._context.pools.cache_events(events, pools)
+        return json_response({"accepted": taken, "resynchronise": not taken})(request.environ, start_response)
+
     def _healthz(self, request: Request, start_response: Callable) -> Iterable[bytes]:
         return json_response({"status": "ok"})(request.environ, start_response)
 
     def _readyz(self, request: Request, start_response: Callable) -> Iterable[bytes]:
-        ready = self._follower.fresh()
-        return json_response({"ready": ready}, 200 if ready else 503)(request.environ, start_response)
+        ready = self._follower.fresh() and not self.draining
+        reason = "draining" if self.draining else "" if ready else "stale"
+        return json_response({"ready": ready, "reason": reason}, 200 if ready else 503)(request.environ, start_response)
 
     def _metrics(self, request: Request, start_response: Callable) -> Iterable[bytes]:
-        return Response(generate_latest(), content_type=CONTENT_TYPE_LATEST)(request.environ, start_response)
-
-
-def _announcement(request: Request) -> Any:
-    try:
-        body = json.loads(request.get_data())
-    except ValueError:
-        raise bad_request(None, "the body is not JSON", "invalid_json") from None
-    if not isinstance(body, dict):
-        raise bad_request(None, "the body must be a JSON object", "invalid_json")
-    announcement = messages.Announcement()
-    names = {spec[1] for spec in messages.Announcement.thrift_spec.values()}
-    for name, value in body.items():
-        if name in names:
-            setattr(announcement, name, value)
-    if announcement.role not in ("prefill", "decode", "both", "plain"):
-        raise bad_request("role", "role must be prefill, decode, both or plain")
-    if not announcement.id or not announcement.address or not isinstance(announcement.pools, list):
-        raise bad_request(None, "id, address and pools are required", "missing_field")
-    if not isinstance(announcement.slots, int) or announcement.slots < 1:
-        raise bad_request("slots", "slots must be a number of at least 1")
-    return announcement
+        text = self._context.meters.text()
+        return Response(text, content_type=CONTENT_TYPE_LATEST)(request.environ, start_response)
+
+
+def _model_row(name: str) -> dict[str, object]:
+    return {"id": name, "object": "model", "created": 0, "owned_by": "site"}
+
+
+def _http_failure(error: HTTPException, request: Request) -> Failure:
+    if isinstance(error, NotFound):
+        return Failure("path_not_found", "this path does not exist", status=404, param="path")
+    if isinstance(error, MethodNotAllowed):
+        return Failure("method_not_allowed", f"{request.method} is not allowed here", status=405, param="method")
+    return Failure("bad_request", error.description or error.name, status=error.code or 400, param="path")
--- /dev/null
+++ b/libs/arbutusrill_entry/_call.py
@@ -0,0 +1,109 @@
+"""The record of one call: its request id, times and outcome."""
+
+from __future__ import annotations
+
+import time
+
+from arbutusrill_base import Failure, FailureError, PartLog, Verdict, new_request_id
+from arbutusrill_http import AbortStreamError
+from arbutusrill_state import Follower
+
+from ._keys import redacted
+from ._meters import Meters
+
+__all__ = ["Call"]
+
+_log = PartLog("entry")
+
+
+class Call:
+    """Context of one call: counts it when it ends and logs it when it fails.
+
+    Availability counts failures that are not the caller's (status 500 and above); a caller who leaves
+    counts neither way.
+    """
+
+    def __init__(self, meters: Meters, follower: Follower, route: str):
+        self.request_id = new_request_id()
+        self.workspace = ""
+        self.route = route
+        self.first_token_s = 0.0
+        self._meters = meters
+        self._follower = follower
+        self._started = time.monotonic()
+        self._last_token_at = 0.0
+        self._tokens = 0
+        self._failure: Failure | None = None
+
+    def __enter__(self) -> Call:
+        self._meters.open_requests.labels(self.route).inc()
+        self._open_route = self.route
+        return self
+
+    def __exit__(self, kind: object, error: BaseException | None, _: object) -> None:
+        self._meters.open_requests.labels(self._open_route).dec()
+        gone = False
+        if self._failure is None and error is not None:
+            gone = isinstance(error, (AbortStreamError, ConnectionError, TimeoutError))
+            self._failure = _failure_of(error)
+        elapsed = time.monotonic() - self._started
+        failure = self._failure
+        verdict = "gone" if gone else failure.verdict.value if failure is not None else "ok"
+        self._meters.requests.labels(self.route, verdict).inc()
+        self._meters.request_s.labels(self.route).observe(elapsed)
+        if self._tokens:
+            self._meters.tokens.inc(self._tokens)
+        if failure is not None:
+            self._log(failure, elapsed)
+        if not gone:
+            self._count(failure)
+
+    def tokens(self, number: int) -> None:
+        """Notes that `number` tokens arrived."""
+        self._last_token_at = time.monotonic()
+        if not self._tokens:
+            self.first_token_s = self._last_token_at - self._started
+        self._tokens += number
+
+    def failed(self, failure: Failure) -> None:
+        """Notes the failure of a call whose response had begun."""
+        self._failure = failure
+
+    def _log(self, failure: Failure, elapsed: float) -> None:
+        _log.info(
+            "%s %s of workspace %s ended as %s (%s, status %d) after %.3f s: %s",
+            self.request_id,
+            self.route,
+            self.workspace or "-",
+            failure.code,
+            failure.verdict.value,
+            failure.status,
+            elapsed,
+            redacted(failure.message),
+        )
+
+    def _count(self, failure: Failure | None) -> None:
+        if not self.workspace or (failure is not None and failure.status < 500):
+            return
+        self._burn("availability", failure is None)
+        if not self._tokens:
+            return
+        scope = {"workspace": self.workspace}
+        config = self._follower.config
+        self._meters.first_token_s.labels(self.route).observe(self.first_token_s)
+        self._burn("first_token", self.first_token_s <= config.value("targets.first_token_s", **scope))
+        if self._tokens > 1:
+            gap = (self._last_token_at - self._started - self.first_token_s) / (self._tokens - 1)
+            self._meters.token_gap_s.labels(self.route).observe(gap)
+            self._burn("token_gap", gap <= config.value("targets.token_gap_s", **scope))
+
+    def _burn(self, target: str, good: bool) -> None:
+        self._meters.burn.add(self.workspace, self.route, target, good)
+
+
+def _failure_of(error: BaseException) -> Failure:
+    if isinstance(error, FailureError):
+        return error.failure
+    if isinstance(error, (AbortStreamError, ConnectionError, TimeoutError)):
+        return Failure("caller_gone", "the caller closed its connection", Verdict.MAY_HAVE_RUN, 499)
+    return Failure("internal_error", repr(error), Verdict.MAY_HAVE_RUN, 500)
--- /dev/null
+++ b/libs/arbutusrill_entry/_held.py
@@ -0,0 +1,93 @@
+"""Tickets that this VM holds at pool owners, and their renewal."""
+
+from __future__ import annotations
+
+import threading
+from typing import Any
+
+from arbutusrill_base import PartLog, TaskGroup
+from arbutusrill_wire import RpcError, messages
+
+from ._backends import PoolClients
+
+__all__ = ["RENEW_S", "HeldTickets"]
+
+RENEW_S = 0.4
+_CALL_S = 0.6  # an owner drops a ticket after 1.2 s without renewal
+_OWNERS_AT_ONCE = 64
+_log = PartLog("renewals")
+
+
+class HeldTickets:
+    """Reports every held ticket to the present owner of its pool each `RENEW_S` seconds.
+
+    One owner that does not answer delays only its own renewals. A new owner learns from them what is
+    under way on its servers.
+    """
+
+    def __init__(self, pools: PoolClients, vm: str, incarnation: int):
+        self._pools = pools
+        self._vm = vm
+        self._incarnation = incarnation
+        self._lock = threading.Lock()
+        self._held_by_ticket: dict[str, Any] = {}
+        self._busy_owners: set[str] = set()
+        self._tasks = TaskGroup("renewals", _OWNERS_AT_ONCE)
+
+    def __enter__(self) -> HeldTickets:
+        self._tasks.every(RENEW_S, self.renew)
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self._tasks.close()
+
+    def __len__(self) -> int:
+        return len(self._held_by_ticket)
+
+    def add(self, pool: str, assignment: Any, workspace: str, stage: str) -> None:
+        """Starts to renew the ticket of an assignment."""
+        held = messages.HeldTicket(assignment.ticket, pool, assignment, workspace, stage)
+        with self._lock:
+            self._held_by_ticket[held.ticket] = held
+
+    def set_stage(self, ticket: str, stage: str) -> None:
+        """Notes that a request entered ``prefill``, ``decode`` or, for a plain service, ``call``."""
+        with self._lock:
+            held = self._held_by_ticket.get(ticket)
+            if held is not None:
+                held.stage = stage
+
+    def remove(self, ticket: str) -> None:
+        """Stops renewing a ticket."""
+        with self._lock:
+            self._held_by_ticket.pop(ticket, None)
+
+    def renew(self) -> None:
+        """Sends one renewal to each owner, in parallel."""
+        tickets_by_owner: dict[str, list[Any]] = {}
+        with self._lock:
+            held = list(self._held_by_ticket.values())
+        for ticket in held:
+            owner = self._pools.owner_of(ticket.pool)
+            if owner:
+                tickets_by_owner.setdefault(owner, []).append(ticket)
+        for owner, tickets in tickets_by_owner.items():
+            with self._lock:
+                if owner in self._busy_owners:
+                    continue
+                self._busy_owners.add(owner)
+            if self._tasks.start(self._renew_at, owner, tickets) is None:
+                self._ended(owner)
+
+    def _renew_at(self, owner: str, tickets: list[Any]) -> None:
+        try:
+            request = messages.RenewRequest(self._vm, self._incarnation, tickets)
+            self._pools.call_vm(owner, "renew", request, _CALL_S)
+        except (messages.Refused, RpcError) as error:
+            _log.warning("%d tickets not renewed at %s: %s", len(tickets), owner, error)
+        finally:
+            self._ended(owner)
+
+    def _ended(self, owner: str) -> None:
+        with self._lock:
+            self._busy_owners.discard(owner)
--- a/libs/arbutusrill_entry/_parse.py
+++ b/libs/arbutusrill_entry/_parse.py
@@ -10,12 +10,27 @@
 from arbutusrill_base import Failure, FailureError
 from werkzeug.wrappers import Request
 
-__all__ = ["Completion", "bad_request", "deadline_of", "latency_class_of", "parse_completion"]
+__all__ = ["Completion", "bad_request", "deadline_of", "json_object", "latency_class_of", "parse_completion"]
 
 LATENCY_CLASSES = ("lookup", "interactive", "briefing")
 _DEFAULT_OUTPUT_TOKENS = 256
 _MAX_OUTPUT_TOKENS = 32_768
 _MAX_DEADLINE_MS = 3_600_000
+_NUMBER_RANGES = {
+    "temperature": (0, 2),
+    "top_p": (0, 1),
+    "presence_penalty": (-2, 2),
+    "frequency_penalty": (-2, 2),
+    "top_logprobs": (0, 20),
+}
+_NAME_BY_KIND = {
+    str: "a text",
+    bool: "true or false",
+    int: "a whole number",
+    (int, float): "a number",
+    list: "a list",
+    dict: "an object",
+}
 _BYTES_PER_TOKEN = 4  # usual mean of English text in byte-pair encodings
 
 
@@ -39,7 +54,7 @@
 
 def parse_completion(request: Request, chat: bool) -> Completion:
     """Checks the body of a completion request; raises `FailureError` naming the wrong field."""
-    body = _json_object(request)
+    body = json_object(request)
     model = _take(body, "model", str, required=True)
     stream = _take(body, "stream", bool) or False
     options = _take(body, "stream_options", dict) or {}
@@ -49,9 +64,13 @@
         max_tokens = _DEFAULT_OUTPUT_TOKENS
     if not 1 <= max_tokens <= _MAX_OUTPUT_TOKENS:
         raise bad_request(field, f"{field} must be between 1 and {_MAX_OUTPUT_TOKENS}")
+    for name, (lowest, highest) in _NUMBER_RANGES.items():
+        value = _take(body, name, (int, float))
+        if value is not None and not lowest <= value <= highest:
+            raise bad_request(name, f"{name} must be between {lowest:g} and {highest:g}")
     if _take(body, "n", int) not in (None, 1):
         raise bad_request("n", "n must be 1")
-    prompt = _chat_prompt(body) if chat else _take(body, "prompt", str, required=True)
+    prompt = _chat_prompt(body) if chat else _text_prompt(body)
     tokens = max(1, -(-len(prompt.encode("utf-8", "replace")) // _BYTES_PER_TOKEN))
     return Completion(model, prompt, chat, stream, max_tokens, tokens, bool(options.get("include_usage")))
 
@@ -64,23 +83,24 @@
     return value
 
 
-def deadline_of(request: Request, longest_s: float) -> float:
-    """Returns the moment, on the monotonic clock, after which an answer is of no use to the caller."""
+def deadline_of(request: Request, longest_s: float) -> tuple[float, bool]:
+    """Returns the moment, on the monotonic clock, until which a request may wait, and whether the caller set it."""
     text = request.headers.get("X-Deadline-Ms")
     if text is None:
-        return time.monotonic() + longest_s
-    if not (text.isascii() and text.isdigit()) or not 1 <= int(text) <= _MAX_DEADLINE_MS:
+        return time.monotonic() + longest_s, False
+    if not (text.isascii() and text.isdigit()) or len(text) > 9 or not 1 <= int(text) <= _MAX_DEADLINE_MS:
         raise bad_request("X-Deadline-Ms", f"X-Deadline-Ms must be a number from 1 to {_MAX_DEADLINE_MS}")
-    return time.monotonic() + int(text) / 1000
+    return time.monotonic() + int(text) / 1000, True
 
 
-def _json_object(request: Request) -> dict[str, Any]:
+def json_object(request: Request) -> dict[str, Any]:
+    """Returns the body, which must be a JSON object; raises `FailureError`."""
     try:
         text = request.get_data().decode("utf-8")
     except UnicodeDecodeError as error:
         raise bad_request(None, f"the body is not UTF-8 at byte {error.start}", "invalid_utf8") from None
     try:
-        body = json.loads(text)
+        body = json.loads(text, parse_constant=_refuse_constant)
     except (ValueError, RecursionError) as error:
         raise bad_request(None, f"the body is not JSON: {error}", "invalid_json") from None
     if not isinstance(body, dict):
@@ -88,17 +108,28 @@
     return body
 
 
-def _take(body: dict[str, Any], name: str, kind: type, required: bool = False) -> Any:
+def _refuse_constant(name: str) -> Any:
+    raise ValueError(f"{name} is not a JSON number")
+
+
+def _take(body: dict[str, Any], name: str, kind: Any, required: bool = False) -> Any:
     value = body.get(name)
     if value is None:
         if required:
             raise bad_request(name, f"{name} is required", "missing_field")
         return None
-    if not isinstance(value, kind) or (kind is int and isinstance(value, bool)):
-        raise bad_request(name, f"{name} must be of type {kind.__name__}", "wrong_type")
+    if not isinstance(value, kind) or (kind is not bool and isinstance(value, bool)):
+        raise bad_request(name, f"{name} must be {_NAME_BY_KIND[kind]}", "wrong_type")
     return value
 
 
+def _text_prompt(body: dict[str, Any]) -> str:
+    prompt = body.get("prompt")
+    if isinstance(prompt, list) and len(prompt) == 1 and isinstance(prompt[0], str):
+        return prompt[0]
+    return _take(body, "prompt", str, required=True)
+
+
 def _chat_prompt(body: dict[str, Any]) -> str:
     messages = _take(body, "messages", list, required=True)
     if not messages:
@@ -113,6 +144,8 @@
 
 
 def _content(content: Any, where: str) -> str:
+    if content is None:
+        raise bad_request(f"{where}.content", f"{where}.content is required", "missing_field")
     if isinstance(content, str):
         return content
     if isinstance(content, list) and all(
--- a/libs/arbutusrill_entry/_services.py
+++ b/libs/arbutusrill_entry/_services.py
@@ -1,147 +1,194 @@
-"""Calls to plain services: repeatable ones, and once-only ones through the journal."""
+"""Calls to plain services: repeatable ones, and those that may run at most once."""
 
 from __future__ import annotations
 
-import hashlib
-import json
 from collections.abc import Callable, Iterable
-from typing import Any
 
-from arbutusrill_base import Clock, Failure, FailureError, PartLog, Verdict, new_request_id
+from arbutusrill_base import Failure, FailureError, Verdict
 from arbutusrill_http import AbortStreamError, Transfer, TransferResult, fetch
-from arbutusrill_state import ControlClient, ControlUnavailableError, command
-from arbutusrill_wire import messages
-from werkzeug.wrappers import Request, Response
-
-from ._auth import authenticate, passed_headers, passed_query
-from ._backends import PoolClients
+from werkzeug.wrappers import Request
+
+from ._answer import Answer
+from ._auth import authenticate, passed_headers, passed_query, refuse_key_in_body, refuse_key_in_path
+from ._call import Call
+from ._context import EntryContext
+from ._guard import KeyGuard
+from ._journal import JournaledCall
 from ._parse import deadline_of, latency_class_of
 from ._slots import Place, Wanted
+from ._target import raw_path, route_of
 
 __all__ = ["Services"]
 
-_CALL_S = 30.0
-_JOURNAL_S = 4.0
-_PASSED_BACK = ("content-type", "location", "etag", "last-modified", "cache-control")
-_log = PartLog("services")
+_CALL_S = 600.0
+_SILENCE_S = 30.0
+_FIRST_SILENCE_S = 2.0  # on a kept connection, whose state a middlebox may have lost
+_ATTEMPTS = 3
 
 
 class Services:
     """Serves ``/services/<name>/<path>``."""
 
-    def __init__(self, follower: Any, pools: PoolClients, control: ControlClient, clock: Clock):
-        self._follower = follower
-        self._pools = pools
-        self._control = control
-        self._clock = clock
+    def __init__(self, context: EntryContext):
+        self._context = context
 
-    def serve(self, request: Request, start_response: Callable, name: str, path: str) -> Iterable[bytes]:
+    def serve(self, request: Request, start_response: Callable, name: str, call: Call) -> Iterable[bytes]:
         """Serves one call; raises `FailureError` for whatever the server did not answer itself."""
-        route = self._route(request, name, f"/{path}")
-        workspace = "" if route.open else authenticate(request, self._follower)
+        follower = self._context.follower
+        path = raw_path(request)
+        route = route_of(follower.config, name, request.method, path)
+        guard = KeyGuard(follower, "", "") if route.open else authenticate(request, follower)
+        call.workspace, call.route = guard.workspace, f"services/{name}"
+        refuse_key_in_path(request, path)
+        refuse_key_in_body(request, follower)
+        sending = _Sending(self._context, request, start_response, name, path, route.repeatable, guard, call)
         key = request.headers.get("Idempotency-Key")
         if route.repeatable or key is None:
-            response = self._send(request, name, path, workspace, route.repeatable)
-        else:
-            response = self._once(request, name, path, workspace, key)
-        return response(request.environ, start_response)
-
-    def _route(self, request: Request, name: str, path: str) -> Any:
-        service = self._follower.config.services_by_name.get(name)
-        if service is None:
-            raise FailureError(Failure("service_not_found", f"the service {name!r} does not exist", status=404))
-        matching = [
-            route for route in service.routes if route.method in ("*", request.method) and path.startswith(route.prefix)
-        ]
-        safe = request.method in ("GET", "HEAD", "OPTIONS")
-        return max(matching, key=lambda route: len(route.prefix), default=messages.Route(repeatable=safe))
-
-    def _once(self, request: Request, name: str, path: str, workspace: str, key: str) -> Response:
-        digest = hashlib.sha256(f"{request.method} {name} {path}?".encode() + request.query_string)
-        digest.update(request.get_data())
-        me = self._follower.identity
-        begin = messages.JournalBegin(workspace, key, digest.digest(), me.vm, me.incarnation)
-        answer = self._journal("begin_call", begin, Verdict.NOT_RUN)
-        if answer.status != "started":
-            return _recorded(answer)
+            return sending.run().finish(request.environ)
+        return self._once(sending, JournaledCall(self._context, request, name, guard.workspace, key))
+
+    def _once(self, sending: _Sending, journaled: JournaledCall) -> Iterable[bytes]:
+        recorded = journaled.begin()
+        if recorded is not None:
+            return recorded(sending.request.environ, sending.start_response)
         try:
-            response = self._send(request, name, path, workspace, repeatable=False)
-        except FailureError as error:
-            status = "not_run" if error.failure.verdict is Verdict.NOT_RUN else "unknown"
-            self._finish(messages.JournalFinish(workspace, key, answer.attempt, status))
-            raise
+            answer = sending.run()
         except BaseException:
-            self._finish(messages.JournalFinish(workspace, key, answer.attempt, "unknown"))
+            journaled.fail(sending.verdict)
             raise
-        headers = json.dumps(list(response.headers.items()))
-        body = response.get_data()
-        self._finish(
-            messages.JournalFinish(workspace, key, answer.attempt, "done", response.status_code, headers, body)
+        journaled.finish(answer)
+        return answer.finish(sending.request.environ)
+
+
+class _Sending:
+    """Sends one call to a server, and to another one where that is safe.
+
+    `verdict` is at any moment true of the attempts so far, also when an exception ends them: it is raised
+    before the first byte can leave and lowered only by proof.
+    """
+
+    def __init__(
+        self,
+        context: EntryContext,
+        request: Request,
+        start_response: Callable,
+        name: str,
+        path: str,
+        repeatable: bool,
+        guard: KeyGuard,
+        call: Call,
+    ):
+        self._context = context
+        self._name = name
+        self._path = path
+        self._repeatable = repeatable
+        self._guard = guard
+        self._call = call
+        self._caller = request.environ["werkzeug.socket"]
+        self.request = request
+        self.start_response = start_response
+        self.verdict = Verdict.NOT_RUN
+
+    def run(self) -> Answer:
+        """Returns a complete answer; raises `FailureError` or `AbortStreamError`."""
+        if self._context.pools.known(self._name) is None:
+            raise FailureError(Failure("no_server", f"no server of {self._name!r} is known", retry_after=1.0))
+        if self._repeatable:
+            self._context.budget.request()
+        with Place(self._context, self._wanted(), self._caller, self._guard) as place:
+            for attempt in range(1, _ATTEMPTS + 1):
+                answer, result = self._send(place, attempt)
+                if result.whole:
+                    return answer
+                self._check_retry(answer, result, attempt)
+                try:
+                    place.move(
+                        "not_sent" if result.verdict is Verdict.NOT_RUN else "decode_failed",
+                        place.assignment.decode_server,
+                    )
+                except FailureError as error:
+                    raise self._with_verdict(error.failure) from None
+        raise AssertionError("the last attempt returns or raises")
+
+    def _wanted(self) -> Wanted:
+        config = self._context.follower.config
+        latency_class = latency_class_of(self.request, "lookup" if self._repeatable else "interactive")
+        wait_s = config.value(f"queue.max_wait_s.{latency_class}", workspace=self._guard.workspace, service=self._name)
+        deadline, own = deadline_of(self.request, wait_s)
+        workspace = config.workspaces_by_name.get(self._guard.workspace)
+        return Wanted(
+            self._name,
+            self._call.request_id,
+            self._guard.workspace,
+            latency_class,
+            deadline,
+            weight=workspace.weight if workspace is not None else 1.0,
+            move_wait_s=wait_s,
+            last_moment=deadline if own else float("inf"),
         )
-        return response
-
-    def _journal(self, name: str, change: Any, verdict: Verdict) -> Any:
-        made = command(change, self._follower.identity.vm, self._clock.wall_ms())
-        try:
-            return self._control.call(name, made, timeout=_JOURNAL_S)
-        except (ControlUnavailableError, messages.Refused) as error:
-            message = f"the journal of once-only calls does not answer: {error}"
-            raise FailureError(Failure("journal_unavailable", message, verdict, 503, 1.0)) from None
 
-    def _finish(self, change: Any) -> None:
-        try:
-            self._journal("finish_call", change, Verdict.RAN)
-        except FailureError as error:
-            _log.warning("outcome of a once-only call not recorded: %s", error)
-
-    def _send(self, request: Request, name: str, path: str, workspace: str, repeatable: bool) -> Response:
-        latency_class = latency_class_of(request, "lookup" if repeatable else "interactive")
-        wait_s = self._follower.config.value(f"queue.max_wait_s.{latency_class}", workspace=workspace)
-        request_id = new_request_id()
-        wanted = Wanted(name, request_id, workspace, latency_class, deadline_of(request, wait_s))
-        caller = request.environ["werkzeug.socket"]
-        me = self._follower.identity
-        if self._pools.known(name) is None:
-            raise FailureError(Failure("no_server", f"no server of {name!r} has announced itself", retry_after=1.0))
-        with Place(self._pools, wanted, me.vm, me.incarnation, caller) as place:
-            query = passed_query(request)
-            url = f"{place.assignment.decode_address}/{path}" + (f"?{query}" if query else "")
-            headers = [*passed_headers(request), f"X-Request-Id: {request_id}"]
-            if workspace:
-                headers.append(f"X-Workspace: {workspace}")
-            watched = caller if repeatable else None
-            body = request.get_data()
-            result = fetch(
-                Transfer(request.method, url, headers, body, timeout_s=_CALL_S, fresh=not repeatable, watched=watched)
-            )
+    def _send(self, place: Place, attempt: int) -> tuple[Answer, TransferResult]:
+        failure = self._guard.failure(self.verdict, always=True)
+        if failure is not None:
+            raise FailureError(failure)
+        kept = 0 if self._repeatable else self._context.follower.config.value("journal.answer_bytes")
+        answer = Answer(self.start_response, self._call.request_id, kept, outlives_caller=not self._repeatable)
+        transfer = self._transfer(place, attempt, answer)
+        before = self.verdict
+        self.verdict = before.worst(Verdict.MAY_HAVE_RUN)
+        result = fetch(transfer)
+        self.verdict = before.worst(result.verdict)
         if result.error == "gone":
             raise AbortStreamError
-        if not result.whole:
-            raise FailureError(_failure(name, result))
-        kept = {key: value for key, value in result.headers_by_name.items() if key in _PASSED_BACK}
-        return Response(result.body, result.status, {**kept, "X-Request-Id": request_id})
+        if result.error == "stopped":
+            failure = self._guard.failure(self.verdict, always=True)
+            raise FailureError(failure or _failure(self._name, result, self.verdict))
+        return answer, result
+
+    def _transfer(self, place: Place, attempt: int, answer: Answer) -> Transfer:
+        query = passed_query(self.request)
+        headers = [*passed_headers(self.request), f"X-Request-Id: {self._call.request_id}"]
+        if self._guard.workspace:
+            headers.append(f"X-Workspace: {self._guard.workspace}")
+        transfer = Transfer(
+            self.request.method,
+            f"{place.assignment.decode_address}/{self._path}" + (f"?{query}" if query else ""),
+            headers,
+            self.request.get_data(),
+            _CALL_S,
+            _SILENCE_S,
+            fresh=not self._repeatable or attempt > 1,
+            on_head=answer.on_head,
+            on_data=answer.on_data,
+        )
+        if self._repeatable:
+            # A call that may run only once is never cut: its outcome would be unknown.
+            transfer.watched = self._caller
+            transfer.should_stop = self._key_refused
+            transfer.stall_s = _FIRST_SILENCE_S if attempt == 1 else _SILENCE_S
+        return transfer
+
+    def _key_refused(self) -> bool:
+        return self._guard.failure(Verdict.MAY_HAVE_RUN) is not None
+
+    def _check_retry(self, answer: Answer, result: TransferResult, attempt: int) -> None:
+        """Returns when another attempt is safe and allowed, raises otherwise."""
+        failure = _failure(self._name, result, self.verdict)
+        if answer.begun:
+            self._call.failed(failure)
+            raise AbortStreamError
+        if attempt == _ATTEMPTS:
+            raise FailureError(failure)
+        if result.verdict is Verdict.NOT_RUN:
+            return
+        if not self._repeatable or not self._context.take_retry():
+            raise FailureError(failure)
+
+    def _with_verdict(self, failure: Failure) -> FailureError:
+        verdict = self.verdict.worst(failure.verdict)
+        return FailureError(Failure(failure.code, failure.message, verdict, failure.status, failure.retry_after))
 
 
-def _failure(name: str, result: TransferResult) -> Failure:
+def _failure(name: str, result: TransferResult, verdict: Verdict) -> Failure:
     message = f"the service {name!r} did not answer: {result.detail}"
-    retry_after = 1.0 if result.verdict is Verdict.NOT_RUN else None
-    return Failure("service_unavailable", message, result.verdict, 502, retry_after)
-
-
-def _recorded(answer: Any) -> Response:
-    if answer.status == "done":
-        headers = [*json.loads(answer.headers_json), ("X-Recorded-Answer", "true")]
-        return Response(answer.body or b"", answer.http_status, headers)
-    failures = {
-        "mismatch": Failure(
-            "idempotency_mismatch", "the idempotency key was used with another request", Verdict.NOT_RUN, 422
-        ),
-        "running": Failure(
-            "in_progress", "the call with this idempotency key is under way", Verdict.MAY_HAVE_RUN, 409, 1.0
-        ),
-        "unknown": Failure(
-            "outcome_unknown", "the outcome of the call with this key is unknown", Verdict.MAY_HAVE_RUN, 409
-        ),
-        "ran": Failure("answer_not_kept", "the call ran, its answer was too large to keep", Verdict.RAN, 409),
-    }
-    raise FailureError(failures[answer.status])
+    return Failure("service_unavailable", message, verdict, 502, 1.0 if verdict is Verdict.NOT_RUN else None)
--- /dev/null
+++ b/libs/arbutusrill_entry/tests/rig.py
@@ -0,0 +1,276 @@
+"""An entry VM in this process, with scripted engines and a pool owner that hands them out in order."""
+
+import contextlib
+import json
+import socket
+import threading
+import time
+
+from arbutusrill_base import RetryBudget, SystemClock, hash_key
+from arbutusrill_http import AbortStreamError, HttpLimits, HttpServer, json_response
+from arbutusrill_state import ConfigState, VmIdentity, command
+from arbutusrill_wire import messages
+from werkzeug.wrappers import Request
+
+from arbutusrill_entry import Cleanup, EntryApp, EntryContext, HeldTickets, Meters
+
+KEY = "ak-" + "k" * 43
+WORDS = [f"w{number} " for number in range(12)]
+
+
+class ScriptedEngine:
+    """An engine whose faults a test sets: each number says at which token or for how many requests."""
+
+    def __init__(self, name):
+        self.name = name
+        self.seen = []
+        self.held = set()
+        self.gap_s = 0.002
+        self.stall_at = self.cut_at = self.repeat_at = self.cross_at = self.die_at = None
+        self.refuse_prefills = self.expired = self.cross_prefills = self.deaf_cancels = 0
+        self.hang_prefill = self.hang_decode = self.forgets = self.dead = False
+        self.closing = threading.Event()
+
+    def __call__(self, environ, start):
+        request = Request(environ)
+        body = json.loads(request.get_data() or b"{}")
+        self.seen.append((request.path, body))
+        if self.dead:
+            raise AbortStreamError
+        if request.path.startswith("/engine/streams/"):
+            return self._resume(request.path.rsplit("/", 1)[1], int(request.args["offset"]), environ, start)
+        return getattr(self, f"_{request.path.rsplit('/', 1)[1]}")(body, environ, start)
+
+    def paths(self, path):
+        return [body for seen, body in self.seen if seen == path]
+
+    def _take(self, name):
+        left = getattr(self, name)
+        setattr(self, name, max(0, left - 1))
+        return left > 0
+
+    def _prefill(self, body, environ, start):
+        request_id = body["request_id"]
+        self.held.add(request_id)
+        self._wait(lambda: self.hang_prefill and request_id in self.held)
+        self.held.discard(request_id)
+        if self._take("refuse_prefills"):
+            return json_response({"error": "full"}, 503)(environ, start)
+        answer = {"request_id": request_id, "kv_handle": "kv", "prompt_tokens": 3, "cached_tokens": 0}
+        if self._take("cross_prefills"):
+            answer["request_id"] = "req-of-another"
+        return json_response(answer)(environ, start)
+
+    def _decode(self, body, environ, start):
+        if self._take("expired"):
+            return json_response({"error": "expired kv_handle"}, 410)(environ, start)
+        self.held.add(body["request_id"])
+        self._wait(lambda: self.hang_decode and body["request_id"] in self.held)
+        return self._send(body["request_id"], body.get("offset", 0), start)
+
+    def _resume(self, request_id, offset, environ, start):
+        if self.forgets or request_id not in self.held:
+            return json_response({"error": "unknown"}, 404)(environ, start)
+        return self._send(request_id, offset, start)
+
+    def _send(self, request_id, first, start):
+        write = start("200 OK", [("Content-Type", "text/event-stream")])
+        for offset in range(first, len(WORDS)):
+            time.sleep(self.gap_s)
+            if request_id not in self.held:
+                raise AbortStreamError
+            if offset == self.die_at:
+                self.dead = True
+                raise AbortStreamError
+            if offset == self.cut_at:
+                self.cut_at = None
+                raise AbortStreamError
+            if offset == self.stall_at:
+                self.stall_at = None
+                self._wait(lambda: True, 5)
+            number, name = offset, request_id
+            if offset == self.repeat_at:
+                self.repeat_at, number = None, offset - 1
+            if offset == self.cross_at:
+                self.cross_at, name = None, "req-of-another"
+            event = {"request_id": name, "offset": number, "token": WORDS[number]}
+            write(b"data: " + json.dumps(event).encode() + b"\n\n")
+        self.held.discard(request_id)
+        write(b"data: " + json.dumps({"request_id": request_id, "end": True, "finish_reason": "length"}).encode())
+        return [b"\n\n"]
+
+    def _cancel(self, body, environ, start):
+        if self._take("deaf_cancels"):
+            return json_response({"error": "busy"}, 500)(environ, start)
+        self.held.discard(body["request_id"])
+        return json_response({"request_id": body["request_id"], "state": "cancelled"})(environ, start)
+
+    def _wait(self, condition, seconds=20):
+        until = time.monotonic() + seconds
+        while condition() and time.monotonic() < until and not self.closing.wait(0.01):
+            pass
+
+
+class StubFollower:
+    def __init__(self):
+        self.config = ConfigState()
+        self.identity = VmIdentity("entry1", 7, "127.0.0.1:1", "127.0.0.1:2", "dc1")
+        self.is_fresh = True
+
+    def fresh(self):
+        return self.is_fresh
+
+    def apply(self, change):
+        assert self.config.apply(command(change, "test", 1)).accepted
+
+
+class StubPools:
+    """Hands out the first server that is not avoided; records every message."""
+
+    def __init__(self, config):
+        self.config = config
+        self.servers = []
+        self.calls = []
+        self.owner = "owner1"
+        self.reply = None
+        self.failing = set()
+
+    def known(self, pool):
+        return self.config.pools_by_name.get(pool)
+
+    def owner_of(self, pool):
+        return self.owner
+
+    def call(self, pool, name, message, timeout=1.0):
+        return self.call_vm(self.owner, name, message, timeout)
+
+    def call_vm(self, owner, name, message, timeout):
+        self.calls.append((owner, name, message))
+        if name in self.failing:
+            raise messages.Refused("not_owner", "try another")
+        if name != "acquire":
+            return None
+        if self.reply is not None:
+            return self.reply
+        free = [server for server in self.servers if server[0] not in message.avoid]
+        if not free:
+            return messages.AcquireReply("refused", None, "no_capacity", "no server is left", 1500)
+        prefill, decode = free[0], free[-1]
+        return messages.AcquireReply("assigned", messages.Assignment(message.ticket, *prefill, *decode))
+
+    def named(self, name):
+        return [message for _, called, message in self.calls if called == name]
+
+
+class StubControl:
+    def __init__(self):
+        self.calls = []
+        self.answers = []
+
+    def call(self, name, made, timeout, try_timeout=1.5):
+        self.calls.append((name, made))
+        answer = self.answers.pop(0) if self.answers else messages.BeginAnswer("started", 1)
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+
+class Rig:
+    def __init__(self, stack):
+        self.stack = stack
+        self.follower = StubFollower()
+        self.follower.apply(messages.PutWorkspace("dispatch", 100.0, 1000.0))
+        self.follower.apply(messages.IssueKey("k1", hash_key(KEY), "dispatch"))
+        self.follower.apply(messages.AssignPool("m", "model", "owner1", 1, 1))
+        self.follower.apply(messages.AssignPool("seats", "service", "owner1", 1, 1))
+        self.pools = StubPools(self.follower.config)
+        self.control = StubControl()
+        self.budget = RetryBudget()
+        clock = SystemClock()
+        self.held = stack.enter_context(HeldTickets(self.pools, "entry1", 7))
+        cleanup = stack.enter_context(Cleanup(threads=4))
+        self.meters = Meters(clock)
+        self.context = EntryContext(
+            self.follower, self.control, self.pools, clock, cleanup, self.held, self.budget, self.meters
+        )
+        self.app = EntryApp(self.context, hash_key("announce"))
+        self.server = stack.enter_context(HttpServer("127.0.0.1", 0, self.app, HttpLimits(connections=32)))
+        self.address = self.server.address
+
+    def engine(self, name="e1"):
+        engine = ScriptedEngine(name)
+        server = self.stack.enter_context(HttpServer("127.0.0.1", 0, engine))
+        self.stack.callback(engine.closing.set)
+        self.pools.servers.append((name, f"http://{server.address}"))
+        return engine
+
+    def serve(self, app, name="s1"):
+        server = self.stack.enter_context(HttpServer("127.0.0.1", 0, app))
+        self.pools.servers.append((name, f"http://{server.address}"))
+
+    def send(self, method, path, body=b"", headers=(), key=KEY):
+        """Sends a request and returns the connection, so that a test can leave at any moment."""
+        host, port = self.address.split(":")
+        connection = socket.create_connection((host, int(port)), timeout=20)
+        data = body if isinstance(body, bytes) else json.dumps(body).encode()
+        lines = [f"{method} {path} HTTP/1.1", "Host: x", f"Content-Length: {len(data)}", "Connection: close", *headers]
+        lines += [f"Authorization: Bearer {key}"] if key else []
+        connection.sendall("\r\n".join(lines).encode() + b"\r\n\r\n" + data)
+        return connection
+
+    def call(self, *args, **options):
+        """Returns status, headers by lower-case name, body, and whether the body is whole."""
+        with self.send(*args, **options) as connection, connection.makefile("rb") as stream:
+            return read_response(stream)
+
+    def chat(self, headers=(), **extra):
+        body = {"model": "m", "messages": [{"role": "user", "content": "hi"}], "max_tokens": len(WORDS), **extra}
+        return self.call("POST", "/v1/chat/completions", body, headers)
+
+    def start_chat(self, **extra):
+        body = {"model": "m", "messages": [{"role": "user", "content": "hi"}], "max_tokens": len(WORDS), **extra}
+        return self.send("POST", "/v1/chat/completions", body)
+
+
+def read_response(stream):
+    status = int(stream.readline().split()[1])
+    headers = {}
+    while line := stream.readline().strip():
+        name, _, value = line.decode("latin-1").partition(":")
+        headers[name.lower()] = value.strip()
+    if headers.get("transfer-encoding") != "chunked":
+        body = stream.read()
+        return status, headers, body, len(body) == int(headers.get("content-length", len(body)))
+    body = b""
+    while True:
+        size = stream.readline().strip()
+        if not size:
+            return status, headers, body, False
+        if int(size, 16) == 0:
+            return status, headers, body, True
+        body += stream.read(int(size, 16))
+        stream.readline()
+
+
+def events_of(body):
+    return [line[6:] for line in body.decode().split("\n\n") if line.startswith("data: ")]
+
+
+def text_of(body):
+    choices = [
+        choice for event in events_of(body) if event != "[DONE]" for choice in json.loads(event).get("choices", [])
+    ]
+    return "".join(choice["delta"].get("content", "") for choice in choices)
+
+
+def eventually(condition, seconds=10.0):
+    until = time.monotonic() + seconds
+    while not condition():
+        assert time.monotonic() < until, "condition not met in time"
+        time.sleep(0.01)
+
+
+@contextlib.contextmanager
+def entry_rig():
+    with contextlib.ExitStack() as stack:
+        yield Rig(stack)
--- /dev/null
+++ b/libs/arbutusrill_entry/tests/test_relay.py
@@ -0,0 +1,222 @@
+"""Guards against lost, repeated or foreign tokens, and against work for callers who have left."""
+
+import json
+import time
+
+import pytest
+from arbutusrill_wire import messages
+
+from .rig import KEY, WORDS, entry_rig, events_of, eventually, text_of
+
+WHOLE = "".join(WORDS)
+
+
+@pytest.fixture
+def rig():
+    with entry_rig() as rig:
+        yield rig
+
+
+def assert_complete(answer):
+    status, _, body, whole = answer
+    assert (status, whole, events_of(body)[-1]) == (200, True, "[DONE]"), body
+    assert text_of(body) == WHOLE
+
+
+def assert_cut(answer, code):
+    _, _, body, whole = answer
+    assert not whole, "the body must not look complete"
+    error = json.loads(events_of(body)[-1])["error"]
+    assert (error["code"], error["verdict"]) == (code, "may_have_run")
+
+
+def test_stream_is_complete_and_its_place_is_given_back(rig):
+    rig.engine()
+    assert_complete(rig.chat(stream=True))
+    release = rig.pools.named("release")[0]
+    assert (release.outcome, release.tokens) == ("done", len(WORDS))
+    assert release.first_token_s > 0
+    assert len(rig.held) == 0
+
+
+@pytest.mark.parametrize("fault", ["stall_at", "cut_at", "repeat_at"])
+def test_stream_continues_at_its_offset_after_a(rig, fault):
+    engine = rig.engine()
+    setattr(engine, fault, 5)
+    assert_complete(rig.chat(stream=True))
+    assert [path for path, _ in engine.seen if "/streams/" in path]
+    assert len(engine.paths("/engine/prefill")) == 1
+
+
+def test_whole_answer_survives_a_cut_stream(rig):
+    rig.engine().cut_at = 5
+    _, _, body, _ = rig.chat()
+    assert json.loads(body)["choices"][0]["message"]["content"] == WHOLE
+
+
+def test_lost_runner_is_replaced_with_the_output_so_far(rig):
+    first, second = rig.engine("e1"), rig.engine("e2")
+    rig.pools.servers.reverse()  # prefill at e2, decode at e1
+    first.die_at = 5
+    assert_complete(rig.chat(stream=True))
+    prefills = second.paths("/engine/prefill")
+    assert prefills[-1]["prompt"].endswith("".join(WORDS[:5]))
+    decode = second.paths("/engine/decode")[-1]
+    assert (decode["offset"], decode["max_tokens"]) == (5, len(WORDS) - 5)
+    assert rig.pools.named("acquire")[-1].avoid == ["e1"]
+    assert prefills[-1]["request_id"] != prefills[0]["request_id"], "a late cancel must not end the new attempt"
+
+
+def test_failed_prefill_is_repeated_elsewhere(rig):
+    rig.engine("e1").refuse_prefills = 9
+    rig.engine("e2")
+    assert_complete(rig.chat(stream=True))
+
+
+def test_answer_to_another_prefill_is_not_used(rig):
+    rig.engine("e1").cross_prefills = 9
+    second = rig.engine("e2")
+    assert_complete(rig.chat(stream=True))
+    assert len(second.paths("/engine/prefill")) == 1
+
+
+def test_token_of_another_request_is_never_delivered(rig):
+    engine = rig.engine("e1")
+    engine.cross_at = 5
+    answer = rig.chat(stream=True)
+    assert text_of(answer[2]) == "".join(WORDS[:5])
+    assert_cut(answer, "no_capacity")
+    eventually(lambda: not engine.held)
+
+
+def test_expired_kv_cache_costs_one_more_prefill_at_the_same_place(rig):
+    engine = rig.engine()
+    engine.expired = 1
+    assert_complete(rig.chat(stream=True))
+    assert len(engine.paths("/engine/prefill")) == 2
+    assert len(rig.pools.named("acquire")) == 1
+
+
+def test_engine_that_forgot_the_stream_gets_one_more_prefill(rig):
+    engine = rig.engine()
+    engine.cut_at, engine.forgets = 5, True
+    assert_complete(rig.chat(stream=True))
+    assert len(engine.paths("/engine/prefill")) == 2
+
+
+def test_no_retry_without_budget(rig):
+    while rig.budget.take():
+        pass
+    rig.engine().die_at = 5
+    assert_cut(rig.chat(stream=True), "decode_failed")
+    assert len(rig.pools.named("acquire")) == 1
+
+
+def test_no_retry_after_the_callers_deadline(rig):
+    engine = rig.engine()
+    engine.refuse_prefills = 9
+    engine.gap_s = 0.01
+    status, headers, body, _ = rig.chat(["X-Deadline-Ms: 150"], stream=True)
+    assert status == 503
+    assert json.loads(body)["error"]["verdict"] == "may_have_run"
+
+
+def test_refused_place_says_not_run_with_retry_after(rig):
+    rig.engine()
+    rig.pools.reply = messages.AcquireReply("refused", None, "overloaded", "too late", 2500)
+    status, headers, body, _ = rig.chat()
+    assert (status, headers["retry-after"], json.loads(body)["error"]["verdict"]) == (503, "3", "not_run")
+
+
+def test_caller_who_leaves_the_queue_gives_the_ticket_back(rig):
+    rig.pools.reply = messages.AcquireReply("pending")
+    rig.start_chat().close()
+    eventually(lambda: rig.pools.named("release"), 2)
+    assert rig.pools.named("release")[0].outcome == "gone"
+
+
+@pytest.mark.parametrize("stage", ["hang_prefill", "hang_decode", "stream", "idle"])
+def test_caller_who_leaves_frees_the_engine(rig, stage):
+    engine = rig.engine()
+    engine.deaf_cancels = 2
+    if stage.startswith("hang"):
+        setattr(engine, stage, True)
+    elif stage == "stream":
+        engine.gap_s = 0.2
+    else:
+        engine.stall_at = 3
+    connection = rig.start_chat(stream=True)
+    eventually(lambda: engine.held)
+    if stage in ("stream", "idle"):
+        connection.recv(1)
+    connection.close()
+    left_at = time.monotonic()
+    eventually(lambda: rig.pools.named("release") and not engine.held and len(rig.held) == 0)
+    assert time.monotonic() - left_at < 2
+    assert len(engine.paths("/engine/cancel")) >= 3
+
+
+def test_place_is_given_back_although_its_engine_is_dead(rig):
+    engine = rig.engine()
+    engine.deaf_cancels, engine.hang_decode = 10_000, True
+    connection = rig.start_chat(stream=True)
+    eventually(lambda: engine.held)
+    connection.close()
+    left_at = time.monotonic()
+    eventually(lambda: rig.pools.named("release"))
+    assert 1 < time.monotonic() - left_at < 2.5
+    engine.deaf_cancels = 0
+    eventually(lambda: not engine.held)
+
+
+def test_release_is_repeated_until_the_owner_takes_it(rig):
+    rig.engine()
+    rig.pools.failing.add("release")
+    assert_complete(rig.chat(stream=True))
+    assert len(rig.held) == 1
+    rig.pools.failing.clear()
+    eventually(lambda: len(rig.held) == 0)
+
+
+def test_held_tickets_are_renewed_also_at_a_new_owner(rig):
+    engine = rig.engine()
+    engine.hang_decode = True
+    with rig.start_chat(stream=True):
+        eventually(lambda: any(owner == "owner1" for owner, name, _ in rig.pools.calls if name == "renew"))
+        rig.pools.owner = "owner2"
+        eventually(lambda: any(owner == "owner2" for owner, name, _ in rig.pools.calls if name == "renew"))
+        held = rig.pools.named("renew")[-1].tickets[0]
+        assert (held.pool, held.workspace, held.stage, held.assignment.decode_server) == (
+            "m",
+            "dispatch",
+            "decode",
+            "e1",
+        )
+        engine.hang_decode = False
+
+
+@pytest.mark.parametrize("change", ["key", "workspace", "stale"])
+def test_running_stream_of_a_refused_key_ends_within_5_s(rig, change):
+    engine = rig.engine()
+    engine.gap_s = 0.9
+    with rig.start_chat(stream=True) as connection, connection.makefile("rb") as stream:
+        assert stream.readline().startswith(b"HTTP/1.1 200")
+        changed_at = time.monotonic()
+        if change == "key":
+            rig.follower.apply(messages.WithdrawKey("k1"))
+        elif change == "workspace":
+            rig.follower.apply(messages.RemoveWorkspace("dispatch"))
+        else:
+            rig.follower.is_fresh = False
+        rest = stream.read()
+    assert time.monotonic() - changed_at < 5
+    assert b'"verdict": "may_have_run"' in rest and b"[DONE]" not in rest and not rest.endswith(b"0\r\n\r\n")
+    eventually(lambda: not engine.held)
+
+
+def test_key_is_checked_on_each_request_of_a_connection(rig):
+    with rig.send("GET", "/v1/models", headers=["Connection: keep-alive"]) as connection:
+        connection.makefile("rb").readline()
+    rig.follower.apply(messages.WithdrawKey("k1"))
+    assert rig.call("GET", "/v1/models")[0] == 401
+    assert KEY not in rig.meters.text().decode()
--- a/libs/arbutusrill_http/__init__.py
+++ b/libs/arbutusrill_http/__init__.py
@@ -1,8 +1,10 @@
 """HTTP server with bounds and HTTP client that watches the caller."""
 
+from ._handler import AbortStreamError
 from ._json import error_body, failure_response, json_response
-from ._server import AbortStreamError, HttpLimits, HttpServer, caller_gone
-from ._transfer import Transfer, TransferResult, fetch
+from ._server import HttpLimits, HttpServer
+from ._sockets import caller_gone
+from ._transfer import Transfer, TransferResult, close_connections, fetch
 
 __all__ = [
     "AbortStreamError",
@@ -11,6 +13,7 @@
     "Transfer",
     "TransferResult",
     "caller_gone",
+    "close_connections",
     "error_body",
     "failure_response",
     "fetch",
--- a/libs/arbutusrill_http/_json.py
+++ b/libs/arbutusrill_http/_json.py
@@ -14,7 +14,9 @@
 
 def json_response(value: Any, status: int = 200, headers: dict[str, str] | None = None) -> Response:
     """Returns `value` as a JSON response."""
-    return Response(json.dumps(value, ensure_ascii=False), status, headers, content_type="application/json")
+    text = json.dumps(value, ensure_ascii=False)
+    # Lone surrogates, which JSON escapes can hold, have no UTF-8 form.
+    return Response(text.encode("utf-8", "replace"), status, headers, content_type="application/json")
 
 
 def error_body(failure: Failure) -> dict[str, Any]:
--- a/libs/arbutusrill_http/_server.py
+++ b/libs/arbutusrill_http/_server.py
@@ -3,28 +3,36 @@
 from __future__ import annotations
 
 import contextlib
-import io
-import json
-import select
 import socket
 import threading
 import time
+from collections import deque
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
-from http import HTTPStatus
 from typing import Any
 
 from arbutusrill_base import PartLog, TaskGroup
-from werkzeug.serving import BaseWSGIServer, DechunkedInput, WSGIRequestHandler
+from werkzeug.serving import BaseWSGIServer
 
-__all__ = ["AbortStreamError", "HttpLimits", "HttpServer", "caller_gone"]
+from ._handler import Handler, refusal
 
+__all__ = ["HttpLimits", "HttpServer"]
+
+_ACCEPT_S = 0.1
+_REFUSED_KEPT = 256  # refused connections that wait for their caller to read the answer
+_REFUSED_S = 1.0
+_CROWDED = 0.9  # part of the connections from which idle ones give way to new ones
+_IDLE_KEPT_S = 0.2  # an idle connection younger than this is about to be used
 _log = PartLog("http")
 
 
 @dataclass(slots=True, frozen=True)
 class HttpLimits:
-    """Bounds of an HTTP server. Times are in seconds, sizes in bytes."""
+    """Bounds of an HTTP server. Times are in seconds, sizes in bytes.
+
+    `reserve` further connections are served when all `connections` are taken, but only for paths that
+    start with one of `reserved_paths`.
+    """
 
     connections: int = 256
     header_bytes: int = 32_768
@@ -33,233 +41,8 @@
     body_s: float = 30.0
     idle_s: float = 30.0
     write_s: float = 10.0
-
-
-class AbortStreamError(Exception):
-    """Raised by an application to cut a response so that the caller sees that it is incomplete."""
-
-
-class _BadRequestError(Exception):
-    def __init__(self, status: int, code: str, message: str):
-        super().__init__(message)
-        self.status = status
-        self.code = code
-
-
-class _TimedSocketReader(io.RawIOBase):
-    """Raw reader of a socket that keeps to one deadline over many reads."""
-
-    def __init__(self, connection: socket.socket):
-        self._connection = connection
-        self.deadline = 0.0
-
-    def readable(self) -> bool:
-        return True
-
-    def readinto(self, buffer: Any) -> int:
-        remaining = self.deadline - time.monotonic()
-        if remaining <= 0:
-            raise TimeoutError("the request did not arrive in time")
-        self._connection.settimeout(remaining)
-        return self._connection.recv_into(buffer)
-
-
-class _Handler(WSGIRequestHandler):
-    protocol_version = "HTTP/1.1"
-    server: _Server
-
-    def setup(self) -> None:
-        super().setup()
-        self.connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self.connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-        self._raw = _TimedSocketReader(self.connection)
-        self.rfile = io.BufferedReader(self._raw, 65_536)
-
-    def handle(self) -> None:
-        try:
-            self.close_connection = True
-            self.handle_one_request()
-            while not self.close_connection and not self.server.draining():
-                self.handle_one_request()
-        except (ConnectionError, TimeoutError, OSError):
-            pass
-
-    def handle_one_request(self) -> None:
-        limits = self.server.limits
-        self._raw.deadline = time.monotonic() + limits.idle_s
-        if not self._wait_for_request():
-            self.close_connection = True
-            return
-        self._raw.deadline = time.monotonic() + limits.header_s
-        self.raw_requestline = self.rfile.readline(limits.header_bytes + 1)
-        if not self.raw_requestline.endswith(b"\n"):
-            self._refuse(_BadRequestError(414, "request_line_too_long", "the request line is too long"))
-            return
-        try:
-            if not self.parse_request():
-                return
-            body = self._read_body()
-        except _BadRequestError as problem:
-            self._refuse(problem)
-            return
-        except TimeoutError:
-            self._refuse(_BadRequestError(408, "request_timeout", "the request did not arrive in time"))
-            return
-        self.connection.settimeout(limits.write_s)
-        self._serve(body)
-
-    def _wait_for_request(self) -> bool:
-        """Waits for the first byte of a request; a draining server ends this wait."""
-        with self.server.idle_connection(self.connection):
-            return not self.server.draining() and bool(self.rfile.peek(1))
-
-    def send_error(self, code: int, message: str | None = None, explain: str | None = None) -> None:
-        """Answers a request that http.server refuses, as JSON and without a stack of HTML."""
-        phrase = message or HTTPStatus(code).phrase
-        self._refuse(_BadRequestError(int(code), "bad_request", phrase))
-
-    def _read_body(self) -> bytes:
-        limits = self.server.limits
-        if sum(len(name) + len(value) + 4 for name, value in self.headers.items()) > limits.header_bytes:
-            raise _BadRequestError(431, "headers_too_large", f"headers exceed {limits.header_bytes} bytes")
-        lengths = self.headers.get_all("Content-Length", [])
-        encodings = self.headers.get_all("Transfer-Encoding", [])
-        if len(lengths) > 1 or (lengths and encodings):
-            raise _BadRequestError(400, "conflicting_length", "Content-Length is given more than once or conflicts")
-        self._raw.deadline = time.monotonic() + limits.body_s
-        if "100-continue" in self.headers.get("Expect", "").lower():
-            self.wfile.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-        if encodings:
-            if [value.strip().lower() for value in encodings] != ["chunked"]:
-                raise _BadRequestError(501, "unknown_encoding", "only the transfer encoding chunked is supported")
-            return self._read_chunked(limits.body_bytes)
-        if not lengths:
-            return b""
-        if not (lengths[0].isascii() and lengths[0].isdigit()):
-            raise _BadRequestError(400, "bad_length", "Content-Length must be a number of at least 0")
-        size = int(lengths[0])
-        if size > limits.body_bytes:
-            raise _BadRequestError(413, "body_too_large", f"the body exceeds {limits.body_bytes} bytes")
-        body = self.rfile.read(size)
-        if len(body) < size:
-            raise ConnectionResetError("the caller left before the end of its body")
-        return body
-
-    def _read_chunked(self, limit: int) -> bytes:
-        body = bytearray()
-        reader = DechunkedInput(self.rfile)
-        try:
-            while piece := reader.read(65_536):
-                body += piece
-                if len(body) > limit:
-                    raise _BadRequestError(413, "body_too_large", f"the body exceeds {limit} bytes")
-        except TimeoutError:
-            raise
-        except (OSError, ValueError) as error:
-            raise _BadRequestError(400, "bad_chunk", f"the chunked body is malformed: {error}") from None
-        return bytes(body)
-
-    def _refuse(self, problem: _BadRequestError) -> None:
-        self.close_connection = True
-        error = {"message": str(problem), "type": "invalid_request_error", "param": None, "code": problem.code}
-        body = json.dumps({"error": {**error, "verdict": "not_run"}}).encode()
-        self.connection.settimeout(self.server.limits.write_s)
-        self._raw.deadline = time.monotonic() + 1.0
-        head = f"HTTP/1.1 {problem.status} {HTTPStatus(problem.status).phrase}\r\nContent-Type: application/json\r\n"
-        self.wfile.write(f"{head}Content-Length: {len(body)}\r\nConnection: close\r\n\r\n".encode() + body)
-        self._drain()
-
-    def _drain(self) -> None:
-        """Reads what the caller still sends, so that closing does not reset the answer away."""
-        try:
-            self.connection.shutdown(socket.SHUT_WR)
-            for _ in range(256):
-                if not self.rfile.read1(65_536):
-                    return
-        except OSError:
-            pass
-
-    def _serve(self, body: bytes) -> None:
-        self.environ = self.make_environ()
-        self.environ["wsgi.input"] = io.BytesIO(body)
-        self.environ["CONTENT_LENGTH"] = str(len(body))
-        self.environ["wsgi.input_terminated"] = True
-        self.environ.pop("HTTP_TRANSFER_ENCODING", None)
-        response = _ResponseWriter(self)
-        try:
-            pieces = self.server.app(self.environ, response.start)
-            try:
-                for piece in pieces:
-                    response.write(piece)
-            finally:
-                if hasattr(pieces, "close"):
-                    pieces.close()
-            response.finish()
-        except AbortStreamError:
-            self.close_connection = True
-        except (ConnectionError, TimeoutError):
-            self.close_connection = True
-        except Exception:
-            _log.exception("application failed")
-            self.close_connection = True
-            if not response.head_sent:
-                self._refuse(_BadRequestError(500, "internal_error", "internal error"))
-
-    def log_request(self, code: int | str = "-", size: int | str = "-") -> None:
-        """Requests are logged by the application, with their request id."""
-
-
-class _ResponseWriter:
-    """Writes one WSGI response, chunked when its length is not known beforehand."""
-
-    def __init__(self, handler: _Handler):
-        self._handler = handler
-        self._status = ""
-        self._headers: list[tuple[str, str]] = []
-        self._chunked = False
-        self.head_sent = False
-
-    def start(self, status: str, headers: list[tuple[str, str]], exc_info: Any = None) -> Callable[[bytes], None]:
-        if self.head_sent:
-            raise RuntimeError("the response has begun")
-        self._status, self._headers = status, headers
-        return self.write
-
-    def _head(self) -> bytes:
-        handler = self._handler
-        names = {name.lower() for name, _ in self._headers}
-        code = int(self._status.split(None, 1)[0])
-        lines = [f"HTTP/1.1 {self._status}", *(f"{name}: {value}" for name, value in self._headers)]
-        if "date" not in names:
-            lines.append(f"Date: {handler.date_time_string()}")
-        if "content-length" not in names and code not in (204, 304) and handler.command != "HEAD":
-            self._chunked = handler.request_version >= "HTTP/1.1"
-            if self._chunked:
-                lines.append("Transfer-Encoding: chunked")
-            else:
-                handler.close_connection = True
-        if handler.server.draining():
-            handler.close_connection = True
-        if handler.close_connection:
-            lines.append("Connection: close")
-        self.head_sent = True
-        return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
-
-    def write(self, data: bytes) -> None:
-        head = b"" if self.head_sent else self._head()
-        if data and self._handler.command != "HEAD":
-            if self._chunked:
-                data = b"%x\r\n%b\r\n" % (len(data), data)
-        else:
-            data = b""
-        if head or data:
-            self._handler.wfile.write(head + data)
-
-    def finish(self) -> None:
-        if not self.head_sent:
-            self.write(b"")
-        if self._chunked:
-            self._handler.wfile.write(b"0\r\n\r\n")
+    reserve: int = 16
+    reserved_paths: tuple[str, ...] = ()
 
 
 class _Server(BaseWSGIServer):
@@ -268,37 +51,99 @@
 
     def __init__(self, host: str, port: int, app: Any, limits: HttpLimits):
         self.limits = limits
-        self.tasks = TaskGroup("http", limits.connections + 1)
-        self._idle_lock = threading.Lock()
-        self._idle: set[socket.socket] = set()
-        super().__init__(host, port, app, handler=_Handler)
+        self.tasks = TaskGroup("http", limits.connections + limits.reserve + 1)
+        self._lock = threading.Lock()
+        self._idle_since: dict[socket.socket, float] = {}
+        self._open: dict[socket.socket, bool] = {}  # whether the connection is one of the reserve
+        self._refused: deque[tuple[float, socket.socket]] = deque()
+        super().__init__(host, port, app, handler=Handler)
 
     def draining(self) -> bool:
         return self.tasks.stopping.is_set()
 
+    def busy(self) -> int:
+        """Returns the number of connections with a request under way."""
+        with self._lock:
+            return len(self._open) - len(self._idle_since)
+
+    def is_reserved(self, connection: socket.socket) -> bool:
+        """Says whether a connection came when all others were taken."""
+        with self._lock:
+            return self._open.get(connection, False)
+
     @contextlib.contextmanager
     def idle_connection(self, connection: socket.socket) -> Iterator[None]:
         """Marks a connection as waiting for its next request."""
-        with self._idle_lock:
-            self._idle.add(connection)
+        with self._lock:
+            self._idle_since[connection] = time.monotonic()
         try:
             yield
         finally:
-            with self._idle_lock:
-                self._idle.discard(connection)
+            with self._lock:
+                self._idle_since.pop(connection, None)
 
     def drain(self) -> None:
         """Ends idle connections; those with a request under way close after its answer."""
         self.tasks.stopping.set()
-        with self._idle_lock:
-            for connection in self._idle:
-                with contextlib.suppress(OSError):
-                    connection.shutdown(socket.SHUT_RD)
+        with self._lock:
+            idle = list(self._idle_since)
+        for connection in idle:
+            _shut(connection, socket.SHUT_RD)
+
+    def cut(self) -> int:
+        """Ends all connections at once and returns how many had a request under way."""
+        with self._lock:
+            connections = list(self._open)
+            busy = len(self._open) - len(self._idle_since)
+        for connection in connections:
+            _shut(connection, socket.SHUT_RDWR)
+        return busy
 
     def process_request(self, request: Any, client_address: Any) -> None:
-        if self.tasks.start(self._handle, request, client_address) is None:
-            _refuse_busy(request)
-            self.shutdown_request(request)
+        with self._lock:
+            reserved = len(self._open) >= self.limits.connections
+            full = len(self._open) >= self.limits.connections + self.limits.reserve
+            if not full:
+                self._open[request] = reserved
+            crowded = len(self._open) >= _CROWDED * self.limits.connections
+        if crowded:
+            self._end_idlest()
+        if full or self.tasks.start(self._handle, request, client_address) is None:
+            self._forget(request)
+            self._refuse(request)
+
+    def _end_idlest(self) -> None:
+        """Ends the keep-alive connection that has waited longest, so that idle callers cannot keep others out."""
+        now = time.monotonic()
+        with self._lock:
+            idlest = min(self._idle_since, key=self._idle_since.get, default=None)
+            if idlest is None or now - self._idle_since[idlest] < _IDLE_KEPT_S:
+                return
+            # It is no longer found by the next call, although its task needs a moment to end.
+            self._idle_since[idlest] = float("inf")
+        _shut(idlest, socket.SHUT_RD)
+
+    def _refuse(self, connection: socket.socket) -> None:
+        """Answers without waiting; closing at once would reset the connection before the answer is read."""
+        try:
+            connection.setblocking(False)
+            connection.send(refusal(503, "too_many_connections", "too many connections"))
+            connection.shutdown(socket.SHUT_WR)
+        except OSError:
+            pass
+        self._refused.append((time.monotonic(), connection))
+        self.service_actions()
+
+    def service_actions(self) -> None:
+        """Closes refused connections after a while; called by the accepting thread only."""
+        now = time.monotonic()
+        while self._refused and (len(self._refused) > _REFUSED_KEPT or now - self._refused[0][0] >= _REFUSED_S):
+            self._refused.popleft()[1].close()
+
+    def server_close(self) -> None:
+        super().server_close()
+        while self._refused:
+            self._refused.popleft()[1].close()
 
     def _handle(self, request: Any, client_address: Any) -> None:
         try:
@@ -306,31 +151,28 @@
         except OSError:
             pass
         finally:
+            self._forget(request)
             self.shutdown_request(request)
 
+    def _forget(self, connection: socket.socket) -> None:
+        with self._lock:
+            self._open.pop(connection, None)
+
     def log(self, type: str, message: str, *args: Any) -> None:
         _log.info(message.replace("%", "%%") if not args else message, *args)
 
 
-def _refuse_busy(connection: socket.socket) -> None:
-    error = {"message": "too many connections", "type": "server_error", "param": None, "code": "too_many_connections"}
-    body = json.dumps({"error": {**error, "verdict": "not_run"}}).encode()
-    head = f"HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\nContent-Length: {len(body)}\r\n"
-    try:
-        connection.settimeout(0.2)
-        connection.sendall(f"{head}Retry-After: 1\r\nConnection: close\r\n\r\n".encode() + body)
-        connection.shutdown(socket.SHUT_WR)
-        # Closing with unread input would reset the connection before the caller has read the answer.
-        connection.recv(65_536)
-    except OSError:
-        pass
+def _shut(connection: socket.socket, how: int) -> None:
+    with contextlib.suppress(OSError):
+        connection.shutdown(how)
 
 
 class HttpServer:
     """Serves a WSGI application on one address until the context ends.
 
     The application gets the whole request body in memory and the caller's socket as
-    ``environ["werkzeug.socket"]``. It may raise `AbortStreamError` after the response has begun.
+    ``environ["werkzeug.socket"]``. It may raise `AbortStreamError` after the response has begun. Leaving
+    the context lets the requests under way finish, unless `cut` is called.
     """
 
     def __init__(
@@ -344,18 +186,24 @@
         self.address = "{}:{}".format(*self._server.server_address[:2])
 
     def __enter__(self) -> HttpServer:
-        self._server.tasks.start(self._server.serve_forever, 0.1)
+        self._server.tasks.start(self._server.serve_forever, _ACCEPT_S)
         return self
 
     def __exit__(self, *_: object) -> None:
-        self._server.drain()
-        self._server.shutdown()
-        self._server.server_close()
+        self.stop_listening()
         self._server.tasks.close()
 
+    def stop_listening(self) -> None:
+        """Refuses new connections, ends the idle ones, and the others after the request under way."""
+        if not self._server.draining():
+            self._server.drain()
+            self._server.shutdown()
+            self._server.server_close()
+
+    def busy(self) -> int:
+        """Returns the number of connections with a request under way."""
+        return self._server.busy()
 
-def caller_gone(connection: socket.socket) -> bool:
-    """Says whether the peer of `connection` has closed or reset it."""
-    poller = select.poll()
-    poller.register(connection, select.POLLRDHUP)
-    return bool(poller.poll(0))
+    def cut(self) -> int:
+        """Ends all connections at once and returns how many had a request under way."""
+        return self._server.cut()
--- a/libs/arbutusrill_http/_transfer.py
+++ b/libs/arbutusrill_http/_transfer.py
@@ -12,10 +12,14 @@
 import pycurl
 from arbutusrill_base import Verdict
 
-__all__ = ["Transfer", "TransferResult", "fetch"]
+from ._sockets import limit_silence
+
+__all__ = ["Transfer", "TransferResult", "close_connections", "fetch"]
 
 _CONNECT_MS = 2000
 _KEPT_CONNECTIONS = 4
+_KEPT_S = 20  # below the idle limit of servers, so that a kept connection is rarely a closed one
+_UNACKNOWLEDGED_S = 2.0
 _SLICE_MS = 250
 _IDENTITY = threading.local()
 
@@ -72,6 +76,14 @@
     return _Run(transfer).run()
 
 
+def close_connections() -> None:
+    """Closes the idle connections of the calling thread, after an answer that was meant for another request."""
+    loop = getattr(_IDENTITY, "loop", None)
+    if loop is not None:
+        _IDENTITY.loop = None
+        loop.multi.close()
+
+
 def _multi() -> _Loop:
     loop = getattr(_IDENTITY, "loop", None)
     if loop is None:
@@ -200,8 +212,8 @@
         easy.setopt(pycurl.PROXY, "")
         easy.setopt(pycurl.PATH_AS_IS, 1)
         easy.setopt(pycurl.CONNECTTIMEOUT_MS, _CONNECT_MS)
-        easy.setopt(pycurl.TCP_NODELAY, 1)
-        easy.setopt(pycurl.TCP_KEEPALIVE, 1)
+        easy.setopt(pycurl.SOCKOPTFUNCTION, _on_connection)
+        easy.setopt(pycurl.MAXAGE_CONN, _KEPT_S)
         easy.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
         easy.setopt(pycurl.WRITEFUNCTION, self._on_data)
         easy.setopt(pycurl.HEADERFUNCTION, self._on_header)
@@ -249,6 +261,17 @@
         return None
 
 
+def _on_connection(descriptor: int, _purpose: int) -> int:
+    connection = socket.socket(fileno=descriptor)
+    try:
+        limit_silence(connection, _UNACKNOWLEDGED_S)
+    except OSError:
+        return pycurl.SOCKOPT_ERROR
+    finally:
+        connection.detach()
+    return pycurl.SOCKOPT_OK
+
+
 def _word_of(code: int) -> str:
     if code in (pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST):
         return "connect"
--- /dev/null
+++ b/libs/arbutusrill_http/_writer.py
@@ -0,0 +1,72 @@
+"""Writing of one HTTP response."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+__all__ = ["ResponseWriter"]
+
+
+class ResponseWriter:
+    """Writes one WSGI response, chunked when its length is not known beforehand.
+
+    Each `write` is one send. `handler` is the connection's request handler, whose `close_connection` says
+    whether the connection ends after the response.
+    """
+
+    def __init__(self, handler: Any):
+        self._handler = handler
+        self._status = ""
+        self._headers: list[tuple[str, str]] = []
+        self._chunked = False
+        self._with_body = True
+        self.head_sent = False
+
+    def start(self, status: str, headers: list[tuple[str, str]], exc_info: Any = None) -> Callable[[bytes], None]:
+        """The `start_response` of WSGI."""
+        if self.head_sent:
+            raise RuntimeError("the response has begun")
+        self._status, self._headers = status, headers
+        return self.write
+
+    def _head(self) -> bytes:
+        handler = self._handler
+        names = {name.lower() for name, _ in self._headers}
+        code = int(self._status.split(None, 1)[0])
+        lines = [f"HTTP/1.1 {self._status}", *(f"{name}: {value}" for name, value in self._headers)]
+        if "date" not in names:
+            lines.append(f"Date: {handler.date_time_string()}")
+        bodiless = code in (204, 304) or code < 200
+        self._with_body = not bodiless and handler.command != "HEAD"
+        if "content-length" not in names and self._with_body:
+            self._chunked = handler.request_version >= "HTTP/1.1"
+            if self._chunked:
+                lines.append("Transfer-Encoding: chunked")
+            else:
+                handler.close_connection = True
+        if handler.server.draining():
+            handler.close_connection = True
+        if handler.close_connection:
+            lines.append("Connection: close")
+        elif handler.request_version < "HTTP/1.1":
+            lines.append("Connection: keep-alive")
+        self.head_sent = True
+        return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1", "replace")
+
+    def write(self, data: bytes) -> None:
+        """Writes a piece of the body, after the head when it has not been sent."""
+        head = b"" if self.head_sent else self._head()
+        if not self._with_body:
+            data = b""
+        elif data and self._chunked:
+            data = b"%x\r\n%b\r\n" % (len(data), data)
+        if head or data:
+            self._handler.connection.sendall(head + data)
+
+    def finish(self) -> None:
+        """Writes the end of the response."""
+        if not self.head_sent:
+            self.write(b"")
+        if self._chunked:
+            self._handler.connection.sendall(b"0\r\n\r\n")
--- a/libs/arbutusrill_state/_follower.py
+++ b/libs/arbutusrill_state/_follower.py
@@ -60,6 +60,10 @@
         """Says whether the state was confirmed by a quorum in the last `FRESH_S` seconds."""
         return self._clock.monotonic() - self._confirmed_at < FRESH_S
 
+    def age_s(self) -> float:
+        """Returns how long ago the last confirmed poll was sent, in seconds; infinite before the first."""
+        return self._clock.monotonic() - self._confirmed_at
+
     def holds_lease(self) -> bool:
         """Says whether this VM's lease is still running, so that it may act as an owner."""
         return self._clock.monotonic() < self._lease_until
