--- a/libs/arbutusrill_daemon/_roles.py
+++ b/libs/arbutusrill_daemon/_roles.py
@@ -4,8 +4,9 @@
 
 import contextlib
 import threading
+from typing import Any
 
-from arbutusrill_base import RetryBudget, SystemClock, TaskGroup, new_incarnation
+from arbutusrill_base import Clock, RetryBudget, SystemClock, TaskGroup, new_incarnation
 from arbutusrill_control import ControlService, OperatorApp, SharedMachine
 from arbutusrill_entry import (
     REPORT_S,
@@ -20,9 +21,10 @@
     report_burn,
 )
 from arbutusrill_http import HttpLimits, HttpServer
+from arbutusrill_limits import Limits, TokenLeases
 from arbutusrill_pool import PoolDirectory
 from arbutusrill_raft import LocalLog
-from arbutusrill_state import ControlClient, Follower, VmIdentity
+from arbutusrill_state import ConfigState, ControlClient, Follower, VmIdentity, command
 from arbutusrill_wire import RpcServer, messages
 
 from ._settings import DaemonSettings
@@ -30,6 +32,9 @@
 __all__ = ["run_roles"]
 
 _TICK_S = 0.2
+_RETURN_S = 1.0  # for returning unspent tokens at the end; they are lost to the workspace otherwise
+_POOL_TICK_S = 0.1
+_PROPOSE_S = 3.0
 _RESERVE = 32  # connections for announcements and health checks beyond the callers' bound
 
 
@@ -68,34 +73,77 @@
             yield
 
 
+def _limits(follower: Follower, workspace: str) -> Limits | None:
+    found = follower.config.limits_of(workspace)
+    return None if found is None else Limits(*found)
+
+
 @contextlib.contextmanager
 def _entry(settings: DaemonSettings, hurry: threading.Event):
     role = settings.entry
     clock = SystemClock()
     incarnation = new_incarnation()
     identity = VmIdentity(settings.vm, incarnation, role.http, role.rpc, settings.data_centre)
-    with ControlClient(settings.control_addresses) as client, TaskGroup("entry", 8) as tasks:
+    with contextlib.ExitStack() as stack:
+        client = stack.enter_context(ControlClient(settings.control_addresses))
+        tasks = stack.enter_context(TaskGroup("entry", 8))
         follower = Follower(identity, client, clock)
-        directory = PoolDirectory(settings.vm, incarnation, clock)
-        follower.on_change(lambda: directory.reconcile(list(follower.config.pools_by_name.values())))
+        directory = PoolDirectory(
+            settings.vm,
+            incarnation,
+            clock,
+            follower.holds_lease,
+            follower.config.value,
+            report_order=lambda record: _report_order(client, settings.vm, clock, record),
+        )
+        stack.callback(directory.close)
+        follower.on_change(lambda: _reconcile(directory, follower.config))
+        context = _context(stack, follower, client, directory)
+        application = EntryApp(context, role.announce_token_sha256)
+        limits = HttpLimits(connections=role.connections, reserve=_RESERVE, reserved_paths=RESERVED_PATHS)
         with (
-            contextlib.closing(PoolClients(follower, client, directory)) as pools,
-            HeldTickets(pools, settings.vm, incarnation) as held,
-            Cleanup() as cleanup,
+            RpcServer(*_split(role.rpc), {messages.Pool: directory}),
+            HttpServer(*_split(role.http), application, limits) as server,
         ):
-            context = EntryContext(follower, client, pools, clock, cleanup, held, RetryBudget(), Meters(clock))
-            application = EntryApp(context, role.announce_token_sha256)
-            limits = HttpLimits(connections=role.connections, reserve=_RESERVE, reserved_paths=RESERVED_PATHS)
-            with (
-                RpcServer(*_split(role.rpc), {messages.Pool: directory}),
-                HttpServer(*_split(role.http), application, limits) as server,
-            ):
-                _add_gauges(context, server)
-                follower.start(tasks)
-                tasks.every(REPORT_S, lambda: report_burn(context))
-                yield
-                Drain(context, application, server, hurry).run(role.drain_limit_s)
-            report_burn(context)
+            _add_gauges(context, server)
+            follower.start(tasks)
+            context.limits.start(tasks)
+            tasks.every(_POOL_TICK_S, directory.tick)
+            tasks.every(REPORT_S, lambda: report_burn(context))
+            yield
+            Drain(context, application, server, hurry).run(role.drain_limit_s)
+        context.limits.drain(clock.monotonic() + _RETURN_S)
+        report_burn(context)
+
+
+def _context(
+    stack: contextlib.ExitStack, follower: Follower, client: ControlClient, directory: PoolDirectory
+) -> EntryContext:
+    clock = SystemClock()
+    me = follower.identity
+    pools = stack.enter_context(contextlib.closing(PoolClients(follower, client, directory)))
+    tokens = TokenLeases(
+        me.vm,
+        me.incarnation,
+        lambda request: client.call("grant", request, timeout=1.0),
+        lambda workspace: _limits(follower, workspace),
+        clock,
+    )
+    held = stack.enter_context(HeldTickets(pools, me.vm, me.incarnation))
+    cleanup = stack.enter_context(Cleanup())
+    return EntryContext(follower, client, pools, tokens, clock, cleanup, held, RetryBudget(), Meters(clock))
+
+
+def _reconcile(directory: PoolDirectory, config: ConfigState) -> None:
+    with config.lock:
+        pools = list(config.pools_by_name.values())
+        vms = list(config.vms_by_id.values())
+        orders = list(config.orders_by_id.values())
+    directory.reconcile(pools, vms, orders)
+
+
+def _report_order(client: ControlClient, vm: str, clock: Clock, record: Any) -> bool:
+    return client.call("propose", command(record, vm, clock.wall_ms()), timeout=_PROPOSE_S).accepted
 
 
 def _add_gauges(context: EntryContext, server: HttpServer) -> None:
--- a/libs/arbutusrill_entry/_backends.py
+++ b/libs/arbutusrill_entry/_backends.py
@@ -56,6 +56,7 @@
 
     def announce(self, announcement: Any) -> None:
         """Passes an announcement on to the owner of each of its pools."""
+        self._directory.saw(announcement)
         kind = "service" if announcement.role == "plain" else "model"
         with self._lock:
             self._pools_by_server.pop(announcement.id, None)
--- a/libs/arbutusrill_entry/_completions.py
+++ b/libs/arbutusrill_entry/_completions.py
@@ -17,7 +17,7 @@
 from ._guard import KeyGuard
 from ._parse import Completion, deadline_of, latency_class_of, parse_completion
 from ._relay import Relay, RelayEnd
-from ._slots import Place, Wanted
+from ._slots import Place, Wanted, leave_check
 
 __all__ = ["Completions"]
 
@@ -40,11 +40,19 @@
             message = f"the model {completion.model!r} does not exist"
             raise FailureError(Failure("model_not_found", message, status=404, param="model"))
         wanted = self._wanted(request, completion, guard, call.request_id)
-        with Place(self._context, wanted, request.environ["werkzeug.socket"], guard) as place:
-            relay = Relay(self._context, place, completion, guard)
-            if completion.stream:
-                return _stream(relay, place, completion, call, start_response)
-            return _whole(relay, place, completion, call)(request.environ, start_response)
+        caller = request.environ["werkzeug.socket"]
+        tokens = completion.prompt_tokens + completion.max_tokens
+        check = leave_check(caller, guard)
+        with self._context.limits.charge(guard.workspace, tokens, wanted.deadline, check) as charge:
+            charge.used = 0
+            with Place(self._context, wanted, caller, guard) as place:
+                relay = Relay(self._context, place, completion, guard)
+                try:
+                    if completion.stream:
+                        return _stream(relay, place, completion, call, start_response)
+                    return _whole(relay, place, completion, call)(request.environ, start_response)
+                finally:
+                    charge.used = completion.prompt_tokens + relay.tokens
 
     def _wanted(self, request: Request, completion: Completion, guard: KeyGuard, request_id: str) -> Wanted:
         config = self._context.follower.config
--- a/libs/arbutusrill_entry/_context.py
+++ b/libs/arbutusrill_entry/_context.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from arbutusrill_base import Clock, RetryBudget
+from arbutusrill_limits import TokenLeases
 from arbutusrill_state import ControlClient, Follower
 
 from ._backends import PoolClients
@@ -22,6 +23,7 @@
     follower: Follower
     control: ControlClient
     pools: PoolClients
+    limits: TokenLeases
     clock: Clock
     cleanup: Cleanup
     held: HeldTickets
--- a/libs/arbutusrill_entry/_relay.py
+++ b/libs/arbutusrill_entry/_relay.py
@@ -77,6 +77,11 @@
         self._decode_at = 0.0
         self._refused: Failure | None = None
 
+    @property
+    def tokens(self) -> int:
+        """Number of output tokens passed on so far."""
+        return len(self._texts)
+
     def run(self, on_tokens: Callable[[list[str]], None]) -> RelayEnd:
         """Runs prefill and decode; raises `FailureError` or, when the caller has left, `AbortStreamError`."""
         self._on_tokens = on_tokens
--- a/libs/arbutusrill_entry/_services.py
+++ b/libs/arbutusrill_entry/_services.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import socket
 from collections.abc import Callable, Iterable
 
 from arbutusrill_base import Failure, FailureError, Verdict
 from arbutusrill_http import AbortStreamError, Transfer, TransferResult, fetch
+from arbutusrill_limits import Charge
 from werkzeug.wrappers import Request
 
 from ._answer import Answer
@@ -15,7 +17,7 @@
 from ._guard import KeyGuard
 from ._journal import JournaledCall
 from ._parse import deadline_of, latency_class_of
-from ._slots import Place, Wanted
+from ._slots import Place, Wanted, leave_check
 from ._target import raw_path, route_of
 
 __all__ = ["Services"]
@@ -43,9 +45,22 @@
         refuse_key_in_body(request, follower)
         sending = _Sending(self._context, request, start_response, name, path, route.repeatable, guard, call)
         key = request.headers.get("Idempotency-Key")
-        if route.repeatable or key is None:
-            return sending.run().finish(request.environ)
-        return self._once(sending, JournaledCall(self._context, request, name, guard.workspace, key))
+        with self._charge(sending.wanted, request.environ["werkzeug.socket"], guard) as charge:
+            try:
+                if route.repeatable or key is None:
+                    return sending.run().finish(request.environ)
+                return self._once(sending, JournaledCall(self._context, request, name, guard.workspace, key))
+            finally:
+                if sending.verdict is Verdict.NOT_RUN:
+                    charge.settle(0)
+
+    def _charge(self, wanted: Wanted, caller: socket.socket, guard: KeyGuard) -> Charge:
+        config = self._context.follower.config
+        # Routes open to all have no workspace to charge.
+        tokens = 0.0
+        if guard.workspace:
+            tokens = config.value("limits.plain_call_tokens", workspace=guard.workspace, service=wanted.pool)
+        return self._context.limits.charge(guard.workspace, tokens, wanted.deadline, leave_check(caller, guard))
 
     def _once(self, sending: _Sending, journaled: JournaledCall) -> Iterable[bytes]:
         recorded = journaled.begin()
@@ -86,6 +101,7 @@
         self._call = call
         self._caller = request.environ["werkzeug.socket"]
         self.request = request
+        self.wanted = self._wanted()
         self.start_response = start_response
         self.verdict = Verdict.NOT_RUN
 
@@ -95,7 +111,7 @@
             raise FailureError(Failure("no_server", f"no server of {self._name!r} is known", retry_after=1.0))
         if self._repeatable:
             self._context.budget.request()
-        with Place(self._context, self._wanted(), self._caller, self._guard) as place:
+        with Place(self._context, self.wanted, self._caller, self._guard) as place:
             for attempt in range(1, _ATTEMPTS + 1):
                 answer, result = self._send(place, attempt)
                 if result.whole:
--- a/libs/arbutusrill_entry/_slots.py
+++ b/libs/arbutusrill_entry/_slots.py
@@ -5,6 +5,7 @@
 import json
 import socket
 import time
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -15,7 +16,7 @@
 from ._context import EntryContext
 from ._guard import KeyGuard
 
-__all__ = ["Place", "Wanted"]
+__all__ = ["Place", "Wanted", "leave_check"]
 
 _SLICE_MS = 300
 _PAUSE_S = 0.05
@@ -25,6 +26,24 @@
 _GIVE_UP_S = 10.0
 
 
+def leave_check(caller: socket.socket, guard: KeyGuard) -> Callable[[], bool]:
+    """Returns a function for use while a request waits.
+
+    It raises `AbortStreamError` once the caller has left and `FailureError` once the key is refused, and
+    otherwise returns False.
+    """
+
+    def check() -> bool:
+        if caller_gone(caller):
+            raise AbortStreamError
+        failure = guard.failure(Verdict.NOT_RUN)
+        if failure is not None:
+            raise FailureError(failure)
+        return False
+
+    return check
+
+
 @dataclass(slots=True)
 class Wanted:
     """What a request needs of a pool.
@@ -58,7 +77,7 @@
         self._context = context
         self._wanted = wanted
         self._caller = caller
-        self._guard = guard
+        self._check = leave_check(caller, guard)
         self._visited: list[tuple[str, str]] = []
         self._avoid: list[str] = []
         self._attempt = 0
@@ -118,11 +137,7 @@
             remaining = deadline - time.monotonic()
             if remaining <= 0:
                 raise FailureError(Failure("queue_timeout", f"no place before the deadline ({problem})", retry_after=1))
-            if caller_gone(self._caller):
-                raise AbortStreamError
-            failure = self._guard.failure(Verdict.NOT_RUN)
-            if failure is not None:
-                raise FailureError(failure)
+            self._check()
             try:
                 reply = self._context.pools.call(self._wanted.pool, "acquire", self._request(remaining))
             except (messages.Refused, RpcError) as error:
@@ -158,17 +173,12 @@
 
     def _give_back(self, outcome: str) -> None:
         self.release.outcome = outcome
-        ticket = self.ticket
-        if self._released(self.release):
-            self._context.held.remove(ticket)
-            return
         release = self.release
-        self._context.cleanup.add(
-            f"{ticket} release of its place",
-            lambda: self._released(release),
-            _GIVE_UP_S,
-            lambda: self._context.held.remove(ticket),
-        )
+        # A renewal after the release would make the owner take the ticket in again.
+        self._context.held.remove(self.ticket)
+        if not _release(self._context, release):
+            what = f"{self.ticket} release of its place"
+            self._context.cleanup.add(what, lambda: _release(self._context, release), _GIVE_UP_S)
 
     def _abandon(self, outcome: str, failed_server: str) -> None:
         self.release.outcome = outcome
@@ -179,9 +189,6 @@
         ticket = self.ticket
         self._context.cleanup.add(f"{ticket} cancellation", job.run, _GIVE_UP_S, lambda: held.remove(ticket))
 
-    def _released(self, release: Any) -> bool:
-        return _release(self._context, release)
-
 
 class _Abandon:
     """Cancels a request at the engines that may hold it, then gives its place back."""
@@ -197,9 +204,8 @@
         """Makes one attempt; returns whether everything is acknowledged."""
         self._addresses = [address for address in self._addresses if not _cancel(address, self._release.ticket)]
         if not self._released and (not self._addresses or time.monotonic() >= self._release_at):
+            self._context.held.remove(self._release.ticket)
             self._released = _release(self._context, self._release)
-            if self._released:
-                self._context.held.remove(self._release.ticket)
         return self._released and not self._addresses
 
 
