--- a/libs/arbutusrill_entry/_keys.py
+++ b/libs/arbutusrill_entry/_keys.py
@@ -15,6 +15,7 @@
 # The form of the keys that `new_key` issues: 32 random bytes in URL-safe base64.
 _KEY = re.compile(r"ak-[A-Za-z0-9_-]{43}")
 _BASE64 = re.compile(r"[A-Za-z0-9+/_-]{16,}={0,2}")
+_JSON_ESCAPE = re.compile(r"\\u([0-9a-fA-F]{4})")
 _DECODINGS = 3  # of percent-encoding, one inside the other
 
 
@@ -36,7 +37,8 @@
 
 
 def holds_issued_key(text: str, config: ConfigState, presented: str) -> bool:
-    """Says whether `text` holds the presented key or any key that was ever issued, as it is."""
+    """Says whether `text` holds the presented key or any key that was ever issued, plain or with JSON escapes."""
+    text = _JSON_ESCAPE.sub(lambda found: chr(int(found[1], 16)), text)
     if presented and presented in text:
         return True
     if "ak-" not in text:
--- a/libs/arbutusrill_entry/tests/rig.py
+++ b/libs/arbutusrill_entry/tests/rig.py
@@ -156,9 +156,12 @@
         free = [server for server in self.servers if server[0] not in message.avoid]
         if not free:
             return messages.AcquireReply("refused", None, "no_capacity", "no server is left", 1500)
-        prefill, decode = free[0], free[-1]
+        prefill, decode = free[0], free[-1 if message.pool == "m" else 0]
         return messages.AcquireReply("assigned", messages.Assignment(message.ticket, *prefill, *decode))
 
+    def announce(self, announcement):
+        self.calls.append((self.owner, "announce", announcement))
+
     def named(self, name):
         return [message for _, called, message in self.calls if called == name]
 
--- /dev/null
+++ b/libs/arbutusrill_entry/tests/test_services.py
@@ -0,0 +1,302 @@
+"""Guards against calls that run twice, verdicts that are false, and keys that reach backend servers."""
+
+import base64
+import json
+import socket
+import threading
+import time
+
+import pytest
+from arbutusrill_state import ControlUnavailableError
+from arbutusrill_wire import messages
+from werkzeug.wrappers import Request, Response
+
+from .rig import KEY, entry_rig, eventually
+
+BOOK = "/services/seats/bookings"
+IDEMPOTENT = ["Idempotency-Key: b1"]
+
+
+class Service:
+    """A plain service that keeps what it receives."""
+
+    def __init__(self):
+        self.seen = []
+        self.body = b"{}"
+        self.wait = threading.Event()
+        self.wait.set()
+
+    def __call__(self, environ, start):
+        request = Request(environ)
+        self.seen.append((request.method, environ["REQUEST_URI"], dict(request.headers), request.get_data()))
+        self.wait.wait(10)
+        headers = {"Set-Cookie": "a=b", "ETag": "e", "Content-Encoding": "identity", "X-Internal": "1"}
+        return Response(self.body, 201, headers)(environ, start)
+
+
+class RawServer:
+    """Accepts connections, reads up to `reads` bytes of each and closes it without an answer."""
+
+    def __init__(self, reads):
+        self.reads = reads
+        self.connections = 0
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.address = "http://{}:{}".format(*self.listener.getsockname())
+        self.thread = threading.Thread(target=self._run, daemon=True)
+        self.thread.start()
+
+    def _run(self):
+        while True:
+            try:
+                connection, _ = self.listener.accept()
+            except OSError:
+                return
+            self.connections += 1
+            connection.recv(self.reads)
+            connection.close()
+
+
+@pytest.fixture
+def rig():
+    with entry_rig() as rig:
+        routes = [messages.Route("POST", "/bookings", False, False), messages.Route("GET", "/open", True, True)]
+        rig.follower.apply(messages.PutService("seats", routes))
+        yield rig
+
+
+@pytest.fixture
+def service(rig):
+    service = Service()
+    rig.serve(service)
+    return service
+
+
+@pytest.fixture
+def dropping(rig):
+    server = RawServer(65_536)
+    rig.pools.servers.insert(0, ("dropping", server.address))
+    yield server
+    server.listener.close()
+
+
+def refuse_connections(rig):
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        rig.pools.servers.insert(0, ("refusing", f"http://127.0.0.1:{probe.getsockname()[1]}"))
+
+
+def finishes(rig):
+    eventually(lambda: any(name == "finish_call" for name, _ in rig.control.calls))
+    return [made.journal_finish for name, made in rig.control.calls if name == "finish_call"]
+
+
+def error_of(answer):
+    return json.loads(answer[2])["error"]
+
+
+def test_no_key_reaches_the_server_in_any_place(rig, service):
+    encoded = base64.b64encode(f"user:{KEY}".encode()).decode()
+    headers = [
+        f"X-Api-Key: {KEY}",
+        f"Cookie: session={KEY}",
+        f"X-Note: my key is {KEY}",
+        f"X-Encoded: ak%2D{KEY[3:]}",
+        f"X-Basic: {encoded}",
+        "X-Forwarded-Authorization: Basic dXNlcjpwYXNz",
+        f"Referer: http://x/?key={KEY}",
+        "Proxy-Authorization: Bearer other",
+        f"X-Old: ak-{'o' * 43}",
+        "X-Kept: yes",
+    ]
+    query = f"api_key={KEY}&access_token=z&k%65y=z&note=ak%252D{KEY[3:]}&stop=9&ak-{'q' * 43}=1"
+    status, _, _, _ = rig.call("GET", f"/services/seats/stops?{query}", headers=headers)
+    assert status == 201
+    _, target, seen, _ = service.seen[0]
+    assert target == "/stops?stop=9"
+    assert seen["X-Kept"] == "yes"
+    text = json.dumps(seen)
+    assert KEY[3:] not in text and encoded not in text and "Bearer" not in text and "Basic" not in text
+    assert not {"Authorization", "Cookie", "X-Old"} & set(seen)
+
+
+def test_key_on_an_open_route_is_not_passed_on(rig, service):
+    assert rig.call("GET", "/services/seats/open", headers=["X-Workspace: forged"])[0] == 201
+    assert KEY not in json.dumps(service.seen[0][2]) and "X-Workspace" not in service.seen[0][2]
+
+
+@pytest.mark.parametrize(
+    "path, body",
+    [
+        (f"/services/seats/{KEY}", b""),
+        ("/services/seats/ak%2D" + KEY[3:], b""),
+        (BOOK, b'{"key": "%s"}' % KEY.encode()),
+    ],
+)
+def test_key_in_path_or_body_is_refused(rig, service, path, body):
+    answer = rig.call("POST", path, body)
+    assert (answer[0], error_of(answer)["verdict"]) == (400, "not_run")
+    assert not service.seen
+
+
+def test_workspace_and_method_cannot_be_forged(rig, service):
+    rig.call("GET", "/services/seats/stops", headers=["X-Workspace: other", "X-HTTP-Method-Override: POST"])
+    seen = service.seen[0][2]
+    assert seen["X-Workspace"] == "dispatch" and "X-Http-Method-Override" not in seen
+
+
+@pytest.mark.parametrize(
+    "path", ["/a/../bookings", "/%2e%2e/bookings", "/.%252e/x", "/a#/bookings", "/a\\b", "//bookings"]
+)
+def test_path_that_servers_read_differently_is_refused(rig, service, path):
+    assert rig.call("POST", f"/services/seats{path}")[0] in (400, 404)
+    assert not service.seen
+
+
+@pytest.mark.parametrize("path", ["/%62ookings", "/%2562ookings"])
+def test_encoded_path_still_meets_its_route(rig, dropping, path):
+    rig.follower.apply(messages.PutService("seats", [messages.Route("*", "/bookings", False, False)]))
+    answer = rig.call("GET", f"/services/seats{path}")
+    assert error_of(answer)["verdict"] == "may_have_run"
+    assert dropping.connections == 1
+
+
+def test_path_and_query_arrive_as_sent(rig, service):
+    rig.call("GET", "/services/seats/a%20b/%2F?x=%20&y")
+    assert service.seen[0][1] == "/a%20b/%2F?x=%20&y"
+
+
+def test_answer_keeps_only_headers_that_are_meant_for_the_caller(rig, service):
+    status, headers, _, _ = rig.call("GET", "/services/seats/stops")
+    assert (status, headers["etag"], headers["content-encoding"]) == (201, "e", "identity")
+    assert "set-cookie" not in headers and "x-internal" not in headers
+
+
+def test_repeatable_call_is_repeated_elsewhere(rig, service, dropping):
+    assert rig.call("GET", "/services/seats/stops")[0] == 201
+    assert rig.pools.named("acquire")[-1].avoid == ["dropping"]
+
+
+def test_repeatable_call_without_budget_says_may_have_run(rig, service, dropping):
+    while rig.budget.take():
+        pass
+    answer = rig.call("GET", "/services/seats/stops")
+    assert (answer[0], error_of(answer)["verdict"]) == (502, "may_have_run")
+    assert not service.seen
+
+
+def test_refused_connection_is_not_run_and_another_server_is_tried(rig, service):
+    refuse_connections(rig)
+    assert rig.call("POST", BOOK, b"{}", IDEMPOTENT)[0] == 201
+    assert len(service.seen) == 1
+
+
+def test_call_that_no_server_took_may_be_sent_again(rig):
+    refuse_connections(rig)
+    answer = rig.call("POST", BOOK, b"{}", IDEMPOTENT)
+    assert error_of(answer)["verdict"] == "not_run"
+    assert finishes(rig)[0].status == "not_run"
+
+
+@pytest.mark.parametrize("reads", [1, 65_536])
+def test_sent_call_may_have_run_and_is_never_sent_again(rig, service, reads):
+    server = RawServer(reads)
+    rig.pools.servers.insert(0, ("dropping", server.address))
+    answer = rig.call("POST", BOOK, b"{}", IDEMPOTENT)
+    assert (answer[0], error_of(answer)["verdict"]) == (502, "may_have_run")
+    assert finishes(rig)[0].status == "unknown"
+    assert (server.connections, len(service.seen)) == (1, 0)
+    server.listener.close()
+
+
+def test_call_without_idempotency_key_is_sent_once(rig, service, dropping):
+    assert error_of(rig.call("POST", BOOK, b"{}"))["verdict"] == "may_have_run"
+    assert (dropping.connections, len(service.seen), rig.control.calls) == (1, 0, [])
+
+
+@pytest.mark.parametrize("fails", [MemoryError("no memory"), RuntimeError("bug")])
+def test_exception_after_the_send_leaves_no_false_verdict(rig, service, monkeypatch, fails):
+    def broken(*_):
+        raise fails
+
+    monkeypatch.setattr("arbutusrill_entry._answer.Answer.on_data", broken)
+    answer = rig.call("POST", BOOK, b"{}", IDEMPOTENT)
+    assert (answer[0], error_of(answer)["verdict"]) == (500, "may_have_run")
+    assert finishes(rig)[0].status == "unknown"
+
+
+def test_journal_that_does_not_answer_means_nothing_is_sent(rig, service):
+    rig.control.answers = [ControlUnavailableError("lost", sent=True), messages.BeginAnswer("started", 3)]
+    answer = rig.call("POST", BOOK, b"{}", IDEMPOTENT)
+    assert (answer[0], error_of(answer)["verdict"]) == (503, "not_run")
+    assert (finishes(rig)[0].attempt, finishes(rig)[0].status) == (3, "not_run")
+    assert not service.seen
+
+
+def test_outcome_is_recorded_later_when_the_journal_is_away(rig, service):
+    rig.control.answers = [messages.BeginAnswer("started", 1), ControlUnavailableError("lost", sent=True)]
+    assert rig.call("POST", BOOK, b"{}", IDEMPOTENT)[0] == 201
+    eventually(lambda: len(finishes(rig)) == 2)
+    assert finishes(rig)[0] == finishes(rig)[1]
+
+
+def test_recorded_headers_are_few(rig, service):
+    rig.call("POST", BOOK, b"{}", IDEMPOTENT)
+    finish = finishes(rig)[0]
+    assert (finish.status, finish.http_status, finish.body) == ("done", 201, b"{}")
+    assert {name for name, _ in json.loads(finish.headers_json)} <= {"content-type", "content-encoding", "etag"}
+
+
+def test_large_answer_is_passed_on_whole_and_recorded_as_ran(rig, service):
+    service.body = b"x" * 3_000_000
+    status, _, body, whole = rig.call("POST", BOOK, b"{}", IDEMPOTENT)
+    assert (status, len(body), whole) == (201, 3_000_000, True)
+    assert (finishes(rig)[0].status, finishes(rig)[0].body or b"") == ("ran", b"")
+
+
+@pytest.mark.parametrize("change", ["caller", "key", "stale"])
+def test_sent_call_is_never_cut(rig, service, change):
+    service.wait.clear()
+    connection = rig.send("POST", BOOK, b"{}", IDEMPOTENT)
+    eventually(lambda: service.seen)
+    if change == "caller":
+        connection.close()
+    elif change == "key":
+        rig.follower.apply(messages.WithdrawKey("k1"))
+    else:
+        rig.follower.is_fresh = False
+    time.sleep(0.8)
+    assert not [name for name, _ in rig.control.calls if name == "finish_call"]
+    service.wait.set()
+    assert finishes(rig)[0].status == "done"
+
+
+def test_repeatable_call_of_a_withdrawn_key_ends(rig, service):
+    service.wait.clear()
+    with rig.send("GET", "/services/seats/stops") as connection:
+        eventually(lambda: service.seen)
+        rig.follower.apply(messages.WithdrawKey("k1"))
+        started = time.monotonic()
+        answer = connection.makefile("rb").read()
+    assert time.monotonic() - started < 5
+    assert b" 401 " in answer and b"may_have_run" in answer
+    service.wait.set()
+
+
+def test_caller_who_leaves_the_queue_leaves_no_unknown_outcome(rig):
+    rig.pools.reply = messages.AcquireReply("pending")
+    connection = rig.send("POST", BOOK, b"{}", IDEMPOTENT)
+    eventually(lambda: rig.pools.named("acquire"))
+    connection.close()
+    assert finishes(rig)[0].status == "not_run"
+
+
+@pytest.mark.parametrize(
+    "status, expected",
+    [("mismatch", (422, "not_run")), ("running", (409, "may_have_run")), ("unknown", (409, "may_have_run"))]
+    + [("ran", (409, "ran"))],
+)
+def test_journal_answers_carry_their_verdict(rig, service, status, expected):
+    rig.control.answers = [messages.BeginAnswer(status, 1)]
+    answer = rig.call("POST", BOOK, b"{}", IDEMPOTENT)
+    assert (answer[0], error_of(answer)["verdict"]) == expected
+    assert not service.seen
--- /dev/null
+++ b/libs/arbutusrill_http/tests/test_server.py
@@ -0,0 +1,232 @@
+"""Guards against a server that hangs, misreads a request or lets a cut answer look complete."""
+
+import json
+import socket
+import threading
+import time
+
+import pytest
+from werkzeug.wrappers import Request, Response
+
+from arbutusrill_http import AbortStreamError, HttpLimits, HttpServer
+
+LIMITS = HttpLimits(
+    connections=4,
+    header_bytes=2000,
+    body_bytes=1000,
+    header_s=0.5,
+    body_s=0.5,
+    reserve=2,
+    reserved_paths=("/healthz",),
+)
+
+
+class App:
+    def __init__(self):
+        self.hold = threading.Event()
+        self.bodies = []
+
+    def __call__(self, environ, start):
+        request = Request(environ)
+        self.bodies.append(request.get_data())
+        if request.path == "/hold":
+            self.hold.wait(20)
+        if request.path == "/abort":
+            start("200 OK", [])(b"some")
+            raise AbortStreamError
+        if request.path == "/stream":
+            start("200 OK", [])(b"some")
+            return [b"more"]
+        if request.path == "/bug":
+            raise RuntimeError("bug")
+        return Response(b"whole")(environ, start)
+
+
+@pytest.fixture
+def app():
+    return App()
+
+
+@pytest.fixture
+def server(app):
+    with HttpServer("127.0.0.1", 0, app, LIMITS) as server:
+        yield server
+        app.hold.set()
+
+
+def connect(server):
+    host, port = server.address.split(":")
+    return socket.create_connection((host, int(port)), timeout=10)
+
+
+def exchange(server, data):
+    with connect(server) as connection:
+        connection.sendall(data)
+        return connection.makefile("rb").read()
+
+
+def get(path, more=""):
+    return f"GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n{more}\r\n".encode()
+
+
+def hold(server, app, number):
+    """Takes `number` connections; returns them once each has a request under way."""
+    connections = [connect(server) for _ in range(number)]
+    for connection in connections:
+        connection.sendall(get("/hold"))
+    until = time.monotonic() + 5
+    while len(app.bodies) < number and time.monotonic() < until:
+        time.sleep(0.01)
+    return connections
+
+
+def test_connections_above_the_bound_get_503_at_once(server, app):
+    held = hold(server, app, LIMITS.connections)
+    started = time.monotonic()
+    answers = [exchange(server, get("/x")) for _ in range(10)]
+    assert time.monotonic() - started < 3
+    for answer in answers:
+        assert answer.startswith(b"HTTP/1.1 503 ") and b'"verdict": "not_run"' in answer and b"Retry-After" in answer
+    app.hold.set()
+    assert all(connection.makefile("rb").read().endswith(b"whole") for connection in held)
+
+
+def test_silent_connections_above_the_bound_do_not_stop_the_server(server, app):
+    held = hold(server, app, LIMITS.connections)
+    silent = [connect(server) for _ in range(20)]
+    started = time.monotonic()
+    assert exchange(server, get("/x")).startswith(b"HTTP/1.1 503 ")
+    assert time.monotonic() - started < 2
+    for connection in held + silent:
+        connection.close()
+
+
+def test_reserved_paths_are_served_when_callers_take_all_connections(server, app):
+    held = hold(server, app, LIMITS.connections)
+    assert exchange(server, get("/healthz")).endswith(b"whole")
+    for connection in held:
+        connection.close()
+
+
+def test_idle_connections_give_way_to_new_ones(server):
+    idle = [connect(server) for _ in range(LIMITS.connections)]
+    for connection in idle:
+        connection.sendall(b"GET /x HTTP/1.1\r\nHost: x\r\n\r\n")
+        connection.recv(1000)
+    time.sleep(0.3)
+    answers = []
+    for _ in range(20):
+        answers.append(exchange(server, get("/x")))
+        time.sleep(0.02)
+    assert any(answer.endswith(b"whole") for answer in answers)
+    for connection in idle:
+        connection.close()
+
+
+@pytest.mark.parametrize(
+    "start", [b"GET / HT", b"GET / HTTP/1.1\r\nHost: x\r\n", b"POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\nab"]
+)
+def test_slow_request_times_out(server, start):
+    started = time.monotonic()
+    answer = exchange(server, start)
+    assert b" 408 " in answer and b'"verdict": "not_run"' in answer
+    assert time.monotonic() - started < 5
+
+
+@pytest.mark.parametrize(
+    "headers, status, param",
+    [
+        ("Content-Length: 1\r\nContent-Length: 1\r\n", 400, "Content-Length"),
+        ("Content-Length: 1\r\nContent-Length: 2\r\n", 400, "Content-Length"),
+        ("Content-Length: 1\r\nTransfer-Encoding: chunked\r\n", 400, "Content-Length"),
+        ("Content-Length: -1\r\n", 400, "Content-Length"),
+        ("Content-Length: +1\r\n", 400, "Content-Length"),
+        ("Content-Length: 1, 1\r\n", 400, "Content-Length"),
+        ("Content-Length: " + "9" * 30 + "\r\n", 400, "Content-Length"),
+        ("Content-Length: 1001\r\n", 413, "body"),
+        ("Transfer-Encoding: gzip\r\n", 501, "Transfer-Encoding"),
+        ("X-Long: " + "x" * 2500 + "\r\n", 431, "headers"),
+        ("X-Folded: a\r\n b\r\n", 400, "headers"),
+        ("X Space: a\r\n", 400, "headers"),
+        ("no colon\r\n", 400, "headers"),
+    ],
+)
+def test_request_that_can_be_misread_is_refused(server, app, headers, status, param):
+    answer = exchange(server, b"POST /x HTTP/1.1\r\nHost: x\r\n" + headers.encode() + b"\r\nX")
+    assert answer.startswith(f"HTTP/1.1 {status} ".encode()), answer[:100]
+    error = json.loads(answer.partition(b"\r\n\r\n")[2])["error"]
+    assert (error["verdict"], error["param"]) == ("not_run", param)
+    assert not app.bodies
+
+
+@pytest.mark.parametrize(
+    "chunks, status",
+    [(b"zz\r\nab\r\n", 400), (b"-1\r\nab\r\n", 400), (b"7d0\r\n" + b"x" * 2000 + b"\r\n0\r\n\r\n", 413)],
+)
+def test_malformed_chunks_are_refused(server, app, chunks, status):
+    answer = exchange(server, b"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks)
+    assert f" {status} ".encode() in answer[:20]
+    assert not app.bodies
+
+
+def test_chunked_body_arrives_whole(server, app):
+    exchange(
+        server,
+        b"POST / HTTP/1.1\r\nHost: x\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+    )
+    assert app.bodies == [b"abc"]
+
+
+def test_body_that_the_caller_breaks_off_is_not_served(server, app):
+    with connect(server) as connection:
+        connection.sendall(b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nab")
+    time.sleep(0.2)
+    assert not app.bodies
+
+
+@pytest.mark.parametrize(
+    "line", [b"GET\r\n\r\n", b"GET / HTTP/9.9\r\n\r\n", b"\x16\x03\x01\r\n\r\n", b"GET /" + b"a" * 3000 + b"\r\n"]
+)
+def test_malformed_request_line_gets_a_json_error(server, line):
+    answer = exchange(server, line)
+    assert b'"verdict": "not_run"' in answer
+
+
+def test_cut_stream_does_not_look_complete(server):
+    assert exchange(server, get("/stream")).endswith(b"0\r\n\r\n")
+    assert not exchange(server, get("/abort")).endswith(b"0\r\n\r\n")
+
+
+def test_bug_in_the_application_may_have_run(server):
+    assert b'"verdict": "may_have_run"' in exchange(server, get("/bug"))
+
+
+def test_head_has_no_body_and_1_0_ends_with_the_connection(server):
+    assert exchange(server, b"HEAD /stream HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n").endswith(b"\r\n\r\n")
+    answer = exchange(server, b"GET /stream HTTP/1.0\r\n\r\n")
+    assert b"chunked" not in answer and answer.endswith(b"somemore")
+
+
+def test_kept_connection_serves_many_requests(server):
+    with connect(server) as connection, connection.makefile("rb") as stream:
+        for _ in range(3):
+            connection.sendall(b"GET /x HTTP/1.1\r\nHost: x\r\n\r\n")
+            assert stream.readline() == b"HTTP/1.1 200 OK\r\n"
+            while stream.readline() != b"\r\n":
+                pass
+            assert stream.read(5) == b"whole"
+
+
+def test_leaving_finishes_requests_and_refuses_new_ones(app):
+    with HttpServer("127.0.0.1", 0, app, LIMITS) as server:
+        (held,) = hold(server, app, 1)
+        idle = connect(server)
+        idle.sendall(b"GET /x HTTP/1.1\r\nHost: x\r\n\r\n")
+        assert idle.recv(1000).endswith(b"whole")
+        server.stop_listening()
+        assert server.busy() == 1
+        with pytest.raises(ConnectionRefusedError):
+            connect(server)
+        assert idle.recv(1) == b""
+        app.hold.set()
+        assert held.makefile("rb").read().endswith(b"whole")
--- /dev/null
+++ b/libs/arbutusrill_http/tests/test_transfer.py
@@ -0,0 +1,78 @@
+"""Guards against transfers with a false verdict, and connections that stay silent for ever."""
+
+import socket
+import threading
+import time
+
+import pytest
+from arbutusrill_base import Verdict
+from werkzeug.wrappers import Response
+
+from arbutusrill_http import HttpServer, Transfer, fetch
+from arbutusrill_http._sockets import limit_silence
+
+
+def serve_once(script):
+    listener = socket.create_server(("127.0.0.1", 0))
+
+    def run():
+        connection, _ = listener.accept()
+        with connection:
+            script(connection)
+
+    threading.Thread(target=run, daemon=True).start()
+    return "http://{}:{}/".format(*listener.getsockname())
+
+
+def test_refused_connection_is_not_run():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        url = "http://{}:{}/".format(*probe.getsockname())
+    result = fetch(Transfer("POST", url, body=b"x"))
+    assert (result.error, result.verdict) == ("connect", Verdict.NOT_RUN)
+
+
+@pytest.mark.parametrize(
+    "script",
+    [
+        lambda connection: None,
+        lambda connection: connection.recv(1),
+        lambda connection: (
+            connection.recv(9999),
+            connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab"),
+        ),
+        lambda connection: (connection.recv(9999), connection.sendall(b"HTT")),
+    ],
+)
+def test_broken_answer_may_have_run(script):
+    result = fetch(Transfer("POST", serve_once(script), body=b"x", fresh=True))
+    assert not result.whole
+    assert result.verdict is Verdict.MAY_HAVE_RUN
+
+
+def test_silent_server_ends_at_the_stall_limit():
+    started = time.monotonic()
+    result = fetch(Transfer("POST", serve_once(lambda c: time.sleep(5)), body=b"x", stall_s=0.4, fresh=True))
+    assert (result.error, result.verdict) == ("stall", Verdict.MAY_HAVE_RUN)
+    assert time.monotonic() - started < 3
+
+
+def test_fresh_transfers_never_share_a_connection():
+    ports = []
+
+    def app(environ, start):
+        ports.append(environ["REMOTE_PORT"])
+        return Response(b"ok")(environ, start)
+
+    with HttpServer("127.0.0.1", 0, app) as server:
+        for fresh in (True, True, False, False):
+            assert fetch(Transfer("GET", f"http://{server.address}/", fresh=fresh)).whole
+    assert len(set(ports[:3])) == 3
+    assert ports[2] == ports[3], "other transfers reuse theirs"
+
+
+def test_silent_connections_are_bounded_in_time():
+    with socket.socket() as connection:
+        limit_silence(connection, 2.0)
+        assert connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT) == 2000
+        assert connection.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE) == 1
