--- a/libs/arbutusrill_daemon/_roles.py
+++ b/libs/arbutusrill_daemon/_roles.py
@@ -6,7 +6,7 @@
 import threading
 from typing import Any
 
-from arbutusrill_base import Clock, RetryBudget, SystemClock, TaskGroup, new_incarnation
+from arbutusrill_base import Clock, PartLog, RetryBudget, SystemClock, TaskGroup, new_incarnation
 from arbutusrill_control import ControlService, OperatorApp, SharedMachine
 from arbutusrill_entry import (
     REPORT_S,
@@ -23,15 +23,17 @@
 from arbutusrill_http import HttpLimits, HttpServer
 from arbutusrill_limits import Limits, TokenLeases
 from arbutusrill_pool import PoolDirectory
-from arbutusrill_raft import LocalLog
-from arbutusrill_state import ConfigState, ControlClient, Follower, VmIdentity, command
+from arbutusrill_raft import Replica
+from arbutusrill_state import ConfigState, ControlClient, Follower, JournalClient, VmIdentity, command
 from arbutusrill_wire import RpcServer, messages
 
 from ._settings import DaemonSettings
 
 __all__ = ["run_roles"]
 
+_log = PartLog("daemon")
 _TICK_S = 0.2
+_FLUSH_S = 5.0  # for recording outcomes at the end when the control group is briefly away
 _RETURN_S = 1.0  # for returning unspent tokens at the end; they are lost to the workspace otherwise
 _POOL_TICK_S = 0.1
 _PROPOSE_S = 3.0
@@ -61,12 +63,15 @@
     role = settings.control
     clock = SystemClock()
     machine = SharedMachine()
-    with LocalLog(machine, role.rpc) as log, ControlClient(settings.control_addresses) as client:
+    with (
+        Replica(role.rpc, settings.control_addresses, role.data_folder, machine) as log,
+        ControlClient(settings.control_addresses) as client,
+    ):
         service = ControlService(log, machine, clock)
         operators = OperatorApp(service, client, clock, role.operator_token_sha256_by_name)
         with (
             TaskGroup("control", 4) as tasks,
-            RpcServer(*_split(role.rpc), {messages.Control: service}),
+            RpcServer(*_split(role.rpc), {messages.Control: service, messages.Raft: log.handler}),
             HttpServer(*_split(role.http), operators),
         ):
             tasks.every(_TICK_S, service.tick)
@@ -108,11 +113,14 @@
             _add_gauges(context, server)
             follower.start(tasks)
             context.limits.start(tasks)
+            context.journal.start(tasks)
             tasks.every(_POOL_TICK_S, directory.tick)
             tasks.every(REPORT_S, lambda: report_burn(context))
             yield
             Drain(context, application, server, hurry).run(role.drain_limit_s)
         context.limits.drain(clock.monotonic() + _RETURN_S)
+        if not context.journal.flush(clock.monotonic() + _FLUSH_S):
+            _log.warning("outcomes of once-only calls are not recorded, resends will be told that they are unknown")
         report_burn(context)
 
 
@@ -129,9 +137,10 @@
         lambda workspace: _limits(follower, workspace),
         clock,
     )
+    journal = JournalClient(me.vm, me.incarnation, client, clock)
     held = stack.enter_context(HeldTickets(pools, me.vm, me.incarnation))
     cleanup = stack.enter_context(Cleanup())
-    return EntryContext(follower, client, pools, tokens, clock, cleanup, held, RetryBudget(), Meters(clock))
+    return EntryContext(follower, client, pools, tokens, journal, clock, cleanup, held, RetryBudget(), Meters(clock))
 
 
 def _reconcile(directory: PoolDirectory, config: ConfigState) -> None:
--- a/libs/arbutusrill_entry/_context.py
+++ b/libs/arbutusrill_entry/_context.py
@@ -6,7 +6,7 @@
 
 from arbutusrill_base import Clock, RetryBudget
 from arbutusrill_limits import TokenLeases
-from arbutusrill_state import ControlClient, Follower
+from arbutusrill_state import ControlClient, Follower, JournalClient
 
 from ._backends import PoolClients
 from ._cleanup import Cleanup
@@ -24,6 +24,7 @@
     control: ControlClient
     pools: PoolClients
     limits: TokenLeases
+    journal: JournalClient
     clock: Clock
     cleanup: Cleanup
     held: HeldTickets
--- a/libs/arbutusrill_entry/_drain.py
+++ b/libs/arbutusrill_entry/_drain.py
@@ -8,8 +8,6 @@
 
 from arbutusrill_base import PartLog
 from arbutusrill_http import HttpServer
-from arbutusrill_state import ControlUnavailableError, command
-from arbutusrill_wire import messages
 
 from ._app import EntryApp
 from ._context import EntryContext
@@ -19,6 +17,7 @@
 _SEEN_S = 5.0  # time for the control group to confirm the state
 _MARGIN_S = 1.0
 _HANDOVER_S = 4.0
+_RELEASE_S = 1.0
 _STEP_S = 0.1
 _log = PartLog("drain")
 
@@ -45,7 +44,8 @@
         seen = self._wait(self._is_seen, min(deadline, time.monotonic() + _SEEN_S))
         if not seen and not self._hurry.is_set():
             _log.warning("the control group has not confirmed that this VM drains")
-        self._release_pools(min(deadline, time.monotonic() + _HANDOVER_S))
+        if not self._wait(lambda: follower.release_pools(_RELEASE_S), min(deadline, time.monotonic() + _HANDOVER_S)):
+            _log.warning("not all pools are released, their leases will end")
         margin_s = float(follower.config.value("entries.max_age_s")) + _MARGIN_S
         self._wait(lambda: False, min(deadline, time.monotonic() + margin_s))
         self._server.stop_listening()
@@ -58,22 +58,6 @@
         vm = self._context.follower.config.vms_by_id.get(identity.vm)
         return vm is not None and vm.state == "draining" and vm.incarnation == identity.incarnation
 
-    def _release_pools(self, deadline: float) -> None:
-        """Gives up the pools that this run of this VM owns, so that others own them at once."""
-        identity = self._context.follower.identity
-        for pool in list(self._context.follower.config.pools_by_name.values()):
-            if (pool.owner, pool.owner_incarnation) != (identity.vm, identity.incarnation):
-                continue
-            release = messages.ReleasePool(pool.name, identity.vm, pool.epoch)
-            made = command(release, identity.vm, self._context.clock.wall_ms())
-            try:
-                remaining = max(0.1, deadline - time.monotonic())
-                outcome = self._context.control.call("propose", made, timeout=remaining)
-            except (ControlUnavailableError, messages.Refused) as error:
-                _log.warning("pool %s not released: %s", pool.name, error)
-                continue
-            _log.info("pool %s released: %s", pool.name, outcome.message or "accepted")
-
     def _wait(self, condition: Callable[[], bool], deadline: float) -> bool:
         """Waits until `condition()`, `deadline` or `hurry`; returns whether the condition was met."""
         while not condition():
--- a/libs/arbutusrill_entry/_services.py
+++ b/libs/arbutusrill_entry/_services.py
@@ -49,7 +49,7 @@
             try:
                 if route.repeatable or key is None:
                     return sending.run().finish(request.environ)
-                return self._once(sending, JournaledCall(self._context, request, name, guard.workspace, key))
+                return self._once(sending, JournaledCall(self._context.journal, request, name, guard.workspace, key))
             finally:
                 if sending.verdict is Verdict.NOT_RUN:
                     charge.settle(0)
@@ -67,7 +67,7 @@
         if recorded is not None:
             return recorded(sending.request.environ, sending.start_response)
         try:
-            answer = sending.run()
+            answer = sending.run(journaled)
         except BaseException:
             journaled.fail(sending.verdict)
             raise
@@ -103,10 +103,12 @@
         self.request = request
         self.wanted = self._wanted()
         self.start_response = start_response
+        self._journaled: JournaledCall | None = None
         self.verdict = Verdict.NOT_RUN
 
-    def run(self) -> Answer:
+    def run(self, journaled: JournaledCall | None = None) -> Answer:
         """Returns a complete answer; raises `FailureError` or `AbortStreamError`."""
+        self._journaled = journaled
         if self._context.pools.known(self._name) is None:
             raise FailureError(Failure("no_server", f"no server of {self._name!r} is known", retry_after=1.0))
         if self._repeatable:
@@ -150,6 +152,8 @@
         kept = 0 if self._repeatable else self._context.follower.config.value("journal.answer_bytes")
         answer = Answer(self.start_response, self._call.request_id, kept, outlives_caller=not self._repeatable)
         transfer = self._transfer(place, attempt, answer)
+        if self._journaled is not None:
+            self._journaled.check_send(self.wanted.deadline)
         before = self.verdict
         self.verdict = before.worst(Verdict.MAY_HAVE_RUN)
         result = fetch(transfer)
--- a/libs/arbutusrill_pool/_orders.py
+++ b/libs/arbutusrill_pool/_orders.py
@@ -20,7 +20,7 @@
 CLOCK_DRIFT_S = 0.2
 TRIES = 10
 RETRY_S = 1.0
-FINAL_STATES = ("done", "failed", "withdrawn")
+GIVEN_STATES = ("released", "running")  # the control group releases orders as far as the weight store allows
 _log = PartLog("pool orders")
 
 
@@ -80,7 +80,7 @@
     def reconcile(self, records: list[Any]) -> None:
         """Takes the orders of this pool from the configuration."""
         with self._lock:
-            open_ids = {record.id for record in records if record.state not in FINAL_STATES}
+            open_ids = {record.id for record in records if record.state in GIVEN_STATES}
             for record in records:
                 if record.id in open_ids and record.id not in self._order_by_id:
                     self._order_by_id[record.id] = self._new(record)
--- /dev/null
+++ b/libs/arbutusrill_pool/tests/test_order_release.py
@@ -0,0 +1,24 @@
+"""Guards against orders that start before the control group has released them, which overloads the weight store."""
+
+import pytest
+from arbutusrill_base import ManualClock
+from arbutusrill_wire import messages
+
+from arbutusrill_pool import OrderRunner
+
+
+class Target:
+    def server_address(self, server_id):
+        return "http://127.0.0.1:1", True
+
+    def hold_for_order(self, server_id, held):
+        return True
+
+
+@pytest.mark.parametrize(("state", "starts"), [("requested", False), ("released", True), ("done", False)])
+def test_only_a_released_order_starts(state, starts):
+    started = []
+    runner = OrderRunner(1, ManualClock(), Target(), None, lambda record: True, started.append, lambda: True)
+    runner.reconcile([messages.PutOrder("o", "server", "p", "load", "{}", state)])
+    runner.tick()
+    assert bool(started) == starts
