raft: tests that fail for each removed safeguard

Change: tests for both, for the kept vote, the log comparison, entries of older terms and overlapping membership changes; the random test delays syncs and brings one replica back late after a power failure of all.

--- a/libs/arbutusrill_raft/tests/group.py
+++ b/libs/arbutusrill_raft/tests/group.py
@@ -39,6 +39,9 @@
         self.durable = {}
         self.error = None  # raised by writes
         self.sync_error = None
+        self.sync_s = 0.0  # longest time of a sync
+        self.syncs = threading.Event()  # a sync waits while it is clear
+        self.syncs.set()
         self.dead = False
         self.lock = threading.RLock()
 
@@ -47,6 +50,7 @@
             names = rng.choice([self.durable, self.files])
             self.dead = True
             disk = MemoryDisk()
+            disk.sync_s = self.sync_s
             for name, file in names.items():
                 new = disk.files[name] = disk.durable[name] = File()
                 keep = file.synced + rng.randint(0, len(file.data) - file.synced)
@@ -85,6 +89,9 @@
             self.files.setdefault(name, File()).data.extend(data)
 
     def sync(self, name):
+        self.syncs.wait(PATIENCE_S)
+        if self.sync_s:
+            time.sleep(random.uniform(0, self.sync_s))
         with self.lock:
             self._use(self.sync_error)
             self.files[name].synced = len(self.files[name].data)
@@ -174,6 +181,7 @@
         self.initial = [f"10.0.0.{number + 1}:7400" for number in range(count)]
         self.disks, self.machines, self.replicas = {}, {}, {}
         self.cuts = set()  # pairs (from, to) over which nothing passes
+        self.sync_s = 0.0
         self.loss = self.duplicates = self.delay_s = 0.0
 
     def __enter__(self):
@@ -187,6 +195,7 @@
 
     def start(self, address, clock: Clock | None = None):
         disk = self.disks.setdefault(address, MemoryDisk())
+        disk.sync_s = self.sync_s
         machine = self.machines[address] = ListMachine()
         link = Link(self, address)
         replica = Replica(address, self.initial, disk, machine, link, clock, self.timing, self.bounds)
--- a/libs/arbutusrill_raft/tests/test_random.py
+++ b/libs/arbutusrill_raft/tests/test_random.py
@@ -111,11 +111,16 @@
         self._pause()
         self.group.start(address)
 
-    def _kill_all(self, _):
+    def _kill_all(self, late):
+        """Power failure of all; one replica, often the leader, returns later than the others."""
+        late = next((a for a, replica in self.group.replicas.items() if replica.is_leader()), late)
         for address in self.group.initial:
             self.group.kill(address)
-        for address in self.rng.sample(self.group.initial, 3):
-            self.group.start(address)
+        for address in self.group.initial:
+            if address != late:
+                self.group.start(address)
+        time.sleep(self.rng.choice([0.0, 2 * self.group.timing.election_max_s]))
+        self.group.start(late)
 
     def _lose_disk(self, address):
         """Loses a disk, repairs, and loses another replica's disk right after the repair."""
@@ -168,7 +173,9 @@
 
 @pytest.mark.parametrize("seed", SEEDS)
 def test_accepted_entries_survive_random_faults(seed):
-    with Group(bounds=SMALL, seed=seed) as group:
+    group = Group(bounds=SMALL, seed=seed)
+    group.sync_s = 0.004  # longer than a message, so that an early acknowledgement shows
+    with group:
         group.leader()
         faults = Faults(group, seed)
         with Clients(group, 3) as clients:
--- a/libs/arbutusrill_raft/tests/test_replica.py
+++ b/libs/arbutusrill_raft/tests/test_replica.py
@@ -1,5 +1,6 @@
 """Guards against a group that loses, reorders or reverts accepted entries, or stops without need."""
 
+import dataclasses
 import errno
 import threading
 import time
@@ -9,7 +10,7 @@
 
 from arbutusrill_raft import Bounds, LogUnavailableError, MembershipError, NotLeaderError
 
-from .group import PATIENCE_S, SMALL, Group, refused, wait_until
+from .group import PATIENCE_S, QUICK, SMALL, Group, refused, wait_until
 
 
 def entries(count, first=0):
@@ -129,6 +130,101 @@
         assert not replica.handler.vote(request).granted
 
 
+def test_vote_is_kept_through_a_power_failure():
+    # A second vote in the same term could elect two leaders.
+    with Group() as group:
+        address = group.followers()[0]
+        group.kill(group.leader())
+        for other in set(group.replicas) - {address}:
+            group.kill(other)
+        replica = group.replicas[address]
+        time.sleep(group.timing.election_max_s)
+        status = replica.status()
+        request = messages.VoteRequest(status.term + 5, "10.0.0.9:1/x", 999, 999, target=status.replica)
+        assert replica.handler.vote(request).granted
+        group.kill(address)
+        replica = group.start(address)
+        time.sleep(group.timing.election_max_s)
+        request.candidate = "10.0.0.8:1/y"
+        assert not replica.handler.vote(request).granted
+        request.candidate = "10.0.0.9:1/x"
+        assert replica.handler.vote(request).granted
+
+
+def test_vote_goes_only_to_a_log_that_is_as_long():
+    with Group() as group:
+        propose_all(group, entries(3))
+        group.wait_equal()
+        address = group.followers()[0]
+        for other in set(group.replicas) - {address}:
+            group.kill(other)
+        replica = group.replicas[address]
+        time.sleep(group.timing.election_max_s)
+        log = replica._core.log
+        for term, index in ((log.last_term, log.last_index - 1), (log.last_term - 1, log.last_index + 9)):
+            request = messages.VoteRequest(99, "10.0.0.9:1/x", index, term, target=replica.status().replica)
+            assert not replica.handler.vote(request).granted
+
+
+def test_entry_of_an_older_term_is_not_committed_by_counting_copies():
+    # Another leader may still replace such an entry; only one of the current term settles it.
+    with Group() as group:
+        group.propose(b"a")
+        leader = group.leader()
+        core = group.replicas[leader]._core
+        with core.lock:
+            last = core.log.last_index
+            core.append_own(0, b"older")
+            core.storage.save_meta(core.term + 1, core.me)
+            for progress in core.progress_by_peer.values():
+                progress.match_index = last + 1
+            core.durable_index = last + 1
+            core.advance_commit()
+            assert core.commit_index <= last
+
+
+def test_membership_change_waits_for_the_previous_one():
+    # Two changes under way could leave two majorities without a common voter.
+    with Group() as group:
+        group.propose(b"a")
+        leader = group.leader()
+        replica = group.replicas[leader]
+        replica._core.timing = dataclasses.replace(QUICK, election_max_s=PATIENCE_S)  # no step-down meanwhile
+        for number in (8, 9):
+            group.start(f"10.0.0.{number}:7400")
+        group.cuts = {(leader, other) for other in group.initial}
+        with pytest.raises(LogUnavailableError) as caught:
+            replica.add_learner("10.0.0.8:7400", 0.05)
+        assert caught.value.appended
+        with pytest.raises(LogUnavailableError, match="earlier membership change") as caught:
+            replica.add_learner("10.0.0.9:7400", 0.05)
+        assert not caught.value.appended
+
+
+def test_nothing_is_accepted_before_a_majority_has_synced_it():
+    with Group() as group:
+        group.propose(b"a")
+        group.wait_equal()
+        for address in group.followers():
+            group.disks[address].syncs.clear()
+        with pytest.raises(LogUnavailableError) as caught:
+            group.replicas[group.leader()].propose(b"b", 2 * group.timing.election_max_s)
+        assert caught.value.appended
+        for disk in group.disks.values():
+            disk.syncs.set()
+        group.propose(b"c")
+        group.wait_equal([b"a", b"b", b"c"])
+
+
+def test_leader_without_a_quorum_steps_down_by_itself():
+    # It would otherwise keep its clients waiting for answers that cannot come.
+    with Group() as group:
+        leader = group.leader()
+        for follower in group.followers():
+            group.kill(follower)
+        wait_until(lambda: group.replicas[leader].status().role == "follower", "the leader steps down")
+
+
 def test_far_behind_follower_gets_a_snapshot_in_parts():
     with Group(bounds=SMALL) as group:
         follower = group.followers()[0]
