pool: keep the share of others free and bound what is kept

Cause: with one workspace at 5x its rate, slots and prefill servers filled up with its requests, and others were refused because its backlog, held back for long, counted as ahead of theirs. Change: each workspace has a credit of its share; beyond it, it leaves free what the others are expected to need. A backlog beyond its share no longer counts in the predictions of others, and saves up no virtual time. Ruled out: reserving by recent peaks of use (held back whole pools), by predicted load alone (starves when costs are overestimated).

--- a/libs/arbutusrill_pool/_dispatch.py
+++ b/libs/arbutusrill_pool/_dispatch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from typing import Any
 
@@ -22,6 +23,11 @@
 MAX_QUEUED = 20_000  # about 40 MB; at the peak of 540 requests/s this is more than half a minute
 BRIEFING_HEADROOM = 0.1  # part of the slots that briefings leave for requests that cannot wait
 BRIEFING_SLACK_S = 4.0  # a briefing due within this time waits no longer for idle servers
+LOW_CREDIT = 0.25  # part of the savings of a workspace below which it is close to its share
+# Standard deviations of the others' use that a workspace beyond its share leaves free. Slots are held for many times
+# longer than a prefill server: with 0.5 for both, 5x of one workspace moved the others' 95% quantile by 40% to 85%.
+VARIATION_BY_KIND = {"prefill_s": 0.5, "decode_s": 2.0}
+NEAR_VARIATION_BY_KIND = {"prefill_s": 0.0, "decode_s": 0.5}  # the same for one that is close to its share
 _TRIES = 4  # tickets tried in one dispatch after finding no room; only unusual ones differ
 _MIN_RETRY_MS = 100
 
@@ -67,7 +73,7 @@
             return
         self._queue.remove(ticket)
         share = self._share(ticket, now)
-        predicted = self._queue.wait_s(share, ticket.band) + idle_s
+        predicted = self._queue.wait_s(share, ticket.band, now) + idle_s
         if predicted > terms.first_token_s:
             message = f"the first token is predicted after {predicted:.2f} s, the limit is {terms.first_token_s:.2f} s"
             self.refuse(ticket, "overloaded", message, predicted - terms.first_token_s)
@@ -133,7 +139,8 @@
 
     def _try(self, ticket: Ticket, now: float) -> bool:
         """Places or refuses a ticket; returns False when it has to wait."""
-        if self.policy.reserves and self._held_back(ticket):
+        if self.policy.reserves and self._held_back(ticket, now):
+            self._queue.pass_over(self._share(ticket, now))
             return False
         placement = self.policy.place(self._wanted(ticket), self._index, now)
         if placement is None:
@@ -169,34 +176,40 @@
             wanted.cached_by_server = {server: count * tokens for server, count in matches.items()}
         return wanted
 
-    def _held_back(self, ticket: Ticket) -> bool:
-        """Says whether a ticket has to leave the free slots to others.
+    def _held_back(self, ticket: Ticket, now: float) -> bool:
+        """Says whether a ticket has to leave the free servers to others.
 
-        A workspace beyond its share leaves free what the others used lately and do not hold now; briefings
-        leave a part for requests that cannot wait. A retry after a failure may take any slot.
+        Briefings leave a part of the slots for requests that cannot wait. A retry after a failure may take any.
         """
         if ticket.request.avoid:
             return False
         stage = self._index.stage("plain" if self.plain else "decode")
-        reserve = 0.0
-        if ticket.band is Band.DEFERRED:
-            reserve = max(1.0, BRIEFING_HEADROOM * stage.slots) if len(stage.ready.members) > 1 else 0.0
-        share = self._queue.share_by_workspace[ticket.queue_name]
-        total = max(share.weight, self._queue.active_weight)
-        if share.slots + 1 > stage.slots * share.weight / total:
-            reserve += sum(
-                other.spare_slots(stage.slots * other.weight / total)
-                for other in self._queue.share_by_workspace.values()
-                if other is not share
-            )
-        if stage.free <= reserve:
+        several = len(stage.ready.members) > 1
+        if ticket.band is Band.DEFERRED and several and stage.free <= max(1.0, BRIEFING_HEADROOM * stage.slots):
             return True
-        if self.plain or total <= share.weight:
+        share = self._queue.share_by_workspace[ticket.queue_name]
+        if self._queue.active_weight <= share.weight:
             return False
+        if self._beyond_share(share, "decode_s", stage.free, stage.slots, now):
+            return True
         prefill = self._index.stage("prefill")
-        servers = len(prefill.ready.members)
-        over = share.prefills + 1 > servers * share.weight / total
-        return over and servers > 2 and prefill.idle < 2
+        return not self.plain and self._beyond_share(share, "prefill_s", prefill.idle, len(prefill.ready.members), now)
+
+    def _beyond_share(self, share: Share, kind: str, free: int, total: int, now: float) -> bool:
+        """Says whether a workspace may not use one of the `free` of `total` slots or prefill servers.
+
+        A workspace that has used up its share leaves free what the others are expected to need in the next
+        moment: their recent mean use, with some variation, less what they use now. One that is close to its share
+        does not queue behind the prefills of others.
+        """
+        credit = self._queue.credit_part(share, kind, now)
+        if credit >= LOW_CREDIT:
+            return False
+        usual = self._queue.usual_of_others(share, kind, total)
+        if credit >= 0:
+            return free < 1 + NEAR_VARIATION_BY_KIND[kind] * math.sqrt(usual)
+        in_use = self._queue.in_use[kind] - share.in_use(kind)
+        return free < 1 + max(0.0, usual + VARIATION_BY_KIND[kind] * math.sqrt(usual) - in_use)
 
     # ---- upkeep
 
@@ -219,7 +232,7 @@
             self.dispatch(now)
 
     def _retry_s(self, ticket: Ticket, now: float) -> float:
-        return self._queue.wait_s(self._share(ticket, now), ticket.band)
+        return self._queue.wait_s(self._share(ticket, now), ticket.band, now)
 
     def _switch_policy(self, now: float) -> None:
         name = self._value("policy.name")
--- a/libs/arbutusrill_pool/_holding.py
+++ b/libs/arbutusrill_pool/_holding.py
@@ -91,7 +91,7 @@
         self.held_by_ticket[held.ticket] = held
         self._places[held.ticket] = places
         self._freed_at.pop(held.ticket, None)
-        self._queue.share(held.workspace, self._weight(held.workspace), now).use(1, int(held.prefilling))
+        self._use(held, now, 1, int(held.prefilling))
         for server in places:
             self._update(server, now)
 
@@ -100,7 +100,7 @@
         if not held.prefilling:
             return
         held.prefilling = False
-        self._queue.share(held.workspace, self._weight(held.workspace), now).use(0, -1)
+        self._use(held, now, 0, -1)
         places = self._places[held.ticket]
         for server in list(places):
             ended = server.end_prefill(held.ticket, now)
@@ -126,7 +126,7 @@
         for server in self._places.pop(held.ticket):
             server.leave()
             self._update(server, now)
-        self._queue.share(held.workspace, self._weight(held.workspace), now).use(-1, 0)
+        self._use(held, now, -1, 0)
         self._freed_at[held.ticket] = now
 
     def forget_freed(self, now: float) -> None:
@@ -134,6 +134,9 @@
         while self._freed_at and now - next(iter(self._freed_at.values())) > REMEMBERED_S:
             self._freed_at.popitem(last=False)
 
+    def _use(self, held: Held, now: float, slots: int, prefills: int) -> None:
+        self._queue.use(self._queue.share(held.workspace, self._weight(held.workspace), now), slots, prefills)
+
     def _weight(self, workspace: str) -> float:
         share = self._queue.share_by_workspace.get(workspace)
         return share.weight if share is not None else 1.0
--- a/libs/arbutusrill_pool/_shares.py
+++ b/libs/arbutusrill_pool/_shares.py
@@ -15,10 +15,12 @@
 
 __all__ = ["FairQueue", "Share"]
 
-PEAK_S = 5.0  # use of the last 5 to 10 s is kept free for a workspace within its share
-LOAD_S = 1.0
+LOAD_S = 0.5  # period in which loads and credits are brought up to date
+SAVED_S = 10.0  # a workspace that used less than its share may use this much of it at once
+OVERDRAWN_S = 1.0  # what it used beyond its share in idle times does not count against it for longer
+COST_KINDS = ("prefill_s", "decode_s")
 ACTIVE_S = 10.0  # a workspace seen within this time counts for the shares of the others
-_LOAD_RATE = 0.2
+_LOAD_RATE = 0.1  # loads follow a change within 5 s
 IDLE_S = 30.0  # a workspace without requests for this long is forgotten
 
 
@@ -36,38 +38,30 @@
     slots: int = 0
     prefills: int = 0
     load: Cost = field(default_factory=Cost)  # recent use of the pool, seconds of it each second
+    usual: dict[str, float] = field(default_factory=dict)  # recent mean of what is held, by kind of cost
+    credit: dict[str, float] = field(default_factory=dict)  # seconds of the pool, by kind of cost
     charged: Cost = field(default_factory=Cost)  # since the load was last computed
     offered: dict[Band, float | None] = field(default_factory=dict)  # virtual time in the heap of each band
-    _slots_peaks: tuple[int, int] = (0, 0)
-    _prefills_peaks: tuple[int, int] = (0, 0)
+
+    def in_use(self, kind: str) -> int:
+        """Returns the slots (``decode_s``) or prefills (``prefill_s``) that the workspace holds."""
+        return self.slots if kind == "decode_s" else self.prefills
 
     def use(self, slots: int, prefills: int) -> None:
         """Changes the number of slots and prefills that the workspace holds."""
         self.slots += slots
         self.prefills += prefills
         assert self.slots >= 0 and self.prefills >= 0, f"workspace {self.workspace} gave back more than it held"
-        self._slots_peaks = (max(self._slots_peaks[0], self.slots), self._slots_peaks[1])
-        self._prefills_peaks = (max(self._prefills_peaks[0], self.prefills), self._prefills_peaks[1])
-
-    def next_period(self) -> None:
-        """Begins a new period of the recent peaks."""
-        self._slots_peaks = (self.slots, self._slots_peaks[0])
-        self._prefills_peaks = (self.prefills, self._prefills_peaks[0])
-
-    def next_load(self, span_s: float) -> None:
-        """Mixes the use of the last `span_s` seconds into `load`."""
-        for name in ("prefill_s", "decode_s"):
-            before = getattr(self.load, name)
-            setattr(self.load, name, before + _LOAD_RATE * (getattr(self.charged, name) / span_s - before))
-        self.charged = Cost()
 
-    def spare_slots(self, limit: float) -> float:
-        """Returns how many slots the workspace used lately, up to `limit`, and does not hold now."""
-        return max(0.0, min(limit, max(self._slots_peaks)) - self.slots)
-
-    def spare_prefills(self, limit: float) -> float:
-        """Returns how many prefills the workspace ran at once lately, up to `limit`, and does not run now."""
-        return max(0.0, min(limit, max(self._prefills_peaks)) - self.prefills)
+    def next_load(self, span_s: float, part: float) -> None:
+        """Mixes the last `span_s` seconds into `load` and `usual` and grants the fair `part` of that time."""
+        for name in COST_KINDS:
+            before, used = getattr(self.load, name), getattr(self.charged, name)
+            setattr(self.load, name, before + _LOAD_RATE * (used / span_s - before))
+            self.usual[name] = self.usual.get(name, 0.0) + _LOAD_RATE * (self.in_use(name) - self.usual.get(name, 0.0))
+            credit = self.credit.get(name, part * SAVED_S) + part * span_s - used
+            self.credit[name] = min(part * SAVED_S, max(-part * OVERDRAWN_S, credit))
+        self.charged = Cost()
 
 
 class FairQueue:
@@ -79,9 +73,12 @@
         self._virtual_now = 0.0
         self._heaps: dict[Band, list] = {band: [] for band in Band}
         self._number = itertools.count()
-        self._period_at = float("-inf")
+        self._forgot_at = float("-inf")
         self._load_at = float("-inf")
         self.active_weight = 0.0
+        self.in_use = dict.fromkeys(COST_KINDS, 0)
+        self._usual = dict.fromkeys(COST_KINDS, 0.0)
+        self._load = dict.fromkeys(COST_KINDS, 0.0)
 
     def share(self, workspace: str, weight: float, now: float) -> Share:
         """Returns the share of a workspace, which counts as active from now."""
@@ -169,12 +166,13 @@
                 found.append(ticket)
         return found
 
-    def wait_s(self, share: Share, band: Band) -> float:
+    def wait_s(self, share: Share, band: Band, now: float) -> float:
         """Returns how long a new ticket of `share` would wait for the tickets that are placed before it, in seconds.
 
-        A workspace is counted with what it gets until its virtual time passes that of the new ticket. The pool
-        works on them with what the recent load of the other workspaces leaves, at least with the share's part.
+        A workspace is counted with what it gets until its virtual time passes that of the new ticket. One that has
+        used more than its share yields to the others, and gets what their recent load leaves or its share.
         """
+        held_back = self.over_any(share, now)
         bands = [other for other in Band if other <= band]
         own = sum(share.backlog[other].price for other in bands)
         tag = max(share.virtual_time, self._virtual_now) + own / share.weight
@@ -182,7 +180,7 @@
         for other in self.share_by_workspace.values():
             if other is not share:
                 load.add(other.load)
-            if not other.queued:
+            if not other.queued or (not held_back and other is not share and self.over_any(other, now)):
                 continue
             for each in bands:
                 cost = other.backlog[each]
@@ -191,9 +189,47 @@
                     continue
                 allowed = max(0.0, (tag - other.virtual_time) * other.weight)
                 ahead.add(cost, min(1.0, allowed / cost.price))
+        if not held_back:
+            return max(ahead.prefill_s, ahead.decode_s)
         part = share.weight / max(share.weight, self.active_weight)
         return max(ahead.prefill_s / max(part, 1.0 - load.prefill_s), ahead.decode_s / max(part, 1.0 - load.decode_s))
 
+    def credit_part(self, share: Share, kind: str, now: float) -> float:
+        """Returns what a workspace may still use of its share, of ``prefill_s`` or ``decode_s``.
+
+        1 is the most that it can save up; below 0 it has used more than its share.
+        """
+        part = share.weight / max(share.weight, self.active_weight)
+        earned = (now - self._load_at) * part
+        credit = share.credit.get(kind, part * SAVED_S) + earned - getattr(share.charged, kind)
+        return credit / (part * SAVED_S)
+
+    def usual_of_others(self, share: Share, kind: str, total: int) -> float:
+        """Returns how many of `total` slots or prefill servers the other workspaces are expected to need.
+
+        The charges of their recent requests predict it; what they really held lately bounds the prediction, since an
+        overestimated cost would otherwise keep free what nobody uses.
+        """
+        held = max(0.0, self._usual[kind] - share.usual.get(kind, 0.0))
+        predicted = total * max(0.0, self._load[kind] - getattr(share.load, kind))
+        return min(predicted, 1.5 * held + 2)
+
+    def use(self, share: Share, slots: int, prefills: int) -> None:
+        """Changes what a workspace holds."""
+        share.use(slots, prefills)
+        self.in_use["decode_s"] += slots
+        self.in_use["prefill_s"] += prefills
+
+    def over_any(self, share: Share, now: float) -> bool:
+        """Says whether a workspace has used more than its share of prefill or of decode."""
+        return any(self.credit_part(share, kind, now) < 0 for kind in COST_KINDS)
+
+    def pass_over(self, share: Share) -> None:
+        """Notes that a workspace beyond its share was not served, so that it does not save up virtual time."""
+        if share.virtual_time < self._virtual_now:
+            share.virtual_time = self._virtual_now
+            self._offer(share)
+
     def tickets(self) -> list[Ticket]:
         """Returns all waiting tickets."""
         return [
@@ -212,12 +248,13 @@
             shares = self.share_by_workspace.values()
             self.active_weight = sum(share.weight for share in shares if now - share.seen_at < ACTIVE_S)
             for share in shares:
-                share.next_load(min(span, 10 * LOAD_S))
-        if now - self._period_at < PEAK_S:
+                share.next_load(min(span, 10 * LOAD_S), share.weight / max(self.active_weight, share.weight))
+            self._load = {kind: sum(getattr(share.load, kind) for share in shares) for kind in COST_KINDS}
+            self._usual = {kind: sum(share.usual[kind] for share in shares) for kind in COST_KINDS}
+        if now - self._forgot_at < IDLE_S:
             return
-        self._period_at = now
+        self._forgot_at = now
         for share in list(self.share_by_workspace.values()):
-            share.next_period()
             if not share.queued and not share.slots and not share.prefills and now - share.seen_at > IDLE_S:
                 del self.share_by_workspace[share.workspace]
 
