bench: sustained load until the last measured deadline

Change: arrivals go on for 8 s after the measured time, the longest deadline is 8 s, the peak lasts for the whole measured time, the steady rate is 89% of the decode runners. Before/after: test_measures with the old load: the two new tests fail; with the new one all pass. Ruled out: shorter deadlines alone, the end of the run stays idle.

--- a/libs/arbutusrill_bench/_load.py
+++ b/libs/arbutusrill_bench/_load.py
@@ -28,10 +28,14 @@
 
 @dataclass(slots=True)
 class LoadJob:
-    """What one load process has to do. `start_at` is on the machine's monotonic clock, in seconds."""
+    """What one load process has to do. `start_at` is on the machine's monotonic clock, in seconds.
+
+    The outcomes are written when all requests planned before `measured_until` have ended; the load goes on.
+    """
 
     seed: int
     start_at: float
+    measured_until: float
     model: str
     service: str
     entries: list[str]
@@ -121,17 +125,16 @@
         self._entries = list(job.entries)
         self._outcomes: list[Outcome] = []
         self._lock = threading.Lock()
+        self._open = sum(request.at < job.measured_until for request in job.requests)
 
     def run(self) -> None:
-        """Sends all requests and writes the outcomes."""
+        """Sends all requests and writes the outcomes when the measured ones have ended."""
         threading.Thread(target=self._refresh, name="entries", daemon=True).start()
         with ThreadPoolExecutor(_THREADS) as executor:
             for request in self._job.requests:
                 due = self._job.start_at + request.at
                 time.sleep(max(0.0, due - time.monotonic()))
                 executor.submit(self._send, request, due)
-        rows = [asdict(outcome) for outcome in self._outcomes]
-        Path(self._job.answer_path).write_text(json.dumps(rows))
 
     def _refresh(self) -> None:
         """Asks for the list of entry VMs from time to time, as callers do."""
@@ -156,6 +159,16 @@
         outcome.end_s = time.monotonic() - due
         with self._lock:
             self._outcomes.append(outcome)
+            self._open -= request.at < self._job.measured_until
+            if self._open == 0 and request.at < self._job.measured_until:
+                self._write()
+
+    def _write(self) -> None:
+        """Writes the outcomes so that they appear at once and whole."""
+        path = Path(self._job.answer_path)
+        part = path.with_suffix(".part")
+        part.write_text(json.dumps([asdict(outcome) for outcome in self._outcomes]))
+        part.rename(path)
 
     def _fetch(self, request: Planned, make: Transfer, path: str) -> TransferResult:
         """Sends to one entry VM, and to the next ones while connections are refused."""
--- a/libs/arbutusrill_bench/_measures.py
+++ b/libs/arbutusrill_bench/_measures.py
@@ -8,7 +8,7 @@
 from hdrh.histogram import HdrHistogram
 
 from ._load import Outcome
-from ._workload import Planned, Workload
+from ._workload import Planned, Span, Workload
 
 __all__ = ["Measures", "Targets", "excess_tokens", "inside_rate", "measure", "quantiles_ms"]
 
@@ -132,13 +132,12 @@
     requests: list[Planned],
     outcome_by_number: dict[int, Outcome],
     targets: Targets,
-    warm_up_s: float,
-    seconds: float,
+    span: Span,
 ) -> Measures:
-    """Works out the measures of the requests that were sent after the warm-up."""
+    """Works out the measures of the requests that were planned in the measured time."""
     result = Measures()
     inside = inside_rate(requests, load)
-    completions = [row for row in requests if row.kind == "completion" and row.at >= warm_up_s]
+    completions = [row for row in requests if row.kind == "completion" and span.measures(row.at)]
     category_by_number = {row.number: category(row, outcome_by_number.get(row.number), targets) for row in completions}
     outcomes = [outcome_by_number[number] for number in category_by_number if number in outcome_by_number]
     result.offered = len(completions)
@@ -146,13 +145,13 @@
     result.code_counts = dict(Counter(row.code or row.error for row in outcomes if row.code or row.error))
     result.good = result.category_counts.get("good", 0)
     result.goodput_share = result.good / max(1, result.offered)
-    result.goodput_per_s = result.good / max(0.001, seconds - warm_up_s)
+    result.goodput_per_s = result.good / span.measured
     result.first_token_ms = quantiles_ms([row.first_s * 1000 for row in outcomes if row.first_s >= 0])
     result.token_gap_ms = quantiles_ms([gap for row in outcomes for gap in row.gaps_ms])
     result.sent_late_p99_ms = quantiles_ms([row.late_s * 1000 for row in outcomes]).get("p99", 0.0)
     _by_workspace(result, load, completions, category_by_number, inside)
     _refusals(result, completions, category_by_number, outcome_by_number, inside)
-    _plain(result, requests, outcome_by_number)
+    _plain(result, [row for row in requests if span.measures(row.at)], outcome_by_number)
     for workspace in load.workspaces:
         admitted = [
             (row.at, row.at + outcome_by_number[row.number].first_s, row.charge)
--- a/libs/arbutusrill_bench/_report.py
+++ b/libs/arbutusrill_bench/_report.py
@@ -50,7 +50,7 @@
 def table_lines(report: Report) -> list[str]:
     """Returns the report as lines of text."""
     lines = [
-        f"commit {report.commit}, seed {report.seed}, {report.seconds:g} s of load per run, "
+        f"commit {report.commit}, seed {report.seed}, {report.seconds:g} s measured per run, "
         f"time scale {report.time_scale:g}, started {report.started_at}",
         f"{'scenario':<14}{'policy':<15}{'goodput':>8}{'per s':>7}{'wasted':>8}{'worst':>7}{'w/mean':>7}"
         f"{'false rej':>10}{'by limit':>9}{'ttft p95':>10}{'gap p95':>9}{'over':>6}{'rep':>4}{'busy':>6}{'load':>6}",
--- a/libs/arbutusrill_bench/_runs.py
+++ b/libs/arbutusrill_bench/_runs.py
@@ -17,7 +17,7 @@
 from ._measures import Measures, Targets, measure
 from ._scenarios import Event, Scenario
 from ._site import LocalSite, SiteError
-from ._workload import Planned, plan
+from ._workload import Planned, Span, plan
 
 __all__ = ["Run", "RunOptions", "run_scenario"]
 
@@ -40,8 +40,7 @@
     """Settings that all runs of one bench share. `time_scale` multiplies all times of the load and the engines."""
 
     seed: int = 1
-    seconds: float = 14.0
-    warm_up_s: float = 2.0
+    span: Span = Span(2.0, 9.0, 8.0)
     time_scale: float = 1.0
     load_processes: int = 3
 
@@ -80,7 +79,7 @@
 
 def run_scenario(scenario: Scenario, policy: str, options: RunOptions) -> Run:
     """Runs one scenario under one policy; a site that does not come up is reported in `failed`."""
-    run = Run(scenario.name, policy, options.seed, options.seconds, options.time_scale)
+    run = Run(scenario.name, policy, options.seed, options.span.measured, options.time_scale)
     cpu = _Cpu()
     try:
         with LocalSite(controls=scenario.controls, entries=scenario.entries) as site:
@@ -110,10 +109,10 @@
         """Prepares the site, sends the load and works out the measures."""
         self._prepare()
         options = self._options
-        requests = plan(self._load, options.seconds, options.seed)
+        requests = plan(self._load, options.span, options.seed)
         jobs, processes = self._start_load(requests)
         try:
-            self._watch(jobs[0].start_at, processes)
+            self._watch(jobs, processes)
         finally:
             for process in processes:
                 if process.poll() is None:
@@ -121,14 +120,10 @@
                 process.wait()
         outcome_by_number = {}
         for job in jobs:
-            path = Path(job.answer_path)
-            if not path.exists():
-                raise SiteError("a load process ended without outcomes")
-            outcome_by_number.update({row["number"]: Outcome(**row) for row in json.loads(path.read_text())})
-        self._run.measures = measure(
-            self._load, requests, outcome_by_number, self._targets, options.warm_up_s, options.seconds
-        )
-        self._count()
+            rows = json.loads(Path(job.answer_path).read_text())
+            outcome_by_number.update({row["number"]: Outcome(**row) for row in rows})
+        self._run.measures = measure(self._load, requests, outcome_by_number, self._targets, options.span)
+        self._sum_counters()
 
     # ---- preparation
 
@@ -198,6 +193,7 @@
             job = LoadJob(
                 self._options.seed,
                 start_at,
+                self._options.span.end,
                 MODEL,
                 SERVICE,
                 [member.address for member in self._site.of_kind("entry")],
@@ -212,19 +208,22 @@
             processes.append(subprocess.Popen(command, stdin=subprocess.DEVNULL))
         return jobs, processes
 
-    def _watch(self, start_at: float, processes: list[subprocess.Popen]) -> None:
-        """Carries out the events, keeps the engines' counters, and waits for the load to end."""
-        seconds = self._options.seconds
+    def _watch(self, jobs: list[LoadJob], processes: list[subprocess.Popen]) -> None:
+        """Carries out the events and keeps the engines' counters until all measured requests have ended."""
+        span, start_at = self._options.span, jobs[0].start_at
         events = sorted(self._scenario.events, key=lambda event: event.at)
-        deadline = start_at + seconds + _DRAIN_S * self._options.time_scale
-        while any(process.poll() is None for process in processes):
+        deadline = start_at + span.end + span.after + _DRAIN_S * self._options.time_scale
+        while not all(Path(job.answer_path).exists() for job in jobs):
             now = time.monotonic()
             if now > deadline:
-                raise SiteError("the load did not end in time")
-            while events and now >= start_at + events[0].at * seconds:
+                raise SiteError("the measured requests did not end in time")
+            if any(process.poll() for process in processes):
+                raise SiteError("a load process failed")
+            while events and span.part(now - start_at) >= events[0].at:
                 self._happen(events.pop(0))
             self._count()
             time.sleep(0.2)
+        self._count()
 
     def _happen(self, event: Event) -> None:
         name = self._leader() if event.member == "control-leader" else event.member
@@ -235,7 +234,7 @@
         else:
             body: dict[str, Any] = {"kind": event.action, **dict(event.options)}
             if "part" in body:
-                body["for_s"] = body.pop("part") * self._options.seconds
+                body["for_s"] = body.pop("part") * self._options.span.measured
             url = f"http://{self._site.members_by_name[name].address}/stand-in/fault"
             result = fetch(Transfer("POST", url, [], json.dumps(body).encode(), timeout_s=3.0))
             if result.status != 200:
@@ -258,15 +257,14 @@
         """Keeps the last known counters of each engine, also of one that is killed later."""
         for member in self._site.of_kind("engine"):
             if member.process is not None and member.process.poll() is None:
-                self._run.engines[member.name] = self._counters(member.address) or self._run.engines.get(
-                    member.name, {}
-                )
+                known = self._run.engines.get(member.name, {})
+                self._run.engines[member.name] = self._counters(member.address) or known
+
+    def _sum_counters(self) -> None:
         measures = self._run.measures
         totals = self._run.engines.values()
         measures.prefill_tokens = sum(row.get("prefill_tokens", 0) for row in totals)
         wasted = sum(row.get("prefill_tokens_wasted", 0) for row in totals)
         measures.wasted_prefill_share = wasted / max(1.0, measures.prefill_tokens)
-        repeated = 0
         for member in self._site.of_kind("seats"):
-            repeated += (self._counters(member.address) or {}).get("repeated", 0)
-        measures.bookings_repeated = repeated
+            measures.bookings_repeated += (self._counters(member.address) or {}).get("repeated", 0)
--- a/libs/arbutusrill_bench/_scenarios.py
+++ b/libs/arbutusrill_bench/_scenarios.py
@@ -10,20 +10,20 @@
 
 POLICIES = ("round_robin", "least_loaded", "prefill_first", "reserving")
 
-# Mean work of a completion of `_CLASSES`: about 1,100 prompt tokens and 100 output tokens. Four prefill runners of
-# 10,000 tokens/s take about 35/s without any cached prefix; five decode runners with 20 slots, whose gap with a full
-# batch is 14 ms x 1.86 = 26 ms, take about 38/s. 28/s is near saturation with room for the variation of arrivals.
-STEADY_RATE = 28.0
+# A completion of `_CLASSES` has about 1,100 prompt and 105 output tokens. Five decode runners with 20 slots, whose gap
+# with a full batch is 14 ms x 1.86 = 26 ms, make 3,850 tokens/s; four prefill runners make 40,000 tokens/s. 32
+# requests/s take about 89% of the decode runners and, without any cached prefix, 76% of the prefill runners.
+STEADY_RATE = 32.0
 
 _CLASSES = (
     ClassMix("lookup", 0.35, 100, 400, 32, patience_s=2.5),
     ClassMix("interactive", 0.50, 600, 2400, 128, patience_s=5.0),
-    ClassMix("briefing", 0.15, 3000, 8000, 192, patience_s=30.0, deadline_s=30.0),
+    ClassMix("briefing", 0.15, 3000, 8000, 192, patience_s=8.0, deadline_s=8.0),
 )
 _LONG = (
     ClassMix("lookup", 0.25, 100, 400, 32, patience_s=2.5),
     ClassMix("interactive", 0.35, 600, 2400, 128, patience_s=5.0),
-    ClassMix("briefing", 0.40, 6000, 12000, 192, patience_s=30.0, deadline_s=30.0),
+    ClassMix("briefing", 0.40, 6000, 12000, 192, patience_s=8.0, deadline_s=8.0),
 )
 _WORKSPACES = (
     WorkspaceLoad("dispatch", 0.40),
@@ -84,10 +84,10 @@
     return Workload(**{**values, **changes})
 
 
-_PEAK = _load(profile=((0.0, 1.0), (0.25, 1.5), (0.8, 1.0)))
+_PEAK = _load(profile=((-1e9, 1.0), (0.0, 1.5)))
 _FAULTY = _load(rate=STEADY_RATE * 0.7)  # room for the loss of one runner
 _GREEDY = _load(
-    rate=STEADY_RATE * 0.75,
+    rate=STEADY_RATE * 0.7,
     workspaces=(*_WORKSPACES[:2], WorkspaceLoad("parents", 0.15, 5.0), *_WORKSPACES[3:]),
     limit_factor=1.2,
 )
@@ -99,7 +99,7 @@
     Scenario(
         "long-files",
         "long route files with shared prefixes",
-        _load(rate=STEADY_RATE * 0.6, classes=_LONG, shared_part=0.8, shared_share=0.8),
+        _load(rate=STEADY_RATE * 0.45, classes=_LONG, shared_part=0.8, shared_share=0.8),
         _EVEN,
     ),
     Scenario("mixed-speed", "runners of mixed speed, 3 to 1", _STEADY, _MIXED),
--- a/libs/arbutusrill_bench/_workload.py
+++ b/libs/arbutusrill_bench/_workload.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field, replace
 
-__all__ = ["BYTES_PER_TOKEN", "ClassMix", "Planned", "Workload", "WorkspaceLoad", "plan", "prompt_text"]
+__all__ = ["BYTES_PER_TOKEN", "ClassMix", "Planned", "Span", "Workload", "WorkspaceLoad", "plan", "prompt_text"]
 
 BYTES_PER_TOKEN = 4
 _SESSION_TURNS = 4
@@ -16,6 +16,32 @@
 _WORDS = ("stop", "gate", "bus", "left", "seat", "road", "turn", "noon")  # with the space, 1 to 1.25 tokens each
 
 
+@dataclass(slots=True, frozen=True)
+class Span:
+    """Times of a load in seconds: a warm-up, the measured time, and a time after it.
+
+    Arrivals go on in the time after it, so that measured requests that wait compete with later ones; without
+    that, a policy could put off work to an idle end of the run.
+    """
+
+    warm_up: float
+    measured: float
+    after: float
+
+    @property
+    def end(self) -> float:
+        """When the measured time ends."""
+        return self.warm_up + self.measured
+
+    def measures(self, at: float) -> bool:
+        """Says whether a request sent at `at` is measured."""
+        return self.warm_up <= at < self.end
+
+    def part(self, at: float) -> float:
+        """Returns a moment as a part of the measured time: below 0 before it, above 1 after it."""
+        return (at - self.warm_up) / self.measured
+
+
 @dataclass(slots=True, frozen=True)
 class ClassMix:
     """Requests of one latency class: their part, token counts (quantiles of a log-normal) and patience.
@@ -46,7 +72,8 @@
 class Workload:
     """A load on one model pool and one plain service. Rates are requests per second, times seconds.
 
-    `profile` lists pairs of the moment, as a part of the whole time, and the factor of the rate from then on.
+    `profile` lists pairs of the moment, as a part of the measured time, and the factor of the rate from then on;
+    the first factor also holds before it.
     `limit_factor` sets each workspace's rate to that multiple of its part of the nominal load in tokens.
     """
 
@@ -112,7 +139,7 @@
         return self.prompt_tokens + self.output_tokens
 
 
-def plan(workload: Workload, seconds: float, seed: int) -> list[Planned]:
+def plan(workload: Workload, span: Span, seed: int) -> list[Planned]:
     """Returns the requests of a load in the order of their arrival; the same seed gives the same plan.
 
     Arrivals are a Poisson process for each workspace, so that one workspace's requests do not change when
@@ -122,10 +149,10 @@
     for workspace in workload.workspaces:
         source = random.Random(f"{seed}/{workspace.name}")
         rate = workload.rate * workspace.part * workspace.factor
-        for at in _arrivals(source, rate, workload.profile, seconds):
+        for at in _arrivals(source, rate, workload.profile, span):
             requests.append(_completion(workload, workspace.name, at, source))
         source = random.Random(f"{seed}/{workspace.name}/plain")
-        for at in _arrivals(source, workload.plain_rate * workspace.part, ((0.0, 1.0),), seconds):
+        for at in _arrivals(source, workload.plain_rate * workspace.part, ((0.0, 1.0),), span):
             kind = "booking" if source.random() < 0.5 else "lookup"
             requests.append(Planned(0, at, kind, workspace.name, entry_choice=source.random()))
     requests.sort(key=lambda request: request.at)
@@ -135,16 +162,17 @@
 
 
 def _arrivals(
-    source: random.Random, rate: float, profile: tuple[tuple[float, float], ...], seconds: float
+    source: random.Random, rate: float, profile: tuple[tuple[float, float], ...], span: Span
 ) -> Iterator[float]:
     """Yields arrival times by thinning a Poisson process of the largest rate."""
     top = max(factor for _, factor in profile)
     at = 0.0
     while rate > 0:
         at += source.expovariate(rate * top)
-        if at >= seconds:
+        if at >= span.end + span.after:
             return
-        factor = [value for begin, value in profile if at / seconds >= begin][-1]
+        begun = [value for begin, value in profile if span.part(at) >= begin]
+        factor = begun[-1] if begun else profile[0][1]
         if source.random() < factor / top:
             yield at
 
--- a/libs/arbutusrill_bench/bench.py
+++ b/libs/arbutusrill_bench/bench.py
@@ -11,9 +11,12 @@
 from ._report import Report, commit_name, table_lines, write_report
 from ._runs import RunOptions, run_scenario
 from ._scenarios import POLICIES, QUICK, SCENARIOS, Scenario
+from ._workload import Span
 
 __all__ = ["main"]
 
+_WARM_UP_S = 2.0
+_AFTER_S = 8.0  # the longest deadline, so that no measured request is served after the load has ended
 _ROOT = Path(__file__).parents[2]
 
 
@@ -32,7 +35,7 @@
     scenario: Annotated[list[str] | None, typer.Option(help="run only these scenarios")] = None,
     policy: Annotated[list[str] | None, typer.Option(help="run only these policies")] = None,
     seed: Annotated[int, typer.Option(help="seed of the load")] = 1,
-    seconds: Annotated[float, typer.Option(help="seconds of load in each run")] = 12.0,
+    seconds: Annotated[float, typer.Option(help="measured seconds of each run")] = 9.0,
     time_scale: Annotated[float, typer.Option(help="multiplies all times of load, engines and targets")] = 1.0,
     out: Annotated[Path, typer.Option(help="folder for the report")] = _ROOT / "out",
 ) -> None:
@@ -41,9 +44,10 @@
     for name in policies:
         if name not in POLICIES:
             raise typer.BadParameter(f"unknown policy {name!r}; known are {', '.join(POLICIES)}")
-    options = RunOptions(seed, seconds * time_scale, min(2.0, seconds / 4) * time_scale, time_scale, load_processes=3)
+    span = Span(_WARM_UP_S * time_scale, seconds * time_scale, _AFTER_S * time_scale)
+    options = RunOptions(seed, span, time_scale)
     started = time.strftime("%Y-%m-%d %H:%M:%S")
-    report = Report(commit_name(_ROOT), seed, options.seconds, time_scale, started)
+    report = Report(commit_name(_ROOT), seed, span.measured, time_scale, started)
     for chosen in _chosen(scenario or [], full):
         typer.echo(f"{chosen.name}: {chosen.title}", err=True)
         for name in policies:
--- a/libs/arbutusrill_bench/tests/test_measures.py
+++ b/libs/arbutusrill_bench/tests/test_measures.py
@@ -7,7 +7,8 @@
 from arbutusrill_bench._load import Outcome
 from arbutusrill_bench._measures import Targets, category, excess_tokens, inside_rate, measure
 from arbutusrill_bench._scenarios import SCENARIOS
-from arbutusrill_bench._workload import ClassMix, Planned, Workload, WorkspaceLoad, plan, prompt_text
+from arbutusrill_bench._workload import ClassMix, Planned, Span, Workload, WorkspaceLoad, plan, prompt_text
+from arbutusrill_bench.bench import _AFTER_S
 
 LOAD = Workload(
     20.0,
@@ -15,6 +16,7 @@
     (WorkspaceLoad("a", 0.5), WorkspaceLoad("b", 0.5)),
     leaving_part=0.1,
 )
+SPAN = Span(1.0, 3.0, 1.0)
 GOOD = Outcome(0, status=200, first_s=0.5, end_s=1.0, gaps_ms=[25.0] * 19, tokens=20, whole=True)
 
 
@@ -23,7 +25,7 @@
 
 
 def test_same_seed_gives_the_same_plan_and_prompts():
-    first, again, other = plan(LOAD, 5, 1), plan(LOAD, 5, 1), plan(LOAD, 5, 2)
+    first, again, other = plan(LOAD, SPAN, 1), plan(LOAD, SPAN, 1), plan(LOAD, SPAN, 2)
     assert first == again != other
     assert prompt_text(first[3], 1) == prompt_text(again[3], 1)
 
@@ -31,14 +33,14 @@
 def test_more_load_of_one_workspace_leaves_the_requests_of_others():
     """Otherwise a change for the others could come from another load instead of from the greedy workspace."""
     greedy = replace(LOAD, workspaces=(WorkspaceLoad("a", 0.5, 5.0), WorkspaceLoad("b", 0.5)))
-    arrivals = [[row.at for row in plan(load, 5, 1) if row.workspace == "b"] for load in (LOAD, greedy)]
+    arrivals = [[row.at for row in plan(load, SPAN, 1) if row.workspace == "b"] for load in (LOAD, greedy)]
     assert arrivals[0] == arrivals[1]
 
 
 def test_time_scale_keeps_the_ratios():
     scaled = LOAD.scaled(2.0)
-    original = plan(LOAD, 5, 1)
-    assert [row.at * 2 for row in original] == pytest.approx([row.at for row in plan(scaled, 10, 1)])
+    original = plan(LOAD, SPAN, 1)
+    assert [row.at * 2 for row in original] == pytest.approx([row.at for row in plan(scaled, Span(2.0, 6.0, 2.0), 1)])
 
 
 @pytest.mark.parametrize(
@@ -80,8 +82,8 @@
 
 def test_requests_without_outcome_are_counted():
     """A load process that loses requests must not raise the share of good ones."""
-    requests = plan(LOAD, 4, 1)
-    result = measure(LOAD, requests, {}, Targets(), 1.0, 4.0)
+    requests = plan(LOAD, SPAN, 1)
+    result = measure(LOAD, requests, {}, Targets(), SPAN)
     assert result.offered > 0 and result.category_counts == {"no_outcome": result.offered}
 
 
@@ -90,4 +92,29 @@
     for scenario in SCENARIOS:
         for workspace in scenario.load.workspaces:
             _, burst = scenario.load.limit(workspace)
-            assert all(row.charge <= burst for row in plan(scenario.load, 5, 1) if row.workspace == workspace.name)
+            assert all(row.charge <= burst for row in plan(scenario.load, SPAN, 1) if row.workspace == workspace.name)
+
+
+def test_load_goes_on_after_the_measured_time_until_the_last_deadline():
+    """Seen: at 1.5 times the load, 100% good, because briefings were put off to the idle end of the run."""
+    peak = next(scenario for scenario in SCENARIOS if scenario.name == "peak").load
+    span = Span(2.0, 9.0, _AFTER_S)
+    rows = [row for row in plan(peak, span, 1) if row.kind == "completion"]
+    count_after = sum(row.at >= span.end for row in rows)
+    count_before = sum(span.measures(row.at) for row in rows)
+    assert max(mix.deadline_s for mix in peak.classes) <= span.after
+    assert count_after / span.after > 0.8 * count_before / span.measured
+
+
+def test_peak_asks_for_more_than_the_decode_runners_can_make():
+    """A peak that fits into the runners tells nothing about what a policy does with too much work."""
+    by_name = {scenario.name: scenario for scenario in SCENARIOS}
+    demand = {}
+    for name in ("steady", "peak"):
+        scenario, span = by_name[name], Span(2.0, 60.0, 1.0)
+        made = sum(
+            20 * runner.speed / (0.014 * (1 + 0.045 * 19)) for runner in scenario.runners if runner.role == "decode"
+        )
+        rows = [row for row in plan(scenario.load, span, 1) if row.kind == "completion" and span.measures(row.at)]
+        demand[name] = sum(row.output_tokens for row in rows) / span.measured / made
+    assert 0.8 < demand["steady"] < 1 < 1.2 < demand["peak"]
