pool: test that a closing owner sends waiting tickets on

Cause: close() answers waiting tickets with a refusal, which callers would see; read in review. Change: a test; the lease check after the wait already turns it into Refused(not_owner). No fault found.

--- a/libs/arbutusrill_pool/tests/test_owner.py
+++ b/libs/arbutusrill_pool/tests/test_owner.py
@@ -192,3 +192,26 @@
     placement = dispatcher.policy.place(dispatcher._wanted(ticket), index, 100.0)
     with pytest.raises(AssertionError, match="already has an assignment"):
         dispatcher._book.take(ticket, placement, True, 100.0)
+
+
+def test_owner_that_stops_sends_a_waiting_ticket_to_the_next_owner():
+    """A refusal as a reply would reach the caller; a change of owner is only a reason to ask again."""
+    pool = small_pool()
+    for number in range(4):
+        pool.acquire(f"t{number}")
+        pool.owner.release(release(f"t{number}", "prefilled"))
+    outcome = []
+
+    def wait():
+        try:
+            outcome.append(pool.owner.acquire(request("late", wait_ms=5000)).status)
+        except messages.Refused as refused:
+            outcome.append(refused.code)
+
+    waiter = threading.Thread(target=wait)
+    waiter.start()
+    while pool.owner.status().queued == 0:
+        time.sleep(0.01)
+    pool.owner.close()
+    waiter.join(10)
+    assert outcome == ["not_owner"]
