raft: go on from committed entries, call silent peers again at once

Cause: review. A follower answered an append from below its compacted log with a hint that the leader could only follow backwards; a peer that stayed silent for a whole call was left alone for another heartbeat; a data folder that cannot be made gave a traceback. Change: the follower answers with its committed index; pauses count from the sending; StorageError names the folder. Before/after: three new tests failed before and pass now; `bin/test libs/arbutusrill_raft libs/arbutusrill_daemon libs/arbutusrill_control`: 145 passed in 61 s. Conclusion: fixed.

--- a/libs/arbutusrill_daemon/_main.py
+++ b/libs/arbutusrill_daemon/_main.py
@@ -36,7 +36,7 @@
     _log.info("VM %s starts", checked.vm)
     try:
         run_roles(checked, stopping)
-    except (StorageError, BlockingIOError) as error:
+    except StorageError as error:
         print(f"arbutusrilld: data folder: {error}", file=sys.stderr)
         raise SystemExit(EXIT_BAD_STORAGE) from None
     _log.info("VM %s stops", checked.vm)
--- a/libs/arbutusrill_raft/_peer.py
+++ b/libs/arbutusrill_raft/_peer.py
@@ -72,12 +72,16 @@
                 reply = None
             with core.lock:
                 if reply is None:
-                    self._not_before = core.clock.monotonic() + core.timing.heartbeat_s
-                    if job.name == "vote":
-                        self._asked_round = 0  # asks again in this round
+                    self._failed(job)
                 else:
                     self._take(job, reply)
 
+    def _failed(self, job: _Job) -> None:
+        # Counted from the sending: a call to a silent connection takes most of an election timeout itself.
+        self._not_before = job.sent_at + self._core.timing.heartbeat_s
+        if job.name == "vote":
+            self._asked_round = 0  # asks again in this round
+
     def _take(self, job: _Job, reply: Any) -> None:
         core = self._core
         try:
@@ -170,7 +174,8 @@
             return
         if reply.success:
             progress.match_index = max(progress.match_index, reply.match_index)
-            progress.next_index = max(progress.next_index, request.previous_index + len(request.entries) + 1)
+            sent = request.previous_index + len(request.entries)
+            progress.next_index = max(progress.next_index, sent + 1, progress.match_index + 1)
             self._core.advance_commit()
         else:
             hinted = min(reply.match_index + 1, request.previous_index)
--- a/libs/arbutusrill_raft/_receiver.py
+++ b/libs/arbutusrill_raft/_receiver.py
@@ -74,6 +74,9 @@
                 return messages.AppendReply(core.term, False, 0)
             try:
                 core.accept_leader(request.term, request.leader)
+                if request.previous_index < core.log.base_index:
+                    # What is committed equals the leader's log, so the leader can go on from there.
+                    return messages.AppendReply(core.term, True, min(core.commit_index, core.durable_index))
                 hint = self._mismatch(request)
                 if hint is not None:
                     return messages.AppendReply(core.term, False, hint)
@@ -95,8 +98,6 @@
         """Returns None when the log holds the previous entry, else the index after which to try next."""
         core = self._core
         previous = request.previous_index
-        if previous < core.log.base_index:
-            return core.commit_index  # everything up to here is committed, hence equal
         term = core.log.term_at(previous)
         if term is None:
             return core.log.last_index
@@ -185,6 +186,7 @@
             core.pending.clear()
             core.log.reset(snapshot.index, snapshot.term, snapshot.chain, snapshot.membership)
             core.durable_index = snapshot.index
+        core.durable_index = max(core.durable_index, snapshot.index)
         _log.info("%s takes over a snapshot at entry %d", core.me, snapshot.index)
         core.snapshot_index = snapshot.index
         core.to_restore = snapshot
--- a/libs/arbutusrill_raft/_replica.py
+++ b/libs/arbutusrill_raft/_replica.py
@@ -19,7 +19,7 @@
 from ._membership import address_of
 from ._peer import Peer
 from ._receiver import Receiver
-from ._storage import Storage
+from ._storage import Storage, StorageError
 from ._timing import Bounds, Timing
 from ._transport import RpcTransport, Transport
 
@@ -29,6 +29,13 @@
 _log = PartLog("raft")
 
 
+def _opened(path: str) -> Folder:
+    try:
+        return DiskFolder(path)
+    except OSError as error:
+        raise StorageError(str(error)) from None
+
+
 @dataclass(slots=True)
 class MemberStatus:
     """A member as its leader sees it; `silent_s` is the time in seconds since it last answered, -1 for never."""
@@ -61,7 +68,7 @@
         bounds: Bounds | None = None,
     ):
         self._transport = transport or RpcTransport()
-        folder = DiskFolder(folder) if isinstance(folder, str) else folder
+        folder = _opened(folder) if isinstance(folder, str) else folder
         try:
             self._storage = Storage(folder, address)
             self._core = Core(
--- a/libs/arbutusrill_raft/tests/test_replica.py
+++ b/libs/arbutusrill_raft/tests/test_replica.py
@@ -9,6 +9,7 @@
 from arbutusrill_wire import messages
 
 from arbutusrill_raft import Bounds, LogUnavailableError, MembershipError, NotLeaderError
+from arbutusrill_raft._peer import Peer, _Job
 
 from .group import PATIENCE_S, QUICK, SMALL, Group, refused, wait_until
 
@@ -236,6 +237,34 @@
         assert any(name.startswith("snapshot-") for name in group.disks[follower].names())
 
 
+def test_append_below_a_compacted_log_is_answered_with_what_is_committed():
+    # A leader that is told to go further back would send a snapshot that the follower does not need, for ever.
+    with Group(bounds=SMALL) as group:
+        propose_all(group, entries(100))
+        group.wait_equal()
+        follower = group.replicas[group.followers()[0]]
+        core = follower._core
+        assert core.log.base_index > 5
+        target = follower.status().replica
+        request = messages.AppendRequest(core.term, core.leader, 3, 1, [], 3, target=target, previous_chain=0)
+        reply = follower.handler.append(request)
+        assert reply.success
+        assert reply.match_index >= core.log.base_index
+        assert not follower.status().fault
+
+
+def test_peer_that_stays_silent_is_called_again_at_once():
+    # After a call that took its whole time, a further pause would let the follower's election begin.
+    with Group(1) as group:
+        core = group.replicas[group.leader()]._core
+        peer = Peer(core, None, None, "10.0.0.9:1/x")
+        now = time.monotonic()
+        peer._failed(_Job("append", None, now - core.timing.call_s, None))
+        assert peer._not_before < now
+        peer._failed(_Job("append", None, now, None))
+        assert peer._not_before > now
+
+
 def test_log_in_memory_and_on_disk_stays_bounded_with_a_dead_follower():
     with Group(bounds=SMALL) as group:
         group.kill(group.followers()[0])
--- a/libs/arbutusrill_raft/tests/test_storage.py
+++ b/libs/arbutusrill_raft/tests/test_storage.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from arbutusrill_raft import DiskFolder, StorageError
+from arbutusrill_raft import DiskFolder, Replica, StorageError
 from arbutusrill_raft._entries import COMMAND, Entry
 from arbutusrill_raft._frames import Snapshot
 from arbutusrill_raft._membership import Membership
@@ -150,6 +150,12 @@
         Storage(disk, "10.0.0.2:7400")
 
 
+def test_folder_that_cannot_be_made_is_named(tmp_path):
+    (tmp_path / "file").write_text("")
+    with pytest.raises(StorageError, match="file/data"):
+        Replica(ADDRESS, [ADDRESS], str(tmp_path / "file" / "data"), None)
+
+
 def test_real_folder_keeps_files_and_refuses_a_second_process(tmp_path):
     folder = DiskFolder(tmp_path / "data")
     written(folder, [[entry(1)], [entry(2)]])
