raft: replace all connections to a peer after one failed call

Cause: a middlebox that loses its state silences every pooled connection; each would cost one more failed call. Change: RpcTransport drops the peer's open connections after a failed call. Before/after: the new test failed before (second call timed out) and passes now.

--- a/libs/arbutusrill_raft/_transport.py
+++ b/libs/arbutusrill_raft/_transport.py
@@ -39,7 +39,15 @@
             if address not in self._client_by_address:
                 self._client_by_address[address] = RpcClient(address)
             client = self._client_by_address[address]
-        return client.call(messages.Raft, name, request, timeout=timeout)
+        try:
+            return client.call(messages.Raft, name, request, timeout=timeout)
+        except ConnectionError:
+            # The other open connections may have gone silent too: one failed call is enough.
+            with self._lock:
+                if self._client_by_address.get(address) is client:
+                    del self._client_by_address[address]
+            client.close()
+            raise
 
     def close(self) -> None:
         """Closes the idle connections."""
--- /dev/null
+++ b/libs/arbutusrill_raft/tests/test_transport.py
@@ -0,0 +1,75 @@
+"""Guards against a middlebox that silences open connections for ever while new ones work."""
+
+import socket
+import threading
+
+import pytest
+from arbutusrill_wire import RpcServer, messages
+
+from arbutusrill_raft import RpcTransport
+
+
+class Middlebox:
+    """Forwards TCP connections to one address until it loses its state."""
+
+    def __init__(self, target):
+        self._target = target
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        self._generation = 0
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def forget(self):
+        self._generation += 1
+
+    def close(self):
+        self._listener.close()
+
+    def _accept(self):
+        while True:
+            try:
+                near, _ = self._listener.accept()
+            except OSError:
+                return
+            far = socket.create_connection(self._target)
+            for ends in ((near, far), (far, near)):
+                threading.Thread(target=self._forward, args=(*ends, self._generation), daemon=True).start()
+
+    def _forward(self, source, sink, generation):
+        while data := source.recv(65536):
+            if generation == self._generation:
+                sink.sendall(data)
+
+
+class Slow:
+    def __init__(self):
+        self.both = threading.Barrier(2)
+
+    def vote(self, request):
+        if request.term == 1:
+            self.both.wait(30)  # holds two connections open at the same time
+        return messages.VoteReply(request.term, True)
+
+    append = install_snapshot = hello = None
+
+
+def test_all_silent_connections_are_replaced_after_one_failed_call():
+    with RpcServer("127.0.0.1", 0, {messages.Raft: Slow()}) as server:
+        host, _, port = server.address.partition(":")
+        middlebox = Middlebox((host, int(port)))
+        transport = RpcTransport()
+
+        def vote(term, timeout=30):
+            return transport.call(middlebox.address, "vote", messages.VoteRequest(term), timeout).granted
+
+        threads = [threading.Thread(target=vote, args=(1,)) for _ in range(2)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        middlebox.forget()
+        with pytest.raises(ConnectionError):
+            vote(2, timeout=0.3)
+        assert vote(3)
+        transport.close()
+        middlebox.close()
