--- a/libs/arbutusrill_daemon/_roles.py
+++ b/libs/arbutusrill_daemon/_roles.py
@@ -6,9 +6,20 @@
 import threading
 from typing import Any
 
-from arbutusrill_base import Clock, PartLog, SystemClock, TaskGroup, new_incarnation
+from arbutusrill_base import Clock, PartLog, RetryBudget, SystemClock, TaskGroup, new_incarnation
 from arbutusrill_control import ControlService, OperatorApp, SharedMachine
-from arbutusrill_entry import EntryApp, PoolClients
+from arbutusrill_entry import (
+    REPORT_S,
+    RESERVED_PATHS,
+    Cleanup,
+    Drain,
+    EntryApp,
+    EntryContext,
+    HeldTickets,
+    Meters,
+    PoolClients,
+    report_burn,
+)
 from arbutusrill_http import HttpLimits, HttpServer
 from arbutusrill_limits import Limits, TokenLeases
 from arbutusrill_pool import PoolDirectory
@@ -26,15 +37,19 @@
 _RETURN_S = 1.0  # for returning unspent tokens at the end; they are lost to the workspace otherwise
 _POOL_TICK_S = 0.1
 _PROPOSE_S = 3.0
+_RESERVE = 32  # connections for announcements and health checks beyond the callers' bound
 
 
-def run_roles(settings: DaemonSettings, stopping: threading.Event) -> None:
-    """Serves all roles of `settings` until `stopping` is set, then leaves them in order."""
+def run_roles(settings: DaemonSettings, stopping: threading.Event, hurry: threading.Event) -> None:
+    """Serves all roles of `settings` until `stopping` is set, then leaves them in order.
+
+    An entry VM finishes its requests first, unless `hurry` is set.
+    """
     with contextlib.ExitStack() as stack:
         if settings.control is not None:
             stack.enter_context(_control(settings))
         if settings.entry is not None:
-            stack.enter_context(_entry(settings))
+            stack.enter_context(_entry(settings, hurry))
         stopping.wait()
 
 
@@ -69,7 +84,7 @@
 
 
 @contextlib.contextmanager
-def _entry(settings: DaemonSettings):
+def _entry(settings: DaemonSettings, hurry: threading.Event):
     role = settings.entry
     clock = SystemClock()
     incarnation = new_incarnation()
@@ -87,30 +102,45 @@
             report_order=lambda record: _report_order(client, settings.vm, clock, record),
         )
         stack.callback(directory.close)
-        pools = PoolClients(follower, client, directory)
         follower.on_change(lambda: _reconcile(directory, follower.config))
-        tokens = TokenLeases(
-            settings.vm,
-            incarnation,
-            lambda request: client.call("grant", request, timeout=1.0),
-            lambda workspace: _limits(follower, workspace),
-            clock,
-        )
-        journal = JournalClient(settings.vm, incarnation, client, clock)
-        application = EntryApp(follower, pools, journal, tokens, role.announce_token_sha256)
-        limits = HttpLimits(connections=role.connections)
+        context = _context(stack, follower, client, directory)
+        application = EntryApp(context, role.announce_token_sha256)
+        limits = HttpLimits(connections=role.connections, reserve=_RESERVE, reserved_paths=RESERVED_PATHS)
         with (
             RpcServer(*_split(role.rpc), {messages.Pool: directory}),
-            HttpServer(*_split(role.http), application, limits),
+            HttpServer(*_split(role.http), application, limits) as server,
         ):
+            _add_gauges(context, server)
             follower.start(tasks)
-            tokens.start(tasks)
-            journal.start(tasks)
+            context.limits.start(tasks)
+            context.journal.start(tasks)
             tasks.every(_POOL_TICK_S, directory.tick)
+            tasks.every(REPORT_S, lambda: report_burn(context))
             yield
-        tokens.drain(clock.monotonic() + _RETURN_S)
-        if not journal.flush(clock.monotonic() + _FLUSH_S):
+            Drain(context, application, server, hurry).run(role.drain_limit_s)
+        context.limits.drain(clock.monotonic() + _RETURN_S)
+        if not context.journal.flush(clock.monotonic() + _FLUSH_S):
             _log.warning("outcomes of once-only calls are not recorded, resends will be told that they are unknown")
+        report_burn(context)
+
+
+def _context(
+    stack: contextlib.ExitStack, follower: Follower, client: ControlClient, directory: PoolDirectory
+) -> EntryContext:
+    clock = SystemClock()
+    me = follower.identity
+    pools = stack.enter_context(contextlib.closing(PoolClients(follower, client, directory)))
+    tokens = TokenLeases(
+        me.vm,
+        me.incarnation,
+        lambda request: client.call("grant", request, timeout=1.0),
+        lambda workspace: _limits(follower, workspace),
+        clock,
+    )
+    journal = JournalClient(me.vm, me.incarnation, client, clock)
+    held = stack.enter_context(HeldTickets(pools, me.vm, me.incarnation))
+    cleanup = stack.enter_context(Cleanup())
+    return EntryContext(follower, client, pools, tokens, journal, clock, cleanup, held, RetryBudget(), Meters(clock))
 
 
 def _reconcile(directory: PoolDirectory, config: ConfigState) -> None:
@@ -123,3 +153,11 @@
 
 def _report_order(client: ControlClient, vm: str, clock: Clock, record: Any) -> bool:
     return client.call("propose", command(record, vm, clock.wall_ms()), timeout=_PROPOSE_S).accepted
+
+
+def _add_gauges(context: EntryContext, server: HttpServer) -> None:
+    meters = context.meters
+    meters.gauge("arbutusrill_freshness_age_seconds", "Age of the confirmed configuration.", context.follower.age_s)
+    meters.gauge("arbutusrill_held_tickets", "Places held on backend servers.", lambda: len(context.held))
+    meters.gauge("arbutusrill_cleanup_jobs", "Cancellations and releases not yet confirmed.", context.cleanup.pending)
+    meters.gauge("arbutusrill_busy_connections", "Connections with a request under way.", server.busy)
