--- a/libs/arbutusrill_wire/_client.py
+++ b/libs/arbutusrill_wire/_client.py
@@ -14,7 +14,7 @@
 from thriftpy2.transport import TMemoryBuffer
 
 from ._frames import FrameError, read_frame, write_frame
-from ._idl import messages
+from ._idl import message_writer, messages
 
 __all__ = ["NotSentError", "RpcClient", "RpcError"]
 
@@ -114,8 +114,7 @@
 
 
 def _request(service: Any, name: str, arguments: tuple, sequence: int) -> bytes:
-    out = TMemoryBuffer()
-    protocol = TBinaryProtocolFactory().get_protocol(out)
+    out, protocol = message_writer()
     call = getattr(service, f"{name}_args")()
     for spec, value in zip(call.thrift_spec.values(), arguments, strict=True):
         setattr(call, spec[1], value)
--- a/libs/arbutusrill_wire/_idl.py
+++ b/libs/arbutusrill_wire/_idl.py
@@ -6,9 +6,11 @@
 from typing import Any, TypeVar
 
 import thriftpy2
-from thriftpy2.utils import deserialize, serialize
+from thriftpy2.protocol.cybin import TCyBinaryProtocol
+from thriftpy2.transport import TCyMemoryBuffer
+from thriftpy2.utils import deserialize
 
-__all__ = ["decode", "encode", "messages"]
+__all__ = ["decode", "encode", "messages", "message_writer"]
 
 messages = thriftpy2.load(str(Path(__file__).with_name("arbutusrill.thrift")), module_name="arbutusrill_thrift")
 
@@ -21,7 +23,18 @@
     >>> decode(messages.SetDefault, encode(messages.SetDefault("a", "1"))).value_json
     '1'
     """
-    return serialize(message)
+    buffer, protocol = message_writer()
+    message.write(protocol)
+    return buffer.getvalue()
+
+
+def message_writer() -> tuple[TCyMemoryBuffer, TCyBinaryProtocol]:
+    """Returns a memory buffer and the compiled protocol that writes to it, about ten times as fast as plain Python.
+
+    Only for writing: the compiled reader spends seconds on some malformed containers.
+    """
+    buffer = TCyMemoryBuffer()
+    return buffer, TCyBinaryProtocol(buffer)
 
 
 def decode(kind: type[T], data: bytes) -> T:
--- a/libs/arbutusrill_wire/_server.py
+++ b/libs/arbutusrill_wire/_server.py
@@ -11,6 +11,7 @@
 from thriftpy2.transport import TMemoryBuffer
 
 from ._frames import read_frame, write_frame
+from ._idl import message_writer
 
 __all__ = ["RpcServer"]
 
@@ -87,8 +88,7 @@
     def _answer(self, frame: bytes) -> bytes:
         protocol = TBinaryProtocolFactory().get_protocol(TMemoryBuffer(frame))
         name, _, sequence = protocol.read_message_begin()
-        out = TMemoryBuffer()
-        reply = TBinaryProtocolFactory().get_protocol(out)
+        out, reply = message_writer()
         if name not in self._method_by_name:
             _write_fault(reply, name, sequence, TApplicationException.UNKNOWN_METHOD, f"unknown method {name}")
             return out.getvalue()
