--- a/libs/arbutusrill_pool/_orders.py
+++ b/libs/arbutusrill_pool/_orders.py
@@ -100,6 +100,7 @@
         if not self._holds_lease():
             return
         now = self._clock.monotonic()
+        due: list[_Order] = []
         with self._lock:
             busy: set[str] = set()
             for order in self._order_by_id.values():
@@ -108,7 +109,10 @@
                     continue
                 busy.add(server_id)
                 if not order.running and now >= order.due_at and self._may_start(order, now):
-                    self._start(order)
+                    order.running = True
+                    due.append(order)
+        for order in due:
+            self._start(order)
 
     def _may_start(self, order: _Order, now: float) -> bool:
         if order.result is not None:
@@ -129,7 +133,6 @@
                 record.id, record.server, record.pool, record.action, record.argument_json, "running"
             )
             order.record.fencing = (self._epoch << FENCING_SHIFT) + self._sequence
-        order.running = True
         if self._submit(lambda: self._run(order)) is None:
             order.running = False
 
--- a/libs/arbutusrill_pool/_renewals.py
+++ b/libs/arbutusrill_pool/_renewals.py
@@ -76,7 +76,7 @@
             del self._orphan_by_key[key]
             server = self._index.by_id.get(key[0])
             if server is not None:
-                server.foreign = max(0, server.foreign - 1)
+                server.orphans = max(0, server.orphans - 1)
                 self._index.update(server, now)
 
     def take_requests(self, server_id: str, rows: list[EngineRequest] | None, now: float) -> None:
@@ -89,7 +89,7 @@
             if row.request_id not in self._book.held_by_ticket:
                 key = (server_id, row.request_id)
                 self._orphan_by_key[key] = _Orphan(row, server.announcement.address, now)
-        server.foreign = max(server.foreign, sum(1 for name, _ in self._orphan_by_key if name == server_id))
+        server.orphans = sum(1 for name, _ in self._orphan_by_key if name == server_id)
         self._index.update(server, now)
 
     def tick(self, now: float) -> None:
@@ -148,5 +148,5 @@
             return
         server = self._index.by_id.get(server_id)
         if server is not None:
-            server.foreign = max(0, server.foreign - 1)
+            server.orphans = max(0, server.orphans - 1)
             self._index.update(server, now)
--- a/libs/arbutusrill_pool/_server.py
+++ b/libs/arbutusrill_pool/_server.py
@@ -87,7 +87,8 @@
     speed: Speed
     health: Health = field(default_factory=Health)
     assigned: int = 0
-    foreign: int = 0  # requests on the engine that no known ticket accounts for
+    reported_foreign: int = 0  # requests beyond those assigned, by the load report
+    orphans: int = 0  # requests that the engine listed and that no ticket accounts for
     busy_until: float = 0.0
     prefill_s_by_ticket: dict[str, float] = field(default_factory=dict)
     checked: bool = True  # its requests have been read since this owner took over
@@ -100,6 +101,11 @@
         """Name of the server."""
         return self.announcement.id
 
+    @property
+    def foreign(self) -> int:
+        """Number of requests on the server that no ticket of this owner accounts for."""
+        return max(self.reported_foreign, self.orphans)
+
     def serves(self, stage: str) -> bool:
         """Says whether the server's role includes `stage` (prefill, decode or plain)."""
         role = self.announcement.role
@@ -188,7 +194,7 @@
             start, peak, before = now, self.assigned, peak
             self._peaks = (start, peak, before)
         limit = announcement.slots - 1  # one slot stays, so that a wrong report cannot shut a server out for good
-        self.foreign = max(0, min(limit, announcement.running - max(peak, before, self.assigned)))
+        self.reported_foreign = max(0, min(limit, announcement.running - max(peak, before, self.assigned)))
 
     def load(self) -> int:
         """Returns the requests on the server: the last report, or what was assigned if that is more."""
