bench: what became of the requests of each class

Cause: a difference between policies could not be explained from the report. Change: counts of the categories for each class in table and JSON.

--- a/libs/arbutusrill_bench/_measures.py
+++ b/libs/arbutusrill_bench/_measures.py
@@ -33,6 +33,7 @@
     goodput_share: float = 0.0
     goodput_per_s: float = 0.0
     category_counts: dict[str, int] = field(default_factory=dict)
+    category_counts_by_class: dict[str, dict[str, int]] = field(default_factory=dict)
     code_counts: dict[str, int] = field(default_factory=dict)
     prefill_tokens: float = 0.0
     wasted_prefill_share: float = 0.0
@@ -142,6 +143,9 @@
     outcomes = [outcome_by_number[number] for number in category_by_number if number in outcome_by_number]
     result.offered = len(completions)
     result.category_counts = dict(Counter(category_by_number.values()))
+    for name in {row.latency_class for row in completions}:
+        mine = [category_by_number[row.number] for row in completions if row.latency_class == name]
+        result.category_counts_by_class[name] = dict(Counter(mine))
     result.code_counts = dict(Counter(row.code or row.error for row in outcomes if row.code or row.error))
     result.good = result.category_counts.get("good", 0)
     result.goodput_share = result.good / max(1, result.offered)
--- a/libs/arbutusrill_bench/_report.py
+++ b/libs/arbutusrill_bench/_report.py
@@ -67,7 +67,7 @@
             f"{row.first_token_ms.get('p95', 0) / 1000:>8.2f} s{row.token_gap_ms.get('p95', 0):>6.1f} ms"
             f"{row.excess_tokens:>6.0f}{row.bookings_repeated:>4}{run.busy_share:>6.0%}{run.load_average:>6.1f}"
         )
-    return lines + ["", *_comparison(report)]
+    return [*lines, "", *_comparison(report), "", *_breakdown(report)]
 
 
 def _comparison(report: Report) -> list[str]:
@@ -85,6 +85,16 @@
     return lines
 
 
+def _breakdown(report: Report) -> list[str]:
+    """Returns what became of the requests of each class, by which a difference between policies is explained."""
+    lines = []
+    for run in report.runs:
+        for name, counts in sorted(run.measures.category_counts_by_class.items()):
+            words = ", ".join(f"{count} {what}" for what, count in sorted(counts.items()))
+            lines.append(f"{run.scenario} {run.policy} {name}: {words}")
+    return lines
+
+
 def _scenarios(report: Report) -> list[str]:
     return list(dict.fromkeys(run.scenario for run in report.runs))
 
