--- a/libs/arbutusrill_cli/__init__.py
+++ b/libs/arbutusrill_cli/__init__.py
@@ -1,6 +1,6 @@
 """The operators' command-line tool `arbutusrill`."""
 
-from ._client import OperatorClient, OperatorError
+from ._client import EXIT_NO_CONTROL, OperatorClient, OperatorError
 from ._main import main
 
-__all__ = ["OperatorClient", "OperatorError", "main"]
+__all__ = ["EXIT_NO_CONTROL", "OperatorClient", "OperatorError", "main"]
--- a/libs/arbutusrill_daemon/_roles.py
+++ b/libs/arbutusrill_daemon/_roles.py
@@ -161,8 +161,9 @@
 
 
 def _add_gauges(context: EntryContext, server: HttpServer) -> None:
-    meters = context.meters
+    meters, config = context.meters, context.follower.config
     meters.gauge("arbutusrill_freshness_age_seconds", "Age of the confirmed configuration.", context.follower.age_s)
+    meters.gauge("arbutusrill_config_revision", "Revision of the applied configuration.", lambda: config.revision)
     meters.gauge("arbutusrill_held_tickets", "Places held on backend servers.", lambda: len(context.held))
     meters.gauge("arbutusrill_cleanup_jobs", "Cancellations and releases not yet confirmed.", context.cleanup.pending)
     meters.gauge("arbutusrill_busy_connections", "Connections with a request under way.", server.busy)
