http: socket options once on the listener, native options for connections to servers

Cause: each accepted connection and each connection to a server cost six calls that give up the interpreter lock.

Change: the listener's options are inherited; libcurl sets all options but TCP_USER_TIMEOUT itself.

--- a/libs/arbutusrill_http/_handler.py
+++ b/libs/arbutusrill_http/_handler.py
@@ -13,12 +13,10 @@
 from arbutusrill_base import PartLog
 from werkzeug.serving import DechunkedInput, WSGIRequestHandler
 
-from ._sockets import limit_sends, limit_silence
 from ._writer import ResponseWriter
 
 __all__ = ["AbortStreamError", "Handler", "refusal"]
 
-_UNACKNOWLEDGED_S = 10.0
 _RESERVED_HEADER_S = 2.0
 _NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 _log = PartLog("http")
@@ -77,8 +75,6 @@
     def setup(self) -> None:
         """Prepares the connection."""
         super().setup()
-        limit_silence(self.connection, _UNACKNOWLEDGED_S)
-        limit_sends(self.connection, self.server.limits.write_s)
         self._raw = _TimedSocketReader(self.connection)
         self.rfile = io.BufferedReader(self._raw, 65_536)
         self._reserved = self.server.is_reserved(self.connection)
--- a/libs/arbutusrill_http/_server.py
+++ b/libs/arbutusrill_http/_server.py
@@ -15,10 +15,12 @@
 from werkzeug.serving import BaseWSGIServer
 
 from ._handler import Handler, refusal
+from ._sockets import limit_sends, limit_silence
 
 __all__ = ["HttpLimits", "HttpServer"]
 
 _ACCEPT_S = 0.1
+_UNACKNOWLEDGED_S = 10.0
 _REFUSED_KEPT = 256  # refused connections that wait for their caller to read the answer
 _REFUSED_S = 1.0
 _CROWDED = 0.9  # part of the connections from which idle ones give way to new ones
@@ -57,6 +59,9 @@
         self._open: dict[socket.socket, bool] = {}  # whether the connection is one of the reserve
         self._refused: deque[tuple[float, socket.socket]] = deque()
         super().__init__(host, port, app, handler=Handler)
+        # Accepted connections inherit the options, which saves the calls for each of them.
+        limit_silence(self.socket, _UNACKNOWLEDGED_S)
+        limit_sends(self.socket, limits.write_s)
 
     def draining(self) -> bool:
         return self.tasks.stopping.is_set()
--- a/libs/arbutusrill_http/_transfer.py
+++ b/libs/arbutusrill_http/_transfer.py
@@ -12,14 +12,14 @@
 import pycurl
 from arbutusrill_base import Verdict
 
-from ._sockets import limit_silence
-
 __all__ = ["Transfer", "TransferResult", "close_connections", "fetch"]
 
 _CONNECT_MS = 2000
-_KEPT_CONNECTIONS = 4
+_KEPT_CONNECTIONS = 8
+_KEEPALIVE_IDLE_S = 10
+_KEEPALIVE_INTERVAL_S = 5
 _KEPT_S = 20  # below the idle limit of servers, so that a kept connection is rarely a closed one
-_UNACKNOWLEDGED_S = 2.0
+_UNACKNOWLEDGED_MS = 2000
 _SLICE_MS = 250
 _IDENTITY = threading.local()
 
@@ -213,6 +213,10 @@
         easy.setopt(pycurl.PATH_AS_IS, 1)
         easy.setopt(pycurl.CONNECTTIMEOUT_MS, _CONNECT_MS)
         easy.setopt(pycurl.SOCKOPTFUNCTION, _on_connection)
+        easy.setopt(pycurl.TCP_NODELAY, 1)
+        easy.setopt(pycurl.TCP_KEEPALIVE, 1)
+        easy.setopt(pycurl.TCP_KEEPIDLE, _KEEPALIVE_IDLE_S)
+        easy.setopt(pycurl.TCP_KEEPINTVL, _KEEPALIVE_INTERVAL_S)
         easy.setopt(pycurl.MAXAGE_CONN, _KEPT_S)
         easy.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
         easy.setopt(pycurl.WRITEFUNCTION, self._on_data)
@@ -262,9 +266,10 @@
 
 
 def _on_connection(descriptor: int, _purpose: int) -> int:
-    connection = socket.socket(fileno=descriptor)
+    # Naming family and kind saves the calls by which Python would find them out.
+    connection = socket.socket(socket.AF_INET, socket.SOCK_STREAM, 0, descriptor)
     try:
-        limit_silence(connection, _UNACKNOWLEDGED_S)
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _UNACKNOWLEDGED_MS)
     except OSError:
         return pycurl.SOCKOPT_ERROR
     finally:
--- a/libs/arbutusrill_http/tests/test_transfer.py
+++ b/libs/arbutusrill_http/tests/test_transfer.py
@@ -8,8 +8,7 @@
 from arbutusrill_base import Verdict
 from werkzeug.wrappers import Response
 
-from arbutusrill_http import HttpServer, Transfer, fetch
-from arbutusrill_http._sockets import limit_silence
+from arbutusrill_http import HttpServer, Transfer, _transfer, fetch
 
 
 def serve_once(script):
@@ -71,8 +70,26 @@
     assert ports[2] == ports[3], "other transfers reuse theirs"
 
 
-def test_silent_connections_are_bounded_in_time():
-    with socket.socket() as connection:
-        limit_silence(connection, 2.0)
-        assert connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT) == 2000
-        assert connection.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE) == 1
+def test_silent_connections_are_bounded_in_time(monkeypatch):
+    seen = []
+
+    def app(environ, start):
+        connection = environ["werkzeug.socket"]
+        seen.append(connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT))
+        seen.append(connection.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE))
+        seen.append(connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY))
+        return Response(b"ok")(environ, start)
+
+    options = []
+    kept = _transfer._on_connection
+
+    def on_connection(descriptor, purpose):
+        result = kept(descriptor, purpose)
+        with socket.fromfd(descriptor, socket.AF_INET, socket.SOCK_STREAM) as connection:
+            options.append(connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT))
+        return result
+
+    monkeypatch.setattr(_transfer, "_on_connection", on_connection)
+    with HttpServer("127.0.0.1", 0, app) as server:
+        assert fetch(Transfer("GET", f"http://{server.address}/", fresh=True)).whole
+    assert (seen, options) == ([10_000, 1, 1], [2000])
