pool: find tickets after exact refunds; ticks touch only servers that change

Cause: when a refund brought a workspace's virtual time back to the value of a dropped heap entry, its next ticket was never offered and waited for ever. A tick updated all servers, 32 ms at 1,400. Change: dropping an entry clears its mark; a tick looks at quiet, ejected and slowly starting servers only, at held tickets every 0.2 s and at the averages every second. Ruled out: none.

--- a/libs/arbutusrill_pool/_dispatch.py
+++ b/libs/arbutusrill_pool/_dispatch.py
@@ -23,6 +23,7 @@
 MAX_QUEUED = 20_000  # about 40 MB; at the peak of 540 requests/s this is more than half a minute
 BRIEFING_HEADROOM = 0.1  # part of the slots that briefings leave for requests that cannot wait
 BRIEFING_SLACK_S = 4.0  # a briefing due within this time waits no longer for idle servers
+AVERAGE_S = 1.0  # averages over 1,400 servers take some milliseconds
 LOW_CREDIT = 0.25  # part of the savings of a workspace below which it is close to its share
 # Standard deviations of the others' use that a workspace beyond its share leaves free. Slots are held for many times
 # longer than a prefill server: with 0.5 for both, 5x of one workspace moved the others' 95% quantile by 40% to 85%.
@@ -53,6 +54,7 @@
         self._prefixes = prefixes
         self._value = value
         self._log = PartLog("pool")
+        self._averaged_at = float("-inf")
 
     # ---- queue
 
@@ -220,7 +222,9 @@
         """
         self._switch_policy(now)
         self._queue.refresh(now)
-        self.averages.refresh(self._index)
+        if now - self._averaged_at >= AVERAGE_S:
+            self._averaged_at = now
+            self.averages.refresh(self._index)
         for ticket in list(self.ticket_by_id.values()):
             if now - ticket.polled_at > POLL_LIMIT_S:
                 self.drop(ticket)
--- a/libs/arbutusrill_pool/_index.py
+++ b/libs/arbutusrill_pool/_index.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import itertools
 import random
+from collections import OrderedDict
 from collections.abc import Iterator
 
 from ._server import Server
@@ -76,7 +78,7 @@
     """
 
     def __init__(self, seed: int, gap_target_s: float):
-        self.by_id: dict[str, Server] = {}
+        self.by_id: OrderedDict[str, Server] = OrderedDict()  # those heard longest ago first
         self.gap_target_s = gap_target_s
         self._random = random.Random(seed)
         self._stage_by_name = {name: _Stage() for name in STAGES}
@@ -84,6 +86,15 @@
     def __iter__(self) -> Iterator[Server]:
         return iter(self.by_id.values())
 
+    def heard(self, server: Server) -> None:
+        """Notes that a server has just announced itself."""
+        self.by_id[server.id] = server
+        self.by_id.move_to_end(server.id)
+
+    def quiet(self, before: float) -> list[Server]:
+        """Returns the servers last heard at `before` or earlier."""
+        return list(itertools.takewhile(lambda server: server.heard_at <= before, self.by_id.values()))
+
     def stage(self, name: str) -> _Stage:
         """Returns the sets and totals of a stage: `ready`, `open`, `slots`, `free` and `idle`."""
         return self._stage_by_name[name]
--- a/libs/arbutusrill_pool/_owner.py
+++ b/libs/arbutusrill_pool/_owner.py
@@ -24,6 +24,7 @@
 
 RECOVERY_S = 1.0  # one announcement period of 0.5 s and one renewal period of 0.4 s
 FORGET_SERVER_S = 60.0  # a server silent for this long is dropped with what was learnt of it
+WATCH_S = 0.2  # looking through 10,000 held tickets takes some milliseconds
 _SMALL_POOL = 32  # servers; averages of a larger pool wait for the next tick
 
 
@@ -61,6 +62,8 @@
         self._prefixes = PrefixIndex()
         self._dispatcher = Dispatcher(self._index, self._queue, self._book, self._prefixes, value)
         self._opens_at = clock.monotonic() + (RECOVERY_S if epoch > 1 else 0.0)
+        self._returning: dict[str, Server] = {}  # ejected or in their slow start
+        self._watched_at = float("-inf")
         self._reporting: set[tuple[str, int]] = set()  # VMs that report the end of each prefill
         self._watch = RenewalWatch(self._book, self._index, work, is_dead, self._cancelled)
 
@@ -175,17 +178,28 @@
                 return
             if now >= self._opens_at:
                 self._presume_prefilled(now)
-                self._watch.tick(now)
+                if now - self._watched_at >= WATCH_S:
+                    self._watched_at = now
+                    self._watch.tick(now)
             self._dispatcher.tick(now, now >= self._opens_at)
 
     def _update_servers(self, now: float) -> None:
-        self._index.gap_target_s = self._value("targets.token_gap_s")
-        for server in list(self._index):
+        gap_target_s = self._value("targets.token_gap_s")
+        if gap_target_s != self._index.gap_target_s:
+            self._index.gap_target_s = gap_target_s
+            for server in self._index:
+                self._index.update(server, now)
+        for server in self._index.quiet(now - SILENT_S):
             if now - server.heard_at > FORGET_SERVER_S:
                 self._index.remove(server)
                 self._prefixes.forget(server.id)
             else:
                 self._index.update(server, now)
+        for server in [each for each in self._returning.values() if each.health.usable_part(now) >= 1.0]:
+            del self._returning[server.id]
+            self._index.update(server, now)
+        for server in self._returning.values():
+            self._index.update(server, now)
 
     def _cancelled(self, ticket: str, server_id: str) -> None:
         with self._lock:
@@ -248,6 +262,7 @@
             self._log.warning("%s keeps failing, but half of its role is ejected already", server_id)
             return
         until = server.health.eject(now)
+        self._returning[server.id] = server
         self._log.warning("%s is ejected for %.0f s after repeated failures", server_id, until - now)
         self._index.update(server, now)
 
@@ -263,6 +278,7 @@
                 if (before.role, before.data_centre) != (announcement.role, announcement.data_centre):
                     self._index.remove(known)
                 known.report(announcement, now)
+                self._index.heard(known)
                 self._index.update(known, now)
             else:
                 self._join(announcement, known, now)
@@ -275,10 +291,12 @@
             self._index.remove(known)
             self._prefixes.forget(known.id)
             server.health.restart(now)
+            self._returning[server.id] = server
         elif self.epoch > 1 and self._work is not None and announcement.role != "plain":
             server.checked = False
             self._work.read_requests(announcement.address, lambda rows: self._take_requests(server.id, rows))
         self._dispatcher.plain = announcement.role == "plain"
+        self._index.heard(server)
         self._index.update(server, now)
         if len(self._index.by_id) <= _SMALL_POOL:
             self._dispatcher.averages.refresh(self._index)
--- a/libs/arbutusrill_pool/_shares.py
+++ b/libs/arbutusrill_pool/_shares.py
@@ -139,7 +139,9 @@
             virtual_time, _, share = entry
             ticket = self._first(share, band)
             if virtual_time != share.virtual_time:
-                continue  # a newer entry exists
+                if share.offered.get(band) == virtual_time:
+                    share.offered[band] = None  # the virtual time can come back to this value after a refund
+                continue
             if ticket is None:
                 share.offered[band] = None
                 continue
--- a/libs/arbutusrill_pool/tests/test_shares.py
+++ b/libs/arbutusrill_pool/tests/test_shares.py
@@ -81,3 +81,17 @@
 def test_backlog_of_a_workspace_beyond_its_share_does_not_get_others_refused():
     _, refused, _ = others_quantile(4.0, 150, 5, seed=1)
     assert refused == 0
+
+
+def test_ticket_is_found_after_a_charge_was_refunded_exactly():
+    queue = queue_with({"a": 1.0}, each=1)
+    share = queue.share_by_workspace["a"]
+    first = queue.head(Band.URGENT, set())
+    queue.remove(first)
+    queue.charge(share, first.cost)
+    assert queue.head(Band.URGENT, set()) is None
+    queue.settle(share, first.cost, Cost(0.0))
+    ticket = Ticket(request("u"), 0, 0, 0, Band.URGENT, Cost(1.0), None, "a")
+    queue._virtual_now = share.virtual_time
+    queue.push(ticket, share)
+    assert queue.head(Band.URGENT, set()) is ticket
