--- a/libs/arbutusrill_bench/_site.py
+++ b/libs/arbutusrill_bench/_site.py
@@ -6,6 +6,7 @@
 import json
 import os
 import secrets
+import shutil
 import signal
 import socket
 import subprocess
@@ -23,6 +24,7 @@
 
 _START_S = 20.0
 _STOP_S = 15.0
+_HURRY_S = 0.3  # a second SIGTERM after this time ends the draining of entry VMs
 
 
 class SiteError(Exception):
@@ -52,10 +54,13 @@
 class LocalSite:
     """Starts control VMs, entry VMs and stand-ins, and ends all of them when the context is left.
 
-    Entry VM number i listens on 127.0.<net>.<i + 20>, control VM number i on 127.0.<net>.<i + 10>.
+    `entry_options` are added to the entry section of each entry VM's settings. Entry VM number i listens on
+    127.0.<net>.<i + 20>, control VM number i on 127.0.<net>.<i + 10>.
     """
 
-    def __init__(self, controls: int = 3, entries: int = 3, folder: Path | None = None):
+    def __init__(
+        self, controls: int = 3, entries: int = 3, folder: Path | None = None, entry_options: dict | None = None
+    ):
         self._own_folder = tempfile.TemporaryDirectory(prefix="arbutusrill-") if folder is None else None
         self.folder = folder or Path(self._own_folder.name)
         self.operator_token = secrets.token_urlsafe(16)
@@ -78,6 +83,7 @@
                 "http": free_address(host),
                 "rpc": free_address(host),
                 "announce_token_sha256": _sha256(self.announce_token),
+                **(entry_options or {}),
             }
             self._add_daemon(f"entry{number + 1}", number, rpc, {"entry": role}, role["http"], role["rpc"])
         self.operators = OperatorClient([member.address for member in self.of_kind("control")], self.operator_token)
@@ -97,6 +103,9 @@
         for name in reversed(list(self.members_by_name)):
             self.signal(name, signal.SIGCONT)
             self.signal(name, signal.SIGTERM)
+        time.sleep(_HURRY_S)
+        for name in self.members_by_name:
+            self.signal(name, signal.SIGTERM)
         deadline = time.monotonic() + _STOP_S
         for member in self.members_by_name.values():
             if member.process is not None:
@@ -158,6 +167,29 @@
         self.signal(name, signal.SIGKILL)
         self.members_by_name[name].process.wait()
 
+    def kill_all(self) -> None:
+        """Ends all members at once, where a graceful end of the site proves nothing and takes seconds."""
+        for name in self.members_by_name:
+            self.kill(name)
+
+    def freeze(self, name: str) -> None:
+        """Cuts a member off silently: it does nothing more while its connections stay open."""
+        self.signal(name, signal.SIGSTOP)
+
+    def thaw(self, name: str) -> None:
+        """Lets a member that was cut off go on where it was."""
+        self.signal(name, signal.SIGCONT)
+
+    def restart(self, name: str, empty: bool = False) -> None:
+        """Starts a member again, killing it first if it runs; `empty` gives it a new, empty data folder."""
+        member = self.members_by_name[name]
+        if member.process is not None and member.process.poll() is None:
+            self.kill(name)
+        data = member.settings.get("control", {}).get("data_folder")
+        if empty and data is not None:
+            shutil.rmtree(data, ignore_errors=True)
+        self.start(name)
+
     def log(self, name: str) -> str:
         """Returns what a member has logged."""
         return (self.folder / f"{name}.log").read_text(errors="replace")
@@ -170,9 +202,13 @@
                 raise SiteError(f"not within {timeout:g} s: {what}")
             time.sleep(0.05)
 
-    def _wait_ready(self) -> None:
+    def wait_entries_ready(self) -> None:
+        """Waits until every entry VM says that it is ready for callers."""
         for member in self.of_kind("entry"):
             self.wait_until(lambda url=f"http://{member.address}/readyz": _ok(url), f"{member.name} is ready")
+
+    def _wait_ready(self) -> None:
+        self.wait_entries_ready()
         self.wait_until(self._control_answers, "a control VM answers operators")
 
     def _control_answers(self) -> bool:
--- a/libs/arbutusrill_burn/__init__.py
+++ b/libs/arbutusrill_burn/__init__.py
@@ -1,1 +1,7 @@
-"""Placeholder docstring."""
+"""Service levels: counts of good and bad requests, burn rates over several windows, and a report."""
+
+from ._counter import WINDOWS_S, BurnCount, BurnCounter
+from ._rates import BurnRate, burn_rates
+from ._report import burn_html
+
+__all__ = ["WINDOWS_S", "BurnCount", "BurnCounter", "BurnRate", "burn_html", "burn_rates"]
--- a/libs/arbutusrill_state/_config.py
+++ b/libs/arbutusrill_state/_config.py
@@ -9,22 +9,15 @@
 
 from arbutusrill_wire import messages
 
+from ._checks import ENDED_ORDER_STATES, MAX_ORDERS, RejectedError, check_change, check_envelope, check_order
 from ._commands import change_of
-from ._defaults import DEFAULT_SPEC_BY_NAME, SCOPE_KINDS, check_value
+from ._defaults import DEFAULT_SPEC_BY_NAME, MAX_NUMBER, SCOPE_KINDS, check_value
 
 __all__ = ["ConfigState"]
 
 _KEPT_FIRST_ANSWERS = 10_000  # five days at the target of 2,000 changes a day
 
 
-class RejectedError(Exception):
-    """A change that the state machine does not accept; it leaves the state as it was."""
-
-    def __init__(self, code: str, message: str):
-        super().__init__(message)
-        self.code = code
-
-
 class ConfigState:
     """Defaults, exceptions, workspaces, keys, services, VMs, pools and orders.
 
@@ -42,6 +35,8 @@
         self.clock_ms = 0
         self.defaults_by_name: dict[str, str] = {}
         self.exceptions_by_id: dict[str, Any] = {}
+        # Identifiers by (default, scope kind, scope name), oldest first; a dict serves as an ordered set.
+        self._exception_ids_by_scope: dict[tuple[str, str, str], dict[str, None]] = {}
         self.workspaces_by_name: dict[str, Any] = {}
         self.keys_by_hash: dict[str, Any] = {}
         self.services_by_name: dict[str, Any] = {}
@@ -54,6 +49,9 @@
 
     def apply(self, made: Any) -> Any:
         """Applies a `Command` and returns its `Outcome`; a resent command gets its first outcome again."""
+        problem = check_envelope(made)
+        if problem is not None:
+            return messages.Outcome(False, self.revision, "bad_command", problem)
         with self.lock:
             first = self.first_answers_by_id.get(made.request_id)
             if first is not None:
@@ -70,12 +68,14 @@
             return messages.Outcome(False, self.revision, "revision_conflict", message)
         kind, change = change_of(made)
         try:
+            check_change(kind, change, self.feature_level)
             getattr(self, f"_{kind}")(change, made)
         except RejectedError as rejected:
             return messages.Outcome(False, self.revision, rejected.code, str(rejected))
         self.clock_ms = max(self.clock_ms, made.at_ms)
         self.revision += 1
-        return messages.Outcome(True, self.revision)
+        detail = change.key_id.encode() if kind == "issue_key" else None
+        return messages.Outcome(True, self.revision, detail=detail)
 
     def _set_default(self, change: Any, _: Any) -> None:
         problem = check_value(change.name, change.value_json)
@@ -94,11 +94,9 @@
             raise RejectedError("bad_value", problem)
         if change.scope_kind not in SCOPE_KINDS or not change.scope_name:
             raise RejectedError("bad_value", f"the scope must be one of {', '.join(SCOPE_KINDS)} and a name")
-        if not change.reason.strip():
-            raise RejectedError("bad_value", "an exception needs a reason")
         if change.id in self.exceptions_by_id:
             raise RejectedError("conflict", f"exception {change.id} exists")
-        self.exceptions_by_id[change.id] = messages.ExceptionRecord(
+        record = messages.ExceptionRecord(
             change.id,
             change.default_name,
             change.scope_kind,
@@ -108,18 +106,29 @@
             made.actor,
             made.at_ms,
         )
+        self._keep_exception(record)
+
+    def _keep_exception(self, record: Any) -> None:
+        self.exceptions_by_id[record.id] = record
+        scope = (record.default_name, record.scope_kind, record.scope_name)
+        self._exception_ids_by_scope.setdefault(scope, {})[record.id] = None
 
     def _remove_exception(self, change: Any, _: Any) -> None:
-        if self.exceptions_by_id.pop(change.id, None) is None:
+        record = self.exceptions_by_id.pop(change.id, None)
+        if record is None:
             raise RejectedError("not_found", f"no exception {change.id}")
+        scope = (record.default_name, record.scope_kind, record.scope_name)
+        self._exception_ids_by_scope[scope].pop(record.id)
+        if not self._exception_ids_by_scope[scope]:
+            del self._exception_ids_by_scope[scope]
 
     def _put_workspace(self, change: Any, _: Any) -> None:
-        if not change.name:
-            raise RejectedError("bad_value", "a workspace needs a name")
-        for field in ("rate", "burst", "weight"):
+        for field, least in (("rate", 0.001), ("burst", 1.0)):
             value = getattr(change, field)
-            if not 0 < value < 1e15:
-                raise RejectedError("bad_value", f"{field} must be a positive number")
+            if value != 0 and not least <= value <= MAX_NUMBER:
+                raise RejectedError("bad_value", f"{field} must be from {least:g} to 1e15, or 0 for the default")
+        if not 1e-3 <= change.weight <= 1e6:
+            raise RejectedError("bad_value", "weight must be from 0.001 to 1e6")
         self.workspaces_by_name[change.name] = change
 
     def _remove_workspace(self, change: Any, _: Any) -> None:
@@ -145,11 +154,6 @@
             )
 
     def _put_service(self, change: Any, _: Any) -> None:
-        if not change.name or "/" in change.name:
-            raise RejectedError("bad_value", "a service needs a name without a slash")
-        for route in change.routes:
-            if not route.prefix.startswith("/"):
-                raise RejectedError("bad_value", f"route prefix {route.prefix!r} must start with a slash")
         self.services_by_name[change.name] = change
 
     def _remove_service(self, change: Any, _: Any) -> None:
@@ -177,8 +181,23 @@
             )
         self.pools_by_name[change.name] = messages.AssignPool(change.name, current.kind, "", 0, current.epoch + 1)
 
-    def _put_order(self, change: Any, _: Any) -> None:
-        self.orders_by_id[change.id] = change
+    def _forget_vm(self, change: Any, _: Any) -> None:
+        known = self.vms_by_id.get(change.id)
+        if known is None or known.state != "dead" or known.incarnation != change.incarnation:
+            raise RejectedError("conflict", f"VM {change.id} is not dead or runs again")
+        del self.vms_by_id[change.id]
+
+    def _put_order(self, change: Any, made: Any) -> None:
+        check_order(self.orders_by_id.get(change.id), change)
+        if change.id not in self.orders_by_id and len(self.orders_by_id) >= MAX_ORDERS:
+            ended = next((key for key, row in self.orders_by_id.items() if row.state in ENDED_ORDER_STATES), None)
+            if ended is None:
+                raise RejectedError("too_many", f"{MAX_ORDERS} orders are under way")
+            del self.orders_by_id[ended]
+        # The newest change last, so that ended orders are dropped in the order of their ends.
+        self.orders_by_id.pop(change.id, None)
+        fields = {name: value for name, value in vars(change).items() if name != "at_ms"}
+        self.orders_by_id[change.id] = messages.PutOrder(**fields, at_ms=max(self.clock_ms, made.at_ms))
 
     def _set_feature_level(self, change: Any, _: Any) -> None:
         if change.level < self.feature_level:
@@ -198,27 +217,40 @@
                 return None
             return record.workspace
 
-    def value(self, name: str, **scope: str) -> Any:
-        """Returns the value of a default in a scope such as ``workspace="a", model="m"``.
+    def exception_for(self, name: str, **scope: str) -> Any | None:
+        """Returns the exception record that decides the default `name` in a scope, or None without any.
 
         The most specific matching exception wins, in the order of `SCOPE_KINDS`; of two, the later one.
         """
         with self.lock:
             for kind in SCOPE_KINDS:
-                matching = [
-                    record
-                    for record in self.exceptions_by_id.values()
-                    if record.default_name == name
-                    and record.scope_kind == kind
-                    and record.scope_name == scope.get(kind)
-                ]
-                if matching:
-                    return json.loads(matching[-1].value_json)
-            if name in self.defaults_by_name:
-                return json.loads(self.defaults_by_name[name])
-            return DEFAULT_SPEC_BY_NAME[name].initial
-
-    # ---- snapshots
+                ids = self._exception_ids_by_scope.get((name, kind, scope.get(kind, "")))
+                if ids:
+                    return self.exceptions_by_id[next(reversed(ids))]
+        return None
+
+    def value(self, name: str, **scope: str) -> Any:
+        """Returns the value of a default in a scope such as ``workspace="a", model="m"``."""
+        with self.lock:
+            record = self.exception_for(name, **scope)
+            text = record.value_json if record is not None else self.defaults_by_name.get(name)
+        spec = DEFAULT_SPEC_BY_NAME[name]
+        return spec.initial if text is None else spec.kind(json.loads(text))
+
+    def limits_of(self, workspace: str) -> tuple[float, float] | None:
+        """Returns rate (tokens/s) and burst (tokens) of a workspace, None for an unknown one.
+
+        An exception for the workspace wins over its own values; a value of 0 stands for the default.
+        """
+        with self.lock:
+            record = self.workspaces_by_name.get(workspace)
+            if record is None:
+                return None
+            numbers = []
+            for name, own in (("limits.rate", record.rate), ("limits.burst", record.burst)):
+                has_exception = self.exception_for(name, workspace=workspace) is not None
+                numbers.append(own if own > 0 and not has_exception else self.value(name, workspace=workspace))
+            return numbers[0], numbers[1]
 
     def snapshot(self, with_first_answers: bool = True) -> Any:
         """Returns the whole state as a `ConfigSnapshot`."""
@@ -249,7 +281,8 @@
             self.feature_level = snapshot.feature_level
             self.clock_ms = snapshot.clock_ms
             self.defaults_by_name.update(snapshot.defaults or {})
-            self.exceptions_by_id.update((record.id, record) for record in snapshot.exceptions)
+            for record in snapshot.exceptions:
+                self._keep_exception(record)
             self.workspaces_by_name.update((record.name, record) for record in snapshot.workspaces)
             self.keys_by_hash.update((record.key_hash, record) for record in snapshot.keys)
             self.services_by_name.update((record.name, record) for record in snapshot.services)
--- a/libs/arbutusrill_wire/arbutusrill.thrift
+++ b/libs/arbutusrill_wire/arbutusrill.thrift
@@ -33,7 +33,8 @@
   3: i64 last_index,
   4: i64 last_term,
   5: bool pre_vote = false,
-  6: string disk_id = ""
+  6: string disk_id = "",
+  7: string target = ""     // member ID that the message is meant for: RPC address "/" disk ID
 }
 
 struct VoteReply {
@@ -49,7 +50,8 @@
   5: list<LogEntry> entries,
   6: i64 commit_index,
   7: string disk_id = "",
-  8: string target = ""     // replica id that the message is meant for
+  8: string target = "",    // member ID that the message is meant for
+  9: i64 previous_chain = 0 // running hash of the log up to previous_index
 }
 
 struct AppendReply {
@@ -67,7 +69,8 @@
   5: i64 offset,
   6: binary data,
   7: bool done = false,
-  8: binary membership
+  8: binary membership,
+  9: string target = ""     // member ID that the message is meant for
 }
 
 struct SnapshotReply {
@@ -75,10 +78,17 @@
   2: i64 next_offset
 }
 
+struct HelloReply {
+  1: string member,         // member ID of the replica that answers
+  2: string group = "",     // group that it belongs to, empty before it has joined one
+  3: string fault = ""      // why it does not take part, empty when it does
+}
+
 service Raft {
   VoteReply vote(1: VoteRequest request) throws (1: Refused refused),
   AppendReply append(1: AppendRequest request) throws (1: Refused refused),
-  SnapshotReply install_snapshot(1: SnapshotRequest request) throws (1: Refused refused)
+  SnapshotReply install_snapshot(1: SnapshotRequest request) throws (1: Refused refused),
+  HelloReply hello(1: string caller) throws (1: Refused refused)
 }
 
 // ---- Commands of the state machine ----------------------------------------------------------------------
@@ -111,18 +121,22 @@
 struct ReleasePool { 1: string name, 2: string owner, 3: i64 epoch }
 struct PutOrder {
   1: string id, 2: string server, 3: string pool, 4: string action, 5: string argument_json, 6: string state,
-  7: i64 fencing = 0, 8: string detail = ""
+  7: i64 fencing = 0, 8: string detail = "",
+  9: i64 at_ms = 0               // time of the last change, set by the state machine
 }
 struct SetFeatureLevel { 1: i32 level }
+struct ForgetVm { 1: string id, 2: i64 incarnation }      // feature level 2
 
 struct JournalBegin {
   1: string workspace, 2: string key, 3: binary digest, 4: string vm, 5: i64 incarnation
 }
 struct JournalFinish {
   1: string workspace, 2: string key, 3: i32 attempt, 4: string status,   // done, not_run, ran or unknown
-  5: i32 http_status = 0, 6: string headers_json = "", 7: binary body
+  5: i32 http_status = 0, 6: string headers_json = "", 7: binary body,
+  8: string begin_id = ""        // request id of the begin; with it, `attempt` may be 0 when the answer was lost
 }
-struct JournalSweep { 1: i64 before_ms }
+// `elapsed_ms` is the time since the last sweep on the leader's monotonic clock; `before_ms` is not used any more.
+struct JournalSweep { 1: i64 before_ms = 0, 2: i64 elapsed_ms = 0 }
 
 // Exactly one of the fields from 10 on is set.
 struct Command {
@@ -145,6 +159,7 @@
   22: ReleasePool release_pool,
   23: PutOrder put_order,
   24: SetFeatureLevel set_feature_level,
+  25: ForgetVm forget_vm,
   40: JournalBegin journal_begin,
   41: JournalFinish journal_finish,
   42: JournalSweep journal_sweep
@@ -156,7 +171,7 @@
   2: i64 revision,
   3: string code = "",           // fixed word when not accepted
   4: string message = "",
-  5: binary detail               // journal commands: a serialised BeginAnswer
+  5: binary detail               // journal_begin: a serialised BeginAnswer; issue_key: the key's id
 }
 
 // ---- Snapshots of the config state ----------------------------------------------------------------------
@@ -184,6 +199,13 @@
   12: i64 clock_ms = 0
 }
 
+struct JournalRecord {
+  1: string workspace, 2: string key, 3: string digest, 4: i32 attempt, 5: string status, 6: string vm,
+  7: i64 incarnation, 8: i64 at_ms, 9: i32 http_status, 10: string headers_json, 11: binary body,
+  12: list<string> begin_ids, 13: i32 outstanding
+}
+struct JournalSnapshot { 1: list<JournalRecord> records, 2: i64 clock_ms }
+
 // ---- Control --------------------------------------------------------------------------------------------
 
 struct FollowRequest {
@@ -210,18 +232,27 @@
   5: string leader
 }
 
+// Tokens of an earlier grant that were not spent; `issued_us` and `epoch` are those of the grant.
+struct ReturnedTokens { 1: double tokens, 2: i64 issued_us, 3: i64 epoch }
+
 struct GrantItem {
   1: string workspace,
-  2: double wanted,              // tokens
-  3: double returned = 0         // unspent or refunded tokens credited back
+  2: double wanted,              // tokens, `needed` included
+  3: double returned = 0,        // not used any more, see `returns`
+  4: double needed = 0,          // a smaller grant than this is useless to the caller
+  5: list<ReturnedTokens> returns
+}
+// A request with the `sequence` of the one before gets the same answer again; an older one is refused.
+struct GrantRequest {
+  1: string vm, 2: i64 incarnation, 3: list<GrantItem> items, 4: i64 epoch = 0, 5: i64 sequence = 0
 }
-struct GrantRequest { 1: string vm, 2: i64 incarnation, 3: list<GrantItem> items, 4: i64 epoch = 0 }
 struct Grant {
   1: string workspace,
   2: double tokens,
-  3: i32 lease_ms,
+  3: i32 lease_ms,               // counted from when the caller sent the request for the first time
   4: double capacity,            // largest single charge that can ever be granted
-  5: i32 retry_after_ms = 0
+  5: i32 retry_after_ms = 0,
+  6: i64 issued_us = 0           // the owner's time of the grant, sent back with returned tokens
 }
 struct GrantReply { 1: list<Grant> grants, 2: i64 epoch }
 
@@ -242,6 +273,16 @@
   7: i64 revision, 8: list<string> voters, 9: list<string> learners, 10: string fault = ""
 }
 
+// A member of the control group as its leader sees it.
+struct ReplicaRow {
+  1: string id,             // member ID: RPC address "/" disk ID
+  2: string address,
+  3: string kind,           // voter or learner
+  4: bool leads,
+  5: i64 match_index,
+  6: i64 silent_ms          // since its last answer, -1 for never
+}
+
 service Control {
   Outcome propose(1: Command command) throws (1: Refused refused),
   FollowReply follow(1: FollowRequest request) throws (1: Refused refused),
@@ -250,7 +291,10 @@
   Outcome finish_call(1: Command command) throws (1: Refused refused),
   void report_burn(1: string vm, 2: i64 incarnation, 3: list<BurnRow> rows) throws (1: Refused refused),
   void open_pool(1: string name, 2: string kind) throws (1: Refused refused),   // kind: model or service
-  ReplicaStatus replica_status() throws (1: Refused refused)
+  ReplicaStatus replica_status() throws (1: Refused refused),
+  list<ReplicaRow> replicas() throws (1: Refused refused),
+  // Replaces member `old` (ID or RPC address) by the replica at RPC address `replacement` and returns its ID.
+  string replace_replica(1: string old, 2: string replacement) throws (1: Refused refused)
 }
 
 // ---- Pools ----------------------------------------------------------------------------------------------
