base, state: settings and values of defaults are returned as results

Cause: the house style asks for expression's Result where a call can fail in normal operation; nothing used it. Change: load_settings, parse_settings and parse_value return Result; SettingsError is gone.

--- a/libs/arbutusrill_base/__init__.py
+++ b/libs/arbutusrill_base/__init__.py
@@ -5,7 +5,7 @@
 from ._clock import Clock, ManualClock, SystemClock
 from ._ids import hash_key, new_incarnation, new_key, new_request_id
 from ._logs import PartLog, configure_logs
-from ._settings import Section, SettingsError, load_settings, parse_settings
+from ._settings import Section, load_settings, parse_settings
 from ._tasks import TaskGroup
 from ._verdict import Failure, FailureError, Verdict
 
@@ -18,7 +18,6 @@
     "PartLog",
     "RetryBudget",
     "Section",
-    "SettingsError",
     "SystemClock",
     "TaskGroup",
     "Verdict",
--- a/libs/arbutusrill_base/_settings.py
+++ b/libs/arbutusrill_base/_settings.py
@@ -7,8 +7,9 @@
 from typing import Any, TypeVar
 
 import pydantic
+from expression import Error, Ok, Result
 
-__all__ = ["Section", "SettingsError", "load_settings", "parse_settings"]
+__all__ = ["Section", "load_settings", "parse_settings"]
 
 
 class Section(pydantic.BaseModel):
@@ -20,33 +21,40 @@
 SectionT = TypeVar("SectionT", bound=Section)
 
 
-class SettingsError(Exception):
-    """A mistake in a settings file; the message is one line naming file, key and expectation."""
+def load_settings(path: str | Path, model: type[SectionT]) -> Result[SectionT, str]:
+    """Reads a settings file as `model`.
 
-
-def load_settings(path: str | Path, model: type[SectionT]) -> SectionT:
-    """Reads a settings file and returns it as `model`; raises `SettingsError`."""
+    The error is one line that names the file, the key and what was expected.
+    """
     try:
         text = Path(path).read_text(encoding="utf-8")
     except OSError as error:
-        raise SettingsError(f"{path}: cannot be read: {error.strerror}") from None
+        return Error(f"{path}: cannot be read: {error.strerror}")
     except UnicodeDecodeError as error:
-        raise SettingsError(f"{path}: expected UTF-8 text, byte {error.start} is not") from None
+        return Error(f"{path}: expected UTF-8 text, byte {error.start} is not")
     return parse_settings(text, model, str(path))
 
 
-def parse_settings(text: str, model: type[SectionT], name: str) -> SectionT:
-    """Checks settings given as text; `name` stands for the file in messages."""
+def parse_settings(text: str, model: type[SectionT], name: str) -> Result[SectionT, str]:
+    """Checks settings given as text; `name` stands for the file in messages.
+
+    >>> class Example(Section):
+    ...     port: int
+    >>> parse_settings('{"port": 1}', Example, "a.json").ok.port
+    1
+    >>> parse_settings('{"port": 1, "extra": 2}', Example, "a.json").error
+    'a.json: extra: unknown key, expected one of the documented settings'
+    """
     try:
         value = json.loads(text, object_pairs_hook=_refuse_repeated_keys)
     except json.JSONDecodeError as error:
-        raise SettingsError(f"{name}: line {error.lineno}, column {error.colno}: expected JSON: {error.msg}") from None
+        return Error(f"{name}: line {error.lineno}, column {error.colno}: expected JSON: {error.msg}")
     except (ValueError, RecursionError) as error:
-        raise SettingsError(f"{name}: expected JSON: {error}") from None
+        return Error(f"{name}: expected JSON: {error}")
     try:
-        return model.model_validate_json(json.dumps(value))
+        return Ok(model.model_validate_json(json.dumps(value)))
     except pydantic.ValidationError as error:
-        raise SettingsError(f"{name}: {_first_error(error)}") from None
+        return Error(f"{name}: {_first_error(error)}")
 
 
 def _refuse_repeated_keys(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
--- a/libs/arbutusrill_base/tests/test_settings.py
+++ b/libs/arbutusrill_base/tests/test_settings.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from arbutusrill_base import Section, SettingsError, load_settings, parse_settings
+from arbutusrill_base import Section, load_settings, parse_settings
 
 
 class Inner(Section):
@@ -25,12 +25,12 @@
     ],
 )
 def test_mistake_gives_one_line_with_file_key_and_expectation(text, expected):
-    with pytest.raises(SettingsError) as caught:
-        parse_settings(text, Example, "s.json")
-    assert expected in str(caught.value)
-    assert "\n" not in str(caught.value)
+    result = parse_settings(text, Example, "s.json")
+    assert result.is_error()
+    assert expected in result.error
+    assert "\n" not in result.error
 
 
 def test_missing_file_is_named(tmp_path):
-    with pytest.raises(SettingsError, match="cannot be read"):
-        load_settings(tmp_path / "none.json", Example)
+    path = tmp_path / "none.json"
+    assert load_settings(path, Example).error.startswith(f"{path}: cannot be read")
--- a/libs/arbutusrill_daemon/_main.py
+++ b/libs/arbutusrill_daemon/_main.py
@@ -9,7 +9,7 @@
 from typing import Annotated
 
 import typer
-from arbutusrill_base import PartLog, SettingsError, configure_logs, load_settings
+from arbutusrill_base import PartLog, configure_logs, load_settings
 from arbutusrill_raft import StorageError
 
 from ._roles import run_roles
@@ -25,11 +25,11 @@
 
 def _run(settings: Annotated[Path, typer.Option(help="settings file in JSON")]) -> None:
     """Serves the roles that the settings file names until SIGTERM or SIGINT; a second one cuts what is left."""
-    try:
-        checked = load_settings(settings, DaemonSettings)
-    except SettingsError as error:
-        print(f"arbutusrilld: {error}", file=sys.stderr)
-        raise SystemExit(EXIT_BAD_SETTINGS) from None
+    loaded = load_settings(settings, DaemonSettings)
+    if loaded.is_error():
+        print(f"arbutusrilld: {loaded.error}", file=sys.stderr)
+        raise SystemExit(EXIT_BAD_SETTINGS)
+    checked = loaded.ok
     configure_logs(checked.log_level)
     sys.setswitchinterval(_SWITCH_S)
     stopping, hurry = threading.Event(), threading.Event()
--- a/libs/arbutusrill_state/__init__.py
+++ b/libs/arbutusrill_state/__init__.py
@@ -4,7 +4,7 @@
 from ._client import ControlClient, ControlUnavailableError
 from ._commands import change_of, command
 from ._config import ConfigState
-from ._defaults import DEFAULT_SPEC_BY_NAME, SCOPE_KINDS, DefaultSpec, check_value
+from ._defaults import DEFAULT_SPEC_BY_NAME, SCOPE_KINDS, DefaultSpec, parse_value
 from ._follower import Follower, VmIdentity
 from ._journal import Journal
 from ._journal_client import Attempt, JournalClient
@@ -26,6 +26,6 @@
     "UnsupportedLevelError",
     "VmIdentity",
     "change_of",
-    "check_value",
     "command",
+    "parse_value",
 ]
--- a/libs/arbutusrill_state/_config.py
+++ b/libs/arbutusrill_state/_config.py
@@ -11,7 +11,7 @@
 
 from ._checks import ENDED_ORDER_STATES, MAX_ORDERS, RejectedError, check_change, check_envelope, check_order
 from ._commands import change_of
-from ._defaults import DEFAULT_SPEC_BY_NAME, MAX_NUMBER, SCOPE_KINDS, check_value
+from ._defaults import DEFAULT_SPEC_BY_NAME, MAX_NUMBER, SCOPE_KINDS, parse_value
 
 __all__ = ["ConfigState"]
 
@@ -78,9 +78,9 @@
         return messages.Outcome(True, self.revision, detail=detail)
 
     def _set_default(self, change: Any, _: Any) -> None:
-        problem = check_value(change.name, change.value_json)
-        if problem:
-            raise RejectedError("bad_value", problem)
+        checked = parse_value(change.name, change.value_json)
+        if checked.is_error():
+            raise RejectedError("bad_value", checked.error)
         self.defaults_by_name[change.name] = change.value_json
 
     def _unset_default(self, change: Any, _: Any) -> None:
@@ -89,9 +89,9 @@
         self.defaults_by_name.pop(change.name, None)
 
     def _add_exception(self, change: Any, made: Any) -> None:
-        problem = check_value(change.default_name, change.value_json)
-        if problem:
-            raise RejectedError("bad_value", problem)
+        checked = parse_value(change.default_name, change.value_json)
+        if checked.is_error():
+            raise RejectedError("bad_value", checked.error)
         if change.scope_kind not in SCOPE_KINDS or not change.scope_name:
             raise RejectedError("bad_value", f"the scope must be one of {', '.join(SCOPE_KINDS)} and a name")
         if change.id in self.exceptions_by_id:
--- a/libs/arbutusrill_state/_defaults.py
+++ b/libs/arbutusrill_state/_defaults.py
@@ -4,8 +4,11 @@
 
 import json
 from dataclasses import dataclass
+from typing import Any
 
-__all__ = ["DEFAULT_SPEC_BY_NAME", "SCOPE_KINDS", "DefaultSpec", "check_value"]
+from expression import Error, Ok, Result
+
+__all__ = ["DEFAULT_SPEC_BY_NAME", "SCOPE_KINDS", "DefaultSpec", "parse_value"]
 
 MAX_NUMBER = 1e15  # sums of floats up to here keep a precision of one token
 _MAX_JSON = 1000  # characters of a value
@@ -55,32 +58,34 @@
 DEFAULT_SPEC_BY_NAME = {spec.name: spec for spec in _SPECS}
 
 
-def check_value(name: str, value_json: str) -> str | None:
-    """Returns None when `value_json` is a legal value of the default `name`, else what is wrong with it.
+def parse_value(name: str, value_json: str) -> Result[Any, str]:
+    """Returns the value of the default `name` that `value_json` stands for, or what is wrong with it.
 
-    >>> check_value("limits.rate", "-1")
+    >>> parse_value("limits.rate", "3").ok
+    3.0
+    >>> parse_value("limits.rate", "-1").error
     'limits.rate must be at least 0.001'
     """
     spec = DEFAULT_SPEC_BY_NAME.get(name)
     if spec is None:
-        return f"unknown default {str(name)[:80]!r}"
+        return Error(f"unknown default {str(name)[:80]!r}")
     if len(value_json) > _MAX_JSON:
-        return f"{name} must be shorter"
+        return Error(f"{name} must be shorter")
     try:
         value = json.loads(value_json, parse_constant=_refuse_constant)
     except (ValueError, RecursionError):
-        return f"{name} must be a JSON value without NaN and infinities"
+        return Error(f"{name} must be a JSON value without NaN and infinities")
     if spec.kind is float and type(value) is int and abs(value) <= MAX_NUMBER:
         value = float(value)
     if type(value) is not spec.kind:
-        return f"{name} must be of type {spec.kind.__name__}"
+        return Error(f"{name} must be of type {spec.kind.__name__}")
     if spec.choices and value not in spec.choices:
-        return f"{name} must be one of {', '.join(spec.choices)}"
+        return Error(f"{name} must be one of {', '.join(spec.choices)}")
     if spec.minimum is not None and value < spec.minimum:
-        return f"{name} must be at least {spec.minimum:g}"
+        return Error(f"{name} must be at least {spec.minimum:g}")
     if spec.kind is not str and value > (MAX_NUMBER if spec.maximum is None else spec.maximum):
-        return f"{name} must be at most {MAX_NUMBER if spec.maximum is None else spec.maximum:g}"
-    return None
+        return Error(f"{name} must be at most {MAX_NUMBER if spec.maximum is None else spec.maximum:g}")
+    return Ok(value)
 
 
 def _refuse_constant(name: str) -> float:
--- a/libs/arbutusrill_state/tests/test_config.py
+++ b/libs/arbutusrill_state/tests/test_config.py
@@ -5,7 +5,7 @@
 import pytest
 from arbutusrill_wire import decode, encode, messages
 
-from arbutusrill_state import SharedState, UnsupportedLevelError, check_value, command
+from arbutusrill_state import SharedState, UnsupportedLevelError, command, parse_value
 
 
 def do(state, change, request_id, **options):
@@ -56,7 +56,7 @@
     "text", ["NaN", "Infinity", "-Infinity", "1e999", "1" * 400, "1" * 5000, "[" * 900, '"x"', "true", "null", "1e16"]
 )
 def test_value_that_is_no_usable_number_is_refused(text):
-    assert check_value("limits.rate", text) is not None
+    assert parse_value("limits.rate", text).is_error()
 
 
 @pytest.mark.parametrize(
