cli: burn rates as table, JSON and HTML; entry: prefix blocks with each request for a place

Cause: burn showed counts only, and owners got no prefix blocks, so that no prompt met a cached prefix. Conclusion: exceptions to targets.quantile are not taken into account by the tool.

--- a/libs/arbutusrill_cli/_main.py
+++ b/libs/arbutusrill_cli/_main.py
@@ -4,11 +4,15 @@
 
 import json
 import sys
+import time
+from pathlib import Path
 from typing import Annotated, Any
 from urllib.parse import quote
 
 import typer
+from arbutusrill_burn import burn_html
 
+from ._burn import burn_of, burn_rows
 from ._client import EXIT_NOT_IN_FORCE, OperatorClient, OperatorError
 from ._tables import show_table
 
@@ -266,9 +270,17 @@
 
 
 @app.command("burn")
-def burn(as_json: Json = False) -> None:
-    """Shows good and bad requests by workspace, route and target. Example: arbutusrill burn"""
-    _show(_client().call("GET", "/burn"), "burn", as_json)
+def burn(
+    as_json: Json = False,
+    html: Annotated[str, typer.Option(help="also write a report page to this file")] = "",
+) -> None:
+    """Shows burn rates by workspace, route and target. Example: arbutusrill burn --html burn.html"""
+    client = _client()
+    rates = burn_of(client.call("GET", "/burn"), client.call("GET", "/defaults"))
+    if html:
+        Path(html).write_text(burn_html(rates, time.time()), encoding="utf-8")
+    rows = burn_rows(rates)
+    _show({"burn": rows}, "burn", as_json)
 
 
 @app.command("feature-level")
--- a/libs/arbutusrill_entry/_completions.py
+++ b/libs/arbutusrill_entry/_completions.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
-from arbutusrill_base import Failure, FailureError
+from arbutusrill_base import Failure, FailureError, prefix_blocks
 from arbutusrill_http import AbortStreamError, error_body, json_response
 from werkzeug.wrappers import Request
 
@@ -21,6 +21,8 @@
 
 __all__ = ["Completions"]
 
+_MAX_BLOCKS = 512  # of 64 tokens: 8 kB in each call to the pool's owner
+
 
 class Completions:
     """Serves completions, streamed or whole."""
@@ -70,6 +72,7 @@
             completion.prompt_tokens,
             completion.max_tokens,
             workspace.weight if workspace is not None else 1.0,
+            prefix_blocks=prefix_blocks(completion.prompt, _MAX_BLOCKS),
             move_wait_s=wait_s,
             last_moment=deadline if own else float("inf"),
         )
