--- a/libs/arbutusrill_entry/_completions.py
+++ b/libs/arbutusrill_entry/_completions.py
@@ -5,6 +5,7 @@
 import json
 import time
 from collections.abc import Callable, Iterable
+from json.encoder import encode_basestring_ascii
 from typing import Any
 
 from arbutusrill_base import Failure, FailureError, prefix_blocks
@@ -185,7 +186,7 @@
 
 def _quoted(text: str) -> bytes:
     # The escaped form also holds lone surrogates, which have no UTF-8 form.
-    return json.dumps(text).encode()
+    return encode_basestring_ascii(text).encode()
 
 
 def _event(value: dict[str, Any]) -> bytes:
--- a/libs/arbutusrill_entry/_events.py
+++ b/libs/arbutusrill_entry/_events.py
@@ -63,7 +63,7 @@
 
     def _take(self, data: bytes, texts: list[str]) -> bool:
         try:
-            event = json.loads(data)
+            event = json.loads(data.decode())
             if event["request_id"] != self._request_id:
                 self.crossed = True
                 self.problem = "the engine sent an event of another request"
--- a/libs/arbutusrill_entry/_meters.py
+++ b/libs/arbutusrill_entry/_meters.py
@@ -35,6 +35,10 @@
             "arbutusrill_open_requests", "Requests under way by route.", ["route"], registry=self.registry
         )
 
+        self.waiting = Gauge(
+            "arbutusrill_waiting_requests", "Requests that wait for a place on servers.", registry=self.registry
+        )
+
     def gauge(self, name: str, text: str, read: Callable[[], float]) -> None:
         """Adds a gauge whose value is read when the metrics are fetched."""
         Gauge(name, text, registry=self.registry).set_function(read)
--- a/libs/arbutusrill_entry/_slots.py
+++ b/libs/arbutusrill_entry/_slots.py
@@ -125,7 +125,8 @@
         self.ticket = self._wanted.request_id + suffix
         self.release = messages.ReleaseRequest(self._wanted.pool, self.ticket, "gone")
         try:
-            self.assignment = self._wait(deadline)
+            with self._context.meters.waiting.track_inprogress():
+                self.assignment = self._wait(deadline)
         except BaseException:
             self._abandon("gone", "")
             raise
