--- a/libs/arbutusrill_bench/_report.py
+++ b/libs/arbutusrill_bench/_report.py
@@ -50,7 +50,7 @@
 def table_lines(report: Report) -> list[str]:
     """Returns the report as lines of text."""
     lines = [
-        f"commit {report.commit}, seed {report.seed}, {report.seconds:g} s of load per run, "
+        f"commit {report.commit}, seed {report.seed}, {report.seconds:g} s measured per run, "
         f"time scale {report.time_scale:g}, started {report.started_at}",
         f"{'scenario':<14}{'policy':<15}{'goodput':>8}{'per s':>7}{'wasted':>8}{'worst':>7}{'w/mean':>7}"
         f"{'false rej':>10}{'by limit':>9}{'ttft p95':>10}{'gap p95':>9}{'over':>6}{'rep':>4}{'busy':>6}{'load':>6}",
@@ -66,22 +66,33 @@
             f"{row.false_rejection_share:>10.2%}{row.refused_inside_by_limit:>9}"
             f"{row.first_token_ms.get('p95', 0) / 1000:>8.2f} s{row.token_gap_ms.get('p95', 0):>6.1f} ms"
             f"{row.excess_tokens:>6.0f}{row.bookings_repeated:>4}{run.busy_share:>6.0%}{run.load_average:>6.1f}"
+            f"{' disturbed' if run.disturbed else ''}"
         )
-    return lines + ["", *_comparison(report)]
+    return [*lines, "", *_comparison(report), "", *_breakdown(report)]
 
 
 def _comparison(report: Report) -> list[str]:
     """Returns, for each scenario, the goodput of our policy over that of the best baseline."""
     lines = []
     for name in _scenarios(report):
-        share_by_policy = {
-            run.policy: run.measures.goodput_share for run in report.runs if run.scenario == name and not run.failed
-        }
+        runs = [run for run in report.runs if run.scenario == name and not run.failed]
+        share_by_policy = {run.policy: run.measures.goodput_share for run in runs}
         baselines = {policy: share for policy, share in share_by_policy.items() if policy in BASELINES}
         if OURS in share_by_policy and baselines:
             best = max(baselines, key=lambda policy: baselines[policy])
             ratio = share_by_policy[OURS] / max(1e-9, baselines[best])
-            lines.append(f"{name}: {OURS} has {ratio:.2f} times the goodput of the best baseline, {best}")
+            doubt = "; not valid, the machine was too busy" if any(run.disturbed for run in runs) else ""
+            lines.append(f"{name}: {OURS} has {ratio:.2f} times the goodput of the best baseline, {best}{doubt}")
+    return lines
+
+
+def _breakdown(report: Report) -> list[str]:
+    """Returns what became of the requests of each class, by which a difference between policies is explained."""
+    lines = []
+    for run in report.runs:
+        for name, counts in sorted(run.measures.category_counts_by_class.items()):
+            words = ", ".join(f"{count} {what}" for what, count in sorted(counts.items()))
+            lines.append(f"{run.scenario} {run.policy} {name}: {words}")
     return lines
 
 
