--- /dev/null
+++ b/libs/arbutusrill_cli/tests/test_client.py
@@ -0,0 +1,70 @@
+"""Guards against a change that is made twice by retries, and against exit codes that say the wrong thing."""
+
+import json
+
+import pytest
+from arbutusrill_http import HttpServer, json_response
+from werkzeug.wrappers import Request
+
+from arbutusrill_cli import OperatorClient, OperatorError, _client, _main
+
+
+class ControlVm:
+    def __init__(self, statuses):
+        self.statuses = list(statuses)
+        self.request_ids = []
+
+    def __call__(self, environ, start_response):
+        self.request_ids.append(Request(environ).headers.get("X-Request-Id"))
+        status = self.statuses.pop(0) if self.statuses else 200
+        body = {"revision": 7} if status == 200 else {"error": {"message": f"told {status}"}}
+        return json_response(body, status)(environ, start_response)
+
+
+@pytest.fixture
+def ask(monkeypatch):
+    monkeypatch.setattr(_client, "_RETRY_S", 0.5)
+
+    def asked(vms, method="PUT"):
+        with HttpServer("127.0.0.1", 0, vms[0]) as first, HttpServer("127.0.0.1", 0, vms[1]) as second:
+            client = OperatorClient([first.address, second.address], "token")
+            return client.call(method, "/defaults/limits.rate", {"value": 5})
+
+    return asked
+
+
+def test_all_tries_of_a_change_carry_one_request_id(ask):
+    vms = [ControlVm([503, 421]), ControlVm([503])]
+    assert ask(vms) == {"revision": 7}
+    ids = vms[0].request_ids + vms[1].request_ids
+    assert len(ids) == 4 and len(set(ids)) == 1 and ids[0]
+
+
+def test_refusal_is_final_and_tells_why(ask):
+    vms = [ControlVm([409]), ControlVm([])]
+    with pytest.raises(OperatorError, match="told 409") as caught:
+        ask(vms)
+    assert caught.value.exit_code == 3 and vms[1].request_ids == []
+
+
+def test_change_without_an_answer_names_the_request_id_to_repeat(ask):
+    vms = [ControlVm([503] * 99), ControlVm([421] * 99)]
+    with pytest.raises(OperatorError) as caught:
+        ask(vms)
+    assert caught.value.exit_code == 4 and vms[0].request_ids[0] in str(caught.value)
+
+
+@pytest.mark.parametrize("in_force", [True, False])
+def test_wait_in_vain_has_its_own_exit_code_and_still_shows_the_key(monkeypatch, capsys, in_force):
+    class Client:
+        def call(self, method, path, body=None, query=None, request_id=None):
+            if path.startswith("/in-force"):
+                return {"in_force": in_force, "behind": [] if in_force else ["vm3"]}
+            return {"revision": 7, "key": "ak-secret"}
+
+    monkeypatch.setattr(_main, "_client", Client)
+    monkeypatch.setattr("sys.argv", ["arbutusrill", "keys", "issue", "w", "--wait", "--json"])
+    with pytest.raises(SystemExit) as caught:
+        _main.main()
+    assert (caught.value.code or 0) == (0 if in_force else 5)
+    assert json.loads(capsys.readouterr().out)["key"] == "ak-secret"
