--- a/libs/arbutusrill_cli/_main.py
+++ b/libs/arbutusrill_cli/_main.py
@@ -244,14 +244,16 @@
 @backends.command("order")
 def backends_order(
     server: str,
-    action: Annotated[str, typer.Argument(help="load, unload, set_role, drain or resume")],
+    action: Annotated[
+        str, typer.Argument(help="load_model, load_adapter, load_version, unload, set_role, drain or resume")
+    ],
     argument: Annotated[list[str], typer.Option(help="NAME=VALUE, repeated")] = [],  # noqa: B006
     pool: Pool = "",
     request_id: RequestId = "",
     wait: Wait = False,
     as_json: Json = False,
 ) -> None:
-    """Gives an order. Example: arbutusrill backends order engine-d2 load --argument model=route-writer"""
+    """Gives an order. Example: arbutusrill backends order engine-d2 load_model --argument name=route-writer"""
     values = dict(part.partition("=")[::2] for part in argument)
     body = {"action": action, "argument": values, "pool": pool}
     _change("POST", f"/backends/{quote(server, '')}/orders", body, -1, request_id, wait, as_json)
--- a/libs/arbutusrill_control/_service.py
+++ b/libs/arbutusrill_control/_service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import threading
+import time
 from typing import Any
 
 from arbutusrill_base import Clock, PartLog
@@ -20,6 +21,9 @@
 
 _COMMIT_S = 3.0
 _MAX_WAIT_MS = 5000
+# Changes that come together go out in one answer: without the pause, 400 VMs that register at once caused up to
+# 400 x 400 answers.
+_GATHER_S = 0.02
 _log = PartLog("control")
 
 
@@ -40,10 +44,13 @@
                 self.changed.notify_all()
         return answer
 
-    def wait_beyond(self, revision: int, timeout: float) -> None:
-        """Waits until the configuration's revision differs from `revision`, at most `timeout` seconds."""
+    def wait_beyond(self, revision: int, timeout: float) -> bool:
+        """Waits until the configuration's revision differs from `revision`, at most `timeout` seconds.
+
+        Returns whether it does.
+        """
         with self.changed:
-            self.changed.wait_for(lambda: self.state.config.revision != revision, timeout)
+            return self.changed.wait_for(lambda: self.state.config.revision != revision, timeout)
 
     def snapshot(self) -> bytes:
         """Returns the whole state."""
@@ -88,7 +95,8 @@
         """Waits for changes after the caller's revision, renews its lease and proves freshness."""
         self._check_leads()
         self._note_vm(request)
-        self.machine.wait_beyond(request.revision, min(request.wait_ms, _MAX_WAIT_MS) / 1000)
+        if self.machine.wait_beyond(request.revision, min(request.wait_ms, _MAX_WAIT_MS) / 1000):
+            time.sleep(_GATHER_S)
         self._confirm()
         # Read after the confirmation: the caller is fresh once it has applied this revision.
         commands, revision = self.machine.state.commands_after(request.revision)
--- a/libs/arbutusrill_control/tests/test_operator.py
+++ b/libs/arbutusrill_control/tests/test_operator.py
@@ -75,7 +75,7 @@
 
 
 def test_resent_order_is_one_order(control):
-    body = {"action": "load", "argument": {"model": "m"}, "pool": "p"}
+    body = {"action": "load_model", "argument": {"model": "m"}, "pool": "p"}
     answers = [control.ask("POST", "backends/e1/orders", body, request_id="r1").json for _ in range(3)]
     assert answers[0] == answers[1] == answers[2]
     assert list(control.config.orders_by_id) == [answers[0]["id"]]
@@ -84,24 +84,24 @@
 def test_only_some_loads_run_at_once_and_drains_do_not_wait(control):
     control.ask("PUT", "defaults/orders.parallel", {"value": 2})
     for number in range(5):
-        control.ask("POST", f"backends/e{number}/orders", {"action": "load", "argument": {}, "pool": "p"})
+        control.ask("POST", f"backends/e{number}/orders", {"action": "load_model", "argument": {}, "pool": "p"})
     control.ask("POST", "backends/e9/drain", {"pool": "p"})
     control.service.tick()
-    states = [order.state for order in control.config.orders_by_id.values() if order.action == "load"]
+    states = [order.state for order in control.config.orders_by_id.values() if order.action == "load_model"]
     assert sorted(states) == ["released"] * 2 + ["requested"] * 3
     released = [order for order in control.config.orders_by_id.values() if order.state == "released"]
-    assert {order.action for order in released} == {"load", "drain"}
+    assert {order.action for order in released} == {"load_model", "drain"}
     control.service.tick()
     control.clock.advance(1000)
     control.service.tick()
     control.service.tick()
-    states = [order.state for order in control.config.orders_by_id.values() if order.action == "load"]
+    states = [order.state for order in control.config.orders_by_id.values() if order.action == "load_model"]
     assert states.count("failed") == 2 and states.count("released") == 2
 
 
 def test_running_order_cannot_be_withdrawn(control):
-    order_id = control.ask("POST", "backends/e/orders", {"action": "load", "pool": "p"}).json["id"]
-    other = control.ask("POST", "backends/f/orders", {"action": "load", "pool": "p"}).json["id"]
+    order_id = control.ask("POST", "backends/e/orders", {"action": "load_model", "pool": "p"}).json["id"]
+    other = control.ask("POST", "backends/f/orders", {"action": "load_model", "pool": "p"}).json["id"]
     assert control.ask("DELETE", f"orders/{other}").status_code == 200
     known = control.config.orders_by_id[order_id]
     for state in ("released", "running"):
@@ -110,7 +110,7 @@
 
 
 def test_order_for_an_unknown_server_names_what_is_missing(control):
-    answer = control.ask("POST", "backends/nobody/orders", {"action": "load"})
+    answer = control.ask("POST", "backends/nobody/orders", {"action": "load_model"})
     assert answer.status_code == 404 and "pool" in answer.json["error"]["message"]
 
 
--- a/libs/arbutusrill_pool/tests/test_order_release.py
+++ b/libs/arbutusrill_pool/tests/test_order_release.py
@@ -19,6 +19,6 @@
 def test_only_a_released_order_starts(state, starts):
     started = []
     runner = OrderRunner(1, ManualClock(), Target(), None, lambda record: True, started.append, lambda: True)
-    runner.reconcile([messages.PutOrder("o", "server", "p", "load", "{}", state)])
+    runner.reconcile([messages.PutOrder("o", "server", "p", "load_model", "{}", state)])
     runner.tick()
     assert bool(started) == starts
--- a/libs/arbutusrill_state/_checks.py
+++ b/libs/arbutusrill_state/_checks.py
@@ -27,7 +27,7 @@
 _MAX_ROUTES = 100
 _MAX_ARGUMENT = 2000
 _METHODS = ("*", "GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
-_ORDER_ACTIONS = ("load", "unload", "set_role", "drain", "resume")
+_ORDER_ACTIONS = ("load_model", "load_adapter", "load_version", "unload", "set_role", "drain", "resume")
 # An order that is under way may be taken over by a new owner of the pool, which keeps its state.
 _NEXT_ORDER_STATES = {
     "": ("requested",),
--- a/libs/arbutusrill_state/tests/test_config.py
+++ b/libs/arbutusrill_state/tests/test_config.py
@@ -74,9 +74,9 @@
         messages.PutService("s/t", []),
         messages.PutService("s", [messages.Route("GET", "/")] * 200),
         messages.PutService("s", [messages.Route("BREW", "/")]),
-        messages.PutOrder("o", "server", "p", "load", "[]", "requested"),
+        messages.PutOrder("o", "server", "p", "load_model", "[]", "requested"),
         messages.PutOrder("o", "server", "p", "explode", "{}", "requested"),
-        messages.PutOrder("o", "server", "p", "load", "{}", "running"),
+        messages.PutOrder("o", "server", "p", "load_model", "{}", "running"),
     ],
 )
 def test_malformed_change_is_refused_and_moves_nothing(state, change):
@@ -132,7 +132,7 @@
 
 def test_order_never_goes_back_and_ids_are_not_reused(state):
     def order(state_name, argument="{}", fencing=0):
-        return messages.PutOrder("o", "server", "p", "load", argument, state_name, fencing)
+        return messages.PutOrder("o", "server", "p", "load_model", argument, state_name, fencing)
 
     for number, step in enumerate(["requested", "released", "running"]):
         assert do(state, order(step, fencing=number), f"s{number}").accepted
@@ -144,10 +144,10 @@
 
 def test_ended_orders_make_room_for_new_ones(state):
     for number in range(1001):
-        change = messages.PutOrder(f"o{number}", "server", "p", "load", "{}", "requested")
+        change = messages.PutOrder(f"o{number}", "server", "p", "load_model", "{}", "requested")
         assert do(state, change, f"r{number}").accepted == (number < 1000)
-    do(state, messages.PutOrder("o7", "server", "p", "load", "{}", "withdrawn"), "c")
-    assert do(state, messages.PutOrder("new", "server", "p", "load", "{}", "requested"), "n").accepted
+    do(state, messages.PutOrder("o7", "server", "p", "load_model", "{}", "withdrawn"), "c")
+    assert do(state, messages.PutOrder("new", "server", "p", "load_model", "{}", "requested"), "n").accepted
 
 
 def test_followers_get_changes_in_bounded_parts(state):
