--- a/libs/arbutusrill_control/_housekeeping.py
+++ b/libs/arbutusrill_control/_housekeeping.py
@@ -12,11 +12,8 @@
 
 SWEEP_S = 10.0
 FORGET_VM_S = 600.0  # long enough for operators to see in `status` that a VM has died
-_WEIGHT_STORE_ACTIONS = (
-    "load_model",
-    "load_adapter",
-    "load_version",
-)  # orders that read from the rate-limited weight store
+# Orders that read from the rate-limited weight store.
+_WEIGHT_STORE_ACTIONS = ("load_model", "load_adapter", "load_version")
 
 
 class Housekeeping:
