entry: tell the pool's owner which server failed when a request ends with an error

Cause: a failure that was not retried was reported as 'gone' without a server, so that the owner could not break the circuit of a server that fails. Change: Place.blame, set before each error leaves the place. Conclusion: owners learn of every failure of a server.

--- a/libs/arbutusrill_entry/_relay.py
+++ b/libs/arbutusrill_entry/_relay.py
@@ -97,6 +97,7 @@
     def _move(self, lost: _LostError, attempt: int) -> None:
         """Takes other servers after a loss; raises `FailureError` when that is not allowed or not possible."""
         _log.warning("%s %s at %s: %s", self._place.ticket, lost.outcome, lost.failed_server, lost.failure.message)
+        self._place.blame(lost.outcome, lost.failed_server)
         if attempt == _ATTEMPTS or not self._context.take_retry():
             raise FailureError(lost.failure) from None
         try:
--- a/libs/arbutusrill_entry/_services.py
+++ b/libs/arbutusrill_entry/_services.py
@@ -118,12 +118,11 @@
                 answer, result = self._send(place, attempt)
                 if result.whole:
                     return answer
+                outcome = "not_sent" if result.verdict is Verdict.NOT_RUN else "decode_failed"
+                place.blame(outcome, place.assignment.decode_server)
                 self._check_retry(answer, result, attempt)
                 try:
-                    place.move(
-                        "not_sent" if result.verdict is Verdict.NOT_RUN else "decode_failed",
-                        place.assignment.decode_server,
-                    )
+                    place.move(outcome, place.assignment.decode_server)
                 except FailureError as error:
                     raise self._with_verdict(error.failure) from None
         raise AssertionError("the last attempt returns or raises")
--- a/libs/arbutusrill_entry/_slots.py
+++ b/libs/arbutusrill_entry/_slots.py
@@ -80,6 +80,7 @@
         self._check = leave_check(caller, guard)
         self._visited: list[tuple[str, str]] = []
         self._avoid: list[str] = []
+        self._blame = ("gone", "")
         self._attempt = 0
         self.ticket = ""
         self.assignment: Any = None
@@ -93,7 +94,7 @@
         if kind is None:
             self._give_back("done")
         else:
-            self._abandon("gone", "")
+            self._abandon(*self._blame)
 
     @property
     def caller(self) -> socket.socket:
@@ -109,6 +110,10 @@
         """Notes that no engine holds the request for `stage` any more; one engine may hold it for both."""
         self._visited = [visited for visited in self._visited if visited[1] != stage]
 
+    def blame(self, outcome: str, failed_server: str) -> None:
+        """Names what the owner is told when the context ends with an exception."""
+        self._blame = (outcome, failed_server)
+
     def move(self, outcome: str, failed_server: str) -> None:
         """Gives the present servers up and takes others; `failed_server` is avoided from now on.
 
@@ -120,6 +125,7 @@
         self._acquire(min(time.monotonic() + self._wanted.move_wait_s, self._wanted.last_moment))
 
     def _acquire(self, deadline: float) -> None:
+        self._blame = ("gone", "")
         suffix = f"-{self._attempt}" if self._attempt else ""
         self._attempt += 1
         self.ticket = self._wanted.request_id + suffix
--- a/libs/arbutusrill_entry/tests/test_relay.py
+++ b/libs/arbutusrill_entry/tests/test_relay.py
@@ -109,6 +109,9 @@
         pass
     rig.engine().die_at = 5
     assert_cut(rig.chat(stream=True), "decode_failed")
+    eventually(lambda: rig.pools.named("release"))
+    release = rig.pools.named("release")[0]
+    assert (release.outcome, release.failed_server) == ("decode_failed", "e1"), "the owner learns who failed"
     assert len(rig.pools.named("acquire")) == 1
 
 
--- a/libs/arbutusrill_entry/tests/test_services.py
+++ b/libs/arbutusrill_entry/tests/test_services.py
@@ -211,6 +211,9 @@
 def test_call_without_idempotency_key_is_sent_once(rig, service, dropping):
     assert error_of(rig.call("POST", BOOK, b"{}"))["verdict"] == "may_have_run"
     assert (dropping.connections, len(service.seen), rig.control.calls) == (1, 0, [])
+    eventually(lambda: rig.pools.named("release"))
+    release = rig.pools.named("release")[0]
+    assert (release.outcome, release.failed_server) == ("decode_failed", "dropping"), "the owner learns who failed"
 
 
 @pytest.mark.parametrize("fails", [MemoryError("no memory"), RuntimeError("bug")])
