pool: short prompts do not teach a server's prefill speed

Cause: learn_prefill scaled the whole prediction, whose fixed 5 ms the ratio does not change, so each short prefill that took longer raised the ratio again: six of 2 tokens in 12 ms each gave 3.75, forty gave 10, and 1,000 tokens were predicted as 1.0 s in place of 0.1 s. Change: learns only from predictions above three times the fixed part, and without it. Before/after: bin/test libs/arbutusrill_pool/tests/test_speed.py failed with 1.005 s, passes now; bin/test libs/arbutusrill_pool: 44 pass. Conclusion: its effect on goodput is not measured.

--- a/libs/arbutusrill_pool/_server.py
+++ b/libs/arbutusrill_pool/_server.py
@@ -17,6 +17,7 @@
 DEFAULT_TOKEN_GAP_S = 0.02
 DEFAULT_BATCH_SLOWDOWN = 0.03
 _LEARNING_RATE = 0.2
+_LEARNT_PREFILL_S = 0.015  # three times the fixed part
 _FIXED_PREFILL_S = 0.005  # connection, parsing and answer of a prefill without any computing
 
 
@@ -50,9 +51,14 @@
         return self.token_gap_s * (1 + self.batch_slowdown * max(0, batch - 1))
 
     def learn_prefill(self, predicted_s: float, seen_s: float) -> None:
-        """Takes in how long a prefill took, queue included, against its prediction."""
-        if predicted_s > 0 and seen_s > 0:
-            seen = min(10.0, max(0.1, self.prefill_ratio * seen_s / predicted_s))
+        """Takes in how long a prefill took, queue included, against its prediction.
+
+        A short prompt tells nothing: its time is mostly the fixed part, which the ratio does not scale, so that
+        the ratio would grow with each one.
+        """
+        computing_s = predicted_s - _FIXED_PREFILL_S
+        if computing_s >= _LEARNT_PREFILL_S and seen_s > 0:
+            seen = min(10.0, max(0.1, self.prefill_ratio * (seen_s - _FIXED_PREFILL_S) / computing_s))
             self.prefill_ratio = _mix(self.prefill_ratio, seen)
 
     def learn_gap(self, seen_s: float, batch: float) -> None:
