--- a/libs/arbutusrill_entry/_completions.py
+++ b/libs/arbutusrill_entry/_completions.py
@@ -5,9 +5,10 @@
 import json
 import time
 from collections.abc import Callable, Iterable
+from json.encoder import encode_basestring_ascii
 from typing import Any
 
-from arbutusrill_base import Failure, FailureError
+from arbutusrill_base import Failure, FailureError, prefix_blocks
 from arbutusrill_http import AbortStreamError, error_body, json_response
 from werkzeug.wrappers import Request
 
@@ -21,6 +22,8 @@
 
 __all__ = ["Completions"]
 
+_MAX_BLOCKS = 512  # of 64 tokens: 8 kB in each call to the pool's owner
+
 
 class Completions:
     """Serves completions, streamed or whole."""
@@ -70,6 +73,7 @@
             completion.prompt_tokens,
             completion.max_tokens,
             workspace.weight if workspace is not None else 1.0,
+            prefix_blocks=prefix_blocks(completion.prompt, _MAX_BLOCKS),
             move_wait_s=wait_s,
             last_moment=deadline if own else float("inf"),
         )
@@ -182,7 +186,7 @@
 
 def _quoted(text: str) -> bytes:
     # The escaped form also holds lone surrogates, which have no UTF-8 form.
-    return json.dumps(text).encode()
+    return encode_basestring_ascii(text).encode()
 
 
 def _event(value: dict[str, Any]) -> bytes:
