bench: relay_speed waits until every engine stand-in answers

Cause: at a load of 35 the run ended with a refused connection to an engine that was still starting. Change: each engine is asked before the first stream.

--- a/libs/arbutusrill_bench/relay_speed.py
+++ b/libs/arbutusrill_bench/relay_speed.py
@@ -15,6 +15,7 @@
 
 import numpy as np
 import typer
+from arbutusrill_http import Transfer, fetch
 
 from ._site import LocalSite
 from ._streams_client import StreamClient, StreamResult, Target
@@ -46,6 +47,9 @@
     decodes = [site.add_engine(f"engine-d{number}", "--role", "decode", *options) for number in range(_DECODES)]
     operators.call("GET", f"/in-force/{issued['revision']}")
     site.wait_for_pool(_MODEL)
+    for engine in (prefill, *decodes):
+        url = f"http://{engine.address}/engine/requests"
+        site.wait_until(lambda url=url: fetch(Transfer("GET", url, timeout_s=1.0)).whole, f"{engine.name} answers")
     entry = site.of_kind("entry")[0].address
     direct = Target(prefill=prefill.address, decodes=tuple(decode.address for decode in decodes))
     through = Target(entry=entry, key=issued["key"])
