--- a/libs/arbutusrill_pool/_server.py
+++ b/libs/arbutusrill_pool/_server.py
@@ -17,6 +17,8 @@
 DEFAULT_TOKEN_GAP_S = 0.02
 DEFAULT_BATCH_SLOWDOWN = 0.03
 _LEARNING_RATE = 0.2
+_RELAXING_RATE = 0.02  # of each announcement; half of what was learnt is gone after 17 s
+UNUSED_S = 10.0  # a server without a prefill for this long is known only by old measurements
 _LEARNT_PREFILL_S = 0.015  # three times the fixed part
 _FIXED_PREFILL_S = 0.005  # connection, parsing and answer of a prefill without any computing
 
@@ -61,6 +63,13 @@
             seen = min(10.0, max(0.1, self.prefill_ratio * (seen_s - _FIXED_PREFILL_S) / computing_s))
             self.prefill_ratio = _mix(self.prefill_ratio, seen)
 
+    def relax(self) -> None:
+        """Moves a prefill speed learnt long ago towards the announced one.
+
+        Without it a server that was once learnt to be slow would get no work and never show that it has recovered.
+        """
+        self.prefill_ratio += _RELAXING_RATE * (1.0 - self.prefill_ratio)
+
     def learn_gap(self, seen_s: float, batch: float) -> None:
         """Takes in the mean time between the tokens of a stream that ran among `batch` streams."""
         if batch <= 1.5:
@@ -96,6 +105,7 @@
     reported_foreign: int = 0  # requests beyond those assigned, by the load report
     orphans: int = 0  # requests that the engine listed and that no ticket accounts for
     busy_until: float = 0.0
+    prefilled_at: float = float("-inf")  # when its last prefill was assigned
     prefill_s_by_ticket: dict[str, float] = field(default_factory=dict)
     checked: bool = True  # its requests have been read since this owner took over
     order_running: bool = False
@@ -160,6 +170,7 @@
         """Adds a prefill to the end of the server's queue."""
         self.busy_until = now + self.wait_s(now) + duration_s
         self.prefill_s_by_ticket[ticket] = duration_s
+        self.prefilled_at = now
 
     def end_prefill(self, ticket: str, now: float) -> bool:
         """Removes a prefill from the queue; returns False when it was not there."""
@@ -195,6 +206,8 @@
         """
         self.announcement = announcement
         self.heard_at = now
+        if now - self.prefilled_at > UNUSED_S:
+            self.speed.relax()
         start, peak, before = self._peaks
         if now - start >= REPORT_LAG_S:
             start, peak, before = now, self.assigned, peak
--- a/libs/arbutusrill_pool/tests/test_policy.py
+++ b/libs/arbutusrill_pool/tests/test_policy.py
@@ -161,3 +161,18 @@
     replies = [pool.acquire(f"t{number}", prompt_tokens=0, latency_class="lookup") for number in range(2)]
     assert {reply.assignment.decode_server for reply in replies} == {"s1", "s2"}
     assert replies[0].assignment.prefill_server == ""
+
+
+def test_server_once_learnt_as_slow_is_tried_again():
+    pool = pool_with(announcement("p1", "prefill"), announcement("p2", "prefill"), announcement("d"))
+    slow = pool.acquire("t").assignment.prefill_server
+    for number in range(12):
+        pool.acquire(f"t{number}", avoid=[{"p1": "p2", "p2": "p1"}[slow]])
+        pool.owner.release(release(f"t{number}", "prefilled", prefill_s=1.0))
+        pool.owner.release(release(f"t{number}"))
+    pool.owner.release(release("t"))
+    assert pool.acquire("u").assignment.prefill_server != slow
+    pool.owner.release(release("u"))
+    pool.pass_time(120.0, step=0.5)
+    pool.acquire("busy")
+    assert pool.acquire("v").assignment.prefill_server == slow
