pool: orders to drain and resume a server, and a VM lease of 1.2 s

Cause: the configuration recorded orders to drain and resume, but the engine knows neither, so that they ended as failed. Change: the pool's owner carries out drain and resume itself; a new owner and a restarted server keep to the last one, and the configuration never drops a drain that is in effect. The lease is 1.2 s and the leader ticks every 0.1 s.

--- a/libs/arbutusrill_control/_leases.py
+++ b/libs/arbutusrill_control/_leases.py
@@ -11,7 +11,7 @@
 
 __all__ = ["VM_LEASE_S", "VmLeases", "rendezvous"]
 
-VM_LEASE_S = 1.5
+VM_LEASE_S = 1.2  # with drift, tick and cancellation, a frozen VM's slots are free within 2 s
 DRIFT_S = 0.2  # added by the granting side to cover clock drift between VMs
 
 
--- a/libs/arbutusrill_daemon/_roles.py
+++ b/libs/arbutusrill_daemon/_roles.py
@@ -32,7 +32,7 @@
 __all__ = ["run_roles"]
 
 _log = PartLog("daemon")
-_TICK_S = 0.2
+_TICK_S = 0.1
 _CONTROL_CONNECTIONS = 1024  # each of 390 nodes holds one for its long poll and one or two for calls
 _FLUSH_S = 5.0  # for recording outcomes at the end when the control group is briefly away
 _RETURN_S = 1.0  # for returning unspent tokens at the end; they are lost to the workspace otherwise
--- a/libs/arbutusrill_pool/_orders.py
+++ b/libs/arbutusrill_pool/_orders.py
@@ -16,9 +16,10 @@
 __all__ = ["OrderRunner", "OrderTarget"]
 
 FENCING_SHIFT = 20  # a fencing number is the pool's epoch x 2^20 + a sequence number
-VM_LEASE_S = 1.5
+VM_LEASE_S = 1.2
 CLOCK_DRIFT_S = 0.2
 TRIES = 10
+OWNER_ACTIONS = ("drain", "resume")  # carried out by the owner itself, the server is not told
 RETRY_S = 1.0
 GIVEN_STATES = ("released", "running")  # the control group releases orders as far as the weight store allows
 _log = PartLog("pool orders")
@@ -33,6 +34,9 @@
     def hold_for_order(self, server_id: str, held: bool) -> bool:
         """Keeps new work from a server while an order changes its role; returns whether it is empty."""
 
+    def set_drained(self, server_ids: frozenset[str]) -> None:
+        """Keeps new work from these servers, and from no others that were drained before."""
+
 
 @dataclass(slots=True)
 class _Order:
@@ -79,6 +83,7 @@
 
     def reconcile(self, records: list[Any]) -> None:
         """Takes the orders of this pool from the configuration."""
+        self._target.set_drained(_drained(records))
         with self._lock:
             open_ids = {record.id for record in records if record.state in GIVEN_STATES}
             for record in records:
@@ -115,7 +120,7 @@
             self._start(order)
 
     def _may_start(self, order: _Order, now: float) -> bool:
-        if order.result is not None:
+        if order.result is not None or order.record.action in OWNER_ACTIONS:
             return True
         found = self._target.server_address(order.record.server)
         if found is None:
@@ -152,6 +157,9 @@
         order.tries += 1
         if order.tries == 1:
             self._tell(record, "running", "")
+        if record.action in OWNER_ACTIONS:
+            order.result = ("done", "")
+            return
         found = self._target.server_address(record.server)
         if found is None or not self._holds_lease():
             order.tries -= 1
@@ -182,3 +190,13 @@
         except Exception as error:
             _log.warning("state %s of order %s not recorded yet: %r", state, record.id, error)
             return False
+
+
+def _drained(records: list[Any]) -> frozenset[str]:
+    """Returns the servers whose last order to drain or resume, in the order of the records, is to drain."""
+    last_by_server = {
+        record.server: record.action
+        for record in records
+        if record.action in OWNER_ACTIONS and record.state in (*GIVEN_STATES, "done")
+    }
+    return frozenset(server for server, action in last_by_server.items() if action == "drain")
--- a/libs/arbutusrill_pool/_owner.py
+++ b/libs/arbutusrill_pool/_owner.py
@@ -64,6 +64,7 @@
         self._opens_at = clock.monotonic() + (RECOVERY_S if epoch > 1 else 0.0)
         self._returning: dict[str, Server] = {}  # ejected or in their slow start
         self._watched_at = float("-inf")
+        self._drained: frozenset[str] = frozenset()
         self._reporting: set[tuple[str, int]] = set()  # VMs that report the end of each prefill
         self._watch = RenewalWatch(self._book, self._index, work, is_dead, self._cancelled)
 
@@ -295,6 +296,7 @@
         elif self.epoch > 1 and self._work is not None and announcement.role != "plain":
             server.checked = False
             self._work.read_requests(announcement.address, lambda rows: self._take_requests(server.id, rows))
+        server.drained = server.id in self._drained
         self._dispatcher.plain = announcement.role == "plain"
         self._index.heard(server)
         self._index.update(server, now)
@@ -345,6 +347,19 @@
             self._index.update(server, self._clock.monotonic())
             return server.assigned == 0 and server.foreign == 0
 
+    def set_drained(self, server_ids: frozenset[str]) -> None:
+        """Keeps new work from these servers, and from no others that were drained before."""
+        with self._lock:
+            now = self._clock.monotonic()
+            changed = self._drained ^ server_ids
+            self._drained = server_ids
+            for server_id in changed & self._index.by_id.keys():
+                server = self._index.by_id[server_id]
+                server.drained = server_id in server_ids
+                self._index.update(server, now)
+            if changed:
+                self._dispatch(now)
+
     def status(self) -> Any:
         """Returns the servers of the pool as this owner knows them."""
         with self._lock:
@@ -366,4 +381,6 @@
             return "ejected"
         if now - server.heard_at >= SILENT_S:
             return "silent"
+        if server.drained:
+            return "drained"
         return "ok" if server.health.usable_part(now) >= 1.0 else "slow_start"
--- a/libs/arbutusrill_pool/_server.py
+++ b/libs/arbutusrill_pool/_server.py
@@ -109,6 +109,7 @@
     prefill_s_by_ticket: dict[str, float] = field(default_factory=dict)
     checked: bool = True  # its requests have been read since this owner took over
     order_running: bool = False
+    drained: bool = False  # by an order of an operator
     next_cache_seq: int | None = None
     _peaks: tuple[float, int, int] = (0.0, 0, 0)  # start of this period, its peak of `assigned`, that before
 
@@ -134,6 +135,7 @@
             and now - self.heard_at < SILENT_S
             and self.checked
             and not self.order_running
+            and not self.drained
             and not self.health.ejected(now)
         )
 
--- a/libs/arbutusrill_pool/tests/test_order_release.py
+++ b/libs/arbutusrill_pool/tests/test_order_release.py
@@ -14,6 +14,9 @@
     def hold_for_order(self, server_id, held):
         return True
 
+    def set_drained(self, server_ids):
+        assert not server_ids
+
 
 @pytest.mark.parametrize(("state", "starts"), [("requested", False), ("released", True), ("done", False)])
 def test_only_a_released_order_starts(state, starts):
--- a/libs/arbutusrill_state/_config.py
+++ b/libs/arbutusrill_state/_config.py
@@ -190,7 +190,7 @@
     def _put_order(self, change: Any, made: Any) -> None:
         check_order(self.orders_by_id.get(change.id), change)
         if change.id not in self.orders_by_id and len(self.orders_by_id) >= MAX_ORDERS:
-            ended = next((key for key, row in self.orders_by_id.items() if row.state in ENDED_ORDER_STATES), None)
+            ended = next((key for key, row in self.orders_by_id.items() if self._may_drop(row)), None)
             if ended is None:
                 raise RejectedError("too_many", f"{MAX_ORDERS} orders are under way")
             del self.orders_by_id[ended]
@@ -199,6 +199,17 @@
         fields = {name: value for name, value in vars(change).items() if name != "at_ms"}
         self.orders_by_id[change.id] = messages.PutOrder(**fields, at_ms=max(self.clock_ms, made.at_ms))
 
+    def _may_drop(self, order: Any) -> bool:
+        """Says whether an order can be forgotten: it has ended, and drains no server."""
+        if order.state not in ENDED_ORDER_STATES:
+            return False
+        if order.action != "drain" or order.state != "done":
+            return True
+        return any(
+            row.action == "resume" and row.server == order.server and row.pool == order.pool and row.state == "done"
+            for row in self.orders_by_id.values()
+        )
+
     def _set_feature_level(self, change: Any, _: Any) -> None:
         if change.level < self.feature_level:
             raise RejectedError("bad_value", f"the feature level is {self.feature_level} and never goes back")
--- a/libs/arbutusrill_state/tests/test_config.py
+++ b/libs/arbutusrill_state/tests/test_config.py
@@ -6,6 +6,7 @@
 from arbutusrill_wire import decode, encode, messages
 
 from arbutusrill_state import SharedState, UnsupportedLevelError, command, parse_value
+from arbutusrill_state._checks import MAX_ORDERS
 
 
 def do(state, change, request_id, **options):
@@ -163,3 +164,15 @@
         revision += len(commands)
     assert parts == [200, 200, 50] and current == 451
     assert state.commands_after(current + 1)[0] is None
+
+
+def test_order_that_drains_a_server_is_never_dropped():
+    """Dropping it would put the server back into service without any operator's wish."""
+    config = SharedState().config
+    for state in ("requested", "released", "running", "done"):
+        config.apply(command(messages.PutOrder("drain-d1", "d1", "m", "drain", "{}", state), "ops", 0))
+    for number in range(MAX_ORDERS + 5):
+        for state in ("requested", "withdrawn"):
+            config.apply(command(messages.PutOrder(f"o{number}", "d2", "m", "unload", "{}", state), "ops", 0))
+    assert len(config.orders_by_id) == MAX_ORDERS
+    assert config.orders_by_id["drain-d1"].state == "done"
