control: leases count from the arrival of the request

Cause: the leader counted a VM's lease from its answer, up to 0.4 s of long poll after the VM had asked. Change: renew takes the moment of arrival; a test that the lease ends 1.4 s after it.

--- a/libs/arbutusrill_control/_leases.py
+++ b/libs/arbutusrill_control/_leases.py
@@ -38,9 +38,12 @@
             self._led_since = self._clock.monotonic()
             self._lease_by_vm.clear()
 
-    def renew(self, vm: str, incarnation: int, revision: int) -> float:
+    def renew(self, vm: str, incarnation: int, revision: int, asked_at: float) -> float:
         """Renews a lease and returns its length in seconds, counted by the VM from its request.
 
+        `asked_at` is when the request arrived: counted from the answer, a VM that freezes during its long poll would
+        keep its pools for the length of the poll longer.
+
         Returns 0 while the VM is being declared dead: it may act again only after it has registered anew, with
         its pools given to others.
         """
@@ -48,7 +51,10 @@
             lease = self._lease_by_vm.get(vm)
             if lease is not None and lease.incarnation == incarnation and lease.ended:
                 return 0.0
-            self._lease_by_vm[vm] = _Lease(incarnation, self._clock.monotonic() + VM_LEASE_S + DRIFT_S, revision)
+            until = asked_at + VM_LEASE_S + DRIFT_S
+            if lease is not None and lease.incarnation == incarnation:
+                until = max(until, lease.until)
+            self._lease_by_vm[vm] = _Lease(incarnation, until, revision)
         return VM_LEASE_S
 
     def end(self, vm: str, incarnation: int) -> bool:
--- a/libs/arbutusrill_control/_service.py
+++ b/libs/arbutusrill_control/_service.py
@@ -93,6 +93,7 @@
 
     def follow(self, request: Any) -> Any:
         """Waits for changes after the caller's revision, renews its lease and proves freshness."""
+        asked_at = self._clock.monotonic()
         self._check_leads()
         self._note_vm(request)
         if self.machine.wait_beyond(request.revision, min(request.wait_ms, _MAX_WAIT_MS) / 1000):
@@ -106,7 +107,7 @@
             revision = snapshot.revision
         lease_s = 0.0
         if request.vm:
-            lease_s = self.leases.renew(request.vm, request.incarnation, request.revision)
+            lease_s = self.leases.renew(request.vm, request.incarnation, request.revision, asked_at)
             known = self.machine.state.config.vms_by_id.get(request.vm)
             if known is None or known.incarnation != request.incarnation or known.state == "dead":
                 lease_s = 0.0
--- a/libs/arbutusrill_control/tests/test_service.py
+++ b/libs/arbutusrill_control/tests/test_service.py
@@ -70,9 +70,9 @@
     leases.begin_term()
     clock.advance(5)
     assert leases.end("a", 1)
-    assert leases.renew("a", 1, 0) == 0.0
+    assert leases.renew("a", 1, 0, clock.monotonic()) == 0.0
     leases.forget("a", 1)
-    assert leases.renew("a", 1, 0) > 0
+    assert leases.renew("a", 1, 0, clock.monotonic()) > 0
 
 
 def test_dead_vm_registers_anew_and_gets_a_lease(control):
@@ -206,3 +206,18 @@
     with pytest.raises(messages.Refused, match="feature_level"):
         control.service.propose(command(messages.SetFeatureLevel(99), "t", 0))
     assert control.log.proposed == before
+
+
+def test_lease_counts_from_the_arrival_of_the_request():
+    """Counted from the answer, a VM frozen in its long poll kept its pools 0.4 s longer than the design allows."""
+    clock = ManualClock()
+    leases = VmLeases(clock)
+    leases.begin_term()
+    clock.advance(5)
+    arrived = clock.monotonic()
+    clock.advance(0.4)
+    leases.renew("a", 1, 0, arrived)
+    clock.advance(0.9)
+    assert leases.alive("a", 1)
+    clock.advance(0.2)
+    assert not leases.alive("a", 1)
