pool: briefings are admitted by when their whole answer is due

Change: a briefing's first token is due its predicted decode time before the deadline; one that cannot be whole in time is refused at once.

--- a/libs/arbutusrill_pool/_admission.py
+++ b/libs/arbutusrill_pool/_admission.py
@@ -60,13 +60,17 @@
         """Returns the mean duration of a request's prefill without a cached prefix."""
         return request.prompt_tokens * self.prefill_s_per_token
 
+    def decode_s(self, request: Any) -> float:
+        """Returns the expected time from a request's first token to its last."""
+        return request.output_tokens * self.output_part * self.gap_s
+
     def cost(self, request: Any, plain: bool) -> Cost:
         """Returns the expected use of the pool by a request."""
         slots = max(1, self.slots)
         if plain:
             return Cost(0.0, self.hold_s / slots)
         prefill = self.prefill_s(request)
-        decode = prefill + request.output_tokens * self.output_part * self.gap_s
+        decode = prefill + self.decode_s(request)
         return Cost(prefill / max(1, self.prefill_servers), decode / slots)
 
     def used(self, prompt_s: float, tokens: int) -> Cost:
@@ -83,15 +87,16 @@
     band: Band
 
 
-def terms_of(request: Any, plain: bool, idle_s: float, value: Callable[[str], Any]) -> Terms:
+def terms_of(request: Any, plain: bool, idle_s: float, decode_s: float, value: Callable[[str], Any]) -> Terms:
     """Returns the terms of a request by its class.
 
     `idle_s` is its predicted first token in an idle pool. An interactive request that is too long for the target
-    in any case is held to its own deadline instead: refusing it would mean that it can never run.
+    in any case is held to its own deadline instead: refusing it would mean that it can never run. A briefing has to be
+    whole by its deadline, so that its first token is due `decode_s`, the predicted time of its output, before that.
     """
     deadline = request.deadline_ms / 1000
     if request.latency_class == "briefing":
-        return Terms(deadline, Band.DEFERRED)
+        return Terms(max(0.0, deadline - decode_s), Band.DEFERRED)
     if request.latency_class == "lookup":
         return Terms(min(deadline, value("queue.max_wait_s.lookup") + idle_s), Band.URGENT)
     if plain:
--- a/libs/arbutusrill_pool/_dispatch.py
+++ b/libs/arbutusrill_pool/_dispatch.py
@@ -63,7 +63,7 @@
         request = ticket.request
         self.ticket_by_id[ticket.id] = ticket
         idle_s = self.averages.prefill_s(request) + self.averages.gap_s if not self.plain else 0.0
-        terms = terms_of(request, self.plain, idle_s, self._value)
+        terms = terms_of(request, self.plain, idle_s, self.averages.decode_s(request), self._value)
         ticket.first_by, ticket.band = now + terms.first_token_s, terms.band
         ticket.cost = self.averages.cost(request, self.plain)
         if self._queue.length >= MAX_QUEUED:
@@ -85,7 +85,8 @@
     def wait_for_opening(self, ticket: Ticket, now: float) -> None:
         """Queues a ticket while the owner still learns what an earlier owner gave out."""
         self.ticket_by_id[ticket.id] = ticket
-        terms = terms_of(ticket.request, self.plain, 0.0, self._value)
+        decode_s = self.averages.decode_s(ticket.request)
+        terms = terms_of(ticket.request, self.plain, 0.0, decode_s, self._value)
         ticket.first_by, ticket.band = now + terms.first_token_s, terms.band
         ticket.cost = self.averages.cost(ticket.request, self.plain)
         self._enqueue(ticket, now)
--- a/libs/arbutusrill_pool/tests/test_admission.py
+++ b/libs/arbutusrill_pool/tests/test_admission.py
@@ -73,3 +73,11 @@
     pool.values["targets.first_token_s"] = 20.0
     for number in range(3):
         assert pool.acquire(f"v{number}", output_tokens=500, deadline_ms=60_000).status == "pending"
+
+
+def test_briefing_that_cannot_be_whole_by_its_deadline_is_refused_at_once():
+    """Its first token alone would come in time: 400 tokens at 10 ms take 4 s of the 3 s that it has."""
+    pool = small_pool()
+    fields = {"latency_class": "briefing", "output_tokens": 400}
+    assert pool.acquire("late", deadline_ms=3_000, **fields).status == "refused"
+    assert pool.acquire("in-time", deadline_ms=10_000, **fields).status == "assigned"
