state, entry: fair shares are weighted by rate

Change: the weight of a workspace in fair sharing is its own weight times its rate; calls of open routes count with the default rate.

--- a/libs/arbutusrill_entry/_completions.py
+++ b/libs/arbutusrill_entry/_completions.py
@@ -63,7 +63,6 @@
         scope = {"workspace": guard.workspace, "model": completion.model}
         wait_s = config.value(f"queue.max_wait_s.{latency_class}", **scope)
         deadline, own = deadline_of(request, wait_s)
-        workspace = config.workspaces_by_name.get(guard.workspace)
         return Wanted(
             completion.model,
             request_id,
@@ -72,7 +71,7 @@
             deadline,
             completion.prompt_tokens,
             completion.max_tokens,
-            workspace.weight if workspace is not None else 1.0,
+            config.share_weight(guard.workspace),
             prefix_blocks=prefix_blocks(completion.prompt, _MAX_BLOCKS),
             move_wait_s=wait_s,
             last_moment=deadline if own else float("inf"),
--- a/libs/arbutusrill_entry/_services.py
+++ b/libs/arbutusrill_entry/_services.py
@@ -132,14 +132,13 @@
         latency_class = latency_class_of(self.request, "lookup" if self._repeatable else "interactive")
         wait_s = config.value(f"queue.max_wait_s.{latency_class}", workspace=self._guard.workspace, service=self._name)
         deadline, own = deadline_of(self.request, wait_s)
-        workspace = config.workspaces_by_name.get(self._guard.workspace)
         return Wanted(
             self._name,
             self._call.request_id,
             self._guard.workspace,
             latency_class,
             deadline,
-            weight=workspace.weight if workspace is not None else 1.0,
+            weight=config.share_weight(self._guard.workspace),
             move_wait_s=wait_s,
             last_moment=deadline if own else float("inf"),
         )
--- a/libs/arbutusrill_state/_config.py
+++ b/libs/arbutusrill_state/_config.py
@@ -263,6 +263,18 @@
                 numbers.append(own if own > 0 and not has_exception else self.value(name, workspace=workspace))
             return numbers[0], numbers[1]
 
+    def share_weight(self, workspace: str) -> float:
+        """Returns a workspace's weight in fair sharing: its own weight times its rate in tokens/s.
+
+        With equal weights, workspaces inside their rates would get the same amount at a peak however different their
+        rates are, and the largest would be refused most.
+        """
+        with self.lock:
+            limits = self.limits_of(workspace)
+            if limits is None:
+                return self.value("limits.rate")
+            return self.workspaces_by_name[workspace].weight * limits[0]
+
     def snapshot(self, with_first_answers: bool = True) -> Any:
         """Returns the whole state as a `ConfigSnapshot`."""
         with self.lock:
--- a/libs/arbutusrill_state/tests/test_config.py
+++ b/libs/arbutusrill_state/tests/test_config.py
@@ -176,3 +176,9 @@
             config.apply(command(messages.PutOrder(f"o{number}", "d2", "m", "unload", "{}", state), "ops", 0))
     assert len(config.orders_by_id) == MAX_ORDERS
     assert config.orders_by_id["drain-d1"].state == "done"
+
+
+def test_share_of_a_workspace_grows_with_its_rate_and_its_weight(state):
+    do(state, messages.PutWorkspace("large", 40.0, 100.0, 2.0), "w1")
+    assert state.config.share_weight("large") == 8 * state.config.share_weight("w")
+    assert state.config.share_weight("") == 2000.0, "calls of open routes have no workspace"
