pool: a runner that turns to this VM after another VM's death is asked too

Change: a VM that hears a runner anew within 30 s of a death reads the runner's requests and cancels those of the ended VM.

--- a/libs/arbutusrill_pool/_directory.py
+++ b/libs/arbutusrill_pool/_directory.py
@@ -21,6 +21,8 @@
 
 ENGINE_THREADS = 8
 ORDER_THREADS = 4  # of their own: an order can take 10 s, in which cancels must not wait
+RECENT_DEATH_S = 30.0  # longer than any repetition of announcements and cancellations takes
+ABSENT_S = 1.0  # a runner announces itself every 0.5 s to one VM
 _KEPT_DEAD = 1000  # incarnations; at 142 restarts a day this is a week
 _log = PartLog("pool")
 
@@ -57,7 +59,7 @@
         self._owner_by_pool: dict[str, PoolOwner] = {}
         self._orders_by_pool: dict[str, OrderRunner] = {}
         self._incarnation_by_vm: dict[str, int] = {}
-        self._dead: OrderedDict[tuple[str, int], None] = OrderedDict()
+        self._dead: OrderedDict[tuple[str, int], float] = OrderedDict()  # when this VM learnt of it
         self._seen: dict[str, tuple[str, float]] = {}
 
     def close(self) -> None:
@@ -119,7 +121,8 @@
                 else:
                     self._dead.pop((vm.id, vm.incarnation), None)
             ended = [run for run in ended if run not in self._dead]
-            self._dead.update((run, None) for run in ended)
+            now = self._clock.monotonic()
+            self._dead.update((run, now) for run in ended)
             while len(self._dead) > _KEPT_DEAD:
                 self._dead.popitem(last=False)
         if ended:
@@ -136,9 +139,16 @@
         When a VM ends, each VM asks the runners that announce to it for that VM's requests and cancels them. This
         covers the case that the VM owned the pool itself, without waiting for the next owner.
         """
-        if announcement.role != "plain":
-            with self._lock:
-                self._seen[announcement.id] = (announcement.address, self._clock.monotonic())
+        if announcement.role == "plain":
+            return
+        now = self._clock.monotonic()
+        with self._lock:
+            _, before = self._seen.get(announcement.id, ("", float("-inf")))
+            self._seen[announcement.id] = (announcement.address, now)
+            ended = {run for run, died_at in self._dead.items() if now - died_at < RECENT_DEATH_S}
+        # A runner that announced itself to the ended VM comes here only after that VM has ended.
+        if ended and now - before > ABSENT_S:
+            self._read_and_cancel(announcement.address, ended)
 
     def _cancel_all_of(self, ended: set[tuple[str, int]]) -> None:
         now = self._clock.monotonic()
@@ -146,7 +156,10 @@
             self._seen = {name: seen for name, seen in self._seen.items() if now - seen[1] < SILENT_S}
             addresses = [address for address, _ in self._seen.values()]
         for address in addresses:
-            self._work.read_requests(address, lambda rows, a=address: self._cancel_rows(a, rows, ended))
+            self._read_and_cancel(address, ended)
+
+    def _read_and_cancel(self, address: str, ended: set[tuple[str, int]]) -> None:
+        self._work.read_requests(address, lambda rows: self._cancel_rows(address, rows, ended))
         self._work.tick()
 
     def _cancel_rows(self, address: str, rows: list[EngineRequest] | None, ended: set[tuple[str, int]]) -> None:
--- a/libs/arbutusrill_pool/tests/test_failures.py
+++ b/libs/arbutusrill_pool/tests/test_failures.py
@@ -180,6 +180,21 @@
         directory.close()
 
 
+def test_runner_that_turns_to_this_vm_after_a_death_is_asked_too():
+    """A runner that announced itself to the frozen VM comes only after its own timeout (bin/proof gone --seed 3)."""
+    engines = FakeEngines()
+    engines.rows["http://d"] = [EngineRequest("lost", "vm1", 7), EngineRequest("alive", "vm3", 8)]
+    directory = directory_with(engines)
+    directory.reconcile([], [vm("vm1", 7), vm("vm3", 8)])
+    directory.reconcile([], [vm("vm1", 7, "dead"), vm("vm3", 8)])
+    directory.saw(announcement("d"))
+    try:
+        assert wait_until(lambda: engines.cancelled)
+        assert engines.cancelled == [("http://d", "lost")]
+    finally:
+        directory.close()
+
+
 def test_replaced_incarnation_counts_as_dead():
     engines = FakeEngines()
     engines.rows["http://d"] = [EngineRequest("lost", "vm1", 7), EngineRequest("new", "vm1", 9)]
