--- a/libs/arbutusrill_cli/_main.py
+++ b/libs/arbutusrill_cli/_main.py
@@ -244,7 +244,9 @@
 @backends.command("order")
 def backends_order(
     server: str,
-    action: Annotated[str, typer.Argument(help="load_model, load_adapter, load_version, unload, set_role or drain")],
+    action: Annotated[
+        str, typer.Argument(help="load_model, load_adapter, load_version, unload, set_role, drain or resume")
+    ],
     argument: Annotated[list[str], typer.Option(help="NAME=VALUE, repeated")] = [],  # noqa: B006
     pool: Pool = "",
     request_id: RequestId = "",
