http: test of leaving waits for the idle connection's thread

Cause: in about 1,200 looped runs the test failed once at another assertion; the thread of the idle connection may still be on its way back from its answer, so that the server counts two busy connections for a moment. Change: the test waits up to 10 s for the count of exactly 1, which it asserts as before. Conclusion: a race of the test, not of the server.

--- a/libs/arbutusrill_http/tests/test_server.py
+++ b/libs/arbutusrill_http/tests/test_server.py
@@ -224,6 +224,10 @@
         idle.sendall(b"GET /x HTTP/1.1\r\nHost: x\r\n\r\n")
         assert idle.recv(1000).endswith(b"whole")
         server.stop_listening()
+        # The thread of the idle connection may not have come back from its answer yet.
+        deadline = time.monotonic() + 10
+        while server.busy() != 1 and time.monotonic() < deadline:
+            time.sleep(0.01)
         assert server.busy() == 1
         with pytest.raises(ConnectionRefusedError):
             connect(server)
