base: one definition of the VM lease and the clock drift

The lease stood in control and again in pool, the drift three times; when the lease went to 1.2 s both had to be changed by hand, and a pool owner that counts with a shorter lease than the leader grants could send an unfenced order too early. Proofs sent SIGSTOP and SIGCONT beside LocalSite.freeze and thaw. Change: VM_LEASE_S and CLOCK_DRIFT_S are in arbutusrill_base; the proofs call freeze and thaw. Values are the same.

--- a/libs/arbutusrill_base/__init__.py
+++ b/libs/arbutusrill_base/__init__.py
@@ -4,12 +4,15 @@
 from ._budget import RetryBudget, backoff_s
 from ._clock import Clock, ManualClock, SystemClock
 from ._ids import hash_key, new_incarnation, new_key, new_request_id
+from ._lease_times import CLOCK_DRIFT_S, VM_LEASE_S
 from ._logs import PartLog, configure_logs
 from ._settings import Section, load_settings, parse_settings
 from ._tasks import TaskGroup
 from ._verdict import Failure, FailureError, Verdict
 
 __all__ = [
+    "CLOCK_DRIFT_S",
+    "VM_LEASE_S",
     "BLOCK_BYTES",
     "Clock",
     "Failure",
--- a/libs/arbutusrill_bench/proof_config.py
+++ b/libs/arbutusrill_bench/proof_config.py
@@ -9,7 +9,6 @@
 
 import random
 import re
-import signal
 import threading
 import time
 from collections import Counter
@@ -111,9 +110,9 @@
                 self._stopping.wait(self._chance.uniform(0.5, 4.0))
                 self._site.start(name)
             else:
-                self._site.signal(name, signal.SIGSTOP)
+                self._site.freeze(name)
                 self._stopping.wait(self._chance.uniform(0.5, 6.0))
-                self._site.signal(name, signal.SIGCONT)
+                self._site.thaw(name)
             # A replica that comes back catches up before the next fault: three replicas bear one loss at a time.
             self._stopping.wait(3.0)
 
--- a/libs/arbutusrill_bench/proof_gone.py
+++ b/libs/arbutusrill_bench/proof_gone.py
@@ -9,7 +9,6 @@
 
 import json
 import random
-import signal
 import socket
 import time
 from typing import Annotated, Any
@@ -54,7 +53,7 @@
         if action == "kill":
             self._site.kill(victim.name)
         elif action == "freeze":
-            self._site.signal(victim.name, signal.SIGSTOP)
+            self._site.freeze(victim.name)
         for _, caller in leaving:
             caller.close()
         time.sleep(self._bound_s)
@@ -76,7 +75,7 @@
         if action == "kill":
             self._site.start(victim)
         elif action == "freeze":
-            self._site.signal(victim, signal.SIGCONT)
+            self._site.thaw(victim)
         self._site.wait_until(lambda: not self._held(), "all engines are free", 15.0)
         self._site.wait_entries_ready()
 
--- a/libs/arbutusrill_bench/proof_key.py
+++ b/libs/arbutusrill_bench/proof_key.py
@@ -10,7 +10,6 @@
 import http.client
 import json
 import random
-import signal
 import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
@@ -54,13 +53,13 @@
             streams = [pool.submit(self._stream, entry, issued["key"]) for entry in entries]
             time.sleep(0.5)
             if action == "freeze":
-                self._site.signal(victim, signal.SIGSTOP)
+                self._site.freeze(victim)
             self._withdraw(issued["id"])
             moment[0] = time.monotonic()
             withdrawn.set()
             if action == "freeze":
                 time.sleep(_FREEZE_S)
-                self._site.signal(victim, signal.SIGCONT)
+                self._site.thaw(victim)
             for entry, watch in zip(entries, watches, strict=True):
                 self._judge(action, f"request to {entry.name}", watch.result() - moment[0])
             for entry, stream in zip(entries, streams, strict=True):
--- a/libs/arbutusrill_bench/proof_limit.py
+++ b/libs/arbutusrill_bench/proof_limit.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import random
-import signal
 import threading
 import time
 from collections import Counter
@@ -80,9 +79,9 @@
             time.sleep(2.0)  # three replicas bear one loss at a time
         else:
             self.faults["entry VM frozen"] += 1
-            self._site.signal(name, signal.SIGSTOP)
+            self._site.freeze(name)
             time.sleep(self._chance.uniform(0.5, 3.0))
-            self._site.signal(name, signal.SIGCONT)
+            self._site.thaw(name)
 
     def _check(self) -> None:
         """Counts, for every moment of sending as the start of a window, what was sent and answered inside it."""
--- a/libs/arbutusrill_bench/proof_once.py
+++ b/libs/arbutusrill_bench/proof_once.py
@@ -8,7 +8,6 @@
 
 import json
 import random
-import signal
 import threading
 import time
 from collections import Counter
@@ -119,9 +118,9 @@
                 time.sleep(chance.uniform(0.1, 2.0))
                 self._site.start(name)
             else:
-                self._site.signal(name, signal.SIGSTOP)
+                self._site.freeze(name)
                 time.sleep(chance.uniform(0.2, 5.0))
-                self._site.signal(name, signal.SIGCONT)
+                self._site.thaw(name)
 
 
 def prove(seed: int, seconds: float, faults: bool = True, entries: int = 3) -> OnceProof:
--- a/libs/arbutusrill_bench/proof_raft.py
+++ b/libs/arbutusrill_bench/proof_raft.py
@@ -9,7 +9,6 @@
 
 import random
 import shutil
-import signal
 import threading
 import time
 from collections import Counter
@@ -169,9 +168,9 @@
 
     def _stop(self, member: Member, chance: random.Random) -> None:
         """Freezes a process for longer than its leases and an election, then lets it go on."""
-        self._site.signal(member.name, signal.SIGSTOP)
+        self._site.freeze(member.name)
         self._stopping.wait(chance.uniform(1.2, 4.0))
-        self._site.signal(member.name, signal.SIGCONT)
+        self._site.thaw(member.name)
 
     def _lose(self, member: Member, chance: random.Random) -> None:
         """Loses and replaces one disk, then at once the disk of another VM, the leader's included."""
--- a/libs/arbutusrill_control/_leases.py
+++ b/libs/arbutusrill_control/_leases.py
@@ -7,12 +7,9 @@
 from typing import Any
 
 import xxhash
-from arbutusrill_base import Clock
+from arbutusrill_base import CLOCK_DRIFT_S, VM_LEASE_S, Clock
 
-__all__ = ["VM_LEASE_S", "VmLeases", "rendezvous"]
-
-VM_LEASE_S = 1.2  # with drift, tick and cancellation, a frozen VM's slots are free within 2 s
-DRIFT_S = 0.2  # added by the granting side to cover clock drift between VMs
+__all__ = ["VmLeases", "rendezvous"]
 
 
 @dataclass(slots=True)
@@ -51,7 +48,7 @@
             lease = self._lease_by_vm.get(vm)
             if lease is not None and lease.incarnation == incarnation and lease.ended:
                 return 0.0
-            until = asked_at + VM_LEASE_S + DRIFT_S
+            until = asked_at + VM_LEASE_S + CLOCK_DRIFT_S
             if lease is not None and lease.incarnation == incarnation:
                 until = max(until, lease.until)
             self._lease_by_vm[vm] = _Lease(incarnation, until, revision)
@@ -84,7 +81,7 @@
         lease = self._lease_by_vm.get(vm)
         if lease is not None and lease.incarnation == incarnation and now < lease.until:
             return True
-        return self._led_since is None or now < self._led_since + VM_LEASE_S + DRIFT_S
+        return self._led_since is None or now < self._led_since + VM_LEASE_S + CLOCK_DRIFT_S
 
     def revision_by_vm(self) -> dict[str, int]:
         """Returns the revision that each VM with a running lease had applied at its last poll."""
--- a/libs/arbutusrill_limits/_owner.py
+++ b/libs/arbutusrill_limits/_owner.py
@@ -8,14 +8,13 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from arbutusrill_base import Clock
+from arbutusrill_base import CLOCK_DRIFT_S, Clock
 from arbutusrill_wire import messages
 
 from ._bucket import MAX_LEASE_S, Bucket, Limits
 
 __all__ = ["GrantOwner"]
 
-DRIFT_S = 0.2  # added by the owner to cover the drift between the monotonic clocks of two VMs
 _NEED_S = 1.0  # a VM that has not asked again for this long no longer waits
 _KEPT_VMS = 4096  # incarnations whose last answer is kept; the target has 390 nodes and 110 restarts a day
 _US = 1_000_000
@@ -64,7 +63,7 @@
             if epoch == self._epoch:
                 return
             self._epoch = epoch
-            self._filling_from = self._clock.monotonic() + MAX_LEASE_S + DRIFT_S
+            self._filling_from = self._clock.monotonic() + MAX_LEASE_S + CLOCK_DRIFT_S
             self._account_by_workspace.clear()
             self._last_by_vm.clear()
 
--- a/libs/arbutusrill_pool/_orders.py
+++ b/libs/arbutusrill_pool/_orders.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 from typing import Any, Protocol
 
-from arbutusrill_base import Clock, PartLog
+from arbutusrill_base import CLOCK_DRIFT_S, VM_LEASE_S, Clock, PartLog
 from arbutusrill_wire import messages
 
 from ._engines import LONGEST_ORDER_S, EngineCalls, OrderAnswer
@@ -16,8 +16,6 @@
 __all__ = ["OrderRunner", "OrderTarget"]
 
 FENCING_SHIFT = 20  # a fencing number is the pool's epoch x 2^20 + a sequence number
-VM_LEASE_S = 1.2
-CLOCK_DRIFT_S = 0.2
 TRIES = 10
 OWNER_ACTIONS = ("drain", "resume")  # carried out by the owner itself, the server is not told
 RETRY_S = 1.0
