--- a/libs/arbutusrill_base/__init__.py
+++ b/libs/arbutusrill_base/__init__.py
@@ -3,6 +3,7 @@
 from ._blocks import BLOCK_BYTES, prefix_blocks
 from ._budget import RetryBudget, backoff_s
 from ._clock import Clock, ManualClock, SystemClock
+from ._events import EventLog, EventWriter, write_events
 from ._ids import hash_key, new_incarnation, new_key, new_request_id
 from ._lease_times import CLOCK_DRIFT_S, VM_LEASE_S
 from ._logs import PartLog, configure_logs
@@ -15,6 +16,8 @@
     "VM_LEASE_S",
     "BLOCK_BYTES",
     "Clock",
+    "EventLog",
+    "EventWriter",
     "Failure",
     "FailureError",
     "ManualClock",
@@ -33,4 +36,5 @@
     "new_request_id",
     "parse_settings",
     "prefix_blocks",
+    "write_events",
 ]
--- /dev/null
+++ b/libs/arbutusrill_gateway/__init__.py
@@ -0,0 +1,41 @@
+"""Gateway for opaque requests: routes, placement, attempts, and the relay of answers and streams."""
+
+from ._backends import BackendPool, Candidate
+from ._configuration import (
+    ClientLimits,
+    ConfigurationError,
+    Engine,
+    Route,
+    RouteKind,
+    Service,
+    SiteConfiguration,
+    Target,
+    Workspace,
+)
+from ._gateway import Gateway
+from ._metrics import GatewayMetrics
+from ._protocol import Answer, BackendProtocol, CallerRequest, Prefilled, Send
+from ._reply import Refusal, Responder
+
+__all__ = [
+    "Answer",
+    "BackendPool",
+    "BackendProtocol",
+    "CallerRequest",
+    "Candidate",
+    "ClientLimits",
+    "ConfigurationError",
+    "Engine",
+    "Gateway",
+    "GatewayMetrics",
+    "Prefilled",
+    "Refusal",
+    "Responder",
+    "Route",
+    "RouteKind",
+    "Send",
+    "Service",
+    "SiteConfiguration",
+    "Target",
+    "Workspace",
+]
--- /dev/null
+++ b/libs/arbutusrill_gateway/_configuration.py
@@ -0,0 +1,178 @@
+"""A site's configuration: routes, services, workspaces and the limits on callers."""
+
+from __future__ import annotations
+
+import enum
+import random
+from dataclasses import dataclass, field
+
+from arbutusrill_limits import Limits
+
+__all__ = [
+    "ClientLimits",
+    "ConfigurationError",
+    "Engine",
+    "Route",
+    "RouteKind",
+    "Service",
+    "SiteConfiguration",
+    "Target",
+    "Workspace",
+]
+
+
+class ConfigurationError(ValueError):
+    """A configuration that contradicts itself; the message names the place."""
+
+
+class RouteKind(enum.Enum):
+    """What may be repeated."""
+
+    IDEMPOTENT = "idempotent"
+    ONCE = "once"
+    STREAM = "stream"
+
+
+@dataclass(slots=True, frozen=True)
+class Target:
+    """A service that gets a part of a route's requests; weights are relative."""
+
+    service: str
+    weight: float
+
+
+@dataclass(slots=True, frozen=True)
+class Route:
+    """Requests with one host and path prefix. Times are in seconds.
+
+    `max_attempts` bounds the backend servers that one request is sent to. A `resumable` stream may go on at another
+    backend server. `event_gap_s` is the longest pause between events that callers accept.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    kind: RouteKind
+    timeout_s: float
+    objective_s: float
+    targets: tuple[Target, ...]
+    max_attempts: int = 1
+    public: bool = False
+    resumable: bool = False
+    event_gap_s: float = 0.0
+    priority: int = 5
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether a request may run more than once."""
+        return self.kind is RouteKind.IDEMPOTENT or (self.kind is RouteKind.STREAM and self.resumable)
+
+    def pick_service(self) -> str:
+        """Returns a service by weight."""
+        if len(self.targets) == 1:
+            return self.targets[0].service
+        weights = [target.weight for target in self.targets]
+        return random.choices(self.targets, weights)[0].service
+
+
+@dataclass(slots=True, frozen=True)
+class Engine:
+    """Capacity of one model engine of a service; memory is in tokens, `handle_s` the life of a KV cache handle."""
+
+    slots: int
+    kv_tokens: int
+    handle_s: float
+
+
+@dataclass(slots=True, frozen=True)
+class Service:
+    """A group of backend servers; `engine` is None for plain services."""
+
+    name: str
+    engine: Engine | None = None
+
+
+@dataclass(slots=True, frozen=True)
+class Workspace:
+    """A caller's organisation; `limits` is None without a rate. `plain_tokens` is the charge without token counts."""
+
+    name: str
+    limits: Limits | None = None
+    plain_tokens: float = 1.0
+
+
+@dataclass(slots=True, frozen=True)
+class ClientLimits:
+    """Bounds on what callers send; sizes in bytes, times in seconds."""
+
+    header_bytes: int = 16_384
+    body_bytes: int = 4 * 1024 * 1024
+    header_s: float = 3.0
+    idle_s: float = 15.0
+
+
+@dataclass(slots=True, frozen=True)
+class SiteConfiguration:
+    """One version of a site's configuration. Without workspaces, requests need no key.
+
+    >>> route = Route("r", "a.example", "/x/", RouteKind.IDEMPOTENT, 1.0, 0.1, (Target("s", 1.0),))
+    >>> made = SiteConfiguration.build(1, [route], [Service("s")], {}, [])
+    >>> made.route_of("A.example:80", "/x/y").name
+    'r'
+    >>> made.route_of("a.example", "/xy") is None
+    True
+    """
+
+    version: int
+    routes_by_host: dict[str, list[Route]]
+    services_by_name: dict[str, Service]
+    workspace_by_key: dict[str, Workspace]
+    workspaces_by_name: dict[str, Workspace] = field(default_factory=dict)
+    client_limits: ClientLimits = ClientLimits()
+
+    @classmethod
+    def build(
+        cls,
+        version: int,
+        routes: list[Route],
+        services: list[Service],
+        workspace_by_key: dict[str, Workspace],
+        workspaces: list[Workspace],
+        client_limits: ClientLimits | None = None,
+    ) -> SiteConfiguration:
+        """Checks a configuration as a whole; raises `ConfigurationError`."""
+        services_by_name = {service.name: service for service in services}
+        routes_by_host: dict[str, list[Route]] = {}
+        places = set()
+        for route in routes:
+            _check_route(route, services_by_name)
+            if (route.host, route.prefix) in places:
+                raise ConfigurationError(f"route {route.name!r}: another route has host {route.host} and its prefix")
+            places.add((route.host, route.prefix))
+            routes_by_host.setdefault(route.host, []).append(route)
+        for listed in routes_by_host.values():
+            listed.sort(key=lambda route: -len(route.prefix))
+        by_name = {workspace.name: workspace for workspace in workspaces}
+        return cls(version, routes_by_host, services_by_name, workspace_by_key, by_name, client_limits or ClientLimits())
+
+    def route_of(self, host: str, path: str) -> Route | None:
+        """Returns the route with the longest prefix of `path` among those of `host`."""
+        name = host.partition(":")[0].lower()
+        for route in self.routes_by_host.get(name, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+
+def _check_route(route: Route, services_by_name: dict[str, Service]) -> None:
+    for target in route.targets:
+        if target.service not in services_by_name:
+            raise ConfigurationError(f"route {route.name!r}: unknown service {target.service!r}")
+        if target.weight < 0:
+            raise ConfigurationError(f"route {route.name!r}: a weight is negative")
+    if sum(target.weight for target in route.targets) <= 0:
+        raise ConfigurationError(f"route {route.name!r}: the weights add up to 0")
+    if route.timeout_s <= 0:
+        raise ConfigurationError(f"route {route.name!r}: the time limit must be above 0")
+    if not (route.prefix.startswith("/") and route.prefix.endswith("/")):
+        raise ConfigurationError(f"route {route.name!r}: prefix {route.prefix!r} must begin and end with a slash")
--- /dev/null
+++ b/libs/arbutusrill_gateway/_gateway.py
@@ -0,0 +1,189 @@
+"""Admission of callers' requests: route, key, rate, and the hand-over to the relays."""
+
+from __future__ import annotations
+
+import threading
+import time
+from typing import Any
+
+from arbutusrill_base import EventLog, FailureError, RetryBudget, Verdict
+from arbutusrill_http import AbortStreamError
+from arbutusrill_limits import FleetMeter
+from arbutusrill_site import SiteView
+
+from ._backends import BackendPool
+from ._configuration import Route, RouteKind, SiteConfiguration, Workspace
+from ._exchange import Exchange
+from ._metrics import GatewayMetrics
+from ._plain import relay_plain
+from ._protocol import BackendProtocol, CallerRequest
+from ._reply import Refusal, Responder
+from ._stream import relay_stream
+
+__all__ = ["Gateway"]
+
+_NO_CONFIGURATION_RETRY_S = 0.3
+_events = EventLog("entry")
+
+
+class Gateway:
+    """Serves requests by the configuration in force.
+
+    `retry_fraction` and `retry_reserve` bound the sends beyond the first of each request, by service, on this VM.
+    `stale_s`, where set, is the age of the view from which requests with a key are refused.
+    """
+
+    def __init__(
+        self,
+        view: SiteView,
+        pool: BackendPool,
+        meter: FleetMeter,
+        protocol: BackendProtocol,
+        metrics: GatewayMetrics,
+        retry_fraction: float,
+        retry_reserve: float,
+        stale_s: float | None = None,
+    ):
+        self._view = view
+        self._pool = pool
+        self._meter = meter
+        self._protocol = protocol
+        self._metrics = metrics
+        self._retry_fraction = retry_fraction
+        self._retry_reserve = retry_reserve
+        self._stale_s = stale_s
+        self._lock = threading.Lock()
+        self._budget_by_service: dict[str, RetryBudget] = {}
+
+    def serve(self, request: CallerRequest, responder: Responder) -> None:
+        """Answers one request; raises `AbortStreamError` where the caller's connection has to be cut."""
+        started = time.monotonic()
+        configuration = self._view.document
+        if configuration is None:
+            self._refuse(request, responder, Refusal(503, "no_configuration", "no configuration yet", 0.3), started)
+            return
+        route = configuration.route_of(request.host, request.path)
+        if route is None:
+            self._refuse(request, responder, Refusal(404, "no_route", "no route matches"), started)
+            return
+        workspace, refusal = self._authorize(configuration, route, request)
+        if refusal is None:
+            refusal = self._charge(workspace, request)
+        if refusal is not None:
+            self._refuse(request, responder, refusal, started, route, workspace)
+            return
+        self._relay(configuration, route, workspace, request, responder, started)
+
+    def _authorize(
+        self, configuration: SiteConfiguration, route: Route, request: CallerRequest
+    ) -> tuple[Workspace | None, Refusal | None]:
+        if not configuration.workspaces_by_name or route.public:
+            return None, None
+        if self._stale_s is not None and self._view.age_s() > self._stale_s:
+            return None, Refusal(503, "stale", "keys cannot be checked at the moment", _NO_CONFIGURATION_RETRY_S)
+        workspace = configuration.workspace_by_key.get(request.key)
+        if workspace is None:
+            return None, Refusal(401, "unknown_key", "the key is missing or unknown")
+        return workspace, None
+
+    def _charge(self, workspace: Workspace | None, request: CallerRequest) -> Refusal | None:
+        if workspace is None or workspace.limits is None:
+            return None
+        wait_s = self._meter.admit(workspace.name, _cost(workspace, request), workspace.limits)
+        if wait_s is None:
+            return None
+        return Refusal(429, "rate_limited", f"workspace {workspace.name} has spent its rate", max(0.05, wait_s))
+
+    def _relay(
+        self,
+        configuration: SiteConfiguration,
+        route: Route,
+        workspace: Workspace | None,
+        request: CallerRequest,
+        responder: Responder,
+        started: float,
+    ) -> None:
+        service = configuration.services_by_name[route.pick_service()]
+        limit_s = route.timeout_s if request.deadline_s is None else min(route.timeout_s, request.deadline_s)
+        budget = self._budget(service.name)
+        budget.request()
+        exchange = Exchange(
+            request,
+            responder,
+            route,
+            service,
+            workspace,
+            self._protocol,
+            self._pool,
+            budget,
+            started + limit_s,
+            started,
+        )
+        ending = ""
+        try:
+            (relay_stream if route.kind is RouteKind.STREAM else relay_plain)(exchange)
+        except FailureError as error:
+            ending = error.failure.code
+            raise AbortStreamError(str(error)) from None
+        except (AbortStreamError, OSError) as error:
+            ending = f"cut: {error}"
+            raise
+        finally:
+            if exchange.verdict is Verdict.NOT_RUN and workspace is not None and workspace.limits is not None:
+                self._meter.refund(workspace.name, _cost(workspace, request))
+            self._log(request, responder, ending, started, route, workspace, exchange)
+
+    def _budget(self, service: str) -> RetryBudget:
+        with self._lock:
+            if service not in self._budget_by_service:
+                self._budget_by_service[service] = RetryBudget(self._retry_fraction, self._retry_reserve)
+            return self._budget_by_service[service]
+
+    def _refuse(
+        self,
+        request: CallerRequest,
+        responder: Responder,
+        refusal: Refusal,
+        started: float,
+        route: Route | None = None,
+        workspace: Workspace | None = None,
+    ) -> None:
+        responder.refuse(refusal)
+        self._log(request, responder, refusal.code, started, route, workspace, None)
+
+    def _log(
+        self,
+        request: CallerRequest,
+        responder: Responder,
+        ending: str,
+        started: float,
+        route: Route | None,
+        workspace: Workspace | None,
+        exchange: Exchange | None,
+    ) -> None:
+        took_s = time.monotonic() - started
+        name = route.name if route else ""
+        self._metrics.finished(name, responder.status, took_s, exchange.first_event_s if exchange else None)
+        fields: dict[str, Any] = {
+            "request": request.id,
+            "route": name,
+            "workspace": workspace.name if workspace else "",
+            "status": responder.status,
+            "ending": ending or (responder.refused or "answered"),
+            "took_ms": round(took_s * 1000, 1),
+            "config": self._view.version,
+            "view_age_ms": round(self._view.age_s() * 1000) if self._view.version else None,
+        }
+        if exchange is not None:
+            fields["service"] = exchange.service.name
+            fields["trail"] = exchange.trail
+            fields["verdict"] = exchange.verdict.value
+            if exchange.first_event_s is not None:
+                fields["first_event_ms"] = round(exchange.first_event_s * 1000, 1)
+        _events.emit("request", **fields)
+
+
+def _cost(workspace: Workspace, request: CallerRequest) -> float:
+    if request.prompt_tokens is None:
+        return workspace.plain_tokens
+    return float(request.prompt_tokens + (request.output_tokens or 0))
--- /dev/null
+++ b/libs/arbutusrill_gateway/_stream.py
@@ -0,0 +1,186 @@
+"""Relay of event streams, with prefill and decode on separate engines."""
+
+from __future__ import annotations
+
+import re
+import time
+
+from arbutusrill_base import Verdict
+from arbutusrill_http import AbortStreamError
+
+from ._attempt import Attempt, Outcome, attempt
+from ._backends import Candidate
+from ._exchange import Exchange
+from ._prefill import release, run_prefill
+from ._protocol import Answer, Prefilled
+
+__all__ = ["relay_stream"]
+
+_UNREACHED_TRIES = 4
+_RETRY_AFTER_S = 0.15
+_STALL_S = 1.2  # silence after which a resumable stream goes on at another engine
+_END_OF_EVENT = re.compile(rb"\r?\n\r?\n")
+
+
+class _CallerLeftError(Exception):
+    """The caller's connection failed while an event was written to it."""
+
+
+class _Events:
+    """Forwards the whole events of a stream; a part of an event is kept back until its end has come.
+
+    Events up to `last_id` have been delivered, and are dropped when a resumed stream repeats them.
+    """
+
+    def __init__(self, exchange: Exchange):
+        self._exchange = exchange
+        self._buffer = b""
+        self._answer: Answer | None = None
+        self.last_id: int | None = None
+        self.plain: list[bytes] = []  # body of an answer that is no stream
+
+    def on_head(self, status: int, headers_by_name: dict[str, str]) -> None:
+        """Decides whether the body that follows is a stream for this request."""
+        answer = self._exchange.protocol.answer(status, headers_by_name)
+        matches = answer.request_id == self._exchange.request.id
+        self._buffer = b""
+        self._answer = answer if matches and answer.stamped and status == 200 and not answer.not_run else None
+
+    def on_data(self, data: bytes) -> None:
+        """Takes a piece of the body."""
+        if self._answer is None:
+            self.plain.append(data)
+            return
+        self._buffer += data
+        whole = []
+        while found := _END_OF_EVENT.search(self._buffer):
+            event, self._buffer = self._buffer[: found.end()], self._buffer[found.end() :]
+            number = self._exchange.protocol.event_id(event)
+            if number is not None:
+                if self.last_id is not None and number <= self.last_id:
+                    continue
+                self.last_id = number
+            whole.append(event)
+        if whole:
+            self._forward(b"".join(whole))
+
+    def finish(self) -> None:
+        """Forwards what follows the last separator; the answer is whole."""
+        if self._answer is not None and self._buffer:
+            self._forward(self._buffer)
+            self._buffer = b""
+
+    def _forward(self, data: bytes) -> None:
+        exchange = self._exchange
+        try:
+            if not exchange.responder.status:
+                exchange.first_event_s = time.monotonic() - exchange.started
+                headers = [row for row in self._answer.headers if row[0].lower() != "content-length"]
+                exchange.responder.begin(200, headers)
+            exchange.responder.write(data)
+        except OSError as error:
+            raise _CallerLeftError(str(error)) from error
+
+
+def relay_stream(exchange: Exchange) -> None:
+    """Serves one stream: prefill where there is a prefill engine, then decode, resumed elsewhere where allowed."""
+    events = _Events(exchange)
+    prefilled = None
+    if exchange.service.engine is not None and not exchange.request.resume_after:
+        prefilled = run_prefill(exchange)
+    unreached = 0
+    while True:
+        if not exchange.has_time():
+            _give_up(exchange, "no_time", "the time limit has passed")
+            return
+        candidate = _pick(exchange, prefilled)
+        if candidate is None:
+            release(exchange, prefilled)
+            _give_up(exchange, "no_engine", "no engine is available")
+            return
+        made = _send(exchange, candidate, prefilled, events)
+        exchange.note(candidate, "decode" if prefilled else "whole", made)
+        if made.outcome is Outcome.UNREACHED and unreached < _UNREACHED_TRIES:
+            unreached += 1
+            exchange.tried.add(candidate.id)
+            exchange.pool.failed(candidate.record, made.detail)
+            continue
+        exchange.sends += 1
+        if _finish(exchange, candidate, made, events, prefilled):
+            return
+        # A handle can be taken once, and a resumed stream has to read more than the prompt.
+        prefilled = None
+
+
+def _pick(exchange: Exchange, prefilled: Prefilled | None) -> Candidate | None:
+    stage = "decode" if exchange.service.engine is not None else ""
+    tokens = exchange.request.memory_tokens
+    near = prefilled.data_centre if prefilled else ""
+    pick = exchange.pool.pick
+    return pick(exchange.service, stage, tokens, exchange.request.model, exchange.tried, near)
+
+
+def _send(exchange: Exchange, candidate: Candidate, prefilled: Prefilled | None, events: _Events) -> Attempt:
+    resume_after = exchange.request.resume_after if events.last_id is None else str(events.last_id)
+    send = exchange.send(candidate, prefilled=prefilled, resume_after=resume_after)
+    stall_s = _STALL_S if exchange.route.resumable and exchange.sends + 1 < exchange.route.max_attempts else None
+    events.plain.clear()
+    try:
+        with exchange.pool.hold(candidate.id, exchange.request.memory_tokens):
+            return attempt(
+                exchange.protocol,
+                exchange.request,
+                send,
+                candidate,
+                exchange.remaining_s(),
+                stall_s,
+                events.on_head,
+                events.on_data,
+            )
+    except _CallerLeftError:
+        exchange.verdict = exchange.verdict.worst(Verdict.MAY_HAVE_RUN)
+        raise exchange.gone() from None
+
+
+def _finish(
+    exchange: Exchange, candidate: Candidate, made: Attempt, events: _Events, prefilled: Prefilled | None
+) -> bool:
+    """Ends the exchange or leaves it to another send; returns whether it has ended."""
+    if made.outcome is Outcome.GONE:
+        if not exchange.responder.status:
+            release(exchange, prefilled)
+        raise exchange.gone()
+    if made.outcome is Outcome.ANSWERED and made.answer.status == 200:
+        exchange.pool.served(candidate.record, made.took_s, max(1, exchange.request.output_tokens or 1))
+        events.finish()
+        return True
+    _blame(exchange, candidate, made, prefilled)
+    repeatable = made.outcome is Outcome.REJECTED or exchange.route.resumable
+    if repeatable and exchange.may_resend():
+        if made.outcome is not Outcome.REJECTED or prefilled is None:
+            exchange.tried.add(candidate.id)
+        return False
+    if made.outcome is Outcome.ANSWERED and not exchange.responder.status:
+        exchange.responder.whole(made.answer.status, made.answer.headers, b"".join(events.plain))
+        return True
+    if made.outcome is Outcome.REJECTED:
+        _give_up(exchange, "engine_full", f"the engine has not run the request: {made.detail}")
+    else:
+        _give_up(exchange, "engine_failed", f"no whole answer: {made.detail}")
+    return True
+
+
+def _blame(exchange: Exchange, candidate: Candidate, made: Attempt, prefilled: Prefilled | None) -> None:
+    """Counts a failure against the engine that most likely caused it."""
+    if made.outcome is Outcome.REJECTED and prefilled is not None:
+        # Either the engine is full or the KV cache could not be had; neither says that the engine is broken.
+        exchange.pool.failed(prefilled.record, f"KV cache not taken: {made.detail}", avoid=False)
+        exchange.pool.failed(candidate.record, made.detail, avoid=False)
+        return
+    exchange.pool.failed(candidate.record, made.detail, avoid=made.outcome is not Outcome.ANSWERED)
+
+
+def _give_up(exchange: Exchange, code: str, message: str) -> None:
+    if exchange.responder.status:
+        raise AbortStreamError(f"{code}: {message}")
+    exchange.refuse_unrun(code, message, _RETRY_AFTER_S)
--- a/libs/arbutusrill_http/_handler.py
+++ b/libs/arbutusrill_http/_handler.py
@@ -207,6 +207,8 @@
         self.environ["wsgi.input"] = io.BytesIO(body)
         self.environ["CONTENT_LENGTH"] = str(len(body))
         self.environ["wsgi.input_terminated"] = True
+        self.environ["arbutusrill.headers"] = self.headers.items()
+        self.environ["arbutusrill.target"] = self.path
         self.environ.pop("HTTP_TRANSFER_ENCODING", None)
         if self._reserved:
             self.close_connection = True
--- a/libs/arbutusrill_http/_server.py
+++ b/libs/arbutusrill_http/_server.py
@@ -91,6 +91,10 @@
     def drain(self) -> None:
         """Ends idle connections; those with a request under way close after its answer."""
         self.tasks.stopping.set()
+        self.end_idle()
+
+    def end_idle(self) -> None:
+        """Ends the connections that wait for a request."""
         with self._lock:
             idle = list(self._idle_since)
         for connection in idle:
@@ -209,6 +213,14 @@
             self._server.shutdown()
             self._server.server_close()
 
+    def set_limits(self, limits: HttpLimits) -> None:
+        """Changes sizes and times for the requests that follow; the number of threads stays as it is."""
+        self._server.limits = limits
+
+    def end_idle(self) -> None:
+        """Ends the connections that wait for a request; new ones are still taken."""
+        self._server.end_idle()
+
     def busy(self) -> int:
         """Returns the number of connections with a request under way."""
         return self._server.busy()
--- a/libs/arbutusrill_http/_transfer.py
+++ b/libs/arbutusrill_http/_transfer.py
@@ -14,13 +14,14 @@
 
 __all__ = ["Transfer", "TransferResult", "close_connections", "fetch"]
 
-_CONNECT_MS = 2000
+_CONNECT_S = 2.0
 _KEPT_CONNECTIONS = 8
 _KEEPALIVE_IDLE_S = 10
 _KEEPALIVE_INTERVAL_S = 5
 _KEPT_S = 20  # below the idle limit of servers, so that a kept connection is rarely a closed one
 _UNACKNOWLEDGED_MS = 2000
 _SLICE_MS = 250
+_OWN_HEADERS = ("Accept", "Content-Type", "User-Agent")
 _IDENTITY = threading.local()
 
 
@@ -31,7 +32,8 @@
     `fresh` forces a connection of its own that is closed afterwards: libcurl resends a request by itself
     when a reused connection turns out to be dead, which a call that may run only once must not meet.
     `on_data` gets each piece of the body as it arrives; without it the body is collected. `stall_s` limits
-    the time without any byte, `timeout_s` the whole transfer.
+    the time without any byte, `connect_s` the time for a new connection, `timeout_s` the whole transfer.
+    `plain` leaves out the headers that libcurl adds by itself.
     """
 
     method: str
@@ -40,7 +42,9 @@
     body: bytes = b""
     timeout_s: float = 30.0
     stall_s: float | None = None
+    connect_s: float = _CONNECT_S
     fresh: bool = False
+    plain: bool = False
     watched: socket.socket | None = None
     on_head: Callable[[int, dict[str, str]], None] | None = None
     on_data: Callable[[bytes], None] | None = None
@@ -211,7 +215,7 @@
         easy.setopt(pycurl.NOSIGNAL, 1)
         easy.setopt(pycurl.PROXY, "")
         easy.setopt(pycurl.PATH_AS_IS, 1)
-        easy.setopt(pycurl.CONNECTTIMEOUT_MS, _CONNECT_MS)
+        easy.setopt(pycurl.CONNECTTIMEOUT_MS, max(1, int(transfer.connect_s * 1000)))
         easy.setopt(pycurl.SOCKOPTFUNCTION, _on_connection)
         easy.setopt(pycurl.TCP_NODELAY, 1)
         easy.setopt(pycurl.TCP_KEEPALIVE, 1)
@@ -231,7 +235,11 @@
         if transfer.fresh:
             easy.setopt(pycurl.FRESH_CONNECT, 1)
             easy.setopt(pycurl.FORBID_REUSE, 1)
-        easy.setopt(pycurl.HTTPHEADER, ["Expect:", *transfer.headers])
+        headers = ["Expect:", *transfer.headers]
+        if transfer.plain:
+            given = {line.partition(":")[0].lower() for line in transfer.headers}
+            headers += [f"{name}:" for name in _OWN_HEADERS if name.lower() not in given]
+        easy.setopt(pycurl.HTTPHEADER, headers)
         return easy
 
     def _on_header(self, line: bytes) -> int | None:
--- a/libs/arbutusrill_raft/_elections.py
+++ b/libs/arbutusrill_raft/_elections.py
@@ -30,7 +30,7 @@
         self._core = core
         self._transport = transport
         self._others = [other for other in initial if other != address]
-        self._founds = address == min(initial)
+        self._founds = bool(initial) and address == min(initial)
 
     def run(self) -> None:
         """Runs until the replica stops."""
--- /dev/null
+++ b/libs/arbutusrill_site/__init__.py
@@ -0,0 +1,21 @@
+"""Shared knowledge of a site: its configuration document, its backend servers and its entry VMs."""
+
+from ._backends import BackendRegistry, is_newer
+from ._directory import EntryDirectory
+from ._entries import EntryRegistry
+from ._follower import SiteFollower, SiteView
+from ._membership import GroupKeeper, Joiner
+from ._service import SiteLimits, SiteService
+
+__all__ = [
+    "BackendRegistry",
+    "EntryDirectory",
+    "EntryRegistry",
+    "GroupKeeper",
+    "Joiner",
+    "SiteFollower",
+    "SiteLimits",
+    "SiteService",
+    "SiteView",
+    "is_newer",
+]
--- /dev/null
+++ b/libs/arbutusrill_site/_follower.py
@@ -0,0 +1,184 @@
+"""An entry VM's view of its site, kept current by a long poll at the control group's leader."""
+
+from __future__ import annotations
+
+import threading
+import time
+import zlib
+from collections.abc import Callable
+from typing import Any
+
+from arbutusrill_base import Clock, EventLog, TaskGroup
+from arbutusrill_limits import FleetMeter
+from arbutusrill_state import ControlClient, ControlUnavailableError
+from arbutusrill_wire import messages
+
+from ._backends import is_newer
+
+__all__ = ["SiteFollower", "SiteView"]
+
+_WAIT_MS = 250
+_CALL_S = 1.0
+_PAUSE_S = 0.05  # after a call that failed
+_events = EventLog("follower")
+
+
+class SiteView:
+    """What an entry VM knows of its site. Replaced fields are read without a lock, as whole values.
+
+    `document` is the decoded configuration, None before the first one has arrived.
+    """
+
+    def __init__(self, clock: Clock):
+        self._clock = clock
+        self.document: Any = None
+        self.version = 0
+        self.backends_by_id: dict[str, Any] = {}
+        self.entries_by_id: dict[str, Any] = {}
+        self.requests_of_others_by_id: dict[str, int] = {}
+        self.tokens_of_others_by_id: dict[str, int] = {}
+        self.confirmed_at = float("-inf")
+
+    def age_s(self) -> float:
+        """Returns the seconds since the leader last confirmed this view."""
+        return self._clock.monotonic() - self.confirmed_at
+
+
+class SiteFollower:
+    """Follows the leader and keeps a `SiteView`.
+
+    `entry` says which entry VM this is. `decode` turns a document's body into the configuration. `uses` returns this VM's load on backend servers.
+    The document never goes back to an older version; the lists are merged while a new leader still collects them.
+    """
+
+    def __init__(
+        self,
+        view: SiteView,
+        entry: Any,
+        incarnation: int,
+        client: ControlClient,
+        clock: Clock,
+        meter: FleetMeter,
+        decode: Callable[[bytes], Any],
+        uses: Callable[[], list[Any]],
+        seeds: Callable[[], list[str]],
+    ):
+        self.view = view
+        self._entry = entry
+        self._draining = False
+        self._incarnation = incarnation
+        self._client = client
+        self._clock = clock
+        self._meter = meter
+        self._decode = decode
+        self._uses = uses
+        self._seeds = seeds
+        self._term = 0
+        self._backends_revision = 0
+        self._entries_revision = 0
+        self._connected = True
+        self._failures = 0
+        self._state_lock = threading.Lock()
+        self.on_change: Callable[[], None] = lambda: None
+
+    def start(self, tasks: TaskGroup) -> None:
+        """Follows in a task of its own until the group stops."""
+        tasks.start(self._run, tasks.stopping)
+
+    @property
+    def state(self) -> str:
+        """``starting`` before the first configuration, then ``ready``, at the end ``draining``."""
+        if self._draining:
+            return "draining"
+        return "starting" if self.view.document is None else "ready"
+
+    def drain(self) -> None:
+        """Tells the leader at once that this entry VM leaves; the long poll repeats it."""
+        self._draining = True
+        try:
+            self._follow(0)
+        except (ControlUnavailableError, messages.Refused) as error:
+            _events.emit("drain_not_announced", reason=str(error))
+
+    def _run(self, stopping: threading.Event) -> None:
+        while not stopping.is_set():
+            try:
+                self._follow(_WAIT_MS)
+                self._failures = 0
+                self._note_connected(True, "")
+            except (ControlUnavailableError, messages.Refused) as error:
+                self._failures += 1
+                self._note_connected(False, str(error))
+                # Members may all have changed while this VM was cut off: the seeds are the way back.
+                self._client.learn(self._seeds())
+                stopping.wait(_PAUSE_S)
+            except Exception as error:  # a document or list that this version cannot read must not end the task
+                _events.emit("view_not_updated", reason=repr(error))
+                stopping.wait(_PAUSE_S)
+
+    def _note_connected(self, connected: bool, reason: str) -> None:
+        if connected != self._connected:
+            self._connected = connected
+            event = "control_regained" if connected else "control_lost"
+            _events.emit(event, reason=reason, version=self.view.version, age_s=round(self.view.age_s(), 2))
+
+    def _follow(self, wait_ms: int) -> None:
+        spent = self._meter.totals()
+        entry = self._entry
+        request = messages.SiteFollowRequest(
+            messages.EntryRecord(entry.id, entry.address, entry.data_centre, self.state),
+            self._incarnation,
+            self._term,
+            self.view.version,
+            self._backends_revision,
+            self._entries_revision,
+            wait_ms,
+            spent,
+            self._uses(),
+        )
+        sent_at = self._clock.monotonic()
+        reply = self._client.call("follow_site", request, timeout=_CALL_S, try_timeout=wait_ms / 1000 + 0.35)
+        with self._state_lock:
+            self._take(reply)
+        self._meter.learn(spent, reply.available or {})
+        self.view.confirmed_at = sent_at
+        self._client.learn(reply.control or [])
+
+    def _take(self, reply: Any) -> None:
+        view = self.view
+        if reply.term < self._term:
+            return
+        if reply.document is not None and reply.document_version > view.version:
+            started = time.monotonic()
+            view.document = self._decode(zlib.decompress(reply.document))
+            view.version = reply.document_version
+            took_ms = round((time.monotonic() - started) * 1000, 1)
+            _events.emit("document_applied", version=view.version, term=reply.term, took_ms=took_ms)
+        if reply.backends is not None:
+            view.backends_by_id = self._merged(view.backends_by_id, reply.backends, reply.backends_complete)
+        if reply.entries is not None:
+            entries = {record.id: record for record in reply.entries}
+            view.entries_by_id = entries if reply.entries_complete else {**view.entries_by_id, **entries}
+        self._term = reply.term
+        self._backends_revision = reply.backends_revision
+        self._entries_revision = reply.entries_revision
+        view.requests_of_others_by_id = {use.id: use.requests for use in reply.uses or []}
+        view.tokens_of_others_by_id = {use.id: use.tokens for use in reply.uses or []}
+        if reply.document is not None or reply.backends is not None:
+            self.on_change()
+
+    @staticmethod
+    def _merged(known: dict[str, Any], records: list[Any], complete: bool) -> dict[str, Any]:
+        fresh = {record.id: record for record in records}
+        if complete:
+            return fresh
+        merged = dict(known)
+        held = {record.address for record in records}
+        for backend, record in known.items():
+            if record.address in held and backend not in fresh:
+                del merged[backend]
+        for backend, record in fresh.items():
+            old = known.get(backend)
+            if old is None or not is_newer(old, record):
+                merged[backend] = record
+        return merged
--- /dev/null
+++ b/libs/arbutusrill_site/_service.py
@@ -0,0 +1,200 @@
+"""RPC service of a control VM for a site: document, backend servers, entry VMs and token levels."""
+
+from __future__ import annotations
+
+import threading
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from arbutusrill_base import Clock, EventLog
+from arbutusrill_limits import FleetBuckets, Limits
+from arbutusrill_raft import LogUnavailableError, NotLeaderError, Replica
+from arbutusrill_state import SharedState, command
+from arbutusrill_wire import decode, encode, messages
+
+from ._backends import BackendRegistry
+from ._entries import EntryRegistry
+from ._membership import GroupKeeper
+
+__all__ = ["SiteLimits", "SiteService"]
+
+_COMMIT_S = 2.0
+_CONFIRM_S = 1.0
+_MAX_WAIT_S = 2.0
+_GATHER_S = 0.005  # changes that come together go out in one answer
+_events = EventLog("site")
+
+
+@dataclass(slots=True, frozen=True)
+class SiteLimits:
+    """Times in seconds after which a silent backend server or entry VM is dropped."""
+
+    backend_silent_s: float = 6.0
+    entry_silent_s: float = 2.0
+
+
+class SiteService:
+    """Answers the IDL's `Site` service. Only the leader answers; other control VMs name it.
+
+    `limits_of(body)` reads the token limits by workspace from a document's body.
+    """
+
+    def __init__(
+        self,
+        log: Replica,
+        state: SharedState,
+        changed: threading.Condition,
+        clock: Clock,
+        limits: SiteLimits,
+        limits_of: Callable[[bytes], dict[str, Limits]],
+        keeper: GroupKeeper,
+    ):
+        self._log = log
+        self._state = state
+        self._changed = changed
+        self._clock = clock
+        self._limits_of = limits_of
+        self._keeper = keeper
+        self.backends = BackendRegistry(clock, limits.backend_silent_s, changed)
+        self.entries = EntryRegistry(clock, limits.entry_silent_s, changed)
+        self._buckets = FleetBuckets(self._limits, clock)
+        self._limits_by_workspace: dict[str, Limits] = {}
+        self._limits_version = 0
+        self._term: int | None = None
+        self._term_lock = threading.Lock()
+
+    # ---- RPC methods
+
+    def follow_site(self, request: Any) -> Any:
+        """Waits until something that the entry VM does not know has changed, and returns what it lacks."""
+        self._check_leads()
+        self.entries.heard(request.entry, request.incarnation, request.uses or [])
+        term = self._term
+        if request.term == term and self._wait(request, term):
+            time.sleep(_GATHER_S)
+        self._confirm()
+        self._check_leads()
+        same_term = request.term == self._term
+        version, body = self._state.document.held()
+        # Revisions are read before the lists: a change in between is sent once more instead of being missed.
+        backends_revision, entries_revision = self.backends.revision, self.entries.revision
+        knows_backends = same_term and request.backends_revision == backends_revision
+        knows_entries = same_term and request.entries_revision == entries_revision
+        return messages.SiteFollowReply(
+            self._term,
+            version,
+            body if version > request.document_version else None,
+            backends_revision,
+            None if knows_backends else self.backends.records(),
+            entries_revision,
+            None if knows_entries else self.entries.records(),
+            self.backends.complete,
+            self.entries.complete,
+            self._buckets.report(request.entry.id, request.incarnation, request.spent or {}),
+            self.entries.uses_of_others(request.entry.id),
+            self._keeper.addresses(),
+        )
+
+    def _wait(self, request: Any, term: int) -> bool:
+        """Waits for a change that the follower lacks; returns whether there is one."""
+
+        def is_behind() -> bool:
+            return (
+                self._term != term
+                or self._state.document.version > request.document_version
+                or self.backends.revision != request.backends_revision
+                or self.entries.revision != request.entries_revision
+            )
+
+        with self._changed:
+            return self._changed.wait_for(is_behind, min(request.wait_ms / 1000, _MAX_WAIT_S))
+
+    def announce_backend(self, record: Any) -> None:
+        """Takes what a backend server says of itself."""
+        self._check_leads()
+        self.backends.announce(record)
+        self._confirm()
+
+    def remove_backend(self, backend: str, started_ms: int) -> None:
+        """Takes a backend server out of use."""
+        self._check_leads()
+        self.backends.remove(backend, started_ms)
+        self._confirm()
+
+    def put_document(self, document: Any) -> int:
+        """Commits a document unless the held version is as high; returns the version in force afterwards."""
+        self._confirm()
+        held = self._state.document.version
+        if document.version <= held:
+            _events.emit("document_not_higher", version=document.version, held=held)
+            return held
+        change = messages.PutDocument(document.version, document.body)
+        started = self._clock.monotonic()
+        try:
+            outcome = decode(
+                messages.Outcome, self._log.propose(encode(command(change, "site", self._clock.wall_ms())), _COMMIT_S)
+            )
+        except NotLeaderError as error:
+            raise messages.Refused("not_leader", str(error), leader=error.leader) from None
+        except LogUnavailableError as error:
+            verdict = messages.Verdict.MAY_HAVE_RUN if error.appended else messages.Verdict.NOT_RUN
+            raise messages.Refused("unavailable", str(error), verdict) from None
+        took_ms = round((self._clock.monotonic() - started) * 1000, 1)
+        _events.emit("document_committed", version=document.version, in_force=outcome.revision, took_ms=took_ms)
+        return outcome.revision
+
+    def read_document(self) -> Any:
+        """Returns the document in force, proved by a quorum round that began after the call."""
+        self._confirm()
+        return messages.SiteDocument(*self._state.document.held())
+
+    def join(self, address: str) -> list[str]:
+        """Notes a control VM that is not a member of the group; returns the members' addresses."""
+        self._check_leads()
+        self._keeper.ask(address)
+        return self._keeper.addresses()
+
+    # ---- periodic work
+
+    def tick(self) -> None:
+        """Begins and ends leaderships, drops what is silent."""
+        if not self._enter_term():
+            return
+        self.backends.expire()
+        for entry, incarnation in self.entries.expire():
+            self._buckets.forget(entry, incarnation)
+
+    def _enter_term(self) -> bool:
+        term = self._log.status().term if self._log.is_leader() else None
+        with self._term_lock:
+            if term is not None and term != self._term:
+                self.backends.begin_term()
+                self.entries.begin_term()
+                self._buckets.reset()
+                _events.emit("leadership_began", term=term, document=self._state.document.version)
+            elif term is None and self._term is not None:
+                _events.emit("leadership_ended", term=self._term)
+            self._term = term
+        return term is not None
+
+    def _limits(self, workspace: str) -> Limits | None:
+        version, body = self._state.document.held()
+        if version != self._limits_version:
+            self._limits_by_workspace = self._limits_of(body)
+            self._limits_version = version
+        return self._limits_by_workspace.get(workspace)
+
+    def _check_leads(self) -> None:
+        if not self._log.is_leader() or not self._enter_term():
+            leader = self._log.status().leader
+            raise messages.Refused("not_leader", f"not the leader, try {leader or 'another'}", leader=leader)
+
+    def _confirm(self) -> None:
+        try:
+            self._log.confirm(_CONFIRM_S)
+        except NotLeaderError as error:
+            raise messages.Refused("not_leader", str(error), leader=error.leader) from None
+        except LogUnavailableError as error:
+            raise messages.Refused("unavailable", str(error)) from None
--- a/libs/arbutusrill_state/_client.py
+++ b/libs/arbutusrill_state/_client.py
@@ -26,11 +26,13 @@
 class ControlClient:
     """Calls the control group's leader, following hints and trying the other control VMs.
 
+    `service` is the service of the IDL whose methods are called; its calls refuse with ``not_leader`` on other VMs.
     A call may be sent more than once, so that only calls that the group recognises by their request id, or
     that change nothing, belong here.
     """
 
-    def __init__(self, addresses: list[str]):
+    def __init__(self, addresses: list[str], service: Any = messages.Control):
+        self._service = service
         self._lock = threading.Lock()
         self._client_by_address = {address: RpcClient(address) for address in addresses}
         self._order = list(addresses)
@@ -53,10 +55,9 @@
         attempt = 0
         while (remaining := deadline - time.monotonic()) > 0:
             attempt += 1
-            address = self._first()
-            client = self._client_by_address[address]
+            address, client = self._first()
             try:
-                return client.call(messages.Control, name, *arguments, timeout=min(remaining, try_timeout))
+                return client.call(self._service, name, *arguments, timeout=min(remaining, try_timeout))
             except messages.Refused as refused:
                 if refused.code not in ("not_leader", "unavailable"):
                     raise
@@ -72,14 +73,32 @@
             time.sleep(min(backoff_s(attempt, 0.02, 0.3), max(0.0, deadline - time.monotonic())))
         raise ControlUnavailableError(f"the control group does not answer ({problem})", sent)
 
-    def _first(self) -> str:
+    def learn(self, addresses: list[str]) -> None:
+        """Replaces the control VMs that are tried; calls under way go on. An empty list changes nothing."""
         with self._lock:
-            return self._order[0]
+            if not addresses or set(addresses) == set(self._order):
+                return
+            dropped = [self._client_by_address.pop(old) for old in self._order if old not in addresses]
+            for address in addresses:
+                if address not in self._client_by_address:
+                    self._client_by_address[address] = RpcClient(address)
+            kept = [old for old in self._order if old in addresses]
+            self._order = kept + [address for address in addresses if address not in kept]
+        for client in dropped:
+            client.close()
+
+    def _first(self) -> tuple[str, RpcClient]:
+        with self._lock:
+            address = self._order[0]
+            return address, self._client_by_address[address]
 
     def _demote(self, address: str, better: str) -> None:
         with self._lock:
             if self._order[0] == address:
                 self._order.append(self._order.pop(0))
+            if better and better not in self._client_by_address:
+                self._client_by_address[better] = RpcClient(better)
+                self._order.append(better)
             if better in self._client_by_address:
                 self._order.remove(better)
                 self._order.insert(0, better)
--- a/libs/arbutusrill_state/_machine.py
+++ b/libs/arbutusrill_state/_machine.py
@@ -1,4 +1,4 @@
-"""State machine of the control group: the configuration and the journal of once-only calls."""
+"""State machine of the control group: the configuration, its document form and the journal of once-only calls."""
 
 from __future__ import annotations
 
@@ -10,6 +10,7 @@
 
 from ._commands import change_of
 from ._config import ConfigState
+from ._document import Document
 from ._journal import Journal
 
 __all__ = ["SharedState"]
@@ -28,6 +29,7 @@
     def __init__(self) -> None:
         self.config = ConfigState()
         self.journal = Journal(self.config)
+        self.document = Document()
         self._recent: deque[Any] = deque(maxlen=_KEPT_COMMANDS)
 
     def apply(self, data: bytes) -> bytes:
@@ -40,6 +42,9 @@
             return encode(messages.Outcome(False, self.config.revision, "bad_command", problem[:_MAX_MESSAGE]))
         if kind.startswith("journal_"):
             return encode(self.journal.apply(kind, change, made))
+        if kind == "put_document":
+            held = self.document.put(change.version, change.body)
+            return encode(messages.Outcome(held == change.version, held))
         with self.config.lock:
             before = self.config.revision
             outcome = self.config.apply(made)
@@ -65,12 +70,17 @@
 
     def snapshot(self) -> bytes:
         """Returns the whole state as bytes."""
-        config = encode(self.config.snapshot())
+        state = self.config.snapshot()
+        state.document = messages.PutDocument(*self.document.held())
+        config = encode(state)
         return len(config).to_bytes(8, "big") + config + self.journal.snapshot()
 
     def restore(self, data: bytes) -> None:
         """Replaces the state by what `snapshot` returned."""
         size = int.from_bytes(data[:8], "big")
-        self.config.restore(decode(messages.ConfigSnapshot, data[8 : 8 + size]))
+        state = decode(messages.ConfigSnapshot, data[8 : 8 + size])
+        self.config.restore(state)
+        if state.document is not None:
+            self.document.put(state.document.version, state.document.body or b"")
         self.journal.restore(data[8 + size :])
         self._recent.clear()
--- a/libs/arbutusrill_wire/arbutusrill.thrift
+++ b/libs/arbutusrill_wire/arbutusrill.thrift
@@ -127,6 +127,9 @@
 struct SetFeatureLevel { 1: i32 level }
 struct ForgetVm { 1: string id, 2: i64 incarnation }      // feature level 2
 
+// A whole configuration as one document; the highest version is in force. `body` is compressed with zlib.
+struct PutDocument { 1: i64 version, 2: binary body }
+
 struct JournalBegin {
   1: string workspace, 2: string key, 3: binary digest, 4: string vm, 5: i64 incarnation
 }
@@ -160,6 +163,7 @@
   23: PutOrder put_order,
   24: SetFeatureLevel set_feature_level,
   25: ForgetVm forget_vm,
+  30: PutDocument put_document,   // does not move the revision
   40: JournalBegin journal_begin,
   41: JournalFinish journal_finish,
   42: JournalSweep journal_sweep
@@ -196,7 +200,8 @@
   9: list<PutOrder> orders,
   10: i32 feature_level = 1,
   11: list<FirstAnswer> first_answers,
-  12: i64 clock_ms = 0
+  12: i64 clock_ms = 0,
+  13: PutDocument document
 }
 
 struct JournalRecord {
@@ -387,3 +392,68 @@
   bool cache_events(1: CacheEvents events) throws (1: Refused refused),   // false: please resynchronise
   list<PoolStatus> pool_status() throws (1: Refused refused)
 }
+
+// ---- Sites: one configuration document, backend servers that announce themselves, entry VMs --------------
+
+// A model that an engine has loaded.
+struct LoadedModel { 1: string name, 2: i64 version }
+
+// What a backend server last said of itself.
+struct BackendRecord {
+  1: string id,
+  2: i64 started_ms,             // wall clock of its start by its own clock; larger for a later start
+  3: i64 sequence,               // increases with each announcement of one start
+  4: string service_name,
+  5: string address,             // IP:port
+  6: string data_centre,
+  7: i32 slots,
+  8: bool draining = false,
+  9: string stage = "",          // prefill, decode, or empty for a plain service
+  10: list<LoadedModel> models,
+  11: string software = ""
+}
+
+// An entry VM as the directory lists it.
+struct EntryRecord { 1: string id, 2: string address, 3: string data_centre, 4: string state }  // ready or draining
+
+// Load that one entry VM has on a backend server.
+struct BackendUse { 1: string id, 2: i32 requests, 3: i64 tokens }
+
+struct SiteFollowRequest {
+  1: EntryRecord entry,
+  2: i64 incarnation,
+  3: i64 term = 0,                     // of the reply that the revisions below come from
+  4: i64 document_version = 0,
+  5: i64 backends_revision = 0,
+  6: i64 entries_revision = 0,
+  7: i32 wait_ms = 0,
+  8: map<string, double> spent,        // tokens by workspace since the entry VM's start
+  9: list<BackendUse> uses
+}
+
+// Lists are left out when the follower has their revision already.
+struct SiteFollowReply {
+  1: i64 term,
+  2: i64 document_version,
+  3: binary document,                  // compressed with zlib
+  4: i64 backends_revision,
+  5: list<BackendRecord> backends,
+  6: i64 entries_revision,
+  7: list<EntryRecord> entries,
+  8: bool backends_complete = false,   // false while a new leader still collects announcements
+  9: bool entries_complete = false,
+  10: map<string, double> available,   // tokens by workspace, after what the request reported
+  11: list<BackendUse> uses,           // load by the other entry VMs
+  12: list<string> control             // RPC addresses of the control group
+}
+
+struct SiteDocument { 1: i64 version, 2: binary body }
+
+service Site {
+  SiteFollowReply follow_site(1: SiteFollowRequest request) throws (1: Refused refused),
+  void announce_backend(1: BackendRecord record) throws (1: Refused refused),
+  void remove_backend(1: string id, 2: i64 started_ms) throws (1: Refused refused),
+  i64 put_document(1: SiteDocument document) throws (1: Refused refused),     // the version in force
+  SiteDocument read_document() throws (1: Refused refused),
+  list<string> join(1: string address) throws (1: Refused refused)            // RPC addresses of the group
+}
