site: token limits are read from the decompressed document; prefill answers need no proof

Cause: every follow call that reported spending failed once a document was held (its body is compressed), so that entry VMs never saw a second version and limited themselves to their part of each rate; and every prefill answer was taken for a success without proof, so that no KV cache was ever taken.

--- a/libs/arbutusrill_base/_events.py
+++ b/libs/arbutusrill_base/_events.py
@@ -8,6 +8,7 @@
 
 import json
 import logging
+import math
 import queue
 import sys
 import threading
@@ -100,6 +101,8 @@
             return
         line: dict[str, Any] = {"part": self._part, "event": event}
         for name, value in fields.items():
+            if isinstance(value, float):
+                value = round(value, 4) if math.isfinite(value) else None
             line[name] = value[:_MAX_TEXT] if isinstance(value, str) else value
         _sink.put(line)
 
--- a/libs/arbutusrill_gateway/_attempt.py
+++ b/libs/arbutusrill_gateway/_attempt.py
@@ -81,11 +81,13 @@
     result = fetch(transfer)
     took_s = time.monotonic() - started
     answer = protocol.answer(result.status, result.headers_by_name) if result.status else None
-    outcome, detail = _outcome(request, result, answer)
+    outcome, detail = _outcome(request, send, result, answer)
     return Attempt(outcome, answer, result.body, detail, took_s)
 
 
-def _outcome(request: CallerRequest, result: TransferResult, answer: Answer | None) -> tuple[Outcome, str]:
+def _outcome(
+    request: CallerRequest, send: Send, result: TransferResult, answer: Answer | None
+) -> tuple[Outcome, str]:
     if result.error == "gone":
         return Outcome.GONE, result.detail
     if answer is not None and answer.request_id not in ("", request.id):
@@ -95,7 +97,7 @@
     if result.whole:
         if answer is None or answer.request_id != request.id:
             return Outcome.BROKEN, "the answer names no request"
-        if answer.status < 300 and not answer.stamped:
+        if answer.status < 300 and not answer.stamped and not send.prefill:
             return Outcome.BROKEN, "a success without the server's proof"
         if answer.status in _BROKEN_STATUS:
             return Outcome.BROKEN, f"status {answer.status} without the statement that it has not run"
--- a/libs/arbutusrill_limits/_fleet.py
+++ b/libs/arbutusrill_limits/_fleet.py
@@ -1,13 +1,14 @@
 """Fleet-wide token buckets whose levels the entry VMs learn by report instead of by grant.
 
 Each entry VM counts what it spends and reports the running totals; the leader keeps one bucket for each workspace
-and answers with its level. Between two reports an entry VM subtracts its own spending from the last level. All entry
+and answers with the levels of those that are not full. Between two reports an entry VM subtracts its own spending. All entry
 VMs together may exceed a bucket by what they spend between two reports, which deployments with a stated overage
 allow. An entry VM without recent levels limits itself to its part of the rate.
 """
 
 from __future__ import annotations
 
+import math
 import threading
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -18,7 +19,7 @@
 
 __all__ = ["FleetBuckets", "FleetMeter"]
 
-_LEVEL_AGE_S = 1.0  # age from which a reported level no longer limits the spending of the others
+_LEVEL_AGE_S = 1.0  # age in seconds from which levels are not used any more
 
 
 @dataclass(slots=True)
@@ -38,7 +39,7 @@
     >>> from arbutusrill_base import ManualClock
     >>> buckets = FleetBuckets(lambda workspace: Limits(10.0, 100.0), ManualClock())
     >>> buckets.report("vm-1", 1, {"clinic": 0.0})
-    {'clinic': 100.0}
+    {}
     >>> buckets.report("vm-1", 1, {"clinic": 30.0})
     {'clinic': 70.0}
     """
@@ -51,24 +52,34 @@
         self._spent_by_reporter: dict[tuple[str, int], dict[str, float]] = {}
 
     def report(self, vm: str, incarnation: int, spent: dict[str, float]) -> dict[str, float]:
-        """Takes the tokens that an entry VM has spent since its start; returns the levels by workspace.
+        """Takes the tokens that an entry VM has spent since its start; returns the levels that are not full.
 
-        A first report only sets the starting point, since a new leader does not know what of it is old.
+        `spent` may leave out workspaces whose totals have not changed. A first report only sets the starting point,
+        since a new leader does not know what of it is old.
         """
         now = self._clock.monotonic()
         with self._lock:
             known = self._spent_by_reporter.setdefault((vm, incarnation), dict(spent))
-            levels = {}
             for workspace, total in spent.items():
                 limits = self._limits_of(workspace)
-                if limits is None:
-                    continue
-                level = self._level_by_workspace.setdefault(workspace, _Level(limits.burst, now))
+                if limits is not None:
+                    level = self._level_by_workspace.setdefault(workspace, _Level(limits.burst, now))
+                    _refill(level, limits, now)
+                    level.tokens -= total - known.get(workspace, 0.0)
+                known[workspace] = total
+            return self._levels(now)
+
+    def _levels(self, now: float) -> dict[str, float]:
+        levels = {}
+        for workspace, level in list(self._level_by_workspace.items()):
+            limits = self._limits_of(workspace)
+            if limits is not None:
                 _refill(level, limits, now)
-                level.tokens -= max(0.0, total - known.get(workspace, 0.0))
-                known[workspace] = max(total, known.get(workspace, 0.0))
+            if limits is None or level.tokens >= limits.burst:
+                del self._level_by_workspace[workspace]
+            else:
                 levels[workspace] = level.tokens
-            return levels
+        return levels
 
     def forget(self, vm: str, incarnation: int) -> None:
         """Drops the totals of an entry VM that is gone."""
@@ -84,10 +95,9 @@
 
 @dataclass(slots=True)
 class _Account:
+    own: _Level  # this VM's part of the bucket, for times without recent levels
     spent: float = 0.0
-    level: float | None = None  # last reported level less what was spent since its report
-    level_at: float = float("-inf")
-    own: _Level | None = None  # this VM's part of the bucket, for times without a recent level
+    reported: float = 0.0  # part of `spent` that the leader has counted
 
 
 class FleetMeter:
@@ -98,7 +108,10 @@
     >>> from arbutusrill_base import ManualClock
     >>> meter = FleetMeter(ManualClock(), lambda: 2)
     >>> meter.admit("clinic", 40.0, Limits(10.0, 100.0)), meter.admit("clinic", 40.0, Limits(10.0, 100.0))
-    (None, 3.0)
+    (None, 6.0)
+    >>> meter.learn({"clinic": 40.0}, {"clinic": 60.0})
+    >>> meter.admit("clinic", 40.0, Limits(10.0, 100.0)), meter.admit("clinic", 40.0, Limits(10.0, 100.0))
+    (None, 2.0)
     """
 
     def __init__(self, clock: Clock, entry_count: Callable[[], int]):
@@ -106,27 +119,31 @@
         self._entry_count = entry_count
         self._lock = threading.Lock()
         self._account_by_workspace: dict[str, _Account] = {}
+        self._levels: dict[str, float] = {}
+        self._learned_at = float("-inf")
 
     def admit(self, workspace: str, tokens: float, limits: Limits) -> float | None:
         """Charges `tokens` and returns None, or returns after how many seconds they would be there."""
         now = self._clock.monotonic()
         with self._lock:
-            account = self._account_by_workspace.setdefault(workspace, _Account())
             parts = max(1, self._entry_count())
             own = Limits(limits.rate / parts, limits.burst / parts)
-            if account.own is None:
-                account.own = _Level(own.burst, now)
+            account = self._account_by_workspace.get(workspace)
+            if account is None:
+                account = self._account_by_workspace[workspace] = _Account(_Level(own.burst, now))
             _refill(account.own, own, now)
-            if account.level is not None and now - account.level_at <= _LEVEL_AGE_S:
-                available, rate = account.level + limits.rate * (now - account.level_at), limits.rate
-                available = min(available, limits.burst)
+            age_s = now - self._learned_at
+            if age_s <= _LEVEL_AGE_S:
+                level = min(self._levels.get(workspace, math.inf) + limits.rate * age_s, limits.burst)
+                available, part = level - (account.spent - account.reported), limits
             else:
-                available, rate = account.own.tokens, own.rate
+                available, part = account.own.tokens, own
             # A request larger than the burst is admitted by a full bucket.
-            needed = min(tokens, limits.burst if rate == limits.rate else own.burst)
+            needed = min(tokens, part.burst)
             if available < needed:
-                return (needed - available) / rate
-            self._spend(account, tokens)
+                return (needed - available) / part.rate
+            account.spent += tokens
+            account.own.tokens -= tokens
             return None
 
     def refund(self, workspace: str, tokens: float) -> None:
@@ -134,25 +151,23 @@
         with self._lock:
             account = self._account_by_workspace.get(workspace)
             if account is not None:
-                self._spend(account, -tokens)
-
-    def _spend(self, account: _Account, tokens: float) -> None:
-        account.spent += tokens
-        if account.level is not None:
-            account.level -= tokens
-        account.own.tokens -= tokens
+                account.spent -= tokens
+                account.own.tokens += tokens
 
     def totals(self) -> dict[str, float]:
-        """Returns the tokens spent by workspace since the start."""
+        """Returns the tokens spent since the start, of the workspaces whose totals the leader does not know yet."""
         with self._lock:
-            return {workspace: account.spent for workspace, account in self._account_by_workspace.items()}
+            return {
+                workspace: account.spent
+                for workspace, account in self._account_by_workspace.items()
+                if account.spent != account.reported
+            }
 
     def learn(self, reported: dict[str, float], levels: dict[str, float]) -> None:
-        """Takes the levels that the leader returned for the totals in `reported`."""
+        """Takes the levels that the leader returned for the totals in `reported`; the others are full."""
         now = self._clock.monotonic()
         with self._lock:
-            for workspace, level in levels.items():
-                account = self._account_by_workspace.get(workspace)
-                if account is not None:
-                    account.level = level - (account.spent - reported.get(workspace, 0.0))
-                    account.level_at = now
+            self._levels = levels
+            self._learned_at = now
+            for workspace, total in reported.items():
+                self._account_by_workspace[workspace].reported = total
--- a/libs/arbutusrill_site/_follower.py
+++ b/libs/arbutusrill_site/_follower.py
@@ -120,7 +120,7 @@
         if connected != self._connected:
             self._connected = connected
             event = "control_regained" if connected else "control_lost"
-            _events.emit(event, reason=reason, version=self.view.version, age_s=round(self.view.age_s(), 2))
+            _events.emit(event, reason=reason, version=self.view.version, age_s=self.view.age_s())
 
     def _follow(self, wait_ms: int) -> None:
         spent = self._meter.totals()
--- a/libs/arbutusrill_site/_service.py
+++ b/libs/arbutusrill_site/_service.py
@@ -4,6 +4,7 @@
 
 import threading
 import time
+import zlib
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
@@ -182,7 +183,7 @@
     def _limits(self, workspace: str) -> Limits | None:
         version, body = self._state.document.held()
         if version != self._limits_version:
-            self._limits_by_workspace = self._limits_of(body)
+            self._limits_by_workspace = self._limits_of(zlib.decompress(body)) if version else {}
             self._limits_version = version
         return self._limits_by_workspace.get(workspace)
 
