--- a/libs/arbutusrill_gateway/__init__.py
+++ b/libs/arbutusrill_gateway/__init__.py
@@ -1,17 +1,6 @@
 """Gateway for opaque requests: routes, placement, attempts, and the relay of answers and streams."""
 
 from ._backends import BackendPool, Candidate
-from ._configuration import (
-    ClientLimits,
-    ConfigurationError,
-    Engine,
-    Route,
-    RouteKind,
-    Service,
-    SiteConfiguration,
-    Target,
-    Workspace,
-)
 from ._gateway import Gateway
 from ._metrics import GatewayMetrics
 from ._protocol import Answer, BackendProtocol, CallerRequest, Prefilled, Send
@@ -23,19 +12,10 @@
     "BackendProtocol",
     "CallerRequest",
     "Candidate",
-    "ClientLimits",
-    "ConfigurationError",
-    "Engine",
     "Gateway",
     "GatewayMetrics",
     "Prefilled",
     "Refusal",
     "Responder",
-    "Route",
-    "RouteKind",
     "Send",
-    "Service",
-    "SiteConfiguration",
-    "Target",
-    "Workspace",
 ]
--- a/libs/arbutusrill_gateway/_backends.py
+++ b/libs/arbutusrill_gateway/_backends.py
@@ -11,10 +11,9 @@
 from typing import Any
 
 from arbutusrill_base import Clock, EventLog
-from arbutusrill_site import SiteView
+from arbutusrill_site import Service, SiteView
 from arbutusrill_wire import messages
 
-from ._configuration import Service
 
 __all__ = ["BackendPool", "Candidate"]
 
--- a/libs/arbutusrill_gateway/_exchange.py
+++ b/libs/arbutusrill_gateway/_exchange.py
@@ -7,10 +7,10 @@
 from typing import Any
 
 from arbutusrill_base import EventLog, Failure, FailureError, RetryBudget, Verdict
+from arbutusrill_site import Route, Service, Workspace
 
 from ._attempt import Attempt
 from ._backends import BackendPool, Candidate
-from ._configuration import Route, Service, Workspace
 from ._protocol import BackendProtocol, CallerRequest, Send
 from ._reply import Refusal, Responder
 
--- a/libs/arbutusrill_gateway/_gateway.py
+++ b/libs/arbutusrill_gateway/_gateway.py
@@ -9,10 +9,9 @@
 from arbutusrill_base import EventLog, FailureError, RetryBudget, Verdict
 from arbutusrill_http import AbortStreamError
 from arbutusrill_limits import FleetMeter
-from arbutusrill_site import SiteView
+from arbutusrill_site import Route, RouteKind, SiteConfiguration, Workspace, SiteView
 
 from ._backends import BackendPool
-from ._configuration import Route, RouteKind, SiteConfiguration, Workspace
 from ._exchange import Exchange
 from ._metrics import GatewayMetrics
 from ._plain import relay_plain
@@ -176,6 +175,8 @@
         }
         if exchange is not None:
             fields["service"] = exchange.service.name
+            if request.prompt_tokens is not None:
+                fields["tokens"] = [request.prompt_tokens, request.output_tokens, request.expected_output_tokens]
             fields["trail"] = exchange.trail
             fields["verdict"] = exchange.verdict.value
             if exchange.first_event_s is not None:
--- a/libs/arbutusrill_gateway/_plain.py
+++ b/libs/arbutusrill_gateway/_plain.py
@@ -1,10 +1,10 @@
 """Relay of requests whose answer is delivered in one piece."""
 
 from __future__ import annotations
+from arbutusrill_site import RouteKind
 
 from ._attempt import Attempt, Outcome, attempt
 from ._backends import Candidate
-from ._configuration import RouteKind
 from ._exchange import Exchange
 
 __all__ = ["relay_plain"]
--- a/libs/arbutusrill_site/__init__.py
+++ b/libs/arbutusrill_site/__init__.py
@@ -1,6 +1,17 @@
 """Shared knowledge of a site: its configuration document, its backend servers and its entry VMs."""
 
 from ._backends import BackendRegistry, is_newer
+from ._configuration import (
+    ClientLimits,
+    ConfigurationError,
+    Engine,
+    Route,
+    RouteKind,
+    Service,
+    SiteConfiguration,
+    Target,
+    Workspace,
+)
 from ._directory import EntryDirectory
 from ._entries import EntryRegistry
 from ._follower import SiteFollower, SiteView
@@ -9,13 +20,22 @@
 
 __all__ = [
     "BackendRegistry",
+    "ClientLimits",
+    "ConfigurationError",
+    "Engine",
     "EntryDirectory",
     "EntryRegistry",
     "GroupKeeper",
     "Joiner",
+    "Route",
+    "RouteKind",
+    "Service",
+    "SiteConfiguration",
     "SiteFollower",
     "SiteLimits",
     "SiteService",
     "SiteView",
+    "Target",
+    "Workspace",
     "is_newer",
 ]
