site, gateway: the leader gives out places on engines; departures of backend servers are durable

Change: PlaceLedger with a line of waiting requests, prefill and decode engine chosen together; Departures in the log.

--- a/libs/arbutusrill_gateway/__init__.py
+++ b/libs/arbutusrill_gateway/__init__.py
@@ -3,6 +3,7 @@
 from ._backends import BackendPool, Candidate
 from ._gateway import Gateway
 from ._metrics import GatewayMetrics
+from ._places import Places
 from ._protocol import Answer, BackendProtocol, CallerRequest, Prefilled, Send
 from ._reply import Refusal, Responder
 
@@ -14,6 +15,7 @@
     "Candidate",
     "Gateway",
     "GatewayMetrics",
+    "Places",
     "Prefilled",
     "Refusal",
     "Responder",
--- a/libs/arbutusrill_gateway/_backends.py
+++ b/libs/arbutusrill_gateway/_backends.py
@@ -28,6 +28,7 @@
 _FAILURE_S = 0.6  # time that a failed request costs
 _DECODE_STEP_S = 0.02  # how much each further request on an engine slows the others
 _JITTER = 0.05
+_OFTEN = 0.4  # failure rate from which an engine is avoided
 _MEMORY_PART = 0.92  # part of an engine's memory that is planned for
 _events = EventLog("placement")
 
@@ -134,17 +135,24 @@
         _, record, expected = min(rows, key=lambda row: row[0])
         return Candidate(record, expected)
 
-    def room(self, service: Service, tokens: int, model: str = "") -> bool:
-        """Says whether any decode engine that is not avoided has memory for `tokens`."""
+    def avoided(self) -> list[str]:
+        """Returns the servers that are avoided after a failure, or fail often."""
         now = self._clock.monotonic()
         with self._lock:
-            return any(
-                record.service_name == service.name
-                and _serves(record, "decode", model)
-                and self._learned(record).avoid_until <= now
-                and self._fits(record, service, tokens)
-                for record in self._view.backends_by_id.values()
-            )
+            return [
+                id_
+                for id_, learned in self._learned_by_id.items()
+                if learned.avoid_until > now or self._failure_rate(learned, now) > _OFTEN
+            ]
+
+    def usable(self, record: Any) -> bool:
+        """Says whether a server chosen earlier still takes requests."""
+        current = self._view.backends_by_id.get(record.id)
+        return current is not None and current.started_ms == record.started_ms and not current.draining
+
+    @staticmethod
+    def _failure_rate(learned: _Learned, now: float) -> float:
+        return learned.failure_rate * math.exp(-(now - learned.seen_at) / _FORGET_S)
 
     def _fits(self, record: Any, service: Service, tokens: int) -> bool:
         if service.engine is None:
@@ -174,8 +182,7 @@
     def _penalty(self, record: Any, stage: str, near: str, learned: _Learned, now: float) -> float:
         home = near or self._data_centre
         away_s = _OTHER_DATA_CENTRE_KV_S if stage else _OTHER_DATA_CENTRE_S
-        rate = learned.failure_rate * math.exp(-(now - learned.seen_at) / _FORGET_S)
-        return rate * _FAILURE_S + (0.0 if record.data_centre == home else away_s)
+        return self._failure_rate(learned, now) * _FAILURE_S + (0.0 if record.data_centre == home else away_s)
 
     def _mean_unit_s(self, records: list[Any], stage: str) -> float:
         known = [
--- a/libs/arbutusrill_gateway/_exchange.py
+++ b/libs/arbutusrill_gateway/_exchange.py
@@ -11,6 +11,7 @@
 
 from ._attempt import Attempt
 from ._backends import BackendPool, Candidate
+from ._places import Places
 from ._protocol import BackendProtocol, CallerRequest, Send
 from ._reply import Refusal, Responder
 
@@ -34,6 +35,7 @@
     workspace: Workspace | None
     protocol: BackendProtocol
     pool: BackendPool
+    places: Places
     budget: RetryBudget
     deadline: float
     started: float
@@ -47,6 +49,15 @@
         """Seconds until the caller's deadline or the route's time limit, whichever comes first."""
         return self.deadline - time.monotonic()
 
+    def late_in_s(self) -> float:
+        """Seconds until the route's objective is missed, counted from the caller's first try.
+
+        A caller that comes back after a refusal has less time left than the route allows.
+        """
+        left_s = self.request.deadline_s
+        spent_s = max(0.0, self.route.timeout_s - left_s) if left_s is not None else 0.0
+        return self.route.objective_s - spent_s - (time.monotonic() - self.started)
+
     def has_time(self) -> bool:
         """Whether a further send makes sense."""
         return self.remaining_s() > _LEAST_S
--- a/libs/arbutusrill_gateway/_gateway.py
+++ b/libs/arbutusrill_gateway/_gateway.py
@@ -14,6 +14,7 @@
 from ._backends import BackendPool
 from ._exchange import Exchange
 from ._metrics import GatewayMetrics
+from ._places import Places
 from ._plain import relay_plain
 from ._protocol import BackendProtocol, CallerRequest
 from ._reply import Refusal, Responder
@@ -36,6 +37,7 @@
         self,
         view: SiteView,
         pool: BackendPool,
+        places: Places,
         meter: FleetMeter,
         protocol: BackendProtocol,
         metrics: GatewayMetrics,
@@ -45,6 +47,7 @@
     ):
         self._view = view
         self._pool = pool
+        self._places = places
         self._meter = meter
         self._protocol = protocol
         self._metrics = metrics
@@ -114,6 +117,7 @@
             workspace,
             self._protocol,
             self._pool,
+            self._places,
             budget,
             started + limit_s,
             started,
--- /dev/null
+++ b/libs/arbutusrill_gateway/_places.py
@@ -0,0 +1,111 @@
+"""An entry VM's places on model engines, given out by the control group's leader."""
+
+from __future__ import annotations
+
+import threading
+from dataclasses import dataclass, field
+from typing import Any
+
+from arbutusrill_base import Clock, EventLog
+from arbutusrill_site import Service, SiteView
+from arbutusrill_state import ControlClient, ControlUnavailableError
+from arbutusrill_wire import messages
+
+from ._protocol import CallerRequest
+
+__all__ = ["Place", "Places"]
+
+_CALL_S = 0.12  # for a call beyond its wait; after it this VM chooses by its own view
+_FREE_S = 0.3
+_LOST_S = 0.5  # after a call without an answer, this VM chooses by its own view for so long
+_events = EventLog("placement")
+
+
+@dataclass(slots=True)
+class Place:
+    """A place on a decode engine, and the prefill engine to use; records are None where the leader named none."""
+
+    number: int
+    decode: Any
+    prefill: Any
+    tokens: int
+    speeds: list[Any] = field(default_factory=list)
+
+
+class Places:
+    """Asks the leader for places and keeps account of those that this VM holds.
+
+    Without an answer the caller chooses engines by its own view: a lost leader must not stop the service.
+    """
+
+    def __init__(self, vm: str, incarnation: int, client: ControlClient, view: SiteView, clock: Clock):
+        self._vm = vm
+        self._incarnation = incarnation
+        self._client = client
+        self._view = view
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._place_by_number: dict[int, Place] = {}
+        self._lost_until = float("-inf")
+
+    def held(self) -> list[Any]:
+        """Returns the places that this VM holds."""
+        with self._lock:
+            return [
+                messages.HeldPlace(number, place.decode.id, place.tokens)
+                for number, place in self._place_by_number.items()
+            ]
+
+    def take(
+        self, service: Service, request: CallerRequest, wait_s: float, late_in_s: float, prefill: bool, avoid: list[str]
+    ) -> tuple[Place | None, float | None]:
+        """Asks for a place and waits for it up to `wait_s` seconds; in `late_in_s` seconds the request is late.
+
+        Returns the place, or the seconds after which one is expected; both are None when the leader does not answer.
+        """
+        if self._clock.monotonic() < self._lost_until:
+            return None, None
+        wanted = messages.PlaceRequest(
+            self._vm,
+            self._incarnation,
+            request.id,
+            service.name,
+            request.model,
+            request.prompt_tokens or 0,
+            request.memory_tokens,
+            int(wait_s * 1000),
+            max(0, int(late_in_s * 1000)),
+            prefill,
+            avoid,
+        )
+        limit_s = wait_s + _CALL_S
+        try:
+            reply = self._client.call("place", wanted, timeout=limit_s, try_timeout=limit_s)
+        except (ControlUnavailableError, messages.Refused) as error:
+            self._lost_until = self._clock.monotonic() + _LOST_S
+            _events.emit("places_unavailable", request=request.id, reason=str(error))
+            return None, None
+        if not reply.place:
+            return None, max(0.05, reply.wait_ms / 1000)
+        backends = self._view.backends_by_id
+        decode = backends.get(reply.decode)
+        if decode is None:
+            self._free(reply.place, [])
+            return None, None
+        place = Place(reply.place, decode, backends.get(reply.prefill), request.memory_tokens)
+        with self._lock:
+            self._place_by_number[place.number] = place
+        return place, None
+
+    def free(self, place: Place) -> None:
+        """Gives a place back; the leader frees it by itself when it does not hear of it."""
+        with self._lock:
+            self._place_by_number.pop(place.number, None)
+        self._free(place.number, place.speeds)
+
+    def _free(self, number: int, speeds: list[Any]) -> None:
+        freed = messages.FreePlace(self._vm, self._incarnation, number, speeds)
+        try:
+            self._client.call("free_place", freed, timeout=_FREE_S, try_timeout=_FREE_S)
+        except (ControlUnavailableError, messages.Refused) as error:
+            _events.emit("place_not_freed", place=number, reason=str(error))
--- a/libs/arbutusrill_gateway/_prefill.py
+++ b/libs/arbutusrill_gateway/_prefill.py
@@ -4,47 +4,54 @@
 
 from arbutusrill_base import EventLog
 from arbutusrill_http import Transfer, fetch
+from arbutusrill_wire import messages
 
 from ._attempt import Outcome, attempt
+from ._backends import Candidate
 from ._exchange import Exchange
+from ._places import Place
 from ._protocol import Prefilled
 
 __all__ = ["release", "run_prefill"]
 
-_UNREACHED_TRIES = 2
+_TRIES = 2  # prefill engines that cannot be reached are passed over this often
 _LONGEST_S = 1.5  # a prefill that takes longer is given up, and a decode engine reads the prompt itself
 _RELEASE_S = 0.5
 _events = EventLog("prefill")
 
 
-def run_prefill(exchange: Exchange) -> Prefilled | None:
-    """Reads the prompt on a prefill engine; None when a decode engine has to read it itself."""
+def run_prefill(exchange: Exchange, place: Place | None) -> Prefilled | None:
+    """Reads the prompt on a prefill engine; None when a decode engine has to read it itself.
+
+    The leader's choice in `place` comes first; without one, this VM chooses by its own view.
+    """
     request, pool = exchange.request, exchange.pool
     tokens = request.prompt_tokens or 0
     excluded: set[str] = set()
-    for _ in range(_UNREACHED_TRIES):
-        candidate = pool.pick(exchange.service, "prefill", tokens, request.model, excluded)
+    for _ in range(_TRIES):
+        if place is not None and place.prefill is not None and not excluded:
+            candidate = Candidate(place.prefill, 0.0)
+        else:
+            candidate = pool.pick(exchange.service, "prefill", tokens, request.model, excluded)
         if candidate is None or not exchange.has_time():
             return None
         with pool.hold(candidate.id, tokens):
-            send = exchange.send(candidate, prefill=True)
-            made = attempt(
-                exchange.protocol, request, send, candidate, min(_LONGEST_S, max(0.001, exchange.remaining_s()))
-            )
+            limit_s = min(_LONGEST_S, max(0.001, exchange.remaining_s()))
+            made = attempt(exchange.protocol, request, exchange.send(candidate, prefill=True), candidate, limit_s)
         exchange.note_prefill(candidate, made)
         if made.outcome is Outcome.GONE:
             raise exchange.gone()
-        if made.outcome is Outcome.UNREACHED:
-            pool.failed(candidate.record, made.detail)
-            excluded.add(candidate.id)
-            continue
         if made.outcome is Outcome.ANSWERED and made.answer.status == 200:
             prefilled = exchange.protocol.prefilled(candidate.record, made.body)
             if prefilled is not None:
                 pool.served(candidate.record, made.took_s, tokens)
+                if place is not None:
+                    place.speeds.append(messages.EngineSpeed(candidate.id, made.took_s, max(1, tokens)))
                 return prefilled
         pool.failed(candidate.record, f"prefill: {made.detail}", avoid=made.outcome is not Outcome.REJECTED)
-        return None
+        if made.outcome is not Outcome.UNREACHED:
+            return None
+        excluded.add(candidate.id)
     return None
 
 
--- a/libs/arbutusrill_gateway/_protocol.py
+++ b/libs/arbutusrill_gateway/_protocol.py
@@ -41,7 +41,9 @@
     @property
     def memory_tokens(self) -> int:
         """Tokens of engine memory that the request is expected to fill."""
-        output = self.expected_output_tokens or self.output_tokens or 0
+        output = self.output_tokens or 0
+        if self.expected_output_tokens is not None:
+            output = min(output, self.expected_output_tokens)
         return (self.prompt_tokens or 0) + output
 
 
--- a/libs/arbutusrill_gateway/_stream.py
+++ b/libs/arbutusrill_gateway/_stream.py
@@ -7,10 +7,12 @@
 
 from arbutusrill_base import Verdict
 from arbutusrill_http import AbortStreamError
+from arbutusrill_wire import messages
 
 from ._attempt import Attempt, Outcome, attempt
 from ._backends import Candidate
 from ._exchange import Exchange
+from ._places import Place
 from ._prefill import release, run_prefill
 from ._protocol import Answer, Prefilled
 
@@ -18,6 +20,7 @@
 
 _UNREACHED_TRIES = 4
 _RETRY_AFTER_S = 0.15
+_WAIT_PART = 0.35  # part of the remaining time for which a request waits for a place
 _STALL_S = 1.2  # silence after which a resumable stream goes on at another engine
 _END_OF_EVENT = re.compile(rb"\r?\n\r?\n")
 
@@ -37,6 +40,7 @@
         self._buffer = b""
         self._answer: Answer | None = None
         self.last_id: int | None = None
+        self.count = 0  # events forwarded
         self.plain: list[bytes] = []  # body of an answer that is no stream
 
     def on_head(self, status: int, headers_by_name: dict[str, str]) -> None:
@@ -61,6 +65,7 @@
                     continue
                 self.last_id = number
             whole.append(event)
+            self.count += 1
         if whole:
             self._forward(b"".join(whole))
 
@@ -85,44 +90,81 @@
 def relay_stream(exchange: Exchange) -> None:
     """Serves one stream: prefill where there is a prefill engine, then decode, resumed elsewhere where allowed."""
     events = _Events(exchange)
-    prefilled = None
-    if exchange.service.engine is not None and not exchange.request.resume_after:
-        prefilled = run_prefill(exchange)
     unreached = 0
     while True:
         if not exchange.has_time():
-            _give_up(exchange, "no_time", "the time limit has passed")
+            _give_up(exchange, "no_time", "the time limit has passed", _RETRY_AFTER_S)
             return
-        candidate = _pick(exchange, prefilled)
-        if candidate is None:
-            release(exchange, prefilled)
-            _give_up(exchange, "no_engine", "no engine is available")
+        place, wait_s = _take_place(exchange, events)
+        if wait_s is not None:
+            _give_up(exchange, "engines_full", "no engine had room in time", wait_s)
+            return
+        try:
+            made = _run(exchange, place, events)
+        finally:
+            if place is not None:
+                exchange.places.free(place)
+        if made is None:
+            _give_up(exchange, "no_engine", "no engine is available", _RETRY_AFTER_S)
             return
-        made = _send(exchange, candidate, prefilled, events)
-        exchange.note(candidate, "decode" if prefilled else "whole", made)
         if made.outcome is Outcome.UNREACHED and unreached < _UNREACHED_TRIES:
             unreached += 1
-            exchange.tried.add(candidate.id)
-            exchange.pool.failed(candidate.record, made.detail)
             continue
         exchange.sends += 1
-        if _finish(exchange, candidate, made, events, prefilled):
+        if _finish(exchange, made, events):
             return
-        # A handle can be taken once, and a resumed stream has to read more than the prompt.
-        prefilled = None
 
 
-def _pick(exchange: Exchange, prefilled: Prefilled | None) -> Candidate | None:
+def _take_place(exchange: Exchange, events: _Events) -> tuple[Place | None, float | None]:
+    """Asks for a place on an engine; returns the place, or after how many seconds one is expected."""
+    if exchange.service.engine is None:
+        return None, None
+    avoid = [*exchange.pool.avoided(), *exchange.tried]
+    reads_anew = bool(_resume_point(exchange, events))
+    wait_s = _WAIT_PART * exchange.remaining_s()
+    return exchange.places.take(exchange.service, exchange.request, wait_s, exchange.late_in_s(), not reads_anew, avoid)
+
+
+def _resume_point(exchange: Exchange, events: _Events) -> str:
+    return exchange.request.resume_after if events.last_id is None else str(events.last_id)
+
+
+def _run(exchange: Exchange, place: Place | None, events: _Events) -> Attempt | None:
+    """Makes one prefill and one decode; None when there is no engine to send to."""
+    prefilled = None
+    if exchange.service.engine is not None and not _resume_point(exchange, events):
+        prefilled = run_prefill(exchange, place)
+    candidate = _decoder(exchange, place, prefilled)
+    if candidate is None:
+        release(exchange, prefilled)
+        return None
+    made = _send(exchange, candidate, prefilled, events)
+    exchange.note(candidate, "decode" if prefilled else "whole", made)
+    if made.outcome is Outcome.GONE:
+        if not exchange.responder.status:
+            release(exchange, prefilled)
+        raise exchange.gone()
+    if made.outcome is Outcome.ANSWERED and made.answer.status == 200:
+        exchange.pool.served(candidate.record, made.took_s, max(1, events.count))
+        if place is not None:
+            place.speeds.append(messages.EngineSpeed(candidate.id, made.took_s, max(1, events.count)))
+    else:
+        _blame(exchange, candidate, made, prefilled)
+    return made
+
+
+def _decoder(exchange: Exchange, place: Place | None, prefilled: Prefilled | None) -> Candidate | None:
+    """Returns the decode engine of the place, or the best one by this VM's view when that has left meanwhile."""
+    if place is not None and exchange.pool.usable(place.decode) and place.decode.id not in exchange.tried:
+        return Candidate(place.decode, 0.0)
     stage = "decode" if exchange.service.engine is not None else ""
-    tokens = exchange.request.memory_tokens
     near = prefilled.data_centre if prefilled else ""
-    pick = exchange.pool.pick
-    return pick(exchange.service, stage, tokens, exchange.request.model, exchange.tried, near)
+    request = exchange.request
+    return exchange.pool.pick(exchange.service, stage, request.memory_tokens, request.model, exchange.tried, near)
 
 
 def _send(exchange: Exchange, candidate: Candidate, prefilled: Prefilled | None, events: _Events) -> Attempt:
-    resume_after = exchange.request.resume_after if events.last_id is None else str(events.last_id)
-    send = exchange.send(candidate, prefilled=prefilled, resume_after=resume_after)
+    send = exchange.send(candidate, prefilled=prefilled, resume_after=_resume_point(exchange, events))
     stall_s = _STALL_S if exchange.route.resumable and exchange.sends + 1 < exchange.route.max_attempts else None
     events.plain.clear()
     try:
@@ -132,7 +174,7 @@
                 exchange.request,
                 send,
                 candidate,
-                exchange.remaining_s(),
+                max(0.001, exchange.remaining_s()),
                 stall_s,
                 events.on_head,
                 events.on_data,
@@ -142,31 +184,21 @@
         raise exchange.gone() from None
 
 
-def _finish(
-    exchange: Exchange, candidate: Candidate, made: Attempt, events: _Events, prefilled: Prefilled | None
-) -> bool:
+def _finish(exchange: Exchange, made: Attempt, events: _Events) -> bool:
     """Ends the exchange or leaves it to another send; returns whether it has ended."""
-    if made.outcome is Outcome.GONE:
-        if not exchange.responder.status:
-            release(exchange, prefilled)
-        raise exchange.gone()
     if made.outcome is Outcome.ANSWERED and made.answer.status == 200:
-        exchange.pool.served(candidate.record, made.took_s, max(1, exchange.request.output_tokens or 1))
         events.finish()
         return True
-    _blame(exchange, candidate, made, prefilled)
     repeatable = made.outcome is Outcome.REJECTED or exchange.route.resumable
     if repeatable and exchange.may_resend():
-        if made.outcome is not Outcome.REJECTED or prefilled is None:
-            exchange.tried.add(candidate.id)
         return False
     if made.outcome is Outcome.ANSWERED and not exchange.responder.status:
         exchange.responder.whole(made.answer.status, made.answer.headers, b"".join(events.plain))
         return True
     if made.outcome is Outcome.REJECTED:
-        _give_up(exchange, "engine_full", f"the engine has not run the request: {made.detail}")
+        _give_up(exchange, "engine_full", f"the engine has not run the request: {made.detail}", _RETRY_AFTER_S)
     else:
-        _give_up(exchange, "engine_failed", f"no whole answer: {made.detail}")
+        _give_up(exchange, "engine_failed", f"no whole answer: {made.detail}", _RETRY_AFTER_S)
     return True
 
 
@@ -177,10 +209,11 @@
         exchange.pool.failed(prefilled.record, f"KV cache not taken: {made.detail}", avoid=False)
         exchange.pool.failed(candidate.record, made.detail, avoid=False)
         return
+    exchange.tried.add(candidate.id)
     exchange.pool.failed(candidate.record, made.detail, avoid=made.outcome is not Outcome.ANSWERED)
 
 
-def _give_up(exchange: Exchange, code: str, message: str) -> None:
+def _give_up(exchange: Exchange, code: str, message: str, retry_after_s: float) -> None:
     if exchange.responder.status:
         raise AbortStreamError(f"{code}: {message}")
-    exchange.refuse_unrun(code, message, _RETRY_AFTER_S)
+    exchange.refuse_unrun(code, message, retry_after_s)
--- a/libs/arbutusrill_site/_backends.py
+++ b/libs/arbutusrill_site/_backends.py
@@ -6,11 +6,11 @@
 from typing import Any
 
 from arbutusrill_base import Clock, EventLog
+from arbutusrill_state import Departures
 from arbutusrill_wire import messages
 
 __all__ = ["BackendRegistry", "is_newer"]
 
-_REMOVED_KEPT_S = 60.0  # how long a removed start of a server is remembered against announcements that come late
 _events = EventLog("registry")
 
 
@@ -33,18 +33,18 @@
 class BackendRegistry:
     """The leader's soft state of backend servers, collected anew after each change of leader.
 
-    An address belongs to the server that started last at it. A server that has been silent for `silent_s` seconds
+    What leaves is durable: `departures` comes from the log. An address belongs to the server that started last at it. A server that has been silent for `silent_s` seconds
     is dropped. `revision` increases with each change that followers have to know. Not thread-safe without `changed`.
     """
 
-    def __init__(self, clock: Clock, silent_s: float, changed: threading.Condition):
+    def __init__(self, clock: Clock, silent_s: float, changed: threading.Condition, departures: Departures):
         self._clock = clock
+        self._departures = departures
         self._silent_s = silent_s
         self._changed = changed
         self._record_by_id: dict[str, Any] = {}
         self._id_by_address: dict[str, str] = {}
         self._heard_by_id: dict[str, float] = {}
-        self._removed_by_id: dict[str, tuple[int, float]] = {}
         self._since = clock.monotonic()
         self._complete = False  # as last told to the followers
         self.revision = 0
@@ -52,7 +52,7 @@
     def begin_term(self) -> None:
         """Forgets everything at the start of a leadership."""
         with self._changed:
-            for held in (self._record_by_id, self._id_by_address, self._heard_by_id, self._removed_by_id):
+            for held in (self._record_by_id, self._id_by_address, self._heard_by_id):
                 held.clear()
             self._since = self._clock.monotonic()
             self._complete = False
@@ -86,8 +86,7 @@
         known = self._record_by_id.get(record.id)
         if known is not None and not is_newer(record, known):
             return False
-        removed, _ = self._removed_by_id.get(record.id, (-1, 0.0))
-        if record.started_ms <= removed:
+        if not record.draining and self._departures.covers(record.id, record.started_ms, record.sequence):
             return False
         holder = self._record_by_id.get(self._id_by_address.get(record.address, ""))
         return holder is None or holder.id == record.id or record.started_ms > holder.started_ms
@@ -111,16 +110,19 @@
         )
         self._bump()
 
+    def start_of(self, backend: str) -> int:
+        """Returns when a server started, 0 when it is not known."""
+        with self._changed:
+            known = self._record_by_id.get(backend)
+            return known.started_ms if known else 0
+
     def remove(self, backend: str, started_ms: int) -> None:
-        """Takes a server out that has said that it leaves; `started_ms` 0 means its latest start."""
+        """Takes out a server that has left, unless it has started again since `started_ms`."""
         with self._changed:
             known = self._record_by_id.get(backend)
-            start = started_ms or (known.started_ms if known else 0)
-            removed, _ = self._removed_by_id.get(backend, (0, 0.0))
-            self._removed_by_id[backend] = (max(start, removed), self._clock.monotonic())
-            if known is not None and known.started_ms <= start:
+            if known is not None and known.started_ms <= started_ms:
                 self._drop(backend, "it has left")
-                self._bump()
+            self._bump()
 
     def expire(self) -> None:
         """Drops the servers that have been silent for too long."""
@@ -134,9 +136,6 @@
                 self._drop(backend, f"no announcement for {self._silent_s:g} s")
             if silent:
                 self._bump()
-            for backend, (_, at) in list(self._removed_by_id.items()):
-                if now - at > _REMOVED_KEPT_S:
-                    del self._removed_by_id[backend]
 
     def _drop(self, backend: str, reason: str) -> None:
         record = self._record_by_id.pop(backend)
--- a/libs/arbutusrill_site/_follower.py
+++ b/libs/arbutusrill_site/_follower.py
@@ -47,7 +47,8 @@
 class SiteFollower:
     """Follows the leader and keeps a `SiteView`.
 
-    `entry` says which entry VM this is. `decode` turns a document's body into the configuration. `uses` returns this VM's load on backend servers.
+    `entry` says which entry VM this is. `decode` turns a document's body into the configuration. `uses` returns this VM's load on backend servers,
+    `places` the places that it holds.
     The document never goes back to an older version; the lists are merged while a new leader still collects them.
     """
 
@@ -61,6 +62,7 @@
         meter: FleetMeter,
         decode: Callable[[bytes], Any],
         uses: Callable[[], list[Any]],
+        places: Callable[[], list[Any]],
         seeds: Callable[[], list[str]],
     ):
         self.view = view
@@ -72,6 +74,7 @@
         self._meter = meter
         self._decode = decode
         self._uses = uses
+        self._places = places
         self._seeds = seeds
         self._term = 0
         self._backends_revision = 0
@@ -135,6 +138,7 @@
             wait_ms,
             spent,
             self._uses(),
+            self._places(),
         )
         sent_at = self._clock.monotonic()
         reply = self._client.call("follow_site", request, timeout=_CALL_S, try_timeout=wait_ms / 1000 + 0.35)
@@ -155,7 +159,13 @@
             took_ms = round((time.monotonic() - started) * 1000, 1)
             _events.emit("document_applied", version=view.version, term=reply.term, took_ms=took_ms)
         if reply.backends is not None:
-            view.backends_by_id = self._merged(view.backends_by_id, reply.backends, reply.backends_complete)
+            left = {record.id: (record.started_ms, record.sequence) for record in reply.departures or []}
+            merged = self._merged(view.backends_by_id, reply.backends, reply.backends_complete)
+            view.backends_by_id = {
+                id_: record
+                for id_, record in merged.items()
+                if record.draining or (record.started_ms, record.sequence) > left.get(id_, (-1, -1))
+            }
         if reply.entries is not None:
             entries = {record.id: record for record in reply.entries}
             view.entries_by_id = entries if reply.entries_complete else {**view.entries_by_id, **entries}
--- /dev/null
+++ b/libs/arbutusrill_site/_places.py
@@ -0,0 +1,217 @@
+"""Places on model engines: the leader's ledger of engine memory and slots, and the queue for them."""
+
+from __future__ import annotations
+
+import itertools
+import threading
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from arbutusrill_base import Clock, EventLog
+from arbutusrill_wire import messages
+
+from ._configuration import Engine
+
+__all__ = ["PlaceLedger"]
+
+_SMOOTHING = 0.2  # weight of the latest observation in a moving average
+_PREFILL_S_PER_TOKEN = 0.00004  # before anything is learned
+_DECODE_S_PER_EVENT = 0.05
+_MEMORY_PART = 0.97  # part of an engine's memory that is given out
+_OTHER_DATA_CENTRE_S = 0.05  # later end of a prefill that is accepted to stay in one data centre
+_TURN_S = 0.1  # requests become late while they wait, which changes their order
+_UNCONFIRMED_S = 1.0  # a place that its holder does not report for longer is free again
+_events = EventLog("places")
+
+
+@dataclass(slots=True)
+class _Place:
+    backend: str
+    tokens: int
+    taken_at: float
+
+
+@dataclass(slots=True)
+class _Speed:
+    unit_s: float
+    busy_until: float = 0.0  # expected end of the prefills that were given to the engine
+
+
+@dataclass(slots=True, frozen=True)
+class _Ticket:
+    number: int
+    service: str
+    late_at: float
+
+    def order(self, now: float) -> tuple[bool, int]:
+        """Sort key in the line."""
+        return now >= self.late_at, self.number
+
+
+class PlaceLedger:
+    """Gives out memory and slots of decode engines, and chooses the prefill engine that ends first.
+
+    Requests wait in line, those that have missed their objective behind the others; within a line the first comes
+    first, so that large prompts are not passed over for ever. `engine_of` returns the capacity of a service's engines.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        backends: Callable[[], list[Any]],
+        engine_of: Callable[[str], Engine | None],
+    ):
+        self._clock = clock
+        self._backends = backends
+        self._engine_of = engine_of
+        self._freed = threading.Condition()
+        self._numbers = itertools.count(1)
+        self._places_by_holder: dict[tuple[str, int], dict[int, _Place]] = {}
+        self._speed_by_backend: dict[str, _Speed] = {}
+        self._waiting: list[_Ticket] = []
+
+    def begin_term(self, term: int) -> None:
+        """Forgets the places at the start of a leadership; the entry VMs report them again."""
+        with self._freed:
+            self._places_by_holder.clear()
+            # Place numbers of different leaders must not be taken for one another.
+            self._numbers = itertools.count(term * 2**40 + 1)
+            self._freed.notify_all()
+
+    def place(self, request: Any) -> Any:
+        """Waits for a place on a decode engine, at most `request.wait_ms`."""
+        engine = self._engine_of(request.service_name)
+        if engine is None:
+            return messages.PlaceReply()
+        deadline = self._clock.monotonic() + request.wait_ms / 1000
+        with self._freed:
+            late_at = self._clock.monotonic() + request.late_in_ms / 1000
+            ticket = _Ticket(next(self._numbers), request.service_name, late_at)
+            self._waiting.append(ticket)
+            try:
+                while True:
+                    found = self._choose(request, engine) if self._is_first(ticket) else None
+                    if found is not None:
+                        return self._take(request, found)
+                    remaining = deadline - self._clock.monotonic()
+                    if remaining <= 0:
+                        return messages.PlaceReply(wait_ms=self._expected_wait_ms(request))
+                    self._freed.wait(min(remaining, _TURN_S))
+            finally:
+                self._waiting.remove(ticket)
+                self._freed.notify_all()
+
+    def _is_first(self, ticket: _Ticket) -> bool:
+        now = self._clock.monotonic()
+        mine = ticket.order(now)
+        return not any(other.service == ticket.service and other.order(now) < mine for other in self._waiting)
+
+    def _choose(self, request: Any, engine: Engine) -> Any | None:
+        """Returns the decode engine whose memory would be least used, or None when none has room."""
+        held = self._held()
+        best, best_cost = None, float("inf")
+        for record in self._usable(request, "decode"):
+            tokens, count = held.get(record.id, (0, 0))
+            after = tokens + request.memory_tokens
+            if count >= engine.slots or (count and after > engine.kv_tokens * _MEMORY_PART):
+                continue
+            cost = after / engine.kv_tokens * self._relative_speed(record.id)
+            if record.id in (request.avoid or ()):
+                cost += 10
+            if cost < best_cost:
+                best, best_cost = record, cost
+        return best
+
+    def _usable(self, request: Any, stage: str) -> list[Any]:
+        return [
+            record
+            for record in self._backends()
+            if record.service_name == request.service_name
+            and record.stage == stage
+            and not record.draining
+            and (not request.model or not record.models or any(m.name == request.model for m in record.models))
+        ]
+
+    def _held(self) -> dict[str, tuple[int, int]]:
+        held: dict[str, tuple[int, int]] = {}
+        for places in self._places_by_holder.values():
+            for place in places.values():
+                tokens, count = held.get(place.backend, (0, 0))
+                held[place.backend] = (tokens + place.tokens, count + 1)
+        return held
+
+    def _relative_speed(self, backend: str) -> float:
+        learned = self._speed_by_backend.get(backend)
+        return 1.0 if learned is None else min(3.0, max(0.3, learned.unit_s / _DECODE_S_PER_EVENT))
+
+    def _take(self, request: Any, decode: Any) -> Any:
+        now = self._clock.monotonic()
+        number = next(self._numbers)
+        holder = self._places_by_holder.setdefault((request.vm, request.incarnation), {})
+        holder[number] = _Place(decode.id, request.memory_tokens, now)
+        prefill = self._prefill(request, decode, now) if request.prefill else ""
+        _events.emit(
+            "placed",
+            request=request.request_id,
+            vm_of=request.vm,
+            decode=decode.id,
+            prefill=prefill,
+            tokens=request.memory_tokens,
+            waiting=len(self._waiting) - 1,
+        )
+        return messages.PlaceReply(number, prefill, decode.id)
+
+    def _prefill(self, request: Any, decode: Any, now: float) -> str:
+        """Returns the prefill engine that is expected to end first, and counts the prompt there."""
+        best, best_end, best_cost = None, 0.0, float("inf")
+        for record in self._usable(request, "prefill"):
+            speed = self._speed_by_backend.setdefault(record.id, _Speed(_PREFILL_S_PER_TOKEN))
+            end = max(now, speed.busy_until) + request.prompt_tokens * speed.unit_s
+            cost = end + (_OTHER_DATA_CENTRE_S if record.data_centre != decode.data_centre else 0.0)
+            if record.id in (request.avoid or ()):
+                cost += 10
+            if cost < best_cost:
+                best, best_end, best_cost = record, end, cost
+        if best is None:
+            return ""
+        self._speed_by_backend[best.id].busy_until = best_end
+        return best.id
+
+    def _expected_wait_ms(self, request: Any) -> int:
+        """Guesses when a place will be free from the number of requests that wait and run."""
+        ahead = 1 + sum(ticket.service == request.service_name for ticket in self._waiting)
+        running = sum(len(places) for places in self._places_by_holder.values())
+        return int(1000 * ahead * 2.0 / max(1, running))
+
+    def free(self, freed: Any) -> None:
+        """Frees a place and takes what its holder has learned of the engines' speed."""
+        with self._freed:
+            self._places_by_holder.get((freed.vm, freed.incarnation), {}).pop(freed.place, None)
+            for seen in freed.speeds or []:
+                unit_s = seen.took_s / max(1, seen.units)
+                speed = self._speed_by_backend.setdefault(seen.id, _Speed(unit_s))
+                speed.unit_s += _SMOOTHING * (unit_s - speed.unit_s)
+            self._freed.notify_all()
+
+    def report(self, vm: str, incarnation: int, held: list[Any]) -> None:
+        """Takes the places that an entry VM holds: unknown ones are added, unreported ones freed after a while."""
+        now = self._clock.monotonic()
+        with self._freed:
+            for other in [key for key in self._places_by_holder if key[0] == vm and key[1] != incarnation]:
+                del self._places_by_holder[other]
+            places = self._places_by_holder.setdefault((vm, incarnation), {})
+            reported = {row.place for row in held}
+            for row in held:
+                places.setdefault(row.place, _Place(row.backend, row.tokens, now))
+            lost = [key for key, row in places.items() if key not in reported and now - row.taken_at > _UNCONFIRMED_S]
+            for number in lost:
+                del places[number]
+            if lost:
+                self._freed.notify_all()
+
+    def forget(self, vm: str, incarnation: int) -> None:
+        """Frees the places of an entry VM that is gone."""
+        with self._freed:
+            self._places_by_holder.pop((vm, incarnation), None)
+            self._freed.notify_all()
--- a/libs/arbutusrill_site/_service.py
+++ b/libs/arbutusrill_site/_service.py
@@ -16,14 +16,17 @@
 from arbutusrill_wire import decode, encode, messages
 
 from ._backends import BackendRegistry
+from ._configuration import Engine, SiteConfiguration
 from ._entries import EntryRegistry
 from ._membership import GroupKeeper
+from ._places import PlaceLedger
 
 __all__ = ["SiteLimits", "SiteService"]
 
 _COMMIT_S = 2.0
 _CONFIRM_S = 1.0
 _MAX_WAIT_S = 2.0
+_FINAL = 2**62  # sequence number after which no announcement of a start counts
 _GATHER_S = 0.005  # changes that come together go out in one answer
 _events = EventLog("site")
 
@@ -39,7 +42,7 @@
 class SiteService:
     """Answers the IDL's `Site` service. Only the leader answers; other control VMs name it.
 
-    `limits_of(body)` reads the token limits by workspace from a document's body.
+    `decode_document` turns a document's body into the configuration.
     """
 
     def __init__(
@@ -49,20 +52,20 @@
         changed: threading.Condition,
         clock: Clock,
         limits: SiteLimits,
-        limits_of: Callable[[bytes], dict[str, Limits]],
+        decode_document: Callable[[bytes], SiteConfiguration],
         keeper: GroupKeeper,
     ):
         self._log = log
         self._state = state
         self._changed = changed
         self._clock = clock
-        self._limits_of = limits_of
+        self._decode_document = decode_document
         self._keeper = keeper
-        self.backends = BackendRegistry(clock, limits.backend_silent_s, changed)
+        self.backends = BackendRegistry(clock, limits.backend_silent_s, changed, state.departures)
         self.entries = EntryRegistry(clock, limits.entry_silent_s, changed)
         self._buckets = FleetBuckets(self._limits, clock)
-        self._limits_by_workspace: dict[str, Limits] = {}
-        self._limits_version = 0
+        self.places = PlaceLedger(clock, self.backends.records, self._engine)
+        self._decoded: tuple[int, SiteConfiguration | None] = (0, None)
         self._term: int | None = None
         self._term_lock = threading.Lock()
 
@@ -72,6 +75,7 @@
         """Waits until something that the entry VM does not know has changed, and returns what it lacks."""
         self._check_leads()
         self.entries.heard(request.entry, request.incarnation, request.uses or [])
+        self.places.report(request.entry.id, request.incarnation, request.places or [])
         term = self._term
         if request.term == term and self._wait(request, term):
             time.sleep(_GATHER_S)
@@ -96,6 +100,7 @@
             self._buckets.report(request.entry.id, request.incarnation, request.spent or {}),
             self.entries.uses_of_others(request.entry.id),
             self._keeper.addresses(),
+            None if knows_backends else self._state.departures.records(),
         )
 
     def _wait(self, request: Any, term: int) -> bool:
@@ -113,17 +118,32 @@
             return self._changed.wait_for(is_behind, min(request.wait_ms / 1000, _MAX_WAIT_S))
 
     def announce_backend(self, record: Any) -> None:
-        """Takes what a backend server says of itself."""
+        """Takes what a backend server says of itself; that it leaves is durable before the answer."""
         self._check_leads()
+        if record.draining and not self._state.departures.covers(record.id, record.started_ms, 0):
+            self._propose(messages.PutDeparture(record.id, record.started_ms, record.sequence))
         self.backends.announce(record)
         self._confirm()
 
     def remove_backend(self, backend: str, started_ms: int) -> None:
-        """Takes a backend server out of use."""
+        """Takes a backend server out of use, durably; `started_ms` 0 means its latest start."""
         self._check_leads()
-        self.backends.remove(backend, started_ms)
+        start = started_ms or self.backends.start_of(backend) or self._clock.wall_ms()
+        if not self._state.departures.covers(backend, start, _FINAL):
+            self._propose(messages.PutDeparture(backend, start, _FINAL))
+        self.backends.remove(backend, start)
         self._confirm()
 
+    def place(self, request: Any) -> Any:
+        """Waits for a place on a decode engine."""
+        self._check_leads()
+        return self.places.place(request)
+
+    def free_place(self, freed: Any) -> None:
+        """Frees a place."""
+        self._check_leads()
+        self.places.free(freed)
+
     def put_document(self, document: Any) -> int:
         """Commits a document unless the held version is as high; returns the version in force afterwards."""
         self._confirm()
@@ -131,20 +151,21 @@
         if document.version <= held:
             _events.emit("document_not_higher", version=document.version, held=held)
             return held
-        change = messages.PutDocument(document.version, document.body)
         started = self._clock.monotonic()
+        outcome = self._propose(messages.PutDocument(document.version, document.body))
+        took_ms = round((self._clock.monotonic() - started) * 1000, 1)
+        _events.emit("document_committed", version=document.version, in_force=outcome.revision, took_ms=took_ms)
+        return outcome.revision
+
+    def _propose(self, change: Any) -> Any:
+        made = encode(command(change, "site", self._clock.wall_ms()))
         try:
-            outcome = decode(
-                messages.Outcome, self._log.propose(encode(command(change, "site", self._clock.wall_ms())), _COMMIT_S)
-            )
+            return decode(messages.Outcome, self._log.propose(made, _COMMIT_S))
         except NotLeaderError as error:
             raise messages.Refused("not_leader", str(error), leader=error.leader) from None
         except LogUnavailableError as error:
             verdict = messages.Verdict.MAY_HAVE_RUN if error.appended else messages.Verdict.NOT_RUN
             raise messages.Refused("unavailable", str(error), verdict) from None
-        took_ms = round((self._clock.monotonic() - started) * 1000, 1)
-        _events.emit("document_committed", version=document.version, in_force=outcome.revision, took_ms=took_ms)
-        return outcome.revision
 
     def read_document(self) -> Any:
         """Returns the document in force, proved by a quorum round that began after the call."""
@@ -166,6 +187,7 @@
         self.backends.expire()
         for entry, incarnation in self.entries.expire():
             self._buckets.forget(entry, incarnation)
+            self.places.forget(entry, incarnation)
 
     def _enter_term(self) -> bool:
         term = self._log.status().term if self._log.is_leader() else None
@@ -174,18 +196,29 @@
                 self.backends.begin_term()
                 self.entries.begin_term()
                 self._buckets.reset()
+                self.places.begin_term(term)
                 _events.emit("leadership_began", term=term, document=self._state.document.version)
             elif term is None and self._term is not None:
                 _events.emit("leadership_ended", term=self._term)
             self._term = term
         return term is not None
 
-    def _limits(self, workspace: str) -> Limits | None:
+    def _configuration(self) -> SiteConfiguration | None:
+        """Returns the decoded document, None before the first one."""
         version, body = self._state.document.held()
-        if version != self._limits_version:
-            self._limits_by_workspace = self._limits_of(zlib.decompress(body)) if version else {}
-            self._limits_version = version
-        return self._limits_by_workspace.get(workspace)
+        if version != self._decoded[0]:
+            self._decoded = (version, self._decode_document(zlib.decompress(body)))
+        return self._decoded[1]
+
+    def _limits(self, workspace: str) -> Limits | None:
+        configuration = self._configuration()
+        known = configuration.workspaces_by_name.get(workspace) if configuration else None
+        return known.limits if known else None
+
+    def _engine(self, service: str) -> Engine | None:
+        configuration = self._configuration()
+        known = configuration.services_by_name.get(service) if configuration else None
+        return known.engine if known else None
 
     def _check_leads(self) -> None:
         if not self._log.is_leader() or not self._enter_term():
--- a/libs/arbutusrill_state/__init__.py
+++ b/libs/arbutusrill_state/__init__.py
@@ -5,6 +5,7 @@
 from ._commands import change_of, command
 from ._config import ConfigState
 from ._defaults import DEFAULT_SPEC_BY_NAME, SCOPE_KINDS, DefaultSpec, parse_value
+from ._departures import Departures
 from ._document import Document
 from ._follower import Follower, VmIdentity
 from ._journal import Journal
@@ -20,6 +21,7 @@
     "ControlClient",
     "ControlUnavailableError",
     "DefaultSpec",
+    "Departures",
     "Document",
     "Follower",
     "Journal",
--- a/libs/arbutusrill_state/_machine.py
+++ b/libs/arbutusrill_state/_machine.py
@@ -10,6 +10,7 @@
 
 from ._commands import change_of
 from ._config import ConfigState
+from ._departures import Departures
 from ._document import Document
 from ._journal import Journal
 
@@ -30,6 +31,7 @@
         self.config = ConfigState()
         self.journal = Journal(self.config)
         self.document = Document()
+        self.departures = Departures()
         self._recent: deque[Any] = deque(maxlen=_KEPT_COMMANDS)
 
     def apply(self, data: bytes) -> bytes:
@@ -45,6 +47,9 @@
         if kind == "put_document":
             held = self.document.put(change.version, change.body)
             return encode(messages.Outcome(held == change.version, held))
+        if kind == "put_departure":
+            self.departures.put(change)
+            return encode(messages.Outcome(True, self.config.revision))
         with self.config.lock:
             before = self.config.revision
             outcome = self.config.apply(made)
@@ -72,6 +77,7 @@
         """Returns the whole state as bytes."""
         state = self.config.snapshot()
         state.document = messages.PutDocument(*self.document.held())
+        state.departures = self.departures.records()
         config = encode(state)
         return len(config).to_bytes(8, "big") + config + self.journal.snapshot()
 
@@ -82,5 +88,7 @@
         self.config.restore(state)
         if state.document is not None:
             self.document.put(state.document.version, state.document.body or b"")
+        for record in state.departures or []:
+            self.departures.put(record)
         self.journal.restore(data[8 + size :])
         self._recent.clear()
--- a/libs/arbutusrill_wire/arbutusrill.thrift
+++ b/libs/arbutusrill_wire/arbutusrill.thrift
@@ -130,6 +130,9 @@
 // A whole configuration as one document; the highest version is in force. `body` is compressed with zlib.
 struct PutDocument { 1: i64 version, 2: binary body }
 
+// A backend server that has said that it leaves: announcements of that start up to `sequence` no longer count.
+struct PutDeparture { 1: string id, 2: i64 started_ms, 3: i64 sequence }
+
 struct JournalBegin {
   1: string workspace, 2: string key, 3: binary digest, 4: string vm, 5: i64 incarnation
 }
@@ -164,6 +167,7 @@
   24: SetFeatureLevel set_feature_level,
   25: ForgetVm forget_vm,
   30: PutDocument put_document,   // does not move the revision
+  31: PutDeparture put_departure, // does not move the revision
   40: JournalBegin journal_begin,
   41: JournalFinish journal_finish,
   42: JournalSweep journal_sweep
@@ -201,7 +205,8 @@
   10: i32 feature_level = 1,
   11: list<FirstAnswer> first_answers,
   12: i64 clock_ms = 0,
-  13: PutDocument document
+  13: PutDocument document,
+  14: list<PutDeparture> departures
 }
 
 struct JournalRecord {
@@ -419,6 +424,9 @@
 // Load that one entry VM has on a backend server.
 struct BackendUse { 1: string id, 2: i32 requests, 3: i64 tokens }
 
+// A place that an entry VM holds on a decode engine.
+struct HeldPlace { 1: i64 place, 2: string backend, 3: i64 tokens }
+
 struct SiteFollowRequest {
   1: EntryRecord entry,
   2: i64 incarnation,
@@ -428,7 +436,8 @@
   6: i64 entries_revision = 0,
   7: i32 wait_ms = 0,
   8: map<string, double> spent,        // tokens by workspace since the entry VM's start
-  9: list<BackendUse> uses
+  9: list<BackendUse> uses,
+  10: list<HeldPlace> places
 }
 
 // Lists are left out when the follower has their revision already.
@@ -444,9 +453,33 @@
   9: bool entries_complete = false,
   10: map<string, double> available,   // tokens by workspace, after what the request reported
   11: list<BackendUse> uses,           // load by the other entry VMs
-  12: list<string> control             // RPC addresses of the control group
+  12: list<string> control,            // RPC addresses of the control group
+  13: list<PutDeparture> departures    // sent together with the backends
+}
+
+// Asks for places on engines. Requests that have missed their objective wait behind the others.
+struct PlaceRequest {
+  1: string vm,
+  2: i64 incarnation,
+  3: string request_id,
+  4: string service_name,
+  5: string model,
+  6: i64 prompt_tokens,
+  7: i64 memory_tokens,
+  8: i32 wait_ms,
+  9: i32 late_in_ms = 0,               // time until the objective is missed, counted from the call
+  10: bool prefill = true,             // whether a prefill engine is wanted too
+  11: list<string> avoid               // backend servers that this VM has seen fail
 }
 
+// Engines by id; both are empty when none had room in time. `wait_ms` is when room is expected.
+struct PlaceReply { 1: i64 place = 0, 2: string prefill = "", 3: string decode = "", 4: i32 wait_ms = 0 }
+
+// How fast an engine was: seconds for `units` tokens or events.
+struct EngineSpeed { 1: string id, 2: double took_s, 3: i64 units }
+
+struct FreePlace { 1: string vm, 2: i64 incarnation, 3: i64 place, 4: list<EngineSpeed> speeds }
+
 struct SiteDocument { 1: i64 version, 2: binary body }
 
 service Site {
@@ -455,5 +488,7 @@
   void remove_backend(1: string id, 2: i64 started_ms) throws (1: Refused refused),
   i64 put_document(1: SiteDocument document) throws (1: Refused refused),     // the version in force
   SiteDocument read_document() throws (1: Refused refused),
+  PlaceReply place(1: PlaceRequest request) throws (1: Refused refused),
+  void free_place(1: FreePlace freed) throws (1: Refused refused),
   list<string> join(1: string address) throws (1: Refused refused)            // RPC addresses of the group
 }
