--- a/libs/arbutusrill_site/_membership.py
+++ b/libs/arbutusrill_site/_membership.py
@@ -35,12 +35,12 @@
         self._size = size
         self._clock = clock
         self._lock = threading.Lock()
-        self._asked_by_address: dict[str, float] = {}
+        self._asked_at_by_member: dict[str, float] = {}
 
-    def ask(self, address: str) -> None:
-        """Notes that the VM with the RPC address `address` has no place in the group."""
+    def ask(self, member: str) -> None:
+        """Notes that the VM with the member ID `member` has no place in the group."""
         with self._lock:
-            self._asked_by_address[address] = self._clock.monotonic()
+            self._asked_at_by_member[member] = self._clock.monotonic()
 
     def addresses(self) -> list[str]:
         """Returns the members' RPC addresses."""
@@ -53,34 +53,37 @@
             return
         now = self._clock.monotonic()
         with self._lock:
-            recent = {addr: at for addr, at in self._asked_by_address.items() if now - at < _ASKED_S}
-            self._asked_by_address = recent
+            recent = {member: at for member, at in self._asked_at_by_member.items() if now - at < _ASKED_S}
+            self._asked_at_by_member = recent
             asking = sorted(recent)
         try:
-            for address in asking:
-                if self._place(address):
+            for member in asking:
+                if self._place(member):
                     break
         except (NotLeaderError, LogUnavailableError, MembershipError) as error:
             _events.emit("membership_change_failed", reason=str(error))
 
-    def _place(self, address: str) -> bool:
-        """Gives the VM at `address` a place when there is one; returns whether the group was changed."""
+    def _place(self, asking: str) -> bool:
+        """Gives the VM with the member ID `asking` a place when there is one; returns whether the group was changed."""
         members = self._log.members()
         voters = [member for member in members if member.kind == "voter"]
-        if any(member.address == address for member in members):
-            old = next(member for member in members if member.address == address)
-            self._replace(old.id, address, "its disk is another one")
+        if any(member.id == asking for member in voters):
+            return False  # it only has not heard the leader for a moment
+        address = _address(asking)
+        same_address = [member for member in voters if member.address == address]
+        silent = [member for member in voters if member.silent_s < 0 or member.silent_s > _SILENT_S]
+        if same_address:
+            self._replace(same_address[0].id, address, "its disk is another one")
         elif len(voters) < self._size:
             added = self._log.add_learner(address, _CHANGE_S)
             self._log.promote(added, _CHANGE_S)
             _events.emit("voter_added", member=added, voters=len(voters) + 1)
-        else:
-            silent = [member for member in voters if member.silent_s < 0 or member.silent_s > _SILENT_S]
-            if not silent:
-                return False
+        elif silent:
             self._replace(silent[0].id, address, f"it is silent for {silent[0].silent_s:.1f} s")
+        else:
+            return False
         with self._lock:
-            self._asked_by_address.pop(address, None)
+            self._asked_at_by_member.pop(asking, None)
         return True
 
     def _replace(self, old: str, address: str, reason: str) -> None:
@@ -104,7 +107,7 @@
             self._client.learn([_address(member) for member in [*status.voters, *status.learners]])
             return
         try:
-            members = self._client.call("join", self._address, timeout=_JOIN_CALL_S, try_timeout=0.5)
+            members = self._client.call("join", status.replica, timeout=_JOIN_CALL_S, try_timeout=0.5)
         except (ControlUnavailableError, messages.Refused) as error:
             _events.emit("join_unanswered", reason=str(error))
             # The members that this VM remembers may all be gone: the seeds are the way back.
--- a/libs/arbutusrill_site/_places.py
+++ b/libs/arbutusrill_site/_places.py
@@ -6,19 +6,27 @@
 import threading
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 
 from arbutusrill_base import Clock, EventLog
 from arbutusrill_wire import messages
 
 from ._configuration import Engine
+from ._stages import EngineWork
 
 __all__ = ["PlaceLedger"]
 
 _SMOOTHING = 0.2  # weight of the latest observation in a moving average
-_PREFILL_S_PER_TOKEN = 0.00004  # before anything is learned
-_DECODE_S_PER_EVENT = 0.05
+_PREFILL_S_PER_TOKEN = 0.00003  # of a nominal engine, which others are compared with
+_DECODE_S_PER_EVENT = 0.048
+_NOMINAL_UNIT_S = {"prefill": _PREFILL_S_PER_TOKEN, "decode": _DECODE_S_PER_EVENT}
+_LEAST_SPEEDS = 3  # observations from which an engine's speed counts as learned
+_MOST_SLOWNESS = 3.0
+_LEAST_SEEN = 25  # requests from which the work of a service counts as learned
+_OWN_READ_FACTOR = 8.0  # how much longer a decode engine takes for a prompt, beside the streams that it runs
+_LEAST_PREFILL_S = 0.35
+_LEAST_OWN_PART = 0.25  # part of a prefill's time that is its own work at least
 _MEMORY_PART = 0.97  # part of an engine's memory that is given out
 _OTHER_DATA_CENTRE_S = 0.05  # later end of a prefill that is accepted to stay in one data centre
 _SILENT_S = 0.4  # a request that has not asked again for longer has lost its turn
@@ -34,13 +42,45 @@
     backend: str
     tokens: int
     taken_at: float
+    prefill: str = ""
+    service: str = ""
+    prefill_wait_s: float = 0.0  # expected when the place was given out
+
+
+@dataclass(slots=True)
+class _Average:
+    """A moving average that begins as the mean of the first observations."""
+
+    value: float = 0.0
+    count: int = 0
+
+    def add(self, observed: float) -> None:
+        """Takes an observation."""
+        self.count += 1
+        self.value += (observed - self.value) / min(self.count, _LEAST_SEEN)
+
+
+@dataclass(slots=True)
+class _Work:
+    """Engine seconds of one request of a service."""
+
+    prefill: _Average = field(default_factory=_Average)
+    decode: _Average = field(default_factory=_Average)
 
 
 @dataclass(slots=True)
 class _Speed:
+    """Seconds for a token of a prompt or an event of a stream, on one engine in one stage."""
+
     unit_s: float
+    count: int = 0
     busy_until: float = 0.0  # expected end of the prefills that were given to the engine
 
+    def add(self, observed: float) -> None:
+        """Takes an observation; the nominal value counts as none."""
+        self.count += 1
+        self.unit_s += (observed - self.unit_s) * max(_SMOOTHING, 1 / self.count)
+
 
 @dataclass(slots=True)
 class _Ticket:
@@ -54,7 +94,7 @@
         return now >= self.late_at, self.number
 
 
-class PlaceLedger:
+class PlaceLedger(EngineWork):
     """Gives out memory and slots of decode engines, and chooses the prefill engine that ends first.
 
     Requests wait in line, those that have missed their objective behind the others; within a line the first comes
@@ -76,9 +116,10 @@
         self._freed = threading.Condition()
         self._numbers = itertools.count(1)
         self._places_by_holder: dict[tuple[str, int], dict[int, _Place]] = {}
-        self._speed_by_backend: dict[str, _Speed] = {}
+        self._speed_by_backend: dict[tuple[str, str], _Speed] = {}
         self._ticket_by_request: dict[str, _Ticket] = {}
         self._freed_at: deque[float] = deque()
+        self._work_by_service: dict[str, _Work] = {}
 
     def begin_term(self, term: int) -> None:
         """Forgets the places at the start of a leadership; the entry VMs report them again."""
@@ -165,7 +206,8 @@
             after = tokens + request.memory_tokens
             if count >= engine.slots or (count and after > engine.kv_tokens * _MEMORY_PART):
                 continue
-            cost = after / engine.kv_tokens * self._relative_speed(record.id)
+            slowness = self._speed(record.id, "decode").unit_s / _DECODE_S_PER_EVENT
+            cost = after / engine.kv_tokens * min(_MOST_SLOWNESS, max(1 / _MOST_SLOWNESS, slowness))
             if cost < best_cost:
                 best, best_cost = record, cost
         return best
@@ -189,16 +231,12 @@
                 held[place.backend] = (tokens + place.tokens, count + 1)
         return held
 
-    def _relative_speed(self, backend: str) -> float:
-        learned = self._speed_by_backend.get(backend)
-        return 1.0 if learned is None else min(3.0, max(0.3, learned.unit_s / _DECODE_S_PER_EVENT))
-
     def _take(self, request: Any, decode: Any) -> Any:
         now = self._clock.monotonic()
         number = next(self._numbers)
         holder = self._places_by_holder.setdefault((request.vm, request.incarnation), {})
-        holder[number] = _Place(decode.id, request.memory_tokens, now)
-        prefill = self._prefill(request, decode, now) if request.prefill else ""
+        prefill, wait_s = self._prefill(request, decode, now) if request.prefill else ("", 0.0)
+        holder[number] = _Place(decode.id, request.memory_tokens, now, prefill, request.service_name, wait_s)
         _events.emit(
             "placed",
             request=request.request_id,
@@ -210,33 +248,74 @@
         )
         return messages.PlaceReply(number, prefill, decode.id)
 
-    def _prefill(self, request: Any, decode: Any, now: float) -> str:
-        """Returns the prefill engine that is expected to end first, and counts the prompt there."""
+    def _prefill(self, request: Any, decode: Any, now: float) -> tuple[str, float]:
+        """Returns the prefill engine that is expected to end first and the wait there, and counts the prompt.
+
+        The engine is empty where the decode engine is expected to read the prompt sooner by itself.
+        """
         best, best_end, best_cost = None, 0.0, float("inf")
-        for record in self._usable(request, "prefill"):
-            speed = self._speed_by_backend.setdefault(record.id, _Speed(_PREFILL_S_PER_TOKEN))
+        usable = self._usable(request, "prefill")
+        sound = [record for record in usable if record.id not in (request.avoid or ())]
+        for record in sound or usable:
+            speed = self._speed(record.id, "prefill")
             end = max(now, speed.busy_until) + request.prompt_tokens * speed.unit_s
             cost = end + (_OTHER_DATA_CENTRE_S if record.data_centre != decode.data_centre else 0.0)
-            if record.id in (request.avoid or ()):
-                cost += 10
             if cost < best_cost:
                 best, best_end, best_cost = record, end, cost
-        if best is None:
-            return ""
-        self._speed_by_backend[best.id].busy_until = best_end
-        return best.id
+        own_s = request.prompt_tokens * _PREFILL_S_PER_TOKEN * _OWN_READ_FACTOR
+        if best is None or best_end - now > max(own_s, _LEAST_PREFILL_S):
+            return "", 0.0
+        speed = self._speed(best.id, "prefill")
+        wait_s = max(0.0, speed.busy_until - now)
+        speed.busy_until = best_end
+        return best.id, wait_s
 
     def free(self, freed: Any) -> None:
         """Frees a place and takes what its holder has learned of the engines' speed."""
         with self._freed:
-            self._places_by_holder.get((freed.vm, freed.incarnation), {}).pop(freed.place, None)
+            place = self._places_by_holder.get((freed.vm, freed.incarnation), {}).pop(freed.place, None)
             self._freed_at.append(self._clock.monotonic())
-            for seen in freed.speeds or []:
-                unit_s = seen.took_s / max(1, seen.units)
-                speed = self._speed_by_backend.setdefault(seen.id, _Speed(unit_s))
-                speed.unit_s += _SMOOTHING * (unit_s - speed.unit_s)
+            for seen in freed.speeds or [] if place is not None else []:
+                self._learn(seen, place)
             self._freed.notify_all()
 
+    def _learn(self, seen: Any, place: _Place) -> None:
+        """Learns an engine's speed, and how long a request would keep nominal engines of either stage."""
+        work = self._work_by_service.setdefault(place.service, _Work())
+        if seen.id == place.prefill:
+            # The time in the engine's queue says nothing of its speed.
+            took_s = max(seen.took_s - place.prefill_wait_s, seen.took_s * _LEAST_OWN_PART)
+            self._speed(seen.id, "prefill").add(took_s / max(1, seen.units))
+            work.prefill.add(seen.units * _PREFILL_S_PER_TOKEN)
+        elif seen.id == place.backend:
+            self._speed(seen.id, "decode").add(seen.took_s / max(1, seen.units))
+            engine = self._engine_of(place.service)
+            if engine is not None and engine.kv_tokens:
+                work.decode.add(seen.units * _DECODE_S_PER_EVENT * place.tokens / engine.kv_tokens)
+
+    def _speed(self, backend: str, stage: str) -> _Speed:
+        return self._speed_by_backend.setdefault((backend, stage), _Speed(_NOMINAL_UNIT_S[stage]))
+
+    def prefill_part(self, service: str) -> float | None:
+        """Returns the learned part of a service's engine time that is prefill; None before enough was seen."""
+        with self._freed:
+            work = self._work_by_service.get(service)
+            if work is None or min(work.prefill.count, work.decode.count) < _LEAST_SEEN:
+                return None
+            return work.prefill.value / (work.prefill.value + work.decode.value)
+
+    def relative_speed(self, backend: str, stage: str) -> float | None:
+        """Returns how fast an engine is against a nominal one; None before enough was seen.
+
+        An engine that is new in its stage is as fast as it was in the other one.
+        """
+        with self._freed:
+            for name in sorted(_NOMINAL_UNIT_S, key=lambda other: other != stage):
+                speed = self._speed_by_backend.get((backend, name))
+                if speed is not None and speed.count >= _LEAST_SPEEDS:
+                    return _NOMINAL_UNIT_S[name] / speed.unit_s
+            return None
+
     def report(self, vm: str, incarnation: int, held: list[Any]) -> None:
         """Takes the places that an entry VM holds: unknown ones are added, unreported ones freed after a while."""
         now = self._clock.monotonic()
--- a/libs/arbutusrill_site/_service.py
+++ b/libs/arbutusrill_site/_service.py
@@ -20,7 +20,7 @@
 from ._entries import EntryRegistry
 from ._membership import GroupKeeper
 from ._places import PlaceLedger
-from ._stages import StageKeeper
+from ._stages import EngineWork, StageKeeper
 
 __all__ = ["SiteLimits", "SiteService"]
 
@@ -44,7 +44,7 @@
     """Answers the IDL's `Site` service. Only the leader answers; other control VMs name it.
 
     `decode_document` turns a document's body into the configuration. `stages` makes the keeper of the engines' stages
-    from a function that returns the backend servers.
+    from a function that returns the backend servers and from what is learned of them.
     """
 
     def __init__(
@@ -56,7 +56,7 @@
         limits: SiteLimits,
         decode_document: Callable[[bytes], SiteConfiguration],
         keeper: GroupKeeper,
-        stages: Callable[[Callable[[], list[Any]]], StageKeeper],
+        stages: Callable[[Callable[[], list[Any]], EngineWork], StageKeeper],
     ):
         self._log = log
         self._state = state
@@ -67,8 +67,8 @@
         self.backends = BackendRegistry(clock, limits.backend_silent_s, changed, state.departures)
         self.entries = EntryRegistry(clock, limits.entry_silent_s, changed)
         self._buckets = FleetBuckets(self._limits, clock)
-        self.stages = stages(self.backends.records)
-        self.places = PlaceLedger(clock, self.backends.records, self._engine, self.stages.is_switching)
+        self.places = PlaceLedger(clock, self.backends.records, self._engine, self._is_switching)
+        self.stages = stages(self.backends.records, self.places)
         self._decoded: tuple[int, SiteConfiguration | None] = (0, None)
         self._term: int | None = None
         self._term_lock = threading.Lock()
@@ -176,10 +176,10 @@
         self._confirm()
         return messages.SiteDocument(*self._state.document.held())
 
-    def join(self, address: str) -> list[str]:
-        """Notes a control VM that is not a member of the group; returns the members' addresses."""
+    def join(self, member: str) -> list[str]:
+        """Notes a control VM, by member ID, that has no place in the group; returns the members' addresses."""
         self._check_leads()
-        self._keeper.ask(address)
+        self._keeper.ask(member)
         return self._keeper.addresses()
 
     # ---- periodic work
@@ -211,6 +211,9 @@
             self._term = term
         return term is not None
 
+    def _is_switching(self, backend: str) -> bool:
+        return self.stages.is_switching(backend)
+
     def _configuration(self) -> SiteConfiguration | None:
         """Returns the decoded document, None before the first one."""
         version, body = self._state.document.held()
--- a/libs/arbutusrill_site/_stages.py
+++ b/libs/arbutusrill_site/_stages.py
@@ -10,12 +10,14 @@
 
 from arbutusrill_base import Clock, EventLog
 
-__all__ = ["OrderAnswer", "StageKeeper", "StageOrders"]
+__all__ = ["EngineWork", "OrderAnswer", "StageKeeper", "StageOrders"]
 
-_PREFILL_PART = 0.24  # part of the engines for prefill: reading a prompt takes about a quarter of a request's work
+_MARGIN = 1.2  # prefill capacity over what is needed, so that short peaks find room
+_LEARNED_PART = 0.7  # part of the engines whose speed has to be known
+_LACKING = 0.7  # part of what is needed below which a decode engine is switched
+_PAUSE_S = 7.0  # between two orders of a service: an order takes about so long to show its effect
 _FEWEST_ENGINES = 4  # smaller services are left as they are
 _SETTLED_S = 1.5  # age of the registry from which its counts are trusted
-_PERSIST_S = 4.0  # how long there have to be too few prefill engines before a decode engine is switched
 _PENDING_S = 14.0  # an order without effect may still be carried out for so long
 _FENCE_SHIFT = 2**20  # orders of one leadership
 _events = EventLog("stages")
@@ -39,11 +41,22 @@
         """Orders one engine to change its stage under a fencing token."""
 
 
+class EngineWork(abc.ABC):
+    """What is learned of engines and of the work of their requests."""
+
+    @abc.abstractmethod
+    def prefill_part(self, service: str) -> float | None:
+        """Returns the part of a service's engine time that is prefill; None before enough was seen."""
+
+    @abc.abstractmethod
+    def relative_speed(self, backend: str, stage: str) -> float | None:
+        """Returns how fast an engine is against a nominal one; None before enough was seen."""
+
+
 class StageKeeper:
-    """On the leader, keeps the number of prefill engines near the part of the work that is prefill.
+    """On the leader, keeps the capacity of the prefill engines near the part of the work that is prefill.
 
-    Only the leader gives orders, with fencing tokens that contain its term; after a change of leader it waits
-    `lease_s` seconds first.
+    Only the leader gives orders, with fencing tokens that contain its term; after a change of leader it waits `lease_s` seconds first.
     """
 
     def __init__(
@@ -53,14 +66,16 @@
         lease_s: float,
         orders: StageOrders,
         records: Callable[[], list[Any]],
+        work: EngineWork,
     ):
         self._vm = vm
         self._clock = clock
         self._lease_s = lease_s
         self._orders = orders
         self._records = records
+        self._work = work
+        self._ordered_at: dict[str, float] = {}
         self._pending_by_backend: dict[str, tuple[str, float]] = {}
-        self._lacking_since: dict[str, float] = {}
         self._term: int | None = None
         self._began_at = 0.0
         self._fenced = False
@@ -76,7 +91,6 @@
         if term != self._term:
             self._term, self._began_at, self._fenced = term, now, False
             self._pending_by_backend.clear()
-            self._lacking_since.clear()
             self._numbers = itertools.count(1)
         if term is None or self._fenced or now - self._began_at < self._lease_s + _SETTLED_S:
             return
@@ -93,37 +107,40 @@
                 del self._pending_by_backend[backend]
 
     def _balance(self, service: str, records: list[Any], now: float) -> bool:
-        """Gives an order when the service has too many or too few prefill engines; returns whether it did."""
-        if len(records) < _FEWEST_ENGINES:
+        """Gives an order when prefill engines have too much or too little of the capacity; returns whether it did."""
+        part = self._work.prefill_part(service)
+        if part is None or len(records) < _FEWEST_ENGINES or now - self._ordered_at.get(service, -_PAUSE_S) < _PAUSE_S:
             return False
-        staying = [record for record in records if record.id not in self._pending_by_backend]
-        prefill = [record for record in staying if record.stage == "prefill"]
-        coming = sum(stage == "prefill" for stage, _ in self._pending_by_backend.values())
-        wanted, count = self._wanted(len(records)), len(prefill) + coming
-        if count >= wanted:
-            self._lacking_since.pop(service, None)
-        if count > wanted and prefill:
-            return self._order(self._surplus(prefill), "decode", service, count, wanted)
-        decode = [record for record in staying if record.stage == "decode"]
-        if count < wanted and len(decode) > 1:
-            since = self._lacking_since.setdefault(service, now)
-            if now - since >= _PERSIST_S:
-                return self._order(decode[0], "prefill", service, count, wanted)
+        speeds = self._speeds(records)
+        if speeds is None:
+            return False
+        prefill = [record for record in records if self._stage(record) == "prefill"]
+        decode = [record for record in records if self._stage(record) == "decode"]
+        capacity = sum(speeds[record.id] for record in prefill)
+        needed = part * sum(speeds.values())
+        surplus = [record for record in prefill if capacity - speeds[record.id] >= needed * _MARGIN]
+        if surplus:
+            fastest = max(surplus, key=lambda record: speeds[record.id])
+            return self._order(fastest, "decode", service, capacity, needed)
+        if capacity < needed * _LACKING and len(decode) > 1:
+            slowest = min(decode, key=lambda record: speeds[record.id])
+            return self._order(slowest, "prefill", service, capacity, needed)
         return False
 
-    @staticmethod
-    def _wanted(engines: int) -> int:
-        return max(1, round(_PREFILL_PART * engines))
+    def _stage(self, record: Any) -> str:
+        """The stage that an engine has, or will have after an order that it was given."""
+        return self._pending_by_backend.get(record.id, (record.stage, 0.0))[0]
 
-    @staticmethod
-    def _surplus(prefill: list[Any]) -> Any:
-        """Returns an engine of the data centre that has most prefill engines."""
-        count_by_data_centre: dict[str, int] = {}
-        for record in prefill:
-            count_by_data_centre[record.data_centre] = count_by_data_centre.get(record.data_centre, 0) + 1
-        return max(prefill, key=lambda record: (count_by_data_centre[record.data_centre], record.id))
+    def _speeds(self, records: list[Any]) -> dict[str, float] | None:
+        """Returns the engines' speeds; those not learned yet count as the mean, and None is returned for too few."""
+        known = {record.id: self._work.relative_speed(record.id, record.stage) for record in records}
+        learned = [speed for speed in known.values() if speed is not None]
+        if len(learned) < _LEARNED_PART * len(records):
+            return None
+        mean = sum(learned) / len(learned)
+        return {backend: mean if speed is None else speed for backend, speed in known.items()}
 
-    def _order(self, record: Any, stage: str, service: str, count: int, wanted: int) -> bool:
+    def _order(self, record: Any, stage: str, service: str, capacity: float, needed: float) -> bool:
         fence = self._term * _FENCE_SHIFT + next(self._numbers)
         answer = self._orders.switch(record, stage, self._vm, fence)
         _events.emit(
@@ -133,9 +150,12 @@
             stage=stage,
             fence=fence,
             answer=answer.value,
-            prefill_engines=count,
-            wanted=wanted,
+            prefill_capacity=capacity,
+            needed=needed,
         )
+        now = self._clock.monotonic()
+        self._ordered_at[service] = now
         self._fenced = answer is OrderAnswer.FENCED
-        self._pending_by_backend[record.id] = (stage, self._clock.monotonic())
+        if answer in (OrderAnswer.ACCEPTED, OrderAnswer.UNKNOWN):
+            self._pending_by_backend[record.id] = (stage, now)
         return True
--- a/libs/arbutusrill_wire/arbutusrill.thrift
+++ b/libs/arbutusrill_wire/arbutusrill.thrift
@@ -492,5 +492,5 @@
   SiteDocument read_document() throws (1: Refused refused),
   PlaceReply place(1: PlaceRequest request) throws (1: Refused refused),
   void free_place(1: FreePlace freed) throws (1: Refused refused),
-  list<string> join(1: string address) throws (1: Refused refused)            // RPC addresses of the group
+  list<string> join(1: string member) throws (1: Refused refused)             // RPC addresses of the group
 }
