--- a/libs/arbutusrill_site/_stages.py
+++ b/libs/arbutusrill_site/_stages.py
@@ -13,9 +13,9 @@
 __all__ = ["EngineWork", "OrderAnswer", "StageKeeper", "StageOrders"]
 
 _MARGIN = 1.2  # prefill capacity over what is needed, so that short peaks find room
-_LEARNED_PART = 0.7  # part of the engines whose speed has to be known
+_LEARNED_PART = 0.5  # part of the engines whose speed has to be known
 _LACKING = 0.7  # part of what is needed below which a decode engine is switched
-_PAUSE_S = 7.0  # between two orders of a service: an order takes about so long to show its effect
+_PAUSE_S = 5.0  # between two orders of a service: an order takes about so long to show its effect
 _FEWEST_ENGINES = 4  # smaller services are left as they are
 _SETTLED_S = 1.5  # age of the registry from which its counts are trusted
 _PENDING_S = 14.0  # an order without effect may still be carried out for so long
@@ -108,11 +108,10 @@
 
     def _balance(self, service: str, records: list[Any], now: float) -> bool:
         """Gives an order when prefill engines have too much or too little of the capacity; returns whether it did."""
-        part = self._work.prefill_part(service)
-        if part is None or len(records) < _FEWEST_ENGINES or now - self._ordered_at.get(service, -_PAUSE_S) < _PAUSE_S:
+        if len(records) < _FEWEST_ENGINES or now - self._ordered_at.get(service, -_PAUSE_S) < _PAUSE_S:
             return False
-        speeds = self._speeds(records)
-        if speeds is None:
+        part, speeds = self._work.prefill_part(service), self._speeds(records)
+        if part is None or speeds is None:
             return False
         prefill = [record for record in records if self._stage(record) == "prefill"]
         decode = [record for record in records if self._stage(record) == "decode"]
