--- a/libs/arbutusrill_gateway/_attempt.py
+++ b/libs/arbutusrill_gateway/_attempt.py
@@ -85,9 +85,7 @@
     return Attempt(outcome, answer, result.body, detail, took_s)
 
 
-def _outcome(
-    request: CallerRequest, send: Send, result: TransferResult, answer: Answer | None
-) -> tuple[Outcome, str]:
+def _outcome(request: CallerRequest, send: Send, result: TransferResult, answer: Answer | None) -> tuple[Outcome, str]:
     if result.error == "gone":
         return Outcome.GONE, result.detail
     if answer is not None and answer.request_id not in ("", request.id):
--- a/libs/arbutusrill_gateway/_backends.py
+++ b/libs/arbutusrill_gateway/_backends.py
@@ -14,7 +14,6 @@
 from arbutusrill_site import Service, SiteView
 from arbutusrill_wire import messages
 
-
 __all__ = ["BackendPool", "Candidate"]
 
 _SMOOTHING = 0.2  # weight of the latest observation in a moving average
--- a/libs/arbutusrill_gateway/_gateway.py
+++ b/libs/arbutusrill_gateway/_gateway.py
@@ -9,7 +9,7 @@
 from arbutusrill_base import EventLog, FailureError, RetryBudget, Verdict
 from arbutusrill_http import AbortStreamError
 from arbutusrill_limits import FleetMeter
-from arbutusrill_site import Route, RouteKind, SiteConfiguration, Workspace, SiteView
+from arbutusrill_site import Route, RouteKind, SiteConfiguration, SiteView, Workspace
 
 from ._backends import BackendPool
 from ._exchange import Exchange
--- a/libs/arbutusrill_gateway/_plain.py
+++ b/libs/arbutusrill_gateway/_plain.py
@@ -1,6 +1,7 @@
 """Relay of requests whose answer is delivered in one piece."""
 
 from __future__ import annotations
+
 from arbutusrill_site import RouteKind
 
 from ._attempt import Attempt, Outcome, attempt
--- a/libs/arbutusrill_gateway/_prefill.py
+++ b/libs/arbutusrill_gateway/_prefill.py
@@ -28,7 +28,8 @@
     """Reads the prompt on a prefill engine; None when a decode engine has to read it itself.
 
     A prefill that an engine has received and not accepted makes the send that follows a repeated one; raises
-    `BudgetSpentError` when the retry budget does not allow that. The leader's choice in `place` comes first; without one, this VM chooses by its own view.
+    `BudgetSpentError` when the retry budget does not allow that. The leader's choice in `place` comes first; without
+    one, this VM chooses by its own view.
     """
     request, pool = exchange.request, exchange.pool
     tokens = request.prompt_tokens or 0
--- a/libs/arbutusrill_limits/_fleet.py
+++ b/libs/arbutusrill_limits/_fleet.py
@@ -1,9 +1,9 @@
 """Fleet-wide token buckets whose levels the entry VMs learn by report instead of by grant.
 
 Each entry VM counts what it spends and reports the running totals; the leader keeps one bucket for each workspace
-and answers with the levels of those that are not full. Between two reports an entry VM subtracts its own spending. All entry
-VMs together may exceed a bucket by what they spend between two reports, which deployments with a stated overage
-allow. An entry VM without recent levels limits itself to its part of the rate.
+and answers with the levels of those that are not full. Between two reports an entry VM subtracts its own spending.
+All entry VMs together may exceed a bucket by what they spend between two reports, which deployments with a stated
+slack allow. An entry VM without recent levels limits itself to its part of the rate.
 """
 
 from __future__ import annotations
@@ -103,8 +103,8 @@
 class FleetMeter:
     """An entry VM's side: decides at once whether a request is inside its workspace's rate.
 
-    `entry_count` returns the number of entry VMs that share the rates. `slack` is the number of tokens by which a workspace
-    may exceed its bucket for a moment, as the deployment states it; the rate over time stays the same.
+    `entry_count` returns the number of entry VMs that share the rates. `slack` is the number of tokens by which a
+    workspace may exceed its bucket for a moment, as the deployment states it; the rate over time stays the same.
 
     >>> from arbutusrill_base import ManualClock
     >>> meter = FleetMeter(ManualClock(), lambda: 2)
--- a/libs/arbutusrill_site/_backends.py
+++ b/libs/arbutusrill_site/_backends.py
@@ -7,7 +7,6 @@
 
 from arbutusrill_base import Clock, EventLog
 from arbutusrill_state import Departures
-from arbutusrill_wire import messages
 
 __all__ = ["BackendRegistry", "is_newer"]
 
@@ -26,15 +25,26 @@
 
 def _same_use(record: Any, known: Any) -> bool:
     """Says whether two announcements differ in nothing but their sequence number."""
-    fields = ("started_ms", "service_name", "address", "data_centre", "slots", "draining", "stage", "models", "software")
+    fields = (
+        "started_ms",
+        "service_name",
+        "address",
+        "data_centre",
+        "slots",
+        "draining",
+        "stage",
+        "models",
+        "software",
+    )
     return all(getattr(record, field) == getattr(known, field) for field in fields)
 
 
 class BackendRegistry:
     """The leader's soft state of backend servers, collected anew after each change of leader.
 
-    What leaves is durable: `departures` comes from the log. An address belongs to the server that started last at it. A server that has been silent for `silent_s` seconds
-    is dropped. `revision` increases with each change that followers have to know. Not thread-safe without `changed`.
+    What leaves is durable: `departures` comes from the log. An address belongs to the server that started last at it.
+    A server that has been silent for `silent_s` seconds is dropped. `revision` increases with each change that
+    followers have to know. `changed` guards the state and wakes the followers.
     """
 
     def __init__(self, clock: Clock, silent_s: float, changed: threading.Condition, departures: Departures):
--- a/libs/arbutusrill_site/_configuration.py
+++ b/libs/arbutusrill_site/_configuration.py
@@ -153,7 +153,9 @@
         for listed in routes_by_host.values():
             listed.sort(key=lambda route: -len(route.prefix))
         by_name = {workspace.name: workspace for workspace in workspaces}
-        return cls(version, routes_by_host, services_by_name, workspace_by_key, by_name, client_limits or ClientLimits())
+        return cls(
+            version, routes_by_host, services_by_name, workspace_by_key, by_name, client_limits or ClientLimits()
+        )
 
     def route_of(self, host: str, path: str) -> Route | None:
         """Returns the route with the longest prefix of `path` among those of `host`."""
--- a/libs/arbutusrill_site/_follower.py
+++ b/libs/arbutusrill_site/_follower.py
@@ -47,9 +47,9 @@
 class SiteFollower:
     """Follows the leader and keeps a `SiteView`.
 
-    `entry` says which entry VM this is. `decode` turns a document's body into the configuration. `uses` returns this VM's load on backend servers,
-    `places` the places that it holds.
-    The document never goes back to an older version; the lists are merged while a new leader still collects them.
+    `entry` says which entry VM this is. `decode` turns a document's body into the configuration. `uses` returns this
+    VM's load on backend servers, `places` the places that it holds. The document never goes back to an older version;
+    the lists are merged while a new leader still collects them.
     """
 
     def __init__(
--- a/libs/arbutusrill_site/_stages.py
+++ b/libs/arbutusrill_site/_stages.py
@@ -56,7 +56,8 @@
 class StageKeeper:
     """On the leader, keeps the capacity of the prefill engines near the part of the work that is prefill.
 
-    Only the leader gives orders, with fencing tokens that contain its term; after a change of leader it waits `lease_s` seconds first.
+    Only the leader gives orders, with fencing tokens that contain its term; after a change of leader it waits
+    `lease_s` seconds first.
     """
 
     def __init__(
