--- a/libs/arbutusrill_site/__init__.py
+++ b/libs/arbutusrill_site/__init__.py
@@ -16,19 +16,22 @@
 from ._entries import EntryRegistry
 from ._follower import SiteFollower, SiteView
 from ._membership import GroupKeeper, Joiner
+from ._places import PlaceLedger
 from ._service import SiteLimits, SiteService
-from ._stages import OrderAnswer, StageKeeper, StageOrders
+from ._stages import EngineWork, OrderAnswer, StageKeeper, StageOrders
 
 __all__ = [
     "BackendRegistry",
     "ClientLimits",
     "ConfigurationError",
     "Engine",
+    "EngineWork",
     "EntryDirectory",
     "EntryRegistry",
     "GroupKeeper",
     "Joiner",
     "OrderAnswer",
+    "PlaceLedger",
     "Route",
     "RouteKind",
     "Service",
--- a/libs/arbutusrill_site/_backends.py
+++ b/libs/arbutusrill_site/_backends.py
@@ -16,6 +16,7 @@
 def is_newer(record: Any, known: Any) -> bool:
     """Says whether `record` is a later word than `known` of the same backend server.
 
+    >>> from arbutusrill_wire import messages
     >>> old = messages.BackendRecord("a", 100, 5)
     >>> is_newer(messages.BackendRecord("a", 100, 4), old), is_newer(messages.BackendRecord("a", 200, 1), old)
     (False, True)
--- /dev/null
+++ b/libs/arbutusrill_site/tests/test_backends.py
@@ -0,0 +1,78 @@
+"""Guards against late, reordered and reused announcements."""
+
+import threading
+
+import pytest
+from arbutusrill_base import ManualClock
+from arbutusrill_state import Departures
+from arbutusrill_wire import messages
+
+from arbutusrill_site import BackendRegistry
+
+
+def record(name="a", started=100, sequence=1, address="10.0.0.1:80", draining=False):
+    return messages.BackendRecord(name, started, sequence, "desk", address, "z1", 6, draining, "", [])
+
+
+@pytest.fixture()
+def clock():
+    return ManualClock()
+
+
+@pytest.fixture()
+def departures():
+    return Departures()
+
+
+@pytest.fixture()
+def registry(clock, departures):
+    return BackendRegistry(clock, 6.0, threading.Condition(), departures)
+
+
+def test_announcement_that_comes_late_changes_nothing(registry):
+    registry.announce(record(sequence=5, draining=True))
+    assert not registry.announce(record(sequence=4))
+    assert registry.records()[0].draining
+
+
+def test_revision_moves_only_with_what_followers_have_to_know(registry):
+    registry.announce(record(sequence=1))
+    before = registry.revision
+    registry.announce(record(sequence=2))
+    assert registry.revision == before
+    registry.announce(record(sequence=3, draining=True))
+    assert registry.revision > before
+
+
+def test_address_belongs_to_the_server_that_started_last(registry):
+    registry.announce(record("old", started=100))
+    registry.announce(record("new", started=200))
+    assert not registry.announce(record("old", started=100, sequence=9))
+    assert [row.id for row in registry.records()] == ["new"]
+
+
+def test_server_that_starts_again_under_its_id_is_a_new_one(registry):
+    registry.announce(record(started=100, sequence=50))
+    assert registry.announce(record(started=200, sequence=1))
+    registry.remove("a", 100)
+    assert [row.started_ms for row in registry.records()] == [200]
+
+
+def test_departure_is_remembered_by_the_next_leader(registry, departures):
+    registry.announce(record(sequence=3))
+    departures.put(messages.PutDeparture("a", 100, 2**62))
+    registry.remove("a", 100)
+    registry.begin_term()
+    assert not registry.announce(record(sequence=4))
+    assert registry.announce(record(started=200, sequence=1))
+
+
+def test_silent_server_is_dropped_and_a_new_leader_is_complete_only_after_that_time(registry, clock):
+    registry.announce(record())
+    registry.begin_term()
+    registry.expire()
+    assert not registry.complete
+    registry.announce(record())
+    clock.advance(6.1)
+    registry.expire()
+    assert registry.complete and not registry.records()
--- /dev/null
+++ b/libs/arbutusrill_site/tests/test_places.py
@@ -0,0 +1,126 @@
+"""Guards against engines that are overfilled, unfair lines and places that are never freed."""
+
+import threading
+import time
+
+from arbutusrill_base import ManualClock, SystemClock
+from arbutusrill_wire import messages
+
+from arbutusrill_site import Engine, PlaceLedger
+
+
+def engine(name, stage="decode", **changed):
+    record = messages.BackendRecord(name, 1, 1, "model", f"10.0.0.1:{len(name)}", "z1", 8, False, stage, [])
+    for field, value in changed.items():
+        setattr(record, field, value)
+    return record
+
+
+def ledger(*records, clock=None, tokens=1000):
+    return PlaceLedger(clock or SystemClock(), lambda: list(records), lambda service: Engine(16, tokens, 0.5))
+
+
+def wanted(request, tokens=400, wait_ms=0, late_in_ms=900, patience_ms=5000, **more):
+    return messages.PlaceRequest(
+        "vm", 1, request, "model", "", tokens, tokens, wait_ms, late_in_ms, True, [], patience_ms, **more
+    )
+
+
+def freed(place):
+    return messages.FreePlace("vm", 1, place, [])
+
+
+def test_memory_of_an_engine_is_given_out_once():
+    places = ledger(engine("d"))
+    first, second, third = (places.place(wanted(name)) for name in "abc")
+    assert first.place and second.place
+    assert not third.place and third.wait_ms > 0
+    places.free(freed(first.place))
+    assert places.place(wanted("c")).decode == "d"
+
+
+def test_prompt_larger_than_an_engine_gets_an_empty_one():
+    places = ledger(engine("d"))
+    assert places.place(wanted("a", tokens=5000)).decode == "d"
+
+
+def test_draining_switching_and_avoided_engines_are_not_chosen():
+    places = PlaceLedger(
+        SystemClock(),
+        lambda: [engine("leaving", draining=True), engine("switching"), engine("bad"), engine("good")],
+        lambda service: Engine(8, 1000, 0.5),
+        lambda backend: backend == "switching",
+    )
+    request = wanted("a")
+    request.avoid = ["bad"]
+    assert places.place(request).decode == "good"
+
+
+def test_request_that_waits_gets_the_place_that_comes_free():
+    places = ledger(engine("d"))
+    held = [places.place(wanted(name)) for name in "ab"]
+    answers = []
+    waiting = threading.Thread(target=lambda: answers.append(places.place(wanted("c", wait_ms=2000))))
+    waiting.start()
+    time.sleep(0.05)
+    places.free(freed(held[0].place))
+    waiting.join(1)
+    assert answers[0].decode == "d"
+
+
+def test_request_that_asks_again_keeps_its_turn_and_late_ones_wait_behind():
+    clock = ManualClock()
+    places = ledger(engine("d"), clock=clock)
+    held = [places.place(wanted(name)) for name in "ab"]
+    assert not places.place(wanted("late", late_in_ms=0)).place
+    assert not places.place(wanted("first")).place
+    assert not places.place(wanted("second")).place
+    places.free(freed(held[0].place))
+    assert not places.place(wanted("second")).place
+    assert not places.place(wanted("late", late_in_ms=0)).place
+    assert places.place(wanted("first")).place
+
+
+def test_request_that_would_wait_beyond_its_patience_is_refused_at_once():
+    places = ledger(engine("d"))
+    for name in "ab":
+        places.place(wanted(name))
+    answer = places.place(wanted("c", patience_ms=100))
+    assert answer.refused and answer.wait_ms > 100
+
+
+def test_turn_of_a_request_that_has_gone_silent_is_lost():
+    clock = ManualClock()
+    places = ledger(engine("d"), clock=clock)
+    held = [places.place(wanted(name)) for name in "ab"]
+    places.place(wanted("gone"))
+    places.place(wanted("here"))
+    clock.advance(1.0)
+    places.free(freed(held[0].place))
+    assert places.place(wanted("here")).place
+
+
+def test_place_that_its_holder_does_not_report_is_freed_and_reported_ones_are_kept_after_a_change_of_leader():
+    clock = ManualClock()
+    places = ledger(engine("d"), clock=clock)
+    place = places.place(wanted("a", tokens=900)).place
+    clock.advance(2.0)
+    places.report("vm", 1, [])
+    assert places.place(wanted("b", tokens=900)).place
+    places.begin_term(2)
+    places.report("vm", 1, [messages.HeldPlace(place, "d", 900)])
+    assert not places.place(wanted("c", tokens=900)).place
+
+
+def test_places_of_an_entry_vm_that_is_gone_are_freed():
+    places = ledger(engine("d"))
+    places.place(wanted("a", tokens=900))
+    places.forget("vm", 1)
+    assert places.place(wanted("b", tokens=900)).place
+
+
+def test_prefill_engine_that_is_behind_leaves_the_prompt_to_the_decode_engine():
+    places = ledger(engine("d"), engine("p", "prefill"), tokens=10**9)
+    answers = [places.place(wanted(str(number), tokens=4000)) for number in range(12)]
+    assert answers[0].prefill == "p"
+    assert answers[-1].prefill == "" and answers[-1].decode == "d"
--- /dev/null
+++ b/libs/arbutusrill_site/tests/test_stages.py
@@ -0,0 +1,93 @@
+"""Guards against orders by a leader of the past, and against too many of them."""
+
+from arbutusrill_base import ManualClock
+from arbutusrill_wire import messages
+
+from arbutusrill_site import EngineWork, OrderAnswer, StageKeeper, StageOrders
+
+
+class Orders(StageOrders):
+    def __init__(self, answer=OrderAnswer.ACCEPTED):
+        self.answer = answer
+        self.given = []
+
+    def switch(self, record, stage, holder, fence):
+        self.given.append((record.id, stage, holder, fence))
+        return self.answer
+
+
+class Work(EngineWork):
+    def __init__(self, part=0.2, speed_by_id=None):
+        self.part = part
+        self.speed_by_id = speed_by_id or {}
+
+    def prefill_part(self, service):
+        return self.part
+
+    def relative_speed(self, backend, stage):
+        return self.speed_by_id.get(backend, 1.0)
+
+
+def engines(prefill, decode):
+    names = [(f"p{number}", "prefill") for number in range(prefill)]
+    names += [(f"d{number}", "decode") for number in range(decode)]
+    return [messages.BackendRecord(name, 1, 1, "model", "", "z1", 8, False, stage, []) for name, stage in names]
+
+
+def keeper(orders, records, work=None):
+    clock = ManualClock()
+    return clock, StageKeeper("vm-1", clock, 3.0, orders, lambda: records, work or Work())
+
+
+def test_new_leader_waits_for_the_lease_before_its_first_order():
+    orders = Orders()
+    clock, stages = keeper(orders, engines(4, 5))
+    stages.tick(7)
+    clock.advance(2.9)
+    stages.tick(7)
+    assert not orders.given
+    clock.advance(2.0)
+    stages.tick(7)
+    assert orders.given[0][1:3] == ("decode", "vm-1")
+
+
+def test_fencing_tokens_rise_with_the_term_and_the_order():
+    orders = Orders()
+    clock, stages = keeper(orders, engines(4, 5))
+    for term in (7, 8):
+        stages.tick(term)
+        for _ in range(4):
+            clock.advance(10)
+            stages.tick(term)
+    fences = [fence for *_, fence in orders.given]
+    assert fences == sorted(set(fences)) and len(fences) >= 2
+
+
+def test_fenced_leader_gives_no_further_order():
+    orders = Orders(OrderAnswer.FENCED)
+    clock, stages = keeper(orders, engines(4, 5))
+    stages.tick(7)
+    for _ in range(5):
+        clock.advance(10)
+        stages.tick(7)
+    assert len(orders.given) == 1
+
+
+def test_fastest_engine_that_can_be_spared_is_switched():
+    orders = Orders()
+    clock, stages = keeper(orders, engines(4, 5), Work(0.1, {"p2": 2.0}))
+    stages.tick(7)
+    clock.advance(10)
+    stages.tick(7)
+    assert orders.given[0][0] == "p2"
+    assert stages.is_switching("p2")
+
+
+def test_balanced_small_and_unlearned_services_get_no_order():
+    for records, work in ((engines(2, 7), Work(0.2)), (engines(2, 1), Work()), (engines(4, 5), Work(None))):
+        orders = Orders()
+        clock, stages = keeper(orders, records, work)
+        stages.tick(7)
+        clock.advance(10)
+        stages.tick(7)
+        assert not orders.given
