--- a/libs/arbutusrill_site/_places.py
+++ b/libs/arbutusrill_site/_places.py
@@ -17,16 +17,15 @@
 
 __all__ = ["PlaceLedger"]
 
-_SMOOTHING = 0.2  # weight of the latest observation in a moving average
+_SLOWER_SMOOTHING = 0.02  # weight of an observation that is longer than the learned time
 _PREFILL_S_PER_TOKEN = 0.00003  # of a nominal engine, which others are compared with
 _DECODE_S_PER_EVENT = 0.048
 _NOMINAL_UNIT_S = {"prefill": _PREFILL_S_PER_TOKEN, "decode": _DECODE_S_PER_EVENT}
-_LEAST_SPEEDS = 2  # observations from which an engine's speed counts as learned
+_LEAST_SPEEDS = 4  # observations from which an engine's speed counts as learned
 _MOST_SLOWNESS = 3.0
 _LEAST_SEEN = 15  # requests from which the work of a service counts as learned
 _OWN_READ_FACTOR = 8.0  # how much longer a decode engine takes for a prompt, beside the streams that it runs
 _LEAST_PREFILL_S = 0.35
-_LEAST_OWN_PART = 0.25  # part of a prefill's time that is its own work at least
 _MEMORY_PART = 0.97  # part of an engine's memory that is given out
 _OTHER_DATA_CENTRE_S = 0.05  # later end of a prefill that is accepted to stay in one data centre
 _SILENT_S = 0.4  # a request that has not asked again for longer has lost its turn
@@ -44,7 +43,6 @@
     taken_at: float
     prefill: str = ""
     service: str = ""
-    prefill_wait_s: float = 0.0  # expected when the place was given out
 
 
 @dataclass(slots=True)
@@ -70,7 +68,10 @@
 
 @dataclass(slots=True)
 class _Speed:
-    """Seconds for a token of a prompt or an event of a stream, on one engine in one stage."""
+    """Seconds for a token of a prompt or an event of a stream, on one engine in one stage.
+
+    Follows the shortest times closely and longer ones slowly, since queues and neighbours only ever add time.
+    """
 
     unit_s: float
     count: int = 0
@@ -79,7 +80,10 @@
     def add(self, observed: float) -> None:
         """Takes an observation; the nominal value counts as none."""
         self.count += 1
-        self.unit_s += (observed - self.unit_s) * max(_SMOOTHING, 1 / self.count)
+        if self.count == 1 or observed < self.unit_s:
+            self.unit_s = observed
+        else:
+            self.unit_s += _SLOWER_SMOOTHING * (observed - self.unit_s)
 
 
 @dataclass(slots=True)
@@ -235,8 +239,8 @@
         now = self._clock.monotonic()
         number = next(self._numbers)
         holder = self._places_by_holder.setdefault((request.vm, request.incarnation), {})
-        prefill, wait_s = self._prefill(request, decode, now) if request.prefill else ("", 0.0)
-        holder[number] = _Place(decode.id, request.memory_tokens, now, prefill, request.service_name, wait_s)
+        prefill = self._prefill(request, decode, now) if request.prefill else ""
+        holder[number] = _Place(decode.id, request.memory_tokens, now, prefill, request.service_name)
         _events.emit(
             "placed",
             request=request.request_id,
@@ -248,8 +252,8 @@
         )
         return messages.PlaceReply(number, prefill, decode.id)
 
-    def _prefill(self, request: Any, decode: Any, now: float) -> tuple[str, float]:
-        """Returns the prefill engine that is expected to end first and the wait there, and counts the prompt.
+    def _prefill(self, request: Any, decode: Any, now: float) -> str:
+        """Returns the prefill engine that is expected to end first, and counts the prompt there.
 
         The engine is empty where the decode engine is expected to read the prompt sooner by itself.
         """
@@ -264,11 +268,9 @@
                 best, best_end, best_cost = record, end, cost
         own_s = request.prompt_tokens * _PREFILL_S_PER_TOKEN * _OWN_READ_FACTOR
         if best is None or best_end - now > max(own_s, _LEAST_PREFILL_S):
-            return "", 0.0
-        speed = self._speed(best.id, "prefill")
-        wait_s = max(0.0, speed.busy_until - now)
-        speed.busy_until = best_end
-        return best.id, wait_s
+            return ""
+        self._speed(best.id, "prefill").busy_until = best_end
+        return best.id
 
     def free(self, freed: Any) -> None:
         """Frees a place and takes what its holder has learned of the engines' speed."""
@@ -283,9 +285,7 @@
         """Learns an engine's speed, and how long a request would keep nominal engines of either stage."""
         work = self._work_by_service.setdefault(place.service, _Work())
         if seen.id == place.prefill:
-            # The time in the engine's queue says nothing of its speed.
-            took_s = max(seen.took_s - place.prefill_wait_s, seen.took_s * _LEAST_OWN_PART)
-            self._speed(seen.id, "prefill").add(took_s / max(1, seen.units))
+            self._speed(seen.id, "prefill").add(seen.took_s / max(1, seen.units))
             work.prefill.add(seen.units * _PREFILL_S_PER_TOKEN)
         elif seen.id == place.backend:
             self._speed(seen.id, "decode").add(seen.took_s / max(1, seen.units))
--- a/libs/arbutusrill_site/_stages.py
+++ b/libs/arbutusrill_site/_stages.py
@@ -13,8 +13,8 @@
 __all__ = ["EngineWork", "OrderAnswer", "StageKeeper", "StageOrders"]
 
 _MARGIN = 1.2  # prefill capacity over what is needed, so that short peaks find room
-_LEARNED_PART = 0.5  # part of the engines whose speed has to be known
-_LACKING = 0.7  # part of what is needed below which a decode engine is switched
+_LEARNED_PART = 0.8  # part of the engines whose speed has to be known
+_LACKING = 0.4  # part of what is needed below which a decode engine is switched
 _PAUSE_S = 5.0  # between two orders of a service: an order takes about so long to show its effect
 _FEWEST_ENGINES = 4  # smaller services are left as they are
 _SETTLED_S = 1.5  # age of the registry from which its counts are trusted
