--- a/libs/arbutusrill_gateway/_places.py
+++ b/libs/arbutusrill_gateway/_places.py
@@ -32,6 +32,7 @@
     prefill: Any
     tokens: int
     speeds: list[Any] = field(default_factory=list)
+    unreachable: list[str] = field(default_factory=list)
 
 
 class Places:
@@ -106,7 +107,7 @@
         backends = self._view.backends_by_id
         decode = backends.get(reply.decode)
         if decode is None:  # the leader knows a backend server that has not reached this VM's view
-            self._free(reply.place, [])
+            self._free(reply.place, [], [])
             return None
         place = Place(reply.place, decode, backends.get(reply.prefill), request.memory_tokens)
         with self._lock:
@@ -117,10 +118,10 @@
         """Gives a place back; the leader frees it by itself when it does not hear of it."""
         with self._lock:
             self._place_by_number.pop(place.number, None)
-        self._free(place.number, place.speeds)
+        self._free(place.number, place.speeds, place.unreachable)
 
-    def _free(self, number: int, speeds: list[Any]) -> None:
-        freed = messages.FreePlace(self._vm, self._incarnation, number, speeds)
+    def _free(self, number: int, speeds: list[Any], unreachable: list[str]) -> None:
+        freed = messages.FreePlace(self._vm, self._incarnation, number, speeds, unreachable)
         try:
             self._client.call("free_place", freed, timeout=_FREE_S, try_timeout=_FREE_S)
         except (ControlUnavailableError, messages.Refused) as error:
--- a/libs/arbutusrill_gateway/_prefill.py
+++ b/libs/arbutusrill_gateway/_prefill.py
@@ -60,6 +60,8 @@
                 raise BudgetSpentError
             return None
         excluded.add(candidate.id)
+        if place is not None:
+            place.unreachable.append(candidate.id)
     return None
 
 
--- a/libs/arbutusrill_gateway/_protocol.py
+++ b/libs/arbutusrill_gateway/_protocol.py
@@ -7,6 +7,9 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+_ESTIMATE_FACTOR = 1.1
+_ESTIMATE_TOKENS = 100
+
 __all__ = ["Answer", "BackendProtocol", "CallerRequest", "Prefilled", "Send"]
 
 
@@ -43,7 +46,8 @@
         """Tokens of engine memory that the request is expected to fill."""
         output = self.output_tokens or 0
         if self.expected_output_tokens is not None:
-            output = min(output, self.expected_output_tokens)
+            # Estimates are right in the middle; the requests that run are more often those that last longer.
+            output = min(output, int(self.expected_output_tokens * _ESTIMATE_FACTOR) + _ESTIMATE_TOKENS)
         return (self.prompt_tokens or 0) + output
 
 
--- a/libs/arbutusrill_site/_places.py
+++ b/libs/arbutusrill_site/_places.py
@@ -26,7 +26,8 @@
 _LEAST_SEEN = 15  # requests from which the work of a service counts as learned
 _OWN_READ_FACTOR = 8.0  # how much longer a decode engine takes for a prompt, beside the streams that it runs
 _LEAST_PREFILL_S = 0.35
-_MEMORY_PART = 0.97  # part of an engine's memory that is given out
+_UNREACHABLE_S = 1.5  # an engine that took no connection from one entry VM is kept from all of them for so long
+_MEMORY_PART = 0.92  # part of an engine's memory that is given out
 _OTHER_DATA_CENTRE_S = 0.05  # later end of a prefill that is accepted to stay in one data centre
 _SILENT_S = 0.4  # a request that has not asked again for longer has lost its turn
 _RATE_S = 4.0  # over which the rate of places that come free is counted
@@ -123,6 +124,7 @@
         self._speed_by_backend: dict[tuple[str, str], _Speed] = {}
         self._ticket_by_request: dict[str, _Ticket] = {}
         self._freed_at: deque[float] = deque()
+        self._unreachable_until: dict[str, float] = {}
         self._work_by_service: dict[str, _Work] = {}
 
     def begin_term(self, term: int) -> None:
@@ -217,6 +219,7 @@
         return best
 
     def _usable(self, request: Any, stage: str) -> list[Any]:
+        now = self._clock.monotonic()
         return [
             record
             for record in self._backends()
@@ -224,6 +227,7 @@
             and record.stage == stage
             and not record.draining
             and not self._is_switching(record.id)
+            and self._unreachable_until.get(record.id, 0.0) <= now
             and (not request.model or not record.models or any(m.name == request.model for m in record.models))
         ]
 
@@ -279,6 +283,8 @@
             self._freed_at.append(self._clock.monotonic())
             for seen in freed.speeds or [] if place is not None else []:
                 self._learn(seen, place)
+            for backend in freed.unreachable or []:
+                self._unreachable_until[backend] = self._clock.monotonic() + _UNREACHABLE_S
             self._freed.notify_all()
 
     def _learn(self, seen: Any, place: _Place) -> None:
--- a/libs/arbutusrill_site/tests/test_places.py
+++ b/libs/arbutusrill_site/tests/test_places.py
@@ -112,6 +112,16 @@
     assert not places.place(wanted("c", tokens=900)).place
 
 
+def test_engine_that_one_entry_vm_cannot_reach_is_kept_from_all_for_a_while():
+    clock = ManualClock()
+    places = ledger(engine("dark"), clock=clock)
+    place = places.place(wanted("a")).place
+    places.free(messages.FreePlace("vm", 1, place, [], ["dark"]))
+    assert not places.place(wanted("b")).place
+    clock.advance(2.0)
+    assert places.place(wanted("b")).place
+
+
 def test_places_of_an_entry_vm_that_is_gone_are_freed():
     places = ledger(engine("d"))
     places.place(wanted("a", tokens=900))
--- a/libs/arbutusrill_wire/arbutusrill.thrift
+++ b/libs/arbutusrill_wire/arbutusrill.thrift
@@ -480,7 +480,10 @@
 // How fast an engine was: seconds for `units` tokens or events.
 struct EngineSpeed { 1: string id, 2: double took_s, 3: i64 units }
 
-struct FreePlace { 1: string vm, 2: i64 incarnation, 3: i64 place, 4: list<EngineSpeed> speeds }
+// `unreachable` names engines that did not take a connection.
+struct FreePlace {
+  1: string vm, 2: i64 incarnation, 3: i64 place, 4: list<EngineSpeed> speeds, 5: list<string> unreachable
+}
 
 struct SiteDocument { 1: i64 version, 2: binary body }
 
