--- a/libs/arbutusrill_gateway/_prefill.py
+++ b/libs/arbutusrill_gateway/_prefill.py
@@ -35,10 +35,7 @@
     tokens = request.prompt_tokens or 0
     excluded: set[str] = set()
     for _ in range(_TRIES):
-        if place is not None and place.prefill is not None and not excluded:
-            candidate = Candidate(place.prefill, 0.0)
-        else:
-            candidate = pool.pick(exchange.service, "prefill", tokens, request.model, excluded)
+        candidate = _candidate(exchange, place, excluded)
         if candidate is None or not exchange.has_time():
             return None
         with pool.hold(candidate.id, tokens):
@@ -65,6 +62,14 @@
     return None
 
 
+def _candidate(exchange: Exchange, place: Place | None, excluded: set[str]) -> Candidate | None:
+    """Returns the prefill engine to use; None where the leader leaves the prompt to the decode engine."""
+    if place is not None and not excluded:
+        return Candidate(place.prefill, 0.0) if place.prefill is not None else None
+    request = exchange.request
+    return exchange.pool.pick(exchange.service, "prefill", request.prompt_tokens or 0, request.model, excluded)
+
+
 def release(exchange: Exchange, prefilled: Prefilled | None) -> None:
     """Frees a KV cache that will not be taken; it lapses by itself when this fails."""
     if prefilled is None:
--- a/libs/arbutusrill_site/_places.py
+++ b/libs/arbutusrill_site/_places.py
@@ -4,7 +4,7 @@
 
 import itertools
 import threading
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -32,6 +32,7 @@
 _SILENT_S = 0.4  # a request that has not asked again for longer has lost its turn
 _RATE_S = 4.0  # over which the rate of places that come free is counted
 _LEAST_RATE = 1.0  # places a second that are assumed at least
+_QUEUED_AT_ENGINE = 1  # requests beyond its memory that an engine is given; it queues a few by itself
 _TURN_S = 0.1  # requests become late while they wait, which changes their order
 _UNCONFIRMED_S = 1.0  # a place that its holder does not report for longer is free again
 _events = EventLog("places")
@@ -44,6 +45,7 @@
     taken_at: float
     prefill: str = ""
     service: str = ""
+    overflow: bool = False  # in the engine's own queue, beyond the memory that is given out
 
 
 @dataclass(slots=True)
@@ -139,7 +141,8 @@
         """Waits for a place on a decode engine, at most `request.wait_ms`.
 
         A request that asks again keeps its turn. One that would have to wait for longer than `request.patience_ms`
-        is answered at once with the time after which it may come back.
+        gets a place in the short queue of an engine itself, or is answered at once with the time after which it may
+        come back.
         """
         engine = self._engine_of(request.service_name)
         if engine is None:
@@ -158,7 +161,7 @@
                 expected_s = self._expected_wait_s(ticket, now)
                 if expected_s > request.patience_ms / 1000:
                     self._leave_line(request)
-                    return messages.PlaceReply(wait_ms=int(expected_s * 1000), refused=True)
+                    return self._overflow(request) or messages.PlaceReply(wait_ms=int(expected_s * 1000), refused=True)
                 if now >= deadline:
                     ticket.asked_at = now
                     return messages.PlaceReply(wait_ms=int(expected_s * 1000))
@@ -256,6 +259,23 @@
         )
         return messages.PlaceReply(number, prefill, decode.id)
 
+    def _overflow(self, request: Any) -> Any | None:
+        """Returns a place in an engine's own queue, or None when those are taken too."""
+        count_by_backend = Counter(
+            place.backend for places in self._places_by_holder.values() for place in places.values() if place.overflow
+        )
+        usable = [record for record in self._usable(request, "decode") if record.id not in (request.avoid or ())]
+        if not usable:
+            return None
+        best = min(usable, key=lambda record: (count_by_backend[record.id], self._speed(record.id, "decode").unit_s))
+        if count_by_backend[best.id] >= _QUEUED_AT_ENGINE:
+            return None
+        number = next(self._numbers)
+        holder = self._places_by_holder.setdefault((request.vm, request.incarnation), {})
+        holder[number] = _Place(best.id, 0, self._clock.monotonic(), "", request.service_name, True)
+        _events.emit("placed_in_queue", request=request.request_id, vm_of=request.vm, decode=best.id)
+        return messages.PlaceReply(number, "", best.id)
+
     def _prefill(self, request: Any, decode: Any, now: float) -> str:
         """Returns the prefill engine that is expected to end first, and counts the prompt there.
 
