--- a/libs/arbutusrill_gateway/_places.py
+++ b/libs/arbutusrill_gateway/_places.py
@@ -16,10 +16,11 @@
 
 __all__ = ["Place", "Places"]
 
-_STEP_S = 0.2  # wait of one call; between two calls the caller's connection is checked
-_CALL_S = 0.12  # for a call beyond its wait; after it this VM chooses by its own view
+_FIRST_STEP_S = 0.15  # wait of the first call, short so that a leader that has stopped is noticed soon
+_STEP_S = 0.4  # wait of the further calls; between two of them the caller's connection is checked
+_CALL_S = 0.2  # for a call beyond its wait; after it this VM chooses by its own view
 _FREE_S = 0.3
-_LOST_S = 0.5  # after a call without an answer, this VM chooses by its own view for so long
+_LOST_S = 0.4  # after a call without an answer, this VM chooses by its own view for so long
 _events = EventLog("placement")
 
 
@@ -74,6 +75,7 @@
         Raises `ConnectionResetError` when the caller has left meanwhile.
         """
         deadline = self._clock.monotonic() + patience_s
+        step_s = _FIRST_STEP_S
         while (now := self._clock.monotonic()) >= self._lost_until:
             wanted = messages.PlaceRequest(
                 self._vm,
@@ -83,14 +85,14 @@
                 request.model,
                 request.prompt_tokens or 0,
                 request.memory_tokens,
-                max(0, int(min(_STEP_S, deadline - now) * 1000)),
+                max(0, int(min(step_s, deadline - now) * 1000)),
                 max(0, int(late_in_s * 1000)),
                 prefill,
                 avoid,
                 max(0, int((deadline - now) * 1000)),
             )
             try:
-                reply = self._client.call("place", wanted, timeout=_STEP_S + _CALL_S, try_timeout=_STEP_S + _CALL_S)
+                reply = self._client.call("place", wanted, timeout=step_s + _CALL_S, try_timeout=step_s + _CALL_S)
             except (ControlUnavailableError, messages.Refused) as error:
                 self._lost_until = self._clock.monotonic() + _LOST_S
                 _events.emit("places_unavailable", request=request.id, reason=str(error))
@@ -101,6 +103,7 @@
                 return None, max(0.05, reply.wait_ms / 1000)
             if request.connection is not None and caller_gone(request.connection):
                 raise ConnectionResetError("the caller left while it waited for an engine")
+            step_s = _STEP_S
         return None, None
 
     def _taken(self, reply: Any, request: CallerRequest) -> Place | None:
--- a/libs/arbutusrill_site/_places.py
+++ b/libs/arbutusrill_site/_places.py
@@ -150,15 +150,14 @@
         now = self._clock.monotonic()
         deadline = now + request.wait_ms / 1000
         with self._freed:
+            self._drop_silent(now)
             ticket = self._ticket(request, now)
+            expected_s = self._expected_wait_s(ticket, now)
             while True:
-                now = self._clock.monotonic()
-                self._drop_silent(now)
                 found = self._choose(request, engine) if self._is_first(ticket, now) else None
                 if found is not None:
                     self._leave_line(request)
                     return self._take(request, found)
-                expected_s = self._expected_wait_s(ticket, now)
                 if expected_s > request.patience_ms / 1000:
                     self._leave_line(request)
                     return self._overflow(request) or messages.PlaceReply(wait_ms=int(expected_s * 1000), refused=True)
@@ -166,6 +165,7 @@
                     ticket.asked_at = now
                     return messages.PlaceReply(wait_ms=int(expected_s * 1000))
                 self._freed.wait(min(deadline - now, _TURN_S))
+                now = self._clock.monotonic()
 
     def _ticket(self, request: Any, now: float) -> _Ticket:
         ticket = self._ticket_by_request.get(request.request_id)
@@ -186,7 +186,10 @@
             del self._ticket_by_request[key]
 
     def _is_first(self, ticket: _Ticket, now: float) -> bool:
-        return self._ahead_of(ticket, now) == 0
+        mine = ticket.order(now)
+        return not any(
+            other.service == ticket.service and other.order(now) < mine for other in self._ticket_by_request.values()
+        )
 
     def _ahead_of(self, ticket: _Ticket, now: float) -> int:
         mine = ticket.order(now)
