--- a/libs/arbutusrill_gateway/_places.py
+++ b/libs/arbutusrill_gateway/_places.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import threading
 from dataclasses import dataclass, field
 from typing import Any
@@ -50,6 +51,7 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._place_by_number: dict[int, Place] = {}
+        self._own_numbers = itertools.count(-1, -1)  # of places that this VM took without the leader
         self._lost_until = float("-inf")
 
     def held(self) -> list[Any]:
@@ -117,10 +119,19 @@
             self._place_by_number[place.number] = place
         return place
 
+    def take_unasked(self, decode: Any, tokens: int) -> Place:
+        """Notes a place that this VM chose by its own view; the leader learns of it with the next report."""
+        place = Place(next(self._own_numbers), decode, None, tokens)
+        with self._lock:
+            self._place_by_number[place.number] = place
+        return place
+
     def free(self, place: Place) -> None:
         """Gives a place back; the leader frees it by itself when it does not hear of it."""
         with self._lock:
             self._place_by_number.pop(place.number, None)
+        if place.number < 0 and self._clock.monotonic() < self._lost_until:
+            return
         self._free(place.number, place.speeds, place.unreachable)
 
     def _free(self, number: int, speeds: list[Any], unreachable: list[str]) -> None:
--- a/libs/arbutusrill_gateway/_stream.py
+++ b/libs/arbutusrill_gateway/_stream.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import contextlib
 import re
 import time
+from collections.abc import Iterator
 
 from arbutusrill_base import Verdict
 from arbutusrill_http import AbortStreamError
@@ -162,7 +164,8 @@
         if candidate is None:
             release(exchange, prefilled)
             return None
-        made = _send(exchange, candidate, prefilled, events)
+        with _held(exchange, place, candidate):
+            made = _send(exchange, candidate, prefilled, events)
         exchange.note(candidate, "decode" if prefilled else "whole", made)
         if made.outcome is Outcome.GONE:
             if not exchange.responder.status:
@@ -205,22 +208,32 @@
     return exchange.pool.pick(exchange.service, stage, request.memory_tokens, request.model, exchange.tried, near)
 
 
+@contextlib.contextmanager
+def _held(exchange: Exchange, place: Place | None, candidate: Candidate) -> Iterator[None]:
+    """Counts the request on its decode engine, also where that is not the engine of its place."""
+    tokens = exchange.request.memory_tokens
+    with contextlib.ExitStack() as stack:
+        stack.enter_context(exchange.pool.hold(candidate.id, tokens))
+        if exchange.service.engine is not None and (place is None or place.decode.id != candidate.id):
+            stack.callback(exchange.places.free, exchange.places.take_unasked(candidate.record, tokens))
+        yield
+
+
 def _send(exchange: Exchange, candidate: Candidate, prefilled: Prefilled | None, events: _Events) -> Attempt:
     send = exchange.send(candidate, prefilled=prefilled, resume_after=_resume_point(exchange, events))
     stall_s = _STALL_S if exchange.route.resumable and exchange.sends + 1 < exchange.route.max_attempts else None
     events.plain.clear()
     try:
-        with exchange.pool.hold(candidate.id, exchange.request.memory_tokens):
-            return attempt(
-                exchange.protocol,
-                exchange.request,
-                send,
-                candidate,
-                max(0.001, exchange.remaining_s()),
-                stall_s,
-                events.on_head,
-                events.on_data,
-            )
+        return attempt(
+            exchange.protocol,
+            exchange.request,
+            send,
+            candidate,
+            max(0.001, exchange.remaining_s()),
+            stall_s,
+            events.on_head,
+            events.on_data,
+        )
     except _CallerLeftError:
         exchange.verdict = exchange.verdict.worst(Verdict.MAY_HAVE_RUN)
         raise exchange.gone() from None
--- a/libs/arbutusrill_site/_places.py
+++ b/libs/arbutusrill_site/_places.py
@@ -275,7 +275,7 @@
             return None
         number = next(self._numbers)
         holder = self._places_by_holder.setdefault((request.vm, request.incarnation), {})
-        holder[number] = _Place(best.id, 0, self._clock.monotonic(), "", request.service_name, True)
+        holder[number] = _Place(best.id, request.memory_tokens, self._clock.monotonic(), "", request.service_name, True)
         _events.emit("placed_in_queue", request=request.request_id, vm_of=request.vm, decode=best.id)
         return messages.PlaceReply(number, "", best.id)
 
--- a/libs/arbutusrill_site/tests/test_places.py
+++ b/libs/arbutusrill_site/tests/test_places.py
@@ -93,6 +93,15 @@
     assert places.place(wanted("e", patience_ms=100)).decode == "d"
 
 
+def test_memory_of_a_request_in_an_engines_queue_is_counted():
+    places = ledger(engine("d"))
+    held = [places.place(wanted(name)) for name in "ab"]
+    assert places.place(wanted("c", patience_ms=100)).decode == "d"
+    places.free(freed(held[0].place))
+    # One of two has left and the queued one has taken its memory.
+    assert not places.place(wanted("e")).place
+
+
 def test_turn_of_a_request_that_has_gone_silent_is_lost():
     clock = ManualClock()
     places = ledger(engine("d"), clock=clock)
