--- a/libs/arbutusrill_state/_client.py
+++ b/libs/arbutusrill_state/_client.py
@@ -75,6 +75,7 @@
 
     def learn(self, addresses: list[str]) -> None:
         """Replaces the control VMs that are tried; calls under way go on. An empty list changes nothing."""
+        addresses = list(dict.fromkeys(addresses))
         with self._lock:
             if not addresses or set(addresses) == set(self._order):
                 return
