--- a/libs/arbutusrill_base/_budget.py
+++ b/libs/arbutusrill_base/_budget.py
@@ -36,6 +36,12 @@
         with self._lock:
             self._fraction = fraction
 
+    def set_reserve(self, reserve: float) -> None:
+        """Changes how many retries may be saved up; what is above it is lost."""
+        with self._lock:
+            self._reserve = reserve
+            self._tokens = min(self._tokens, reserve)
+
     def take(self) -> bool:
         """Takes one retry from the budget; returns whether there was one."""
         with self._lock:
--- a/libs/arbutusrill_gateway/_gateway.py
+++ b/libs/arbutusrill_gateway/_gateway.py
@@ -4,6 +4,7 @@
 
 import threading
 import time
+from collections.abc import Callable
 from typing import Any
 
 from arbutusrill_base import EventLog, FailureError, RetryBudget, Verdict
@@ -29,7 +30,8 @@
 class Gateway:
     """Serves requests by the configuration in force.
 
-    `retry_fraction` and `retry_reserve` bound the sends beyond the first of each request, by service, on this VM.
+    `retry_fraction` and `retry_reserve` bound the sends beyond the first of each request, by service, on this VM;
+    the reserve is a function, since the VMs that share the deployment's reserve come and go.
     `stale_s`, where set, is the age of the view from which requests with a key are refused.
     """
 
@@ -42,7 +44,7 @@
         protocol: BackendProtocol,
         metrics: GatewayMetrics,
         retry_fraction: float,
-        retry_reserve: float,
+        retry_reserve: Callable[[], float],
         stale_s: float | None = None,
     ):
         self._view = view
@@ -137,10 +139,13 @@
             self._log(request, responder, ending, started, route, workspace, exchange)
 
     def _budget(self, service: str) -> RetryBudget:
+        reserve = self._retry_reserve()
         with self._lock:
-            if service not in self._budget_by_service:
-                self._budget_by_service[service] = RetryBudget(self._retry_fraction, self._retry_reserve)
-            return self._budget_by_service[service]
+            budget = self._budget_by_service.get(service)
+            if budget is None:
+                budget = self._budget_by_service[service] = RetryBudget(self._retry_fraction, reserve)
+        budget.set_reserve(reserve)
+        return budget
 
     def _refuse(
         self,
