--- a/libs/arbutusrill_site/_backends.py
+++ b/libs/arbutusrill_site/_backends.py
@@ -8,6 +8,8 @@
 from arbutusrill_base import Clock, EventLog
 from arbutusrill_state import Departures
 
+from ._registry import Registry
+
 __all__ = ["BackendRegistry", "is_newer"]
 
 _events = EventLog("registry")
@@ -40,44 +42,19 @@
     return all(getattr(record, field) == getattr(known, field) for field in fields)
 
 
-class BackendRegistry:
-    """The leader's soft state of backend servers, collected anew after each change of leader.
+class BackendRegistry(Registry):
+    """The leader's registry of backend servers.
 
     What leaves is durable: `departures` comes from the log. An address belongs to the server that started last at it.
-    A server that has been silent for `silent_s` seconds is dropped. `revision` increases with each change that
-    followers have to know. `changed` guards the state and wakes the followers.
     """
 
     def __init__(self, clock: Clock, silent_s: float, changed: threading.Condition, departures: Departures):
-        self._clock = clock
+        super().__init__(clock, silent_s, changed)
         self._departures = departures
-        self._silent_s = silent_s
-        self._changed = changed
-        self._record_by_id: dict[str, Any] = {}
         self._id_by_address: dict[str, str] = {}
-        self._heard_by_id: dict[str, float] = {}
-        self._since = clock.monotonic()
-        self._complete = False  # as last told to the followers
-        self.revision = 0
 
-    def begin_term(self) -> None:
-        """Forgets everything at the start of a leadership."""
-        with self._changed:
-            for held in (self._record_by_id, self._id_by_address, self._heard_by_id):
-                held.clear()
-            self._since = self._clock.monotonic()
-            self._complete = False
-            self._bump()
-
-    @property
-    def complete(self) -> bool:
-        """Whether every server that runs has had the time to announce itself in this term."""
-        return self._complete
-
-    def records(self) -> list[Any]:
-        """Returns what is known of each server."""
-        with self._changed:
-            return list(self._record_by_id.values())
+    def _clear(self) -> None:
+        self._id_by_address.clear()
 
     def announce(self, record: Any) -> bool:
         """Takes an announcement; returns False when it is older than what is known."""
@@ -137,12 +114,8 @@
 
     def expire(self) -> None:
         """Drops the servers that have been silent for too long."""
-        now = self._clock.monotonic()
         with self._changed:
-            if not self._complete and now - self._since >= self._silent_s:
-                self._complete = True
-                self._bump()
-            silent = [id_ for id_, heard in self._heard_by_id.items() if now - heard > self._silent_s]
+            silent = self._silent()
             for backend in silent:
                 self._drop(backend, f"no announcement for {self._silent_s:g} s")
             if silent:
@@ -154,7 +127,3 @@
         if self._id_by_address.get(record.address) == backend:
             del self._id_by_address[record.address]
         _events.emit("backend_dropped", backend=backend, address=record.address, reason=reason)
-
-    def _bump(self) -> None:
-        self.revision += 1
-        self._changed.notify_all()
