--- a/libs/arbutusrill_site/_entries.py
+++ b/libs/arbutusrill_site/_entries.py
@@ -28,7 +28,7 @@
         self._uses_by_id.clear()
 
     def heard(self, record: Any, incarnation: int, uses: list[Any]) -> None:
-        """Notes a call of an entry VM; a call of an earlier incarnation may come late and is ignored."""
+        """Notes a call of an entry VM with its state and its load on backend servers."""
         with self._changed:
             known = self._record_by_id.get(record.id)
             self._heard_by_id[record.id] = self._clock.monotonic()
