--- a/libs/arbutusrill_gateway/_gateway.py
+++ b/libs/arbutusrill_gateway/_gateway.py
@@ -23,7 +23,7 @@
 
 __all__ = ["Gateway"]
 
-_NO_CONFIGURATION_RETRY_S = 0.3
+_RETRY_S = 0.3
 _events = EventLog("entry")
 
 
@@ -64,7 +64,9 @@
         started = time.monotonic()
         configuration = self._view.document
         if configuration is None:
-            self._refuse(request, responder, Refusal(503, "no_configuration", "no configuration yet", 0.3), started)
+            self._refuse(
+                request, responder, Refusal(503, "no_configuration", "no configuration yet", _RETRY_S), started
+            )
             return
         route = configuration.route_of(request.host, request.path)
         if route is None:
@@ -84,7 +86,7 @@
         if not configuration.workspaces_by_name or route.public:
             return None, None
         if self._stale_s is not None and self._view.age_s() > self._stale_s:
-            return None, Refusal(503, "stale", "keys cannot be checked at the moment", _NO_CONFIGURATION_RETRY_S)
+            return None, Refusal(503, "stale", "keys cannot be checked at the moment", _RETRY_S)
         workspace = configuration.workspace_by_key.get(request.key)
         if workspace is None:
             return None, Refusal(401, "unknown_key", "the key is missing or unknown")
--- a/libs/arbutusrill_raft/__init__.py
+++ b/libs/arbutusrill_raft/__init__.py
@@ -2,7 +2,7 @@
 
 from ._files import DiskFolder, Folder
 from ._log import LocalLog, LogStatus, LogUnavailableError, NotLeaderError, ReplicatedLog, StateMachine
-from ._membership import MembershipError
+from ._membership import MembershipError, address_of
 from ._replica import MemberStatus, Replica
 from ._storage import StorageError
 from ._timing import Bounds, Timing
@@ -25,4 +25,5 @@
     "StorageError",
     "Timing",
     "Transport",
+    "address_of",
 ]
--- a/libs/arbutusrill_site/_membership.py
+++ b/libs/arbutusrill_site/_membership.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 from arbutusrill_base import Clock, EventLog
-from arbutusrill_raft import LogUnavailableError, MembershipError, NotLeaderError, Replica
+from arbutusrill_raft import LogUnavailableError, MembershipError, NotLeaderError, Replica, address_of
 from arbutusrill_state import ControlClient, ControlUnavailableError
 from arbutusrill_wire import messages
 
@@ -19,10 +19,6 @@
 _events = EventLog("group")
 
 
-def _address(member: str) -> str:
-    return member.partition("/")[0]
-
-
 class GroupKeeper:
     """On the leader, fills the group up to `size` voters from the VMs that ask, one change at a time.
 
@@ -45,7 +41,7 @@
     def addresses(self) -> list[str]:
         """Returns the members' RPC addresses."""
         status = self._log.status()
-        return [_address(member) for member in [*status.voters, *status.learners]]
+        return [address_of(member) for member in [*status.voters, *status.learners]]
 
     def tick(self) -> None:
         """Makes at most one change."""
@@ -69,7 +65,7 @@
         voters = [member for member in members if member.kind == "voter"]
         if any(member.id == asking for member in voters):
             return False  # it only has not heard the leader for a moment
-        address = _address(asking)
+        address = address_of(asking)
         same_address = [member for member in voters if member.address == address]
         silent = [member for member in voters if member.silent_s < 0 or member.silent_s > _SILENT_S]
         if same_address:
@@ -104,14 +100,14 @@
         """Asks once when this VM is not a member, or hears no leader."""
         status = self._log.status()
         if status.replica in status.voters and status.leader:
-            self._client.learn([_address(member) for member in [*status.voters, *status.learners]])
+            self._client.learn([address_of(member) for member in [*status.voters, *status.learners]])
             return
         try:
             members = self._client.call("join", status.replica, timeout=_JOIN_CALL_S, try_timeout=0.5)
         except (ControlUnavailableError, messages.Refused) as error:
             _events.emit("join_unanswered", reason=str(error))
             # The members that this VM remembers may all be gone: the seeds are the way back.
-            known = [_address(member) for member in [*status.voters, *status.learners]]
+            known = [address_of(member) for member in [*status.voters, *status.learners]]
             self._client.learn(sorted({*self._seeds(), *known, self._address}))
             return
         self._client.learn([*members, self._address] if self._address not in members else members)
