--- /dev/null
+++ b/libs/arbutusrill_site/_line.py
@@ -0,0 +1,81 @@
+"""The line of requests that wait for a place on a model engine."""
+
+from __future__ import annotations
+
+import itertools
+from collections import deque
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Any
+
+__all__ = ["Line", "Ticket"]
+
+_SILENT_S = 0.4  # a request that has not asked again for longer has lost its turn
+_RATE_S = 4.0  # over which the rate of places that come free is counted
+_LEAST_RATE = 1.0  # places a second that are assumed at least
+
+
+@dataclass(slots=True)
+class Ticket:
+    """The turn of one request."""
+
+    number: int
+    service: str
+    late_at: float
+    asked_at: float  # when the entry VM last asked; it asks again in short steps and keeps its turn
+
+    def order(self, now: float) -> tuple[bool, int]:
+        """Sort key in the line."""
+        return now >= self.late_at, self.number
+
+
+class Line:
+    """Tickets by request; the caller holds a lock around each call. Times are on the monotonic clock."""
+
+    def __init__(self):
+        self._numbers = itertools.count(1)
+        self._ticket_by_request: dict[str, Ticket] = {}
+        self._freed_at: deque[float] = deque()
+
+    def __len__(self) -> int:
+        return len(self._ticket_by_request)
+
+    def join(self, request: Any, now: float) -> Ticket:
+        """Returns the ticket of a request, a new one when it has none."""
+        ticket = self._ticket_by_request.get(request.request_id)
+        if ticket is None:
+            ticket = Ticket(next(self._numbers), request.service_name, now + request.late_in_ms / 1000, now)
+            self._ticket_by_request[request.request_id] = ticket
+        ticket.asked_at = now + request.wait_ms / 1000
+        return ticket
+
+    def leave(self, request: Any) -> None:
+        """Takes a request out of the line."""
+        del self._ticket_by_request[request.request_id]
+
+    def drop_silent(self, now: float) -> None:
+        """Takes out of the line what has not asked again."""
+        silent = [key for key, ticket in self._ticket_by_request.items() if now - ticket.asked_at > _SILENT_S]
+        for key in silent:
+            del self._ticket_by_request[key]
+
+    def is_first(self, ticket: Ticket, now: float) -> bool:
+        """Whether nobody is ahead."""
+        return next(self._ahead(ticket, now), None) is None
+
+    def _ahead(self, ticket: Ticket, now: float) -> Iterator[Ticket]:
+        mine = ticket.order(now)
+        for other in self._ticket_by_request.values():
+            if other.service == ticket.service and other.order(now) < mine:
+                yield other
+
+    def note_freed(self, now: float) -> None:
+        """Notes that a place has come free."""
+        self._freed_at.append(now)
+
+    def expected_wait_s(self, ticket: Ticket, now: float) -> float:
+        """Returns the time until the line ahead has got its places, from the rate at which places came free lately."""
+        while self._freed_at and now - self._freed_at[0] > _RATE_S:
+            self._freed_at.popleft()
+        rate = max(len(self._freed_at) / _RATE_S, _LEAST_RATE)
+        return (sum(1 for _ in self._ahead(ticket, now)) + 1) / rate
--- a/libs/arbutusrill_site/_places.py
+++ b/libs/arbutusrill_site/_places.py
@@ -4,34 +4,25 @@
 
 import itertools
 import threading
-from collections import Counter, deque
+from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Any
 
 from arbutusrill_base import Clock, EventLog
 from arbutusrill_wire import messages
 
 from ._configuration import Engine
-from ._stages import EngineWork
+from ._line import Line
+from ._speeds import EngineSpeeds
 
 __all__ = ["PlaceLedger"]
 
-_SLOWER_SMOOTHING = 0.02  # weight of an observation that is longer than the learned time
-_PREFILL_S_PER_TOKEN = 0.00003  # of a nominal engine, which others are compared with
-_DECODE_S_PER_EVENT = 0.048
-_NOMINAL_UNIT_S = {"prefill": _PREFILL_S_PER_TOKEN, "decode": _DECODE_S_PER_EVENT}
-_LEAST_SPEEDS = 4  # observations from which an engine's speed counts as learned
 _MOST_SLOWNESS = 3.0
-_LEAST_SEEN = 15  # requests from which the work of a service counts as learned
-_OWN_READ_FACTOR = 8.0  # how much longer a decode engine takes for a prompt, beside the streams that it runs
 _LEAST_PREFILL_S = 0.35
 _UNREACHABLE_S = 1.5  # an engine that took no connection from one entry VM is kept from all of them for so long
 _MEMORY_PART = 0.92  # part of an engine's memory that is given out
 _OTHER_DATA_CENTRE_S = 0.05  # later end of a prefill that is accepted to stay in one data centre
-_SILENT_S = 0.4  # a request that has not asked again for longer has lost its turn
-_RATE_S = 4.0  # over which the rate of places that come free is counted
-_LEAST_RATE = 1.0  # places a second that are assumed at least
 _QUEUED_AT_ENGINE = 1  # requests beyond its memory that an engine is given; it queues a few by itself
 _TURN_S = 0.1  # requests become late while they wait, which changes their order
 _UNCONFIRMED_S = 1.0  # a place that its holder does not report for longer is free again
@@ -48,60 +39,7 @@
     overflow: bool = False  # in the engine's own queue, beyond the memory that is given out
 
 
-@dataclass(slots=True)
-class _Average:
-    """A moving average that begins as the mean of the first observations."""
-
-    value: float = 0.0
-    count: int = 0
-
-    def add(self, observed: float) -> None:
-        """Takes an observation."""
-        self.count += 1
-        self.value += (observed - self.value) / min(self.count, _LEAST_SEEN)
-
-
-@dataclass(slots=True)
-class _Work:
-    """Engine seconds of one request of a service."""
-
-    prefill: _Average = field(default_factory=_Average)
-    decode: _Average = field(default_factory=_Average)
-
-
-@dataclass(slots=True)
-class _Speed:
-    """Seconds for a token of a prompt or an event of a stream, on one engine in one stage.
-
-    Follows the shortest times closely and longer ones slowly, since queues and neighbours only ever add time.
-    """
-
-    unit_s: float
-    count: int = 0
-    busy_until: float = 0.0  # expected end of the prefills that were given to the engine
-
-    def add(self, observed: float) -> None:
-        """Takes an observation; the nominal value counts as none."""
-        self.count += 1
-        if self.count == 1 or observed < self.unit_s:
-            self.unit_s = observed
-        else:
-            self.unit_s += _SLOWER_SMOOTHING * (observed - self.unit_s)
-
-
-@dataclass(slots=True)
-class _Ticket:
-    number: int
-    service: str
-    late_at: float
-    asked_at: float  # when the entry VM last asked; it asks again in short steps and keeps its turn
-
-    def order(self, now: float) -> tuple[bool, int]:
-        """Sort key in the line."""
-        return now >= self.late_at, self.number
-
-
-class PlaceLedger(EngineWork):
+class PlaceLedger:
     """Gives out memory and slots of decode engines, and chooses the prefill engine that ends first.
 
     Requests wait in line, those that have missed their objective behind the others; within a line the first comes
@@ -123,11 +61,9 @@
         self._freed = threading.Condition()
         self._numbers = itertools.count(1)
         self._places_by_holder: dict[tuple[str, int], dict[int, _Place]] = {}
-        self._speed_by_backend: dict[tuple[str, str], _Speed] = {}
-        self._ticket_by_request: dict[str, _Ticket] = {}
-        self._freed_at: deque[float] = deque()
+        self._line = Line()
+        self.speeds = EngineSpeeds()
         self._unreachable_until: dict[str, float] = {}
-        self._work_by_service: dict[str, _Work] = {}
 
     def begin_term(self, term: int) -> None:
         """Forgets the places at the start of a leadership; the entry VMs report them again."""
@@ -150,11 +86,11 @@
         now = self._clock.monotonic()
         deadline = now + request.wait_ms / 1000
         with self._freed:
-            self._drop_silent(now)
-            ticket = self._ticket(request, now)
-            expected_s = self._expected_wait_s(ticket, now)
+            self._line.drop_silent(now)
+            ticket = self._line.join(request, now)
+            expected_s = self._line.expected_wait_s(ticket, now)
             while True:
-                found = self._choose(request, engine) if self._is_first(ticket, now) else None
+                found = self._choose(request, engine) if self._line.is_first(ticket, now) else None
                 if found is not None:
                     self._leave_line(request)
                     return self._take(request, found)
@@ -167,43 +103,10 @@
                 self._freed.wait(min(deadline - now, _TURN_S))
                 now = self._clock.monotonic()
 
-    def _ticket(self, request: Any, now: float) -> _Ticket:
-        ticket = self._ticket_by_request.get(request.request_id)
-        if ticket is None:
-            ticket = _Ticket(next(self._numbers), request.service_name, now + request.late_in_ms / 1000, now)
-            self._ticket_by_request[request.request_id] = ticket
-        ticket.asked_at = now + request.wait_ms / 1000
-        return ticket
-
     def _leave_line(self, request: Any) -> None:
-        del self._ticket_by_request[request.request_id]
+        self._line.leave(request)
         self._freed.notify_all()
 
-    def _drop_silent(self, now: float) -> None:
-        """Takes out of the line what has not asked again."""
-        silent = [key for key, ticket in self._ticket_by_request.items() if now - ticket.asked_at > _SILENT_S]
-        for key in silent:
-            del self._ticket_by_request[key]
-
-    def _is_first(self, ticket: _Ticket, now: float) -> bool:
-        mine = ticket.order(now)
-        return not any(
-            other.service == ticket.service and other.order(now) < mine for other in self._ticket_by_request.values()
-        )
-
-    def _ahead_of(self, ticket: _Ticket, now: float) -> int:
-        mine = ticket.order(now)
-        return sum(
-            other.service == ticket.service and other.order(now) < mine for other in self._ticket_by_request.values()
-        )
-
-    def _expected_wait_s(self, ticket: _Ticket, now: float) -> float:
-        """Time until the line ahead has got its places, from the rate at which places came free lately."""
-        while self._freed_at and now - self._freed_at[0] > _RATE_S:
-            self._freed_at.popleft()
-        rate = max(len(self._freed_at) / _RATE_S, _LEAST_RATE)
-        return (self._ahead_of(ticket, now) + 1) / rate
-
     def _choose(self, request: Any, engine: Engine) -> Any | None:
         """Returns the decode engine whose memory would be least used, or None when none has room.
 
@@ -218,8 +121,8 @@
             after = tokens + request.memory_tokens
             if count >= engine.slots or (count and after > engine.kv_tokens * _MEMORY_PART):
                 continue
-            slowness = self._speed(record.id, "decode").unit_s / _DECODE_S_PER_EVENT
-            cost = after / engine.kv_tokens * min(_MOST_SLOWNESS, max(1 / _MOST_SLOWNESS, slowness))
+            slowness = min(_MOST_SLOWNESS, max(1 / _MOST_SLOWNESS, self.speeds.slowness(record.id)))
+            cost = after / engine.kv_tokens * slowness
             if cost < best_cost:
                 best, best_cost = record, cost
         return best
@@ -258,7 +161,7 @@
             decode=decode.id,
             prefill=prefill,
             tokens=request.memory_tokens,
-            waiting=len(self._ticket_by_request),
+            waiting=len(self._line),
         )
         return messages.PlaceReply(number, prefill, decode.id)
 
@@ -270,7 +173,7 @@
         usable = [record for record in self._usable(request, "decode") if record.id not in (request.avoid or ())]
         if not usable:
             return None
-        best = min(usable, key=lambda record: (count_by_backend[record.id], self._speed(record.id, "decode").unit_s))
+        best = min(usable, key=lambda record: (count_by_backend[record.id], self.speeds.of(record.id, "decode").unit_s))
         if count_by_backend[best.id] >= _QUEUED_AT_ENGINE:
             return None
         number = next(self._numbers)
@@ -288,22 +191,22 @@
         usable = self._usable(request, "prefill")
         sound = [record for record in usable if record.id not in (request.avoid or ())]
         for record in sound or usable:
-            speed = self._speed(record.id, "prefill")
+            speed = self.speeds.of(record.id, "prefill")
             end = max(now, speed.busy_until) + request.prompt_tokens * speed.unit_s
             cost = end + (_OTHER_DATA_CENTRE_S if record.data_centre != decode.data_centre else 0.0)
             if cost < best_cost:
                 best, best_end, best_cost = record, end, cost
-        own_s = request.prompt_tokens * _PREFILL_S_PER_TOKEN * _OWN_READ_FACTOR
+        own_s = self.speeds.own_read_s(request.prompt_tokens)
         if best is None or best_end - now > max(own_s, _LEAST_PREFILL_S):
             return ""
-        self._speed(best.id, "prefill").busy_until = best_end
+        self.speeds.of(best.id, "prefill").busy_until = best_end
         return best.id
 
     def free(self, freed: Any) -> None:
         """Frees a place and takes what its holder has learned of the engines' speed."""
         with self._freed:
             place = self._places_by_holder.get((freed.vm, freed.incarnation), {}).pop(freed.place, None)
-            self._freed_at.append(self._clock.monotonic())
+            self._line.note_freed(self._clock.monotonic())
             for seen in freed.speeds or [] if place is not None else []:
                 self._learn(seen, place)
             for backend in freed.unreachable or []:
@@ -311,39 +214,14 @@
             self._freed.notify_all()
 
     def _learn(self, seen: Any, place: _Place) -> None:
-        """Learns an engine's speed, and how long a request would keep nominal engines of either stage."""
-        work = self._work_by_service.setdefault(place.service, _Work())
+        """Learns an engine's speed and the work of a request from one step of it."""
         if seen.id == place.prefill:
-            self._speed(seen.id, "prefill").add(seen.took_s / max(1, seen.units))
-            work.prefill.add(seen.units * _PREFILL_S_PER_TOKEN)
+            self.speeds.learn_prefill(seen.id, place.service, seen.took_s, seen.units)
         elif seen.id == place.backend:
-            self._speed(seen.id, "decode").add(seen.took_s / max(1, seen.units))
             engine = self._engine_of(place.service)
             if engine is not None and engine.kv_tokens:
-                work.decode.add(seen.units * _DECODE_S_PER_EVENT * place.tokens / engine.kv_tokens)
-
-    def _speed(self, backend: str, stage: str) -> _Speed:
-        return self._speed_by_backend.setdefault((backend, stage), _Speed(_NOMINAL_UNIT_S[stage]))
-
-    def prefill_part(self, service: str) -> float | None:
-        """Returns the learned part of a service's engine time that is prefill; None before enough was seen."""
-        with self._freed:
-            work = self._work_by_service.get(service)
-            if work is None or min(work.prefill.count, work.decode.count) < _LEAST_SEEN:
-                return None
-            return work.prefill.value / (work.prefill.value + work.decode.value)
-
-    def relative_speed(self, backend: str, stage: str) -> float | None:
-        """Returns how fast an engine is against a nominal one; None before enough was seen.
-
-        An engine that is new in its stage is as fast as it was in the other one.
-        """
-        with self._freed:
-            for name in sorted(_NOMINAL_UNIT_S, key=lambda other: other != stage):
-                speed = self._speed_by_backend.get((backend, name))
-                if speed is not None and speed.count >= _LEAST_SPEEDS:
-                    return _NOMINAL_UNIT_S[name] / speed.unit_s
-            return None
+                memory_part = place.tokens / engine.kv_tokens
+                self.speeds.learn_decode(seen.id, place.service, seen.took_s, seen.units, memory_part)
 
     def report(self, vm: str, incarnation: int, held: list[Any]) -> None:
         """Takes the places that an entry VM holds: unknown ones are added, unreported ones freed after a while."""
--- a/libs/arbutusrill_site/_service.py
+++ b/libs/arbutusrill_site/_service.py
@@ -68,7 +68,7 @@
         self.entries = EntryRegistry(clock, limits.entry_silent_s, changed)
         self._buckets = FleetBuckets(self._limits, clock)
         self.places = PlaceLedger(clock, self.backends.records, self._engine, self._is_switching)
-        self.stages = stages(self.backends.records, self.places)
+        self.stages = stages(self.backends.records, self.places.speeds)
         self._decoded: tuple[int, SiteConfiguration | None] = (0, None)
         self._term: int | None = None
         self._term_lock = threading.Lock()
--- /dev/null
+++ b/libs/arbutusrill_site/_speeds.py
@@ -0,0 +1,124 @@
+"""Learned speed of model engines and the engine time that the requests of a service need."""
+
+from __future__ import annotations
+
+import threading
+from dataclasses import dataclass, field
+
+from ._stages import EngineWork
+
+__all__ = ["EngineSpeeds", "Speed"]
+
+_SLOWER_SMOOTHING = 0.02  # weight of an observation that is longer than the learned time
+_PREFILL_S_PER_TOKEN = 0.00003  # of a nominal engine, which others are compared with
+_DECODE_S_PER_EVENT = 0.048
+_NOMINAL_UNIT_S = {"prefill": _PREFILL_S_PER_TOKEN, "decode": _DECODE_S_PER_EVENT}
+_LEAST_SPEEDS = 4  # observations from which an engine's speed counts as learned
+_LEAST_SEEN = 15  # requests from which the work of a service counts as learned
+_OWN_READ_FACTOR = 8.0  # how much longer a decode engine takes for a prompt, beside the streams that it runs
+
+
+@dataclass(slots=True)
+class _Average:
+    """A moving average that begins as the mean of the first observations."""
+
+    value: float = 0.0
+    count: int = 0
+
+    def add(self, observed: float) -> None:
+        """Takes an observation."""
+        self.count += 1
+        self.value += (observed - self.value) / min(self.count, _LEAST_SEEN)
+
+
+@dataclass(slots=True)
+class _Work:
+    """Engine seconds of one request of a service."""
+
+    prefill: _Average = field(default_factory=_Average)
+    decode: _Average = field(default_factory=_Average)
+
+
+@dataclass(slots=True)
+class Speed:
+    """Seconds for a token of a prompt or an event of a stream, on one engine in one stage.
+
+    Follows the shortest times closely and longer ones slowly, since queues and neighbours only ever add time.
+    """
+
+    unit_s: float
+    count: int = 0
+    busy_until: float = 0.0  # expected end of the prefills that were given to the engine
+
+    def add(self, observed: float) -> None:
+        """Takes an observation; the nominal value counts as none."""
+        self.count += 1
+        if self.count == 1 or observed < self.unit_s:
+            self.unit_s = observed
+        else:
+            self.unit_s += _SLOWER_SMOOTHING * (observed - self.unit_s)
+
+
+class EngineSpeeds(EngineWork):
+    """What the leader has learned of engines from the requests that they ran.
+
+    >>> speeds = EngineSpeeds()
+    >>> speeds.slowness("engine-1")
+    1.0
+    >>> speeds.learn_decode("engine-1", "model", took_s=9.6, events=100, memory_part=0.1)
+    >>> speeds.slowness("engine-1")
+    2.0
+    """
+
+    def __init__(self):
+        self._lock = threading.Lock()
+        self._speed_by_engine: dict[tuple[str, str], Speed] = {}
+        self._work_by_service: dict[str, _Work] = {}
+
+    def of(self, backend: str, stage: str) -> Speed:
+        """Returns the speed of an engine in a stage."""
+        with self._lock:
+            return self._speed_by_engine.setdefault((backend, stage), Speed(_NOMINAL_UNIT_S[stage]))
+
+    def slowness(self, backend: str) -> float:
+        """Returns how many times longer than a nominal engine an engine takes for an event."""
+        return self.of(backend, "decode").unit_s / _DECODE_S_PER_EVENT
+
+    def own_read_s(self, prompt_tokens: int) -> float:
+        """Returns the expected time in which a decode engine reads a prompt by itself."""
+        return prompt_tokens * _PREFILL_S_PER_TOKEN * _OWN_READ_FACTOR
+
+    def learn_prefill(self, backend: str, service: str, took_s: float, tokens: int) -> None:
+        """Takes the time that an engine needed for a prompt of `tokens`."""
+        self.of(backend, "prefill").add(took_s / max(1, tokens))
+        with self._lock:
+            self._work(service).prefill.add(tokens * _PREFILL_S_PER_TOKEN)
+
+    def learn_decode(self, backend: str, service: str, took_s: float, events: int, memory_part: float) -> None:
+        """Takes the time that an engine needed for a stream of `events`, with `memory_part` of its memory."""
+        self.of(backend, "decode").add(took_s / max(1, events))
+        with self._lock:
+            self._work(service).decode.add(events * _DECODE_S_PER_EVENT * memory_part)
+
+    def _work(self, service: str) -> _Work:
+        return self._work_by_service.setdefault(service, _Work())
+
+    def prefill_part(self, service: str) -> float | None:
+        """Returns the learned part of a service's engine time that is prefill; None before enough was seen."""
+        with self._lock:
+            work = self._work_by_service.get(service)
+            if work is None or min(work.prefill.count, work.decode.count) < _LEAST_SEEN:
+                return None
+            return work.prefill.value / (work.prefill.value + work.decode.value)
+
+    def relative_speed(self, backend: str, stage: str) -> float | None:
+        """Returns how fast an engine is against a nominal one; None before enough was seen.
+
+        An engine that is new in its stage is as fast as it was in the other one.
+        """
+        with self._lock:
+            for name in sorted(_NOMINAL_UNIT_S, key=lambda other: other != stage):
+                speed = self._speed_by_engine.get((backend, name))
+                if speed is not None and speed.count >= _LEAST_SPEEDS:
+                    return _NOMINAL_UNIT_S[name] / speed.unit_s
+            return None
