site, gateway: a caller's first try is told from its return by what it asks for

Cause: lateness was derived from the route's time limit less the caller's deadline. Change: the leader remembers for 20 s when it was first asked for the same content (hash of key, target and body), and counts the objective from there.

--- a/libs/arbutusrill_gateway/_exchange.py
+++ b/libs/arbutusrill_gateway/_exchange.py
@@ -50,13 +50,8 @@
         return self.deadline - time.monotonic()
 
     def late_in_s(self) -> float:
-        """Seconds until the route's objective is missed, counted from the caller's first try.
-
-        A caller that comes back after a refusal has less time left than the route allows.
-        """
-        left_s = self.request.deadline_s
-        spent_s = max(0.0, self.route.timeout_s - left_s) if left_s is not None else 0.0
-        return self.route.objective_s - spent_s - (time.monotonic() - self.started)
+        """Seconds until the route's objective is missed, counted from when this VM received the request."""
+        return self.route.objective_s - (time.monotonic() - self.started)
 
     def has_time(self) -> bool:
         """Whether a further send makes sense."""
--- a/libs/arbutusrill_gateway/_places.py
+++ b/libs/arbutusrill_gateway/_places.py
@@ -71,12 +71,15 @@
         prefill: bool,
         avoid: list[str],
     ) -> tuple[Place | None, float | None]:
-        """Asks for a place and waits for it up to `patience_s` seconds; in `late_in_s` seconds the request is late.
+        """Asks for a place and waits for it up to `patience_s` seconds.
+
+        In `late_in_s` seconds the request misses its objective, unless it was asked for before: the leader knows.
 
         Returns the place, or the seconds after which one is expected; both are None when the leader does not answer.
         Raises `ConnectionResetError` when the caller has left meanwhile.
         """
         deadline = self._clock.monotonic() + patience_s
+        late_at = self._clock.monotonic() + late_in_s
         step_s = _FIRST_STEP_S
         while (now := self._clock.monotonic()) >= self._lost_until:
             wanted = messages.PlaceRequest(
@@ -88,10 +91,11 @@
                 request.prompt_tokens or 0,
                 request.memory_tokens,
                 max(0, int(min(step_s, deadline - now) * 1000)),
-                max(0, int(late_in_s * 1000)),
+                max(0, int((late_at - now) * 1000)),
                 prefill,
                 avoid,
                 max(0, int((deadline - now) * 1000)),
+                request.content_hash(),
             )
             try:
                 reply = self._client.call("place", wanted, timeout=step_s + _CALL_S, try_timeout=step_s + _CALL_S)
--- a/libs/arbutusrill_gateway/_protocol.py
+++ b/libs/arbutusrill_gateway/_protocol.py
@@ -7,6 +7,8 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+import xxhash
+
 _ESTIMATE_FACTOR = 1.1
 _ESTIMATE_TOKENS = 100
 
@@ -41,6 +43,12 @@
         """Path without the query."""
         return self.target.partition("?")[0]
 
+    def content_hash(self) -> int:
+        """Returns a signed 64-bit hash of what stays the same when the caller sends the request again."""
+        digest = xxhash.xxh64(f"{self.key} {self.method} {self.host} {self.target}\n".encode("utf-8", "replace"))
+        digest.update(self.body)
+        return digest.intdigest() - 2**63
+
     @property
     def memory_tokens(self) -> int:
         """Tokens of engine memory that the request is expected to fill."""
--- a/libs/arbutusrill_site/_line.py
+++ b/libs/arbutusrill_site/_line.py
@@ -13,6 +13,7 @@
 _SILENT_S = 0.4  # a request that has not asked again for longer has lost its turn
 _RATE_S = 4.0  # over which the rate of places that come free is counted
 _LEAST_RATE = 1.0  # places a second that are assumed at least
+_REMEMBERED_S = 20.0  # a request that comes back later counts as a new one
 
 
 @dataclass(slots=True)
@@ -36,6 +37,7 @@
         self._numbers = itertools.count(1)
         self._ticket_by_request: dict[str, Ticket] = {}
         self._freed_at: deque[float] = deque()
+        self._late_at_by_content: dict[int, float] = {}  # in the order in which they were first asked for
 
     def __len__(self) -> int:
         return len(self._ticket_by_request)
@@ -44,11 +46,23 @@
         """Returns the ticket of a request, a new one when it has none."""
         ticket = self._ticket_by_request.get(request.request_id)
         if ticket is None:
-            ticket = Ticket(next(self._numbers), request.service_name, now + request.late_in_ms / 1000, now)
+            ticket = Ticket(next(self._numbers), request.service_name, self._late_at(request, now), now)
             self._ticket_by_request[request.request_id] = ticket
         ticket.asked_at = now + request.wait_ms / 1000
         return ticket
 
+    def _late_at(self, request: Any, now: float) -> float:
+        """Returns when a request misses its objective, counted from its caller's first try."""
+        late_at = now + request.late_in_ms / 1000
+        if not request.content:
+            return late_at
+        while self._late_at_by_content:
+            oldest = next(iter(self._late_at_by_content))
+            if self._late_at_by_content[oldest] > now - _REMEMBERED_S:
+                break
+            del self._late_at_by_content[oldest]
+        return min(late_at, self._late_at_by_content.setdefault(request.content, late_at))
+
     def leave(self, request: Any) -> None:
         """Takes a request out of the line."""
         del self._ticket_by_request[request.request_id]
--- a/libs/arbutusrill_site/tests/test_places.py
+++ b/libs/arbutusrill_site/tests/test_places.py
@@ -81,6 +81,21 @@
     assert places.place(wanted("first")).place
 
 
+def test_caller_that_comes_back_is_late_from_its_first_try_and_new_callers_are_not():
+    clock = ManualClock()
+    places = ledger(engine("d"), clock=clock)
+    held = [places.place(wanted(name)) for name in "ab"]
+    assert places.place(wanted("try-1", patience_ms=100, content=7)).decode == "d"  # in the engine's own queue
+    assert places.place(wanted("try-2", patience_ms=100, content=8)).refused
+    clock.advance(1.5)
+    assert not places.place(wanted("try-3", content=8)).place
+    assert not places.place(wanted("new", content=9)).place
+    places.free(freed(held[0].place))
+    places.free(freed(held[1].place))
+    assert not places.place(wanted("try-3", content=8)).place
+    assert places.place(wanted("new", content=9)).place
+
+
 def test_request_that_would_wait_beyond_its_patience_goes_to_an_engines_queue_or_is_refused_at_once():
     places = ledger(engine("d"))
     for name in "ab":
--- a/libs/arbutusrill_wire/arbutusrill.thrift
+++ b/libs/arbutusrill_wire/arbutusrill.thrift
@@ -467,10 +467,11 @@
   6: i64 prompt_tokens,
   7: i64 memory_tokens,
   8: i32 wait_ms,
-  9: i32 late_in_ms = 0,               // time until the objective is missed, counted from the call
+  9: i32 late_in_ms = 0,               // time until the objective is missed, if this is the caller's first try
   10: bool prefill = true,             // whether a prefill engine is wanted too
   11: list<string> avoid,              // backend servers that this VM has seen fail
-  12: i32 patience_ms = 0              // longest wait in all that the caller is expected to accept
+  12: i32 patience_ms = 0,             // longest wait in all that the caller is expected to accept
+  13: i64 content = 0                  // hash of the content, by which a caller that comes back is recognised
 }
 
 // Engines by id; both are empty when none had room in time. `wait_ms` is when room is expected. A `refused` request
