site: only requests that wait hold their turn in the line for places

Change: a request leaves with the answer to its last call, and holds its turn between two calls for 30 ms only.

--- a/libs/arbutusrill_site/_line.py
+++ b/libs/arbutusrill_site/_line.py
@@ -11,6 +11,7 @@
 __all__ = ["Line", "Ticket"]
 
 _SILENT_S = 0.4  # a request that has not asked again for longer has lost its turn
+_GAP_S = 0.03  # between two calls for the same request; for longer it does not hold up the others
 _RATE_S = 4.0  # over which the rate of places that come free is counted
 _LEAST_RATE = 1.0  # places a second that are assumed at least
 _REMEMBERED_S = 20.0  # a request that comes back later counts as a new one
@@ -51,6 +52,12 @@
         ticket.asked_at = now + request.wait_ms / 1000
         return ticket
 
+    def pause(self, request: Any, ticket: Ticket, now: float) -> None:
+        """Ends a wait without a place; a request whose patience has ended leaves the line."""
+        ticket.asked_at = now
+        if request.wait_ms >= request.patience_ms:
+            self.leave(request)
+
     def _late_at(self, request: Any, now: float) -> float:
         """Returns when a request misses its objective, counted from its caller's first try."""
         late_at = now + request.late_in_ms / 1000
@@ -65,7 +72,7 @@
 
     def leave(self, request: Any) -> None:
         """Takes a request out of the line."""
-        del self._ticket_by_request[request.request_id]
+        self._ticket_by_request.pop(request.request_id, None)
 
     def drop_silent(self, now: float) -> None:
         """Takes out of the line what has not asked again."""
@@ -74,8 +81,8 @@
             del self._ticket_by_request[key]
 
     def is_first(self, ticket: Ticket, now: float) -> bool:
-        """Whether nobody is ahead."""
-        return next(self._ahead(ticket, now), None) is None
+        """Whether nobody is ahead who waits or is about to ask again."""
+        return not any(now - other.asked_at <= _GAP_S for other in self._ahead(ticket, now))
 
     def _ahead(self, ticket: Ticket, now: float) -> Iterator[Ticket]:
         mine = ticket.order(now)
--- a/libs/arbutusrill_site/_places.py
+++ b/libs/arbutusrill_site/_places.py
@@ -98,7 +98,8 @@
                     self._leave_line(request)
                     return self._overflow(request) or messages.PlaceReply(wait_ms=int(expected_s * 1000), refused=True)
                 if now >= deadline:
-                    ticket.asked_at = now
+                    self._line.pause(request, ticket, now)
+                    self._freed.notify_all()
                     return messages.PlaceReply(wait_ms=int(expected_s * 1000))
                 self._freed.wait(min(deadline - now, _TURN_S))
                 now = self._clock.monotonic()
--- a/libs/arbutusrill_site/tests/test_places.py
+++ b/libs/arbutusrill_site/tests/test_places.py
@@ -96,6 +96,29 @@
     assert places.place(wanted("new", content=9)).place
 
 
+def test_request_that_is_slow_to_ask_again_does_not_hold_up_the_others():
+    clock = ManualClock()
+    places = ledger(engine("d"), clock=clock)
+    held = [places.place(wanted(name)) for name in "ab"]
+    assert not places.place(wanted("slow")).place
+    assert not places.place(wanted("behind")).place
+    clock.advance(0.1)
+    places.free(freed(held[0].place))
+    assert places.place(wanted("behind")).place
+
+
+def test_request_whose_patience_has_ended_leaves_the_line():
+    places = ledger(engine("d"))
+    held = [places.place(wanted(name)) for name in "ab"]
+    places.free(freed(held[1].place))
+    places.free(freed(held[0].place))
+    held = [places.place(wanted(name)) for name in "ab"]
+    ended = wanted("ended", wait_ms=1200, patience_ms=1200)
+    assert not places.place(ended).place
+    places.free(freed(held[0].place))
+    assert places.place(wanted("behind")).place
+
+
 def test_request_that_would_wait_beyond_its_patience_goes_to_an_engines_queue_or_is_refused_at_once():
     places = ledger(engine("d"))
     for name in "ab":
