site: the shortest request first, and lateness counts the time to the first event

Cause: a request was placed until its objective had passed, so that its first event, 0.2 to 0.4 s later, was late all the same; and first come, first served lets nearly every request of a burst wait until it is just late. Change: a request counts as late from the objective less its expected prefill, the prefills ahead of it and 0.12 s; those in time are served by expected memory multiplied by stream length, late ones as they came.

--- a/libs/arbutusrill_site/_line.py
+++ b/libs/arbutusrill_site/_line.py
@@ -23,12 +23,14 @@
 
     number: int
     service: str
-    late_at: float
+    late_at: float  # a request that gets a place later misses its objective
+    work: float  # expected memory of its engine multiplied by the length of its stream
     asked_at: float  # when the entry VM last asked; it asks again in short steps and keeps its turn
 
-    def order(self, now: float) -> tuple[bool, int]:
-        """Sort key in the line."""
-        return now >= self.late_at, self.number
+    def order(self, now: float) -> tuple[bool, float, int]:
+        """Sort key in the line: the shortest first, then as they came those that have missed their objective."""
+        late = now >= self.late_at
+        return late, 0.0 if late else self.work, self.number
 
 
 class Line:
@@ -43,11 +45,15 @@
     def __len__(self) -> int:
         return len(self._ticket_by_request)
 
-    def join(self, request: Any, now: float) -> Ticket:
-        """Returns the ticket of a request, a new one when it has none."""
+    def join(self, request: Any, now: float, first_event_s: float) -> Ticket:
+        """Returns the ticket of a request, a new one when it has none.
+
+        `first_event_s` is the expected time from a place to the first event.
+        """
         ticket = self._ticket_by_request.get(request.request_id)
         if ticket is None:
-            ticket = Ticket(next(self._numbers), request.service_name, self._late_at(request, now), now)
+            late_at = self._late_at(request, now) - first_event_s
+            ticket = Ticket(next(self._numbers), request.service_name, late_at, _work(request), now)
             self._ticket_by_request[request.request_id] = ticket
         ticket.asked_at = now + request.wait_ms / 1000
         return ticket
@@ -100,3 +106,8 @@
             self._freed_at.popleft()
         rate = max(len(self._freed_at) / _RATE_S, _LEAST_RATE)
         return (sum(1 for _ in self._ahead(ticket, now)) + 1) / rate
+
+
+def _work(request: Any) -> float:
+    output = max(1, request.memory_tokens - request.prompt_tokens)
+    return (request.prompt_tokens + output / 2) * output
--- a/libs/arbutusrill_site/_places.py
+++ b/libs/arbutusrill_site/_places.py
@@ -20,6 +20,7 @@
 
 _MOST_SLOWNESS = 3.0
 _LEAST_PREFILL_S = 0.35
+_FIRST_EVENT_S = 0.12  # from the end of a prefill to the first event at the caller
 _UNREACHABLE_S = 1.5  # an engine that took no connection from one entry VM is kept from all of them for so long
 _MEMORY_PART = 0.92  # part of an engine's memory that is given out
 _OTHER_DATA_CENTRE_S = 0.05  # later end of a prefill that is accepted to stay in one data centre
@@ -42,9 +43,9 @@
 class PlaceLedger:
     """Gives out memory and slots of decode engines, and chooses the prefill engine that ends first.
 
-    Requests wait in line, those that have missed their objective behind the others; within a line the first comes
-    first, so that large prompts are not passed over for ever. `engine_of` returns the capacity of a service's engines,
-    `is_switching` whether an engine is about to change its stage.
+    Requests wait in line, the shortest first; those that can no longer meet their objective wait behind the others in
+    the order in which they came, so that large requests are not passed over for ever. `engine_of` returns the capacity
+    of a service's engines, `is_switching` whether an engine is about to change its stage.
     """
 
     def __init__(
@@ -87,13 +88,13 @@
         deadline = now + request.wait_ms / 1000
         with self._freed:
             self._line.drop_silent(now)
-            ticket = self._line.join(request, now)
+            ticket = self._line.join(request, now, self._first_event_s(request, now))
             expected_s = self._line.expected_wait_s(ticket, now)
             while True:
                 found = self._choose(request, engine) if self._line.is_first(ticket, now) else None
                 if found is not None:
                     self._leave_line(request)
-                    return self._take(request, found)
+                    return self._take(request, found, ticket.late_at)
                 if expected_s > request.patience_ms / 1000:
                     self._leave_line(request)
                     return self._overflow(request) or messages.PlaceReply(wait_ms=int(expected_s * 1000), refused=True)
@@ -104,6 +105,14 @@
                 self._freed.wait(min(deadline - now, _TURN_S))
                 now = self._clock.monotonic()
 
+    def _first_event_s(self, request: Any, now: float) -> float:
+        """Returns the expected time from a place to the first event, behind the prefills that are under way."""
+        ends = [self.speeds.own_read_s(request.prompt_tokens)]
+        for record in self._usable(request, "prefill"):
+            speed = self.speeds.of(record.id, "prefill")
+            ends.append(max(0.0, speed.busy_until - now) + request.prompt_tokens * speed.unit_s)
+        return min(ends) + _FIRST_EVENT_S
+
     def _leave_line(self, request: Any) -> None:
         self._line.leave(request)
         self._freed.notify_all()
@@ -149,7 +158,7 @@
                 held[place.backend] = (tokens + place.tokens, count + 1)
         return held
 
-    def _take(self, request: Any, decode: Any) -> Any:
+    def _take(self, request: Any, decode: Any, late_at: float) -> Any:
         now = self._clock.monotonic()
         number = next(self._numbers)
         holder = self._places_by_holder.setdefault((request.vm, request.incarnation), {})
@@ -163,6 +172,7 @@
             prefill=prefill,
             tokens=request.memory_tokens,
             waiting=len(self._line),
+            spare_ms=round((late_at - now) * 1000),
         )
         return messages.PlaceReply(number, prefill, decode.id)
 
--- a/libs/arbutusrill_site/tests/test_places.py
+++ b/libs/arbutusrill_site/tests/test_places.py
@@ -96,6 +96,31 @@
     assert places.place(wanted("new", content=9)).place
 
 
+def test_shortest_request_that_can_meet_its_objective_comes_first():
+    clock = ManualClock()
+    places = ledger(engine("d"), clock=clock)
+    held = [places.place(wanted(name)) for name in "ab"]
+    short = wanted("short", tokens=400)
+    long = wanted("long", tokens=400)
+    short.prompt_tokens, long.prompt_tokens = 350, 100
+    assert not places.place(long).place
+    assert not places.place(short).place
+    places.free(freed(held[0].place))
+    assert not places.place(long).place
+    assert places.place(short).place
+
+
+def test_request_whose_prefill_cannot_end_in_time_counts_as_late():
+    clock = ManualClock()
+    places = ledger(engine("d"), clock=clock, tokens=20000)
+    held = places.place(wanted("a", tokens=18000))
+    assert not places.place(wanted("hopeless", tokens=10000, late_in_ms=300)).place
+    assert not places.place(wanted("in-time", tokens=2000, late_in_ms=900)).place
+    places.free(freed(held.place))
+    assert not places.place(wanted("hopeless", tokens=10000, late_in_ms=300)).place
+    assert places.place(wanted("in-time", tokens=2000, late_in_ms=900)).place
+
+
 def test_request_that_is_slow_to_ask_again_does_not_hold_up_the_others():
     clock = ManualClock()
     places = ledger(engine("d"), clock=clock)
