--- a/libs/arbutusrill_base/__init__.py
+++ b/libs/arbutusrill_base/__init__.py
@@ -7,7 +7,7 @@
 from ._ids import hash_key, new_incarnation, new_key, new_request_id
 from ._lease_times import CLOCK_DRIFT_S, VM_LEASE_S
 from ._logs import PartLog, configure_logs
-from ._settings import Section, load_settings, parse_settings
+from ._settings import Section, SettingsError, load_settings, parse_settings, read_settings
 from ._tasks import TaskGroup
 from ._verdict import Failure, FailureError, Verdict
 
@@ -24,6 +24,7 @@
     "PartLog",
     "RetryBudget",
     "Section",
+    "SettingsError",
     "SystemClock",
     "TaskGroup",
     "Verdict",
@@ -36,5 +37,6 @@
     "new_request_id",
     "parse_settings",
     "prefix_blocks",
+    "read_settings",
     "write_events",
 ]
--- a/libs/arbutusrill_base/_logs.py
+++ b/libs/arbutusrill_base/_logs.py
@@ -2,15 +2,28 @@
 
 from __future__ import annotations
 
+import functools
 import sys
-
-from absl import logging
+from types import ModuleType
 
 __all__ = ["PartLog", "configure_logs"]
 
+_configured = False
+
+
+@functools.cache
+def _absl() -> ModuleType:
+    """Returns absl's logging; its import takes 40 ms, which a process that only logs faults need not spend at start."""
+    from absl import logging
+
+    for method in ("info", "warning", "error", "exception"):
+        # Log lines then name the caller's file and line instead of this module's.
+        logging.ABSLLogger.register_frame_to_skip(__file__, method)
+    return logging
+
 
 class PartLog:
-    """Writes log lines that start with the name of one part.
+    """Writes log lines that start with the name of one part; normal events only after `configure_logs`.
 
     >>> log = PartLog("raft")
     >>> log.prefix
@@ -24,28 +37,27 @@
 
     def info(self, message: str, *args: object) -> None:
         """Logs a normal event."""
-        logging.info(self.prefix + message, *args)
+        if not _configured:
+            return
+        _absl().info(self.prefix + message, *args)
 
     def warning(self, message: str, *args: object) -> None:
         """Logs an event that an operator may want to look at."""
-        logging.warning(self.prefix + message, *args)
+        _absl().warning(self.prefix + message, *args)
 
     def error(self, message: str, *args: object) -> None:
         """Logs a fault of this program or its VM."""
-        logging.error(self.prefix + message, *args)
+        _absl().error(self.prefix + message, *args)
 
     def exception(self, message: str, *args: object) -> None:
         """Logs a fault together with the current exception's traceback."""
-        logging.exception(self.prefix + message, *args)
-
-
-for _method in ("info", "warning", "error", "exception"):
-    # Log lines then name the caller's file and line instead of this module's.
-    logging.ABSLLogger.register_frame_to_skip(__file__, _method)
+        _absl().exception(self.prefix + message, *args)
 
 
 def configure_logs(level: str) -> None:
     """Sends log lines of `level` (``debug``, ``info``, ``warning`` or ``error``) and above to stderr."""
-    logging.use_absl_handler()
-    logging.set_verbosity(level)
-    logging.get_absl_handler().python_handler.stream = sys.stderr
+    global _configured
+    _configured = True
+    _absl().use_absl_handler()
+    _absl().set_verbosity(level)
+    _absl().get_absl_handler().python_handler.stream = sys.stderr
--- a/libs/arbutusrill_base/_settings.py
+++ b/libs/arbutusrill_base/_settings.py
@@ -4,12 +4,14 @@
 
 import json
 from pathlib import Path
-from typing import Any, TypeVar
+from typing import TYPE_CHECKING, Any, TypeVar
 
 import pydantic
-from expression import Error, Ok, Result
 
-__all__ = ["Section", "load_settings", "parse_settings"]
+if TYPE_CHECKING:
+    from expression import Result
+
+__all__ = ["Section", "SettingsError", "load_settings", "parse_settings", "read_settings"]
 
 
 class Section(pydantic.BaseModel):
@@ -21,18 +23,35 @@
 SectionT = TypeVar("SectionT", bound=Section)
 
 
-def load_settings(path: str | Path, model: type[SectionT]) -> Result[SectionT, str]:
-    """Reads a settings file as `model`.
+class SettingsError(ValueError):
+    """Settings that cannot be used: one line that names the file, the key and what was expected."""
 
-    The error is one line that names the file, the key and what was expected.
+
+def read_settings(path: str | Path, model: type[SectionT]) -> SectionT:
+    """Reads a settings file as `model`; raises `SettingsError`.
+
+    A process whose start is urgent calls this: `load_settings` imports ``expression``, which takes 60 ms.
     """
     try:
         text = Path(path).read_text(encoding="utf-8")
     except OSError as error:
-        return Error(f"{path}: cannot be read: {error.strerror}")
+        raise SettingsError(f"{path}: cannot be read: {error.strerror}") from None
     except UnicodeDecodeError as error:
-        return Error(f"{path}: expected UTF-8 text, byte {error.start} is not")
-    return parse_settings(text, model, str(path))
+        raise SettingsError(f"{path}: expected UTF-8 text, byte {error.start} is not") from None
+    return _check(text, model, str(path))
+
+
+def load_settings(path: str | Path, model: type[SectionT]) -> Result[SectionT, str]:
+    """Reads a settings file as `model`.
+
+    The error is one line that names the file, the key and what was expected.
+    """
+    from expression import Error, Ok
+
+    try:
+        return Ok(read_settings(path, model))
+    except SettingsError as error:
+        return Error(str(error))
 
 
 def parse_settings(text: str, model: type[SectionT], name: str) -> Result[SectionT, str]:
@@ -45,16 +64,25 @@
     >>> parse_settings('{"port": 1, "extra": 2}', Example, "a.json").error
     'a.json: extra: unknown key, expected one of the documented settings'
     """
+    from expression import Error, Ok
+
+    try:
+        return Ok(_check(text, model, name))
+    except SettingsError as error:
+        return Error(str(error))
+
+
+def _check(text: str, model: type[SectionT], name: str) -> SectionT:
     try:
         value = json.loads(text, object_pairs_hook=_refuse_repeated_keys)
     except json.JSONDecodeError as error:
-        return Error(f"{name}: line {error.lineno}, column {error.colno}: expected JSON: {error.msg}")
+        raise SettingsError(f"{name}: line {error.lineno}, column {error.colno}: expected JSON: {error.msg}") from None
     except (ValueError, RecursionError) as error:
-        return Error(f"{name}: expected JSON: {error}")
+        raise SettingsError(f"{name}: expected JSON: {error}") from None
     try:
-        return Ok(model.model_validate_json(json.dumps(value)))
+        return model.model_validate_json(json.dumps(value))
     except pydantic.ValidationError as error:
-        return Error(f"{name}: {_first_error(error)}")
+        raise SettingsError(f"{name}: {_first_error(error)}") from None
 
 
 def _refuse_repeated_keys(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
--- a/libs/arbutusrill_control/_service.py
+++ b/libs/arbutusrill_control/_service.py
@@ -2,22 +2,22 @@
 
 from __future__ import annotations
 
-import threading
 import time
 from typing import Any
 
 from arbutusrill_base import Clock, PartLog
 from arbutusrill_limits import GrantOwner, Limits
-from arbutusrill_raft import LogUnavailableError, NotLeaderError, ReplicatedLog, StateMachine
-from arbutusrill_state import FEATURE_LEVEL, SharedState, command
+from arbutusrill_raft import LogUnavailableError, NotLeaderError, ReplicatedLog
+from arbutusrill_state import FEATURE_LEVEL, command
 from arbutusrill_wire import decode, encode, messages
 
 from ._burn import BurnBoard
 from ._housekeeping import Housekeeping
 from ._leases import VmLeases, rendezvous
 from ._replicas import ReplicaCalls
+from ._shared_machine import SharedMachine
 
-__all__ = ["ControlService", "SharedMachine"]
+__all__ = ["ControlService"]
 
 _COMMIT_S = 3.0
 _MAX_WAIT_MS = 5000
@@ -27,42 +27,6 @@
 _log = PartLog("control")
 
 
-class SharedMachine(StateMachine):
-    """The shared state as the state machine of a log; wakes the followers after each change."""
-
-    def __init__(self) -> None:
-        self.state = SharedState()
-        self.changed = threading.Condition()
-
-    def apply(self, data: bytes) -> bytes:
-        """Applies one command."""
-        before = self.state.config.revision
-        answer = self.state.apply(data)
-        # The journal's commands do not move the revision and must not wake hundreds of followers.
-        if self.state.config.revision != before:
-            with self.changed:
-                self.changed.notify_all()
-        return answer
-
-    def wait_beyond(self, revision: int, timeout: float) -> bool:
-        """Waits until the configuration's revision differs from `revision`, at most `timeout` seconds.
-
-        Returns whether it does.
-        """
-        with self.changed:
-            return self.changed.wait_for(lambda: self.state.config.revision != revision, timeout)
-
-    def snapshot(self) -> bytes:
-        """Returns the whole state."""
-        return self.state.snapshot()
-
-    def restore(self, data: bytes) -> None:
-        """Replaces the whole state."""
-        self.state.restore(data)
-        with self.changed:
-            self.changed.notify_all()
-
-
 class ControlService(ReplicaCalls):
     """Answers entry VMs and operators on a control VM. Only the leader answers calls that change or prove."""
 
--- a/libs/arbutusrill_http/__init__.py
+++ b/libs/arbutusrill_http/__init__.py
@@ -1,12 +1,18 @@
-"""HTTP server with bounds and HTTP client that watches the caller."""
+"""HTTP server with bounds and HTTP client that watches the caller.
+
+The client is imported on first use: a process that only serves starts without libcurl.
+"""
+
+from __future__ import annotations
+
+from typing import Any
 
 from ._handler import AbortStreamError
 from ._json import error_body, failure_response, json_response
 from ._server import HttpLimits, HttpServer
 from ._sockets import caller_gone
-from ._transfer import Transfer, TransferResult, close_connections, fetch
 
-__all__ = [
+__all__ = [  # noqa: F822
     "AbortStreamError",
     "HttpLimits",
     "HttpServer",
@@ -19,3 +25,13 @@
     "fetch",
     "json_response",
 ]
+
+_CLIENT = ("Transfer", "TransferResult", "close_connections", "fetch")
+
+
+def __getattr__(name: str) -> Any:
+    if name not in _CLIENT:
+        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    from . import _transfer
+
+    return getattr(_transfer, name)
--- a/libs/arbutusrill_state/_defaults.py
+++ b/libs/arbutusrill_state/_defaults.py
@@ -4,9 +4,10 @@
 
 import json
 from dataclasses import dataclass
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
-from expression import Error, Ok, Result
+if TYPE_CHECKING:
+    from expression import Result
 
 __all__ = ["DEFAULT_SPEC_BY_NAME", "SCOPE_KINDS", "DefaultSpec", "parse_value"]
 
@@ -66,6 +67,8 @@
     >>> parse_value("limits.rate", "-1").error
     'limits.rate must be at least 0.001'
     """
+    from expression import Error, Ok
+
     spec = DEFAULT_SPEC_BY_NAME.get(name)
     if spec is None:
         return Error(f"unknown default {str(name)[:80]!r}")
--- a/libs/arbutusrill_wire/_idl.py
+++ b/libs/arbutusrill_wire/_idl.py
@@ -1,18 +1,19 @@
-"""The thrift messages, loaded from the IDL file beside this module."""
+"""The thrift messages, from the specification that is generated of the IDL file beside this module."""
 
 from __future__ import annotations
 
 from pathlib import Path
 from typing import Any, TypeVar
 
-import thriftpy2
 from thriftpy2.protocol.cybin import TCyBinaryProtocol
 from thriftpy2.transport import TCyMemoryBuffer
 from thriftpy2.utils import deserialize
 
+from ._specs import make_module
+
 __all__ = ["decode", "encode", "messages", "message_writer"]
 
-messages = thriftpy2.load(str(Path(__file__).with_name("arbutusrill.thrift")), module_name="arbutusrill_thrift")
+messages = make_module("arbutusrill_thrift", Path(__file__).with_name("arbutusrill.json").read_text(encoding="utf-8"))
 
 T = TypeVar("T")
 
