gateway, site: requests wait for the configuration and the backend servers after a start

Change: a request waits for the first configuration for up to 1 s and 40% of its caller's time, and for a backend server while the registry is incomplete; the line for places refuses nothing by an estimate before that, and estimates with a place a second for each engine.

--- a/libs/arbutusrill_gateway/_backends.py
+++ b/libs/arbutusrill_gateway/_backends.py
@@ -134,6 +134,16 @@
         _, record, expected = min(rows, key=lambda row: row[0])
         return Candidate(record, expected)
 
+    def wait_for_backends(self, service: Service, timeout_s: float) -> bool:
+        """Waits for a backend server while a new leader still collects them; returns whether there is one."""
+        view = self._view
+
+        def known() -> bool:
+            return any(record.service_name == service.name for record in view.backends_by_id.values())
+
+        view.wait_for(lambda: view.backends_complete or known(), timeout_s)
+        return known()
+
     def avoided(self) -> list[str]:
         """Returns the servers that are avoided after a failure, or fail often."""
         now = self._clock.monotonic()
--- a/libs/arbutusrill_gateway/_gateway.py
+++ b/libs/arbutusrill_gateway/_gateway.py
@@ -24,6 +24,8 @@
 __all__ = ["Gateway"]
 
 _RETRY_S = 0.3
+_START_S = 1.0  # longest wait for the first configuration after a start
+_START_PART = 0.4  # the same as a part of the time that the caller waits
 _events = EventLog("entry")
 
 
@@ -62,7 +64,7 @@
     def serve(self, request: CallerRequest, responder: Responder) -> None:
         """Answers one request; raises `AbortStreamError` where the caller's connection has to be cut."""
         started = time.monotonic()
-        configuration = self._view.document
+        configuration = self._first_document(request)
         if configuration is None:
             self._refuse(
                 request, responder, Refusal(503, "no_configuration", "no configuration yet", _RETRY_S), started
@@ -80,6 +82,14 @@
             return
         self._relay(configuration, route, workspace, request, responder, started)
 
+    def _first_document(self, request: CallerRequest) -> SiteConfiguration | None:
+        """Returns the configuration; just after a start, waits for it as long as the caller can still be served."""
+        view = self._view
+        if view.document is None:
+            patience_s = _START_S if request.deadline_s is None else _START_PART * request.deadline_s
+            view.wait_for(lambda: view.document is not None, min(_START_S, patience_s))
+        return view.document
+
     def _authorize(
         self, configuration: SiteConfiguration, route: Route, request: CallerRequest
     ) -> tuple[Workspace | None, Refusal | None]:
--- a/libs/arbutusrill_gateway/_plain.py
+++ b/libs/arbutusrill_gateway/_plain.py
@@ -12,6 +12,7 @@
 
 _UNREACHED_TRIES = 4  # backend servers that refuse connections are passed over this often
 _RETRY_AFTER_S = 0.1
+_START_PART = 0.4  # part of the remaining time for which a request waits while backend servers are still collected
 _FIRST_PART = 0.5  # part of the remaining time that a first send gets when another may follow
 
 
@@ -23,6 +24,9 @@
             exchange.refuse_unrun("no_time", "the time limit has passed", _RETRY_AFTER_S)
             return
         candidate = exchange.pool.pick(exchange.service, exclude=exchange.tried)
+        if candidate is None and not exchange.tried:
+            exchange.pool.wait_for_backends(exchange.service, _START_PART * exchange.remaining_s())
+            candidate = exchange.pool.pick(exchange.service)
         if candidate is None:
             exchange.refuse_unrun("no_backend", "no backend server is available", _RETRY_AFTER_S)
             return
--- /dev/null
+++ b/libs/arbutusrill_gateway/tests/test_start.py
@@ -0,0 +1,67 @@
+"""Guards against refusals just after a start, while the configuration and the backend servers are on their way."""
+
+import threading
+import time
+
+from arbutusrill_base import ManualClock, SystemClock
+from arbutusrill_site import Service, SiteView
+from arbutusrill_wire import messages
+
+from arbutusrill_gateway import BackendPool, CallerRequest, Gateway, Responder
+
+SERVICE = Service("app")
+RECORD = messages.BackendRecord("b-1", 1, 1, "app", "10.0.0.1:1", "z1", 8, False, "", [])
+
+
+def later(view, change):
+    def run():
+        time.sleep(0.05)
+        change()
+        view.notify()
+
+    threading.Thread(target=run).start()
+
+
+def answered_status(view, **fields):
+    statuses = []
+    gateway = Gateway(view, None, None, None, None, Metrics(), 0.1, lambda: 1.0)
+    request = CallerRequest("1", "GET", "host", "/none/", [], b"", **fields)
+    gateway.serve(request, Responder(lambda status, headers: statuses.append(status) or len, []))
+    return statuses[0]
+
+
+class Metrics:
+    def finished(self, *_):
+        pass
+
+
+class Configuration:
+    def route_of(self, host, path):
+        return None
+
+
+def test_request_waits_for_the_first_configuration():
+    view = SiteView(SystemClock())
+    later(view, lambda: setattr(view, "document", Configuration()))
+    assert answered_status(view, deadline_s=5.0).startswith("404")
+
+
+def test_request_is_refused_before_its_caller_gives_up():
+    started = time.monotonic()
+    assert answered_status(SiteView(SystemClock()), deadline_s=0.3).startswith("503")
+    assert time.monotonic() - started < 0.3
+
+
+def test_request_waits_for_a_backend_server_that_is_still_to_be_heard():
+    view = SiteView(ManualClock())
+    pool = BackendPool(view, "z1", ManualClock())
+    later(view, lambda: setattr(view, "backends_by_id", {"b-1": RECORD}))
+    assert pool.wait_for_backends(SERVICE, 5.0)
+
+
+def test_request_does_not_wait_when_all_backend_servers_are_known():
+    view = SiteView(ManualClock())
+    view.backends_complete = True
+    started = time.monotonic()
+    assert not BackendPool(view, "z1", ManualClock()).wait_for_backends(SERVICE, 5.0)
+    assert time.monotonic() - started < 1.0
--- a/libs/arbutusrill_site/_follower.py
+++ b/libs/arbutusrill_site/_follower.py
@@ -26,7 +26,8 @@
 class SiteView:
     """What an entry VM knows of its site. Replaced fields are read without a lock, as whole values.
 
-    `document` is the decoded configuration, None before the first one has arrived.
+    `document` is the decoded configuration, None before the first one has arrived. `backends_complete` is False while
+    the leader still collects announcements.
     """
 
     def __init__(self, clock: Clock):
@@ -34,10 +35,22 @@
         self.document: Any = None
         self.version = 0
         self.backends_by_id: dict[str, Any] = {}
+        self.backends_complete = False
         self.entries_by_id: dict[str, Any] = {}
         self.requests_of_others_by_id: dict[str, int] = {}
         self.tokens_of_others_by_id: dict[str, int] = {}
         self.confirmed_at = float("-inf")
+        self._changed = threading.Condition()
+
+    def wait_for(self, condition: Callable[[], bool], timeout_s: float) -> bool:
+        """Waits until `condition` holds, at most `timeout_s` seconds; returns whether it does."""
+        with self._changed:
+            return self._changed.wait_for(condition, max(0.0, timeout_s))
+
+    def notify(self) -> None:
+        """Wakes those who wait for a change."""
+        with self._changed:
+            self._changed.notify_all()
 
     def age_s(self) -> float:
         """Returns the seconds since the leader last confirmed this view."""
@@ -169,6 +182,7 @@
         if reply.entries is not None:
             entries = {record.id: record for record in reply.entries}
             view.entries_by_id = entries if reply.entries_complete else {**view.entries_by_id, **entries}
+        view.backends_complete = reply.backends_complete
         self._term = reply.term
         self._backends_revision = reply.backends_revision
         self._entries_revision = reply.entries_revision
@@ -176,6 +190,7 @@
         view.tokens_of_others_by_id = {use.id: use.tokens for use in reply.uses or []}
         if reply.document is not None or reply.backends is not None:
             self.on_change()
+            view.notify()
 
     @staticmethod
     def _merged(known: dict[str, Any], records: list[Any], complete: bool) -> dict[str, Any]:
--- a/libs/arbutusrill_site/_line.py
+++ b/libs/arbutusrill_site/_line.py
@@ -13,7 +13,7 @@
 _SILENT_S = 0.4  # a request that has not asked again for longer has lost its turn
 _GAP_S = 0.03  # between two calls for the same request; for longer it does not hold up the others
 _RATE_S = 4.0  # over which the rate of places that come free is counted
-_LEAST_RATE = 1.0  # places a second that are assumed at least
+_LEAST_RATE = 1.0  # places a second that are assumed at least of an engine
 _REMEMBERED_S = 20.0  # a request that comes back later counts as a new one
 
 
@@ -100,11 +100,14 @@
         """Notes that a place has come free."""
         self._freed_at.append(now)
 
-    def expected_wait_s(self, ticket: Ticket, now: float) -> float:
-        """Returns the time until the line ahead has got its places, from the rate at which places came free lately."""
+    def expected_wait_s(self, ticket: Ticket, now: float, engines: int) -> float:
+        """Returns the time until the line ahead has got its places.
+
+        It follows from the rate at which places came free lately, and at the start from the number of engines.
+        """
         while self._freed_at and now - self._freed_at[0] > _RATE_S:
             self._freed_at.popleft()
-        rate = max(len(self._freed_at) / _RATE_S, _LEAST_RATE)
+        rate = max(len(self._freed_at) / _RATE_S, _LEAST_RATE * max(1, engines))
         return (sum(1 for _ in self._ahead(ticket, now)) + 1) / rate
 
 
--- a/libs/arbutusrill_site/_places.py
+++ b/libs/arbutusrill_site/_places.py
@@ -45,7 +45,8 @@
 
     Requests wait in line, the shortest first; those that can no longer meet their objective wait behind the others in
     the order in which they came, so that large requests are not passed over for ever. `engine_of` returns the capacity
-    of a service's engines, `is_switching` whether an engine is about to change its stage.
+    of a service's engines, `is_switching` whether an engine is about to change its stage, `is_complete` whether
+    every engine that runs has had the time to be heard.
     """
 
     def __init__(
@@ -54,11 +55,13 @@
         backends: Callable[[], list[Any]],
         engine_of: Callable[[str], Engine | None],
         is_switching: Callable[[str], bool] = lambda backend: False,
+        is_complete: Callable[[], bool] = lambda: True,
     ):
         self._clock = clock
         self._backends = backends
         self._engine_of = engine_of
         self._is_switching = is_switching
+        self._is_complete = is_complete
         self._freed = threading.Condition()
         self._numbers = itertools.count(1)
         self._places_by_holder: dict[tuple[str, int], dict[int, _Place]] = {}
@@ -89,13 +92,13 @@
         with self._freed:
             self._line.drop_silent(now)
             ticket = self._line.join(request, now, self._first_event_s(request, now))
-            expected_s = self._line.expected_wait_s(ticket, now)
+            expected_s = self._line.expected_wait_s(ticket, now, len(self._usable(request, "decode")))
             while True:
                 found = self._choose(request, engine) if self._line.is_first(ticket, now) else None
                 if found is not None:
                     self._leave_line(request)
                     return self._take(request, found, ticket.late_at)
-                if expected_s > request.patience_ms / 1000:
+                if expected_s > request.patience_ms / 1000 and self._is_complete():
                     self._leave_line(request)
                     return self._overflow(request) or messages.PlaceReply(wait_ms=int(expected_s * 1000), refused=True)
                 if now >= deadline:
--- a/libs/arbutusrill_site/_service.py
+++ b/libs/arbutusrill_site/_service.py
@@ -67,7 +67,9 @@
         self.backends = BackendRegistry(clock, limits.backend_silent_s, changed, state.departures)
         self.entries = EntryRegistry(clock, limits.entry_silent_s, changed)
         self._buckets = FleetBuckets(self._limits, clock)
-        self.places = PlaceLedger(clock, self.backends.records, self._engine, self._is_switching)
+        self.places = PlaceLedger(
+            clock, self.backends.records, self._engine, self._is_switching, lambda: self.backends.complete
+        )
         self.stages = stages(self.backends.records, self.places.speeds)
         self._decoded: tuple[int, SiteConfiguration | None] = (0, None)
         self._term: int | None = None
