site: memory of an engine is given out by the peak that its streams are expected to reach

Change: a stream's memory grows over its expected length, learned by engine; the highest sum at the end of any stream has to fit. Unlearned engines count as before.

--- a/libs/arbutusrill_site/_places.py
+++ b/libs/arbutusrill_site/_places.py
@@ -14,6 +14,7 @@
 
 from ._configuration import Engine
 from ._line import Line
+from ._memory import StreamLoad, peak_tokens
 from ._speeds import EngineSpeeds
 
 __all__ = ["PlaceLedger"]
@@ -23,6 +24,7 @@
 _FIRST_EVENT_S = 0.12  # from the end of a prefill to the first event at the caller
 _UNREACHABLE_S = 1.5  # an engine that took no connection from one entry VM is kept from all of them for so long
 _MEMORY_PART = 0.92  # part of an engine's memory that is given out
+_BEGIN_S = 0.2  # from a place to the begin of its stream
 _OTHER_DATA_CENTRE_S = 0.05  # later end of a prefill that is accepted to stay in one data centre
 _QUEUED_AT_ENGINE = 1  # requests beyond its memory that an engine is given; it queues a few by itself
 _TURN_S = 0.1  # requests become late while they wait, which changes their order
@@ -37,8 +39,14 @@
     taken_at: float
     prefill: str = ""
     service: str = ""
+    output_tokens: int = 0  # part of `tokens` that is filled while the stream lasts
     overflow: bool = False  # in the engine's own queue, beyond the memory that is given out
 
+    def load(self, speeds: EngineSpeeds) -> StreamLoad:
+        """Returns the memory that the stream fills over its length."""
+        length_s = speeds.stream_s(self.backend, self.service, self.output_tokens) if self.output_tokens else None
+        return StreamLoad(self.tokens - self.output_tokens, self.output_tokens, self.taken_at + _BEGIN_S, length_s)
+
 
 class PlaceLedger:
     """Gives out memory and slots of decode engines, and chooses the prefill engine that ends first.
@@ -125,14 +133,15 @@
 
         An engine that the asking VM avoids is chosen only when it avoids all of them.
         """
-        held = self._held()
+        now = self._clock.monotonic()
+        places_by_backend = self._held()
         best, best_cost = None, float("inf")
         usable = self._usable(request, "decode")
         sound = [record for record in usable if record.id not in (request.avoid or ())]
         for record in sound or usable:
-            tokens, count = held.get(record.id, (0, 0))
-            after = tokens + request.memory_tokens
-            if count >= engine.slots or (count and after > engine.kv_tokens * _MEMORY_PART):
+            held = places_by_backend.get(record.id, [])
+            after = sum(place.tokens for place in held) + request.memory_tokens
+            if len(held) >= engine.slots or (held and not self._fits(request, record, held, engine, now)):
                 continue
             slowness = min(_MOST_SLOWNESS, max(1 / _MOST_SLOWNESS, self.speeds.slowness(record.id)))
             cost = after / engine.kv_tokens * slowness
@@ -140,6 +149,16 @@
                 best, best_cost = record, cost
         return best
 
+    def _fits(self, request: Any, record: Any, held: list[_Place], engine: Engine, now: float) -> bool:
+        """Whether an engine's memory is expected to hold one more stream until the others have ended."""
+        capacity = engine.kv_tokens * _MEMORY_PART
+        wanted = _Place(
+            record.id, request.memory_tokens, now, service=request.service_name, output_tokens=_output_tokens(request)
+        )
+        if sum(place.tokens for place in held) + wanted.tokens <= capacity:
+            return True
+        return peak_tokens([place.load(self.speeds) for place in [*held, wanted]], now) <= capacity
+
     def _usable(self, request: Any, stage: str) -> list[Any]:
         now = self._clock.monotonic()
         return [
@@ -153,12 +172,11 @@
             and (not request.model or not record.models or any(m.name == request.model for m in record.models))
         ]
 
-    def _held(self) -> dict[str, tuple[int, int]]:
-        held: dict[str, tuple[int, int]] = {}
+    def _held(self) -> dict[str, list[_Place]]:
+        held: dict[str, list[_Place]] = {}
         for places in self._places_by_holder.values():
             for place in places.values():
-                tokens, count = held.get(place.backend, (0, 0))
-                held[place.backend] = (tokens + place.tokens, count + 1)
+                held.setdefault(place.backend, []).append(place)
         return held
 
     def _take(self, request: Any, decode: Any, late_at: float) -> Any:
@@ -166,7 +184,9 @@
         number = next(self._numbers)
         holder = self._places_by_holder.setdefault((request.vm, request.incarnation), {})
         prefill = self._prefill(request, decode, now) if request.prefill else ""
-        holder[number] = _Place(decode.id, request.memory_tokens, now, prefill, request.service_name)
+        holder[number] = _Place(
+            decode.id, request.memory_tokens, now, prefill, request.service_name, _output_tokens(request)
+        )
         _events.emit(
             "placed",
             request=request.request_id,
@@ -192,7 +212,9 @@
             return None
         number = next(self._numbers)
         holder = self._places_by_holder.setdefault((request.vm, request.incarnation), {})
-        holder[number] = _Place(best.id, request.memory_tokens, self._clock.monotonic(), "", request.service_name, True)
+        holder[number] = _Place(
+            best.id, request.memory_tokens, self._clock.monotonic(), "", request.service_name, overflow=True
+        )
         _events.emit("placed_in_queue", request=request.request_id, vm_of=request.vm, decode=best.id)
         return messages.PlaceReply(number, "", best.id)
 
@@ -235,7 +257,9 @@
             engine = self._engine_of(place.service)
             if engine is not None and engine.kv_tokens:
                 memory_part = place.tokens / engine.kv_tokens
-                self.speeds.learn_decode(seen.id, place.service, seen.took_s, seen.units, memory_part)
+                self.speeds.learn_decode(
+                    seen.id, place.service, seen.took_s, seen.units, place.output_tokens, memory_part
+                )
 
     def report(self, vm: str, incarnation: int, held: list[Any]) -> None:
         """Takes the places that an entry VM holds: unknown ones are added, unreported ones freed after a while."""
@@ -258,3 +282,7 @@
         with self._freed:
             self._places_by_holder.pop((vm, incarnation), None)
             self._freed.notify_all()
+
+
+def _output_tokens(request: Any) -> int:
+    return max(0, request.memory_tokens - request.prompt_tokens)
--- a/libs/arbutusrill_site/_speeds.py
+++ b/libs/arbutusrill_site/_speeds.py
@@ -15,6 +15,7 @@
 _NOMINAL_UNIT_S = {"prefill": _PREFILL_S_PER_TOKEN, "decode": _DECODE_S_PER_EVENT}
 _LEAST_SPEEDS = 4  # observations from which an engine's speed counts as learned
 _LEAST_SEEN = 15  # requests from which the work of a service counts as learned
+_SHARED_FACTOR = 1.1  # the learned speed follows the shortest times; other streams add to them
 _OWN_READ_FACTOR = 8.0  # how much longer a decode engine takes for a prompt, beside the streams that it runs
 
 
@@ -37,6 +38,8 @@
 
     prefill: _Average = field(default_factory=_Average)
     decode: _Average = field(default_factory=_Average)
+    events: _Average = field(default_factory=_Average)
+    output: _Average = field(default_factory=_Average)
 
 
 @dataclass(slots=True)
@@ -65,7 +68,7 @@
     >>> speeds = EngineSpeeds()
     >>> speeds.slowness("engine-1")
     1.0
-    >>> speeds.learn_decode("engine-1", "model", took_s=9.6, events=100, memory_part=0.1)
+    >>> speeds.learn_decode("engine-1", "model", took_s=9.6, events=100, output_tokens=1200, memory_part=0.1)
     >>> speeds.slowness("engine-1")
     2.0
     """
@@ -94,11 +97,28 @@
         with self._lock:
             self._work(service).prefill.add(tokens * _PREFILL_S_PER_TOKEN)
 
-    def learn_decode(self, backend: str, service: str, took_s: float, events: int, memory_part: float) -> None:
-        """Takes the time that an engine needed for a stream of `events`, with `memory_part` of its memory."""
+    def learn_decode(
+        self, backend: str, service: str, took_s: float, events: int, output_tokens: int, memory_part: float
+    ) -> None:
+        """Takes the time that an engine needed for a stream of `events`, with `memory_part` of its memory.
+
+        `output_tokens` is the output that was expected.
+        """
         self.of(backend, "decode").add(took_s / max(1, events))
         with self._lock:
-            self._work(service).decode.add(events * _DECODE_S_PER_EVENT * memory_part)
+            work = self._work(service)
+            work.decode.add(events * _DECODE_S_PER_EVENT * memory_part)
+            work.events.add(events)
+            work.output.add(output_tokens)
+
+    def stream_s(self, backend: str, service: str, output_tokens: int) -> float | None:
+        """Returns the expected length of a stream; None before enough was seen of its engine and its service."""
+        speed = self.of(backend, "decode")
+        with self._lock:
+            work = self._work(service)
+            if speed.count < _LEAST_SPEEDS or work.events.count < _LEAST_SEEN or work.output.value <= 0:
+                return None
+            return max(1.0, output_tokens * work.events.value / work.output.value) * speed.unit_s * _SHARED_FACTOR
 
     def _work(self, service: str) -> _Work:
         return self._work_by_service.setdefault(service, _Work())
--- a/libs/arbutusrill_site/tests/test_places.py
+++ b/libs/arbutusrill_site/tests/test_places.py
@@ -121,6 +121,23 @@
     assert places.place(wanted("in-time", tokens=2000, late_in_ms=900)).place
 
 
+def test_memory_that_is_free_before_it_is_filled_is_given_out():
+    clock = ManualClock()
+    places = ledger(engine("d"), clock=clock, tokens=1000)
+
+    def streamed(name):
+        request = wanted(name, tokens=400)
+        request.prompt_tokens = 50
+        return places.place(request).place
+
+    for number in range(20):
+        speeds = [messages.EngineSpeed("d", 6.0, 100)]
+        places.free(messages.FreePlace("vm", 1, streamed(f"learn-{number}"), speeds, []))
+    assert streamed("a") and streamed("b") and not streamed("c")
+    clock.advance(5.5)
+    assert streamed("c") and not streamed("d")
+
+
 def test_request_that_is_slow_to_ask_again_does_not_hold_up_the_others():
     clock = ManualClock()
     places = ledger(engine("d"), clock=clock)
