site, gateway: engines change their stage in the first seconds, from what is asked for

The first order came after 5.8 s and the second after 14 s, since the work of a request was learned from ended streams and the speed of prefill engines with the place that is freed at the end of the stream. Change: the work counts when a request is asked for; entry VMs tell the speed of a prefill with their next call for a place; a prefill engine is spared once half of them are learned; one order follows another after 1 s; the time of a prefill during which its engine reads the next prompt is no longer counted as work.

--- a/libs/arbutusrill_gateway/_places.py
+++ b/libs/arbutusrill_gateway/_places.py
@@ -21,6 +21,7 @@
 _STEP_S = 0.4  # wait of the further calls; between two of them the caller's connection is checked
 _CALL_S = 0.2  # for a call beyond its wait; after it this VM chooses by its own view
 _FREE_S = 0.3
+_MOST_SPEEDS = 50  # that are kept while the leader does not answer
 _LOST_S = 0.4  # after a call without an answer, this VM chooses by its own view for so long
 _events = EventLog("placement")
 
@@ -52,6 +53,7 @@
         self._lock = threading.Lock()
         self._place_by_number: dict[int, Place] = {}
         self._own_numbers = itertools.count(-1, -1)  # of places that this VM took without the leader
+        self._prefills: list[Any] = []  # speeds that the leader has not been told yet
         self._lost_until = float("-inf")
 
     def held(self) -> list[Any]:
@@ -96,6 +98,7 @@
                 avoid,
                 max(0, int((deadline - now) * 1000)),
                 request.content_hash(),
+                self._untold_prefills(),
             )
             try:
                 reply = self._client.call("place", wanted, timeout=step_s + _CALL_S, try_timeout=step_s + _CALL_S)
@@ -112,6 +115,16 @@
             step_s = _STEP_S
         return None, None
 
+    def learn_prefill(self, backend: str, took_s: float, tokens: int) -> None:
+        """Notes the speed of a prefill engine; the leader is told with the next call for a place."""
+        with self._lock:
+            self._prefills = [*self._prefills[-_MOST_SPEEDS:], messages.EngineSpeed(backend, took_s, tokens)]
+
+    def _untold_prefills(self) -> list[Any]:
+        with self._lock:
+            speeds, self._prefills = self._prefills, []
+            return speeds
+
     def _taken(self, reply: Any, request: CallerRequest) -> Place | None:
         backends = self._view.backends_by_id
         decode = backends.get(reply.decode)
--- a/libs/arbutusrill_gateway/_prefill.py
+++ b/libs/arbutusrill_gateway/_prefill.py
@@ -4,7 +4,6 @@
 
 from arbutusrill_base import EventLog
 from arbutusrill_http import Transfer, fetch
-from arbutusrill_wire import messages
 
 from ._attempt import Outcome, attempt
 from ._backends import Candidate
@@ -48,8 +47,7 @@
             prefilled = exchange.protocol.prefilled(candidate.record, made.body)
             if prefilled is not None:
                 pool.served(candidate.record, made.took_s, tokens)
-                if place is not None:
-                    place.speeds.append(messages.EngineSpeed(candidate.id, made.took_s, max(1, tokens)))
+                exchange.places.learn_prefill(candidate.id, made.took_s, max(1, tokens))
                 return prefilled
         pool.failed(candidate.record, f"prefill: {made.detail}", avoid=made.outcome is not Outcome.REJECTED)
         if made.outcome is not Outcome.UNREACHED:
--- a/libs/arbutusrill_site/_line.py
+++ b/libs/arbutusrill_site/_line.py
@@ -45,6 +45,10 @@
     def __len__(self) -> int:
         return len(self._ticket_by_request)
 
+    def holds(self, request: Any) -> bool:
+        """Whether a request has a ticket."""
+        return request.request_id in self._ticket_by_request
+
     def join(self, request: Any, now: float, first_event_s: float) -> Ticket:
         """Returns the ticket of a request, a new one when it has none.
 
--- a/libs/arbutusrill_site/_places.py
+++ b/libs/arbutusrill_site/_places.py
@@ -99,6 +99,11 @@
         deadline = now + request.wait_ms / 1000
         with self._freed:
             self._line.drop_silent(now)
+            for seen in request.prefills or []:
+                self.speeds.learn_prefill(seen.id, seen.took_s, seen.units)
+            if not self._line.holds(request):
+                output_tokens = _output_tokens(request)
+                self.speeds.learn_work(request.service_name, request.prompt_tokens, output_tokens, engine.kv_tokens)
             ticket = self._line.join(request, now, self._first_event_s(request, now))
             expected_s = self._line.expected_wait_s(ticket, now, len(self._usable(request, "decode")))
             while True:
@@ -120,8 +125,7 @@
         """Returns the expected time from a place to the first event, behind the prefills that are under way."""
         ends = [self.speeds.own_read_s(request.prompt_tokens)]
         for record in self._usable(request, "prefill"):
-            speed = self.speeds.of(record.id, "prefill")
-            ends.append(max(0.0, speed.busy_until - now) + request.prompt_tokens * speed.unit_s)
+            ends.append(self.speeds.of(record.id, "prefill").ends_at(request.prompt_tokens, now) - now)
         return min(ends) + _FIRST_EVENT_S
 
     def _leave_line(self, request: Any) -> None:
@@ -227,40 +231,27 @@
         usable = self._usable(request, "prefill")
         sound = [record for record in usable if record.id not in (request.avoid or ())]
         for record in sound or usable:
-            speed = self.speeds.of(record.id, "prefill")
-            end = max(now, speed.busy_until) + request.prompt_tokens * speed.unit_s
+            end = self.speeds.of(record.id, "prefill").ends_at(request.prompt_tokens, now)
             cost = end + (_OTHER_DATA_CENTRE_S if record.data_centre != decode.data_centre else 0.0)
             if cost < best_cost:
                 best, best_end, best_cost = record, end, cost
         own_s = self.speeds.own_read_s(request.prompt_tokens)
         if best is None or best_end - now > max(own_s, _LEAST_PREFILL_S):
             return ""
-        self.speeds.of(best.id, "prefill").busy_until = best_end
+        self.speeds.of(best.id, "prefill").give(request.prompt_tokens, now)
         return best.id
 
     def free(self, freed: Any) -> None:
-        """Frees a place and takes what its holder has learned of the engines' speed."""
+        """Frees a place and takes what its holder has learned of its decode engine's speed."""
         with self._freed:
             place = self._places_by_holder.get((freed.vm, freed.incarnation), {}).pop(freed.place, None)
             self._line.note_freed(self._clock.monotonic())
             for seen in freed.speeds or [] if place is not None else []:
-                self._learn(seen, place)
+                self.speeds.learn_decode(seen.id, place.service, seen.took_s, seen.units, place.output_tokens)
             for backend in freed.unreachable or []:
                 self._unreachable_until[backend] = self._clock.monotonic() + _UNREACHABLE_S
             self._freed.notify_all()
 
-    def _learn(self, seen: Any, place: _Place) -> None:
-        """Learns an engine's speed and the work of a request from one step of it."""
-        if seen.id == place.prefill:
-            self.speeds.learn_prefill(seen.id, place.service, seen.took_s, seen.units)
-        elif seen.id == place.backend:
-            engine = self._engine_of(place.service)
-            if engine is not None and engine.kv_tokens:
-                memory_part = place.tokens / engine.kv_tokens
-                self.speeds.learn_decode(
-                    seen.id, place.service, seen.took_s, seen.units, place.output_tokens, memory_part
-                )
-
     def report(self, vm: str, incarnation: int, held: list[Any]) -> None:
         """Takes the places that an entry VM holds: unknown ones are added, unreported ones freed after a while."""
         now = self._clock.monotonic()
--- a/libs/arbutusrill_site/_speeds.py
+++ b/libs/arbutusrill_site/_speeds.py
@@ -10,13 +10,15 @@
 __all__ = ["EngineSpeeds", "Speed"]
 
 _SLOWER_SMOOTHING = 0.02  # weight of an observation that is longer than the learned time
-_PREFILL_S_PER_TOKEN = 0.00003  # of a nominal engine, which others are compared with
+_PREFILL_S_PER_TOKEN = 0.000045  # of a nominal engine, which others are compared with
 _DECODE_S_PER_EVENT = 0.048
+_TOKENS_PER_EVENT = 12.0  # until streams have been seen
+_BUSY_PART = 0.67  # of the time of a prefill; during the rest the engine reads the next prompt
 _NOMINAL_UNIT_S = {"prefill": _PREFILL_S_PER_TOKEN, "decode": _DECODE_S_PER_EVENT}
-_LEAST_SPEEDS = 4  # observations from which an engine's speed counts as learned
+_LEAST_SPEEDS = 3  # observations from which an engine's speed counts as learned
 _LEAST_SEEN = 15  # requests from which the work of a service counts as learned
 _SHARED_FACTOR = 1.1  # the learned speed follows the shortest times; other streams add to them
-_OWN_READ_FACTOR = 8.0  # how much longer a decode engine takes for a prompt, beside the streams that it runs
+_OWN_READ_FACTOR = 5.3  # how much longer a decode engine takes for a prompt, beside the streams that it runs
 
 
 @dataclass(slots=True)
@@ -41,6 +43,12 @@
     events: _Average = field(default_factory=_Average)
     output: _Average = field(default_factory=_Average)
 
+    def events_of(self, output_tokens: int) -> float:
+        """Returns the number of events in which an expected output is sent."""
+        if self.events.count < _LEAST_SEEN or not self.output.value:
+            return output_tokens / _TOKENS_PER_EVENT
+        return output_tokens * self.events.value / self.output.value
+
 
 @dataclass(slots=True)
 class Speed:
@@ -51,7 +59,15 @@
 
     unit_s: float
     count: int = 0
-    busy_until: float = 0.0  # expected end of the prefills that were given to the engine
+    busy_until: float = 0.0  # when the engine is expected to have read the prompts that it was given
+
+    def ends_at(self, tokens: int, now: float) -> float:
+        """Returns when a prefill that is given to the engine now is expected to end."""
+        return max(now, self.busy_until) + tokens * self.unit_s
+
+    def give(self, tokens: int, now: float) -> None:
+        """Counts a prefill that the engine is given."""
+        self.busy_until = max(now, self.busy_until) + tokens * self.unit_s * _BUSY_PART
 
     def add(self, observed: float) -> None:
         """Takes an observation; the nominal value counts as none."""
@@ -68,7 +84,7 @@
     >>> speeds = EngineSpeeds()
     >>> speeds.slowness("engine-1")
     1.0
-    >>> speeds.learn_decode("engine-1", "model", took_s=9.6, events=100, output_tokens=1200, memory_part=0.1)
+    >>> speeds.learn_decode("engine-1", "model", took_s=9.6, events=100, output_tokens=1200)
     >>> speeds.slowness("engine-1")
     2.0
     """
@@ -91,26 +107,26 @@
         """Returns the expected time in which a decode engine reads a prompt by itself."""
         return prompt_tokens * _PREFILL_S_PER_TOKEN * _OWN_READ_FACTOR
 
-    def learn_prefill(self, backend: str, service: str, took_s: float, tokens: int) -> None:
+    def learn_prefill(self, backend: str, took_s: float, tokens: int) -> None:
         """Takes the time that an engine needed for a prompt of `tokens`."""
         self.of(backend, "prefill").add(took_s / max(1, tokens))
-        with self._lock:
-            self._work(service).prefill.add(tokens * _PREFILL_S_PER_TOKEN)
-
-    def learn_decode(
-        self, backend: str, service: str, took_s: float, events: int, output_tokens: int, memory_part: float
-    ) -> None:
-        """Takes the time that an engine needed for a stream of `events`, with `memory_part` of its memory.
 
-        `output_tokens` is the output that was expected.
-        """
+    def learn_decode(self, backend: str, service: str, took_s: float, events: int, output_tokens: int) -> None:
+        """Takes the time that an engine needed for a stream of `events`; `output_tokens` were expected."""
         self.of(backend, "decode").add(took_s / max(1, events))
         with self._lock:
             work = self._work(service)
-            work.decode.add(events * _DECODE_S_PER_EVENT * memory_part)
             work.events.add(events)
             work.output.add(output_tokens)
 
+    def learn_work(self, service: str, prompt_tokens: int, output_tokens: int, engine_tokens: int) -> None:
+        """Takes the engine time that a request is expected to need, on engines with memory for `engine_tokens`."""
+        with self._lock:
+            work = self._work(service)
+            work.prefill.add(prompt_tokens * _PREFILL_S_PER_TOKEN * _BUSY_PART)
+            memory_part = (prompt_tokens + output_tokens / 2) / max(1, engine_tokens)
+            work.decode.add(work.events_of(output_tokens) * _DECODE_S_PER_EVENT * memory_part)
+
     def stream_s(self, backend: str, service: str, output_tokens: int) -> float | None:
         """Returns the expected length of a stream; None before enough was seen of its engine and its service."""
         speed = self.of(backend, "decode")
@@ -118,7 +134,7 @@
             work = self._work(service)
             if speed.count < _LEAST_SPEEDS or work.events.count < _LEAST_SEEN or work.output.value <= 0:
                 return None
-            return max(1.0, output_tokens * work.events.value / work.output.value) * speed.unit_s * _SHARED_FACTOR
+            return max(1.0, work.events_of(output_tokens)) * speed.unit_s * _SHARED_FACTOR
 
     def _work(self, service: str) -> _Work:
         return self._work_by_service.setdefault(service, _Work())
--- a/libs/arbutusrill_site/_stages.py
+++ b/libs/arbutusrill_site/_stages.py
@@ -13,9 +13,10 @@
 __all__ = ["EngineWork", "OrderAnswer", "StageKeeper", "StageOrders"]
 
 _MARGIN = 1.2  # prefill capacity over what is needed, so that short peaks find room
-_LEARNED_PART = 0.8  # part of the engines whose speed has to be known
+_LEARNED_PREFILL_PART = 0.5  # part of the prefill engines whose speed has to be known before one is switched
+_LEARNED_PART = 0.8  # part of the decode engines whose speed has to be known before one is switched to prefill
 _LACKING = 0.4  # part of what is needed below which a decode engine is switched
-_PAUSE_S = 5.0  # between two orders of a service: an order takes about so long to show its effect
+_PAUSE_S = 1.0  # between two orders of a service
 _FEWEST_ENGINES = 4  # smaller services are left as they are
 _SETTLED_S = 1.5  # age of the registry from which its counts are trusted
 _PENDING_S = 14.0  # an order without effect may still be carried out for so long
@@ -111,18 +112,22 @@
         """Gives an order when prefill engines have too much or too little of the capacity; returns whether it did."""
         if len(records) < _FEWEST_ENGINES or now - self._ordered_at.get(service, -_PAUSE_S) < _PAUSE_S:
             return False
-        part, speeds = self._work.prefill_part(service), self._speeds(records)
-        if part is None or speeds is None:
-            return False
         prefill = [record for record in records if self._stage(record) == "prefill"]
         decode = [record for record in records if self._stage(record) == "decode"]
+        part, speeds = self._work.prefill_part(service), self._speeds(records)
+        if part is None or not self._is_learned(prefill, _LEARNED_PREFILL_PART):
+            return False
         capacity = sum(speeds[record.id] for record in prefill)
         needed = part * sum(speeds.values())
-        surplus = [record for record in prefill if capacity - speeds[record.id] >= needed * _MARGIN]
+        surplus = [
+            record
+            for record in prefill
+            if self._is_learned([record], 1.0) and capacity - speeds[record.id] >= needed * _MARGIN
+        ]
         if surplus:
             fastest = max(surplus, key=lambda record: speeds[record.id])
             return self._order(fastest, "decode", service, capacity, needed)
-        if capacity < needed * _LACKING and len(decode) > 1:
+        if capacity < needed * _LACKING and len(decode) > 1 and self._is_learned(decode, _LEARNED_PART):
             slowest = min(decode, key=lambda record: speeds[record.id])
             return self._order(slowest, "prefill", service, capacity, needed)
         return False
@@ -131,14 +136,21 @@
         """The stage that an engine has, or will have after an order that it was given."""
         return self._pending_by_backend.get(record.id, (record.stage, 0.0))[0]
 
-    def _speeds(self, records: list[Any]) -> dict[str, float] | None:
-        """Returns the engines' speeds; those not learned yet count as the mean, and None is returned for too few."""
+    def _speeds(self, records: list[Any]) -> dict[str, float]:
+        """Returns the engines' speeds; a decode engine that is not learned yet counts as the mean of the others.
+
+        A prefill engine counts as the slowest, since it is learned late when others are preferred to it.
+        """
         known = {record.id: self._work.relative_speed(record.id, record.stage) for record in records}
-        learned = [speed for speed in known.values() if speed is not None]
-        if len(learned) < _LEARNED_PART * len(records):
-            return None
+        learned = [speed for speed in known.values() if speed is not None] or [1.0]
         mean = sum(learned) / len(learned)
-        return {backend: mean if speed is None else speed for backend, speed in known.items()}
+        assumed = {record.id: min(learned) if record.stage == "prefill" else mean for record in records}
+        return {backend: assumed[backend] if speed is None else speed for backend, speed in known.items()}
+
+    def _is_learned(self, records: list[Any], part: float) -> bool:
+        """Whether the speed of so large a part of the engines is known."""
+        learned = [self._work.relative_speed(record.id, record.stage) is not None for record in records]
+        return sum(learned) >= part * len(records)
 
     def _order(self, record: Any, stage: str, service: str, capacity: float, needed: float) -> bool:
         fence = self._term * _FENCE_SHIFT + next(self._numbers)
--- /dev/null
+++ b/libs/arbutusrill_site/tests/test_speeds.py
@@ -0,0 +1,26 @@
+"""Guards against speeds and shares of work that are learned late or wrongly."""
+
+from arbutusrill_site._speeds import EngineSpeeds
+
+
+def test_part_of_prefill_is_known_from_what_was_asked_for():
+    speeds = EngineSpeeds()
+    for _ in range(14):
+        speeds.learn_work("model", 3000, 840, 33000)
+    assert speeds.prefill_part("model") is None
+    speeds.learn_work("model", 3000, 840, 33000)
+    assert 0.1 < speeds.prefill_part("model") < 0.3
+
+
+def test_prefill_engine_takes_the_next_prompt_before_it_has_answered():
+    speed = EngineSpeeds().of("engine-1", "prefill")
+    speed.give(2000, 10.0)
+    assert 10.0 < speed.busy_until < speed.ends_at(2000, 10.0) - 2000 * speed.unit_s + 1e-9 < 10.09
+
+
+def test_length_of_a_stream_follows_what_streams_needed_for_their_expected_output():
+    speeds = EngineSpeeds()
+    for _ in range(15):
+        speeds.learn_decode("engine-1", "model", took_s=4.0, events=80, output_tokens=800)
+    assert 3.9 < speeds.stream_s("engine-1", "model", 800) < 5.0
+    assert speeds.stream_s("engine-2", "model", 800) is None
--- a/libs/arbutusrill_site/tests/test_stages.py
+++ b/libs/arbutusrill_site/tests/test_stages.py
@@ -91,3 +91,46 @@
         clock.advance(10)
         stages.tick(7)
         assert not orders.given
+
+
+def test_prefill_engine_is_spared_before_any_stream_has_ended():
+    class Young(Work):
+        def relative_speed(self, backend, stage):
+            return 1.0 if stage == "prefill" else None
+
+    orders = Orders()
+    clock, stages = keeper(orders, engines(4, 5), Young())
+    stages.tick(7)
+    clock.advance(5)
+    stages.tick(7)
+    clock.advance(1)
+    stages.tick(7)
+    assert [given[1] for given in orders.given] == ["decode"]
+    assert orders.given[0][0].startswith("p")
+
+
+def test_prefill_engine_of_unknown_speed_counts_as_slow_and_is_not_switched():
+    class Young(Work):
+        def relative_speed(self, backend, stage):
+            return {"p0": 2.0, "p1": 1.0, "p2": 1.0}.get(backend)
+
+    orders = Orders()
+    clock, stages = keeper(orders, engines(4, 5), Young(0.15))
+    stages.tick(7)
+    for _ in range(4):
+        clock.advance(3)
+        stages.tick(7)
+    assert [given[0] for given in orders.given] == ["p0"]
+
+
+def test_no_decode_engine_is_switched_before_its_speed_is_known():
+    class Young(Work):
+        def relative_speed(self, backend, stage):
+            return 1.0 if stage == "prefill" else None
+
+    orders = Orders()
+    clock, stages = keeper(orders, engines(1, 8), Young(0.9))
+    stages.tick(7)
+    clock.advance(10)
+    stages.tick(7)
+    assert not orders.given
--- a/libs/arbutusrill_wire/arbutusrill.thrift
+++ b/libs/arbutusrill_wire/arbutusrill.thrift
@@ -457,6 +457,9 @@
   13: list<PutDeparture> departures    // sent together with the backends
 }
 
+// How fast an engine was: seconds for `units` tokens or events.
+struct EngineSpeed { 1: string id, 2: double took_s, 3: i64 units }
+
 // Asks for places on engines. Requests that have missed their objective wait behind the others.
 struct PlaceRequest {
   1: string vm,
@@ -471,17 +474,15 @@
   10: bool prefill = true,             // whether a prefill engine is wanted too
   11: list<string> avoid,              // backend servers that this VM has seen fail
   12: i32 patience_ms = 0,             // longest wait in all that the caller is expected to accept
-  13: i64 content = 0                  // hash of the content, by which a caller that comes back is recognised
+  13: i64 content = 0,                 // hash of the content, by which a caller that comes back is recognised
+  14: list<EngineSpeed> prefills       // speeds of prefill engines that the VM has seen since its last call
 }
 
 // Engines by id; both are empty when none had room in time. `wait_ms` is when room is expected. A `refused` request
 // has lost its turn.
 struct PlaceReply { 1: i64 place = 0, 2: string prefill = "", 3: string decode = "", 4: i32 wait_ms = 0, 5: bool refused = false }
 
-// How fast an engine was: seconds for `units` tokens or events.
-struct EngineSpeed { 1: string id, 2: double took_s, 3: i64 units }
-
-// `unreachable` names engines that did not take a connection.
+// `speeds` are of the decode engine. `unreachable` names engines that did not take a connection.
 struct FreePlace {
   1: string vm, 2: i64 incarnation, 3: i64 place, 4: list<EngineSpeed> speeds, 5: list<string> unreachable
 }
