state, site: a new leader begins with the backend servers that the last one wrote down

Change: the leader writes its list into the log when it has changed, a new leader begins with it; servers that stay silent are dropped as before, departures and later starts win.

--- a/libs/arbutusrill_site/_backends.py
+++ b/libs/arbutusrill_site/_backends.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from arbutusrill_base import Clock, EventLog
-from arbutusrill_state import Departures
+from arbutusrill_state import Departures, Roster
 
 from ._registry import Registry
 
@@ -45,17 +45,38 @@
 class BackendRegistry(Registry):
     """The leader's registry of backend servers.
 
-    What leaves is durable: `departures` comes from the log. An address belongs to the server that started last at it.
+    What leaves is durable: `departures` comes from the log. So does `roster`, the list with which a new leader begins.
+    An address belongs to the server that started last at it.
     """
 
-    def __init__(self, clock: Clock, silent_s: float, changed: threading.Condition, departures: Departures):
+    def __init__(
+        self, clock: Clock, silent_s: float, changed: threading.Condition, departures: Departures, roster: Roster
+    ):
         super().__init__(clock, silent_s, changed)
         self._departures = departures
+        self._roster = roster
         self._id_by_address: dict[str, str] = {}
 
     def _clear(self) -> None:
         self._id_by_address.clear()
 
+    def recall(self) -> None:
+        """Takes the servers of the roster that have not announced themselves; they are dropped if they stay silent."""
+        for record in self._roster.records():
+            with self._changed:
+                if record.id not in self._record_by_id:
+                    self.announce(record)
+
+    def unsaved(self) -> list[Any] | None:
+        """Returns the list when it differs from the roster, None when it does not."""
+        records = self.records()
+        saved_by_id = {record.id: record for record in self._roster.records()}
+        if len(saved_by_id) == len(records) and all(
+            record.id in saved_by_id and _same_use(record, saved_by_id[record.id]) for record in records
+        ):
+            return None
+        return records
+
     def announce(self, record: Any) -> bool:
         """Takes an announcement; returns False when it is older than what is known."""
         now = self._clock.monotonic()
--- a/libs/arbutusrill_site/_service.py
+++ b/libs/arbutusrill_site/_service.py
@@ -28,6 +28,7 @@
 _CONFIRM_S = 1.0
 _MAX_WAIT_S = 2.0
 _FINAL = 2**62  # sequence number after which no announcement of a start counts
+_SAVE_S_PER_BACKEND = 0.05
 _GATHER_S = 0.005  # changes that come together go out in one answer
 _events = EventLog("site")
 
@@ -64,7 +65,7 @@
         self._clock = clock
         self._decode_document = decode_document
         self._keeper = keeper
-        self.backends = BackendRegistry(clock, limits.backend_silent_s, changed, state.departures)
+        self.backends = BackendRegistry(clock, limits.backend_silent_s, changed, state.departures, state.roster)
         self.entries = EntryRegistry(clock, limits.entry_silent_s, changed)
         self._buckets = FleetBuckets(self._limits, clock)
         self.places = PlaceLedger(
@@ -74,6 +75,7 @@
         self._decoded: tuple[int, SiteConfiguration | None] = (0, None)
         self._term: int | None = None
         self._term_lock = threading.Lock()
+        self._saved_at = float("-inf")
 
     # ---- RPC methods
 
@@ -195,6 +197,18 @@
             self._buckets.forget(entry, incarnation)
             self.places.forget(entry, incarnation)
 
+    def save_backends(self) -> None:
+        """Writes the backend servers down for the next leader when they have changed; waits for the log."""
+        unsaved = self.backends.unsaved() if self._log.is_leader() and self._term is not None else None
+        # The list of a large site is written less often.
+        if unsaved is None or self._clock.monotonic() < self._saved_at + _SAVE_S_PER_BACKEND * len(unsaved):
+            return
+        self._saved_at = self._clock.monotonic()
+        try:
+            self._propose(messages.PutBackends(unsaved))
+        except messages.Refused as error:
+            _events.emit("backends_not_saved", reason=error.message)
+
     def balance(self) -> None:
         """Keeps prefill and decode engines in proportion; waits for the engine that it gives an order to."""
         self.stages.tick(self._term if self._log.is_leader() else None)
@@ -204,6 +218,7 @@
         with self._term_lock:
             if term is not None and term != self._term:
                 self.backends.begin_term()
+                self.backends.recall()
                 self.entries.begin_term()
                 self._buckets.reset()
                 self.places.begin_term(term)
--- a/libs/arbutusrill_site/tests/test_backends.py
+++ b/libs/arbutusrill_site/tests/test_backends.py
@@ -4,7 +4,7 @@
 
 import pytest
 from arbutusrill_base import ManualClock
-from arbutusrill_state import Departures
+from arbutusrill_state import Departures, Roster
 from arbutusrill_wire import messages
 
 from arbutusrill_site import BackendRegistry
@@ -25,8 +25,13 @@
 
 
 @pytest.fixture()
-def registry(clock, departures):
-    return BackendRegistry(clock, 6.0, threading.Condition(), departures)
+def roster():
+    return Roster()
+
+
+@pytest.fixture()
+def registry(clock, departures, roster):
+    return BackendRegistry(clock, 6.0, threading.Condition(), departures, roster)
 
 
 def test_announcement_that_comes_late_changes_nothing(registry):
@@ -76,3 +81,28 @@
     clock.advance(6.1)
     registry.expire()
     assert registry.complete and not registry.records()
+
+
+def test_new_leader_begins_with_the_servers_that_the_last_one_wrote_down(registry, roster, clock):
+    registry.announce(record("a", sequence=3))
+    registry.announce(record("b", sequence=3, address="10.0.0.2:80"))
+    roster.put(registry.unsaved())
+    assert registry.unsaved() is None
+    registry.begin_term()
+    registry.recall()
+    assert {row.id for row in registry.records()} == {"a", "b"}
+    clock.advance(5.0)
+    registry.announce(record("a", sequence=4))
+    clock.advance(2.0)
+    registry.expire()
+    assert [row.id for row in registry.records()] == ["a"]
+    assert [row.id for row in registry.unsaved()] == ["a"]
+
+
+def test_server_that_has_left_or_was_heard_again_is_not_recalled(registry, roster, departures):
+    roster.put([record("left"), record("back", sequence=9, address="10.0.0.2:80")])
+    departures.put(messages.PutDeparture("left", 100, 2**62))
+    registry.begin_term()
+    registry.announce(record("back", started=200, sequence=1, address="10.0.0.2:80"))
+    registry.recall()
+    assert [(row.id, row.started_ms) for row in registry.records()] == [("back", 200)]
--- a/libs/arbutusrill_state/__init__.py
+++ b/libs/arbutusrill_state/__init__.py
@@ -11,6 +11,7 @@
 from ._journal import Journal
 from ._journal_client import Attempt, JournalClient
 from ._machine import SharedState
+from ._roster import Roster
 
 __all__ = [
     "DEFAULT_SPEC_BY_NAME",
@@ -26,6 +27,7 @@
     "Follower",
     "Journal",
     "JournalClient",
+    "Roster",
     "SharedState",
     "UnsupportedLevelError",
     "VmIdentity",
--- a/libs/arbutusrill_state/_machine.py
+++ b/libs/arbutusrill_state/_machine.py
@@ -13,6 +13,7 @@
 from ._departures import Departures
 from ._document import Document
 from ._journal import Journal
+from ._roster import Roster
 
 __all__ = ["SharedState"]
 
@@ -32,6 +33,7 @@
         self.journal = Journal(self.config)
         self.document = Document()
         self.departures = Departures()
+        self.roster = Roster()
         self._recent: deque[Any] = deque(maxlen=_KEPT_COMMANDS)
 
     def apply(self, data: bytes) -> bytes:
@@ -47,8 +49,11 @@
         if kind == "put_document":
             held = self.document.put(change.version, change.body)
             return encode(messages.Outcome(held == change.version, held))
-        if kind == "put_departure":
-            self.departures.put(change)
+        if kind in ("put_departure", "put_backends"):
+            if kind == "put_departure":
+                self.departures.put(change)
+            else:
+                self.roster.put(change.backends or [])
             return encode(messages.Outcome(True, self.config.revision))
         with self.config.lock:
             before = self.config.revision
@@ -78,6 +83,7 @@
         state = self.config.snapshot()
         state.document = messages.PutDocument(*self.document.held())
         state.departures = self.departures.records()
+        state.backends = self.roster.records()
         config = encode(state)
         return len(config).to_bytes(8, "big") + config + self.journal.snapshot()
 
@@ -90,5 +96,6 @@
             self.document.put(state.document.version, state.document.body or b"")
         for record in state.departures or []:
             self.departures.put(record)
+        self.roster.put(state.backends or [])
         self.journal.restore(data[8 + size :])
         self._recent.clear()
--- /dev/null
+++ b/libs/arbutusrill_state/_roster.py
@@ -0,0 +1,32 @@
+"""Backend servers as the leader last wrote them down."""
+
+from __future__ import annotations
+
+import threading
+from typing import Any
+
+__all__ = ["Roster"]
+
+
+class Roster:
+    """The list with which a new leader begins, before the backend servers have announced themselves to it.
+
+    >>> roster = Roster()
+    >>> roster.put(["a", "b"])
+    >>> roster.records()
+    ['a', 'b']
+    """
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._records: list[Any] = []
+
+    def put(self, records: list[Any]) -> None:
+        """Replaces the list."""
+        with self._lock:
+            self._records = list(records)
+
+    def records(self) -> list[Any]:
+        """Returns the list."""
+        with self._lock:
+            return list(self._records)
--- a/libs/arbutusrill_state/tests/test_config.py
+++ b/libs/arbutusrill_state/tests/test_config.py
@@ -182,3 +182,11 @@
     do(state, messages.PutWorkspace("large", 40.0, 100.0, 2.0), "w1")
     assert state.config.share_weight("large") == 8 * state.config.share_weight("w")
     assert state.config.share_weight("") == 2000.0, "calls of open routes have no workspace"
+
+
+def test_backend_servers_written_down_are_in_the_snapshot(state):
+    record = messages.BackendRecord("b-1", 1, 1, "desk", "10.0.0.1:80", "z1", 6)
+    state.apply(encode(command(messages.PutBackends([record]), "site", 0)))
+    made = SharedState()
+    made.restore(state.snapshot())
+    assert made.roster.records() == [record]
--- a/libs/arbutusrill_wire/arbutusrill.thrift
+++ b/libs/arbutusrill_wire/arbutusrill.thrift
@@ -130,9 +130,29 @@
 // A whole configuration as one document; the highest version is in force. `body` is compressed with zlib.
 struct PutDocument { 1: i64 version, 2: binary body }
 
+struct LoadedModel { 1: string name, 2: i64 version }
+
+// What a backend server last said of itself.
+struct BackendRecord {
+  1: string id,
+  2: i64 started_ms,             // wall clock of its start by its own clock; larger for a later start
+  3: i64 sequence,               // increases with each announcement of one start
+  4: string service_name,
+  5: string address,             // IP:port
+  6: string data_centre,
+  7: i32 slots,
+  8: bool draining = false,
+  9: string stage = "",          // prefill, decode, or empty for a plain service
+  10: list<LoadedModel> models,
+  11: string software = ""
+}
+
 // A backend server that has said that it leaves: announcements of that start up to `sequence` no longer count.
 struct PutDeparture { 1: string id, 2: i64 started_ms, 3: i64 sequence }
 
+// The backend servers that the leader knows, for the leader after it.
+struct PutBackends { 1: list<BackendRecord> backends }
+
 struct JournalBegin {
   1: string workspace, 2: string key, 3: binary digest, 4: string vm, 5: i64 incarnation
 }
@@ -168,6 +188,7 @@
   25: ForgetVm forget_vm,
   30: PutDocument put_document,   // does not move the revision
   31: PutDeparture put_departure, // does not move the revision
+  32: PutBackends put_backends,   // does not move the revision
   40: JournalBegin journal_begin,
   41: JournalFinish journal_finish,
   42: JournalSweep journal_sweep
@@ -206,7 +227,8 @@
   11: list<FirstAnswer> first_answers,
   12: i64 clock_ms = 0,
   13: PutDocument document,
-  14: list<PutDeparture> departures
+  14: list<PutDeparture> departures,
+  15: list<BackendRecord> backends
 }
 
 struct JournalRecord {
@@ -401,23 +423,6 @@
 // ---- Sites: one configuration document, backend servers that announce themselves, entry VMs --------------
 
 // A model that an engine has loaded.
-struct LoadedModel { 1: string name, 2: i64 version }
-
-// What a backend server last said of itself.
-struct BackendRecord {
-  1: string id,
-  2: i64 started_ms,             // wall clock of its start by its own clock; larger for a later start
-  3: i64 sequence,               // increases with each announcement of one start
-  4: string service_name,
-  5: string address,             // IP:port
-  6: string data_centre,
-  7: i32 slots,
-  8: bool draining = false,
-  9: string stage = "",          // prefill, decode, or empty for a plain service
-  10: list<LoadedModel> models,
-  11: string software = ""
-}
-
 // An entry VM as the directory lists it.
 struct EntryRecord { 1: string id, 2: string address, 3: string data_centre, 4: string state }  // ready or draining
 
