--- a/libs/arbutusrill_gateway/_places.py
+++ b/libs/arbutusrill_gateway/_places.py
@@ -72,10 +72,12 @@
         late_in_s: float,
         prefill: bool,
         avoid: list[str],
+        continued: bool,
     ) -> tuple[Place | None, float | None]:
         """Asks for a place and waits for it up to `patience_s` seconds.
 
         In `late_in_s` seconds the request misses its objective, unless it was asked for before: the leader knows.
+        `continued` says that it had a place before.
 
         Returns the place, or the seconds after which one is expected; both are None when the leader does not answer.
         Raises `ConnectionResetError` when the caller has left meanwhile.
@@ -99,6 +101,7 @@
                 max(0, int((deadline - now) * 1000)),
                 request.content_hash(),
                 self._untold_prefills(),
+                continued,
             )
             try:
                 reply = self._client.call("place", wanted, timeout=step_s + _CALL_S, try_timeout=step_s + _CALL_S)
--- a/libs/arbutusrill_gateway/_stream.py
+++ b/libs/arbutusrill_gateway/_stream.py
@@ -23,7 +23,7 @@
 _UNREACHED_TRIES = 4
 _RETRY_AFTER_S = 0.15
 _WAIT_PART = 0.35  # part of the remaining time for which a request waits for a place
-_WAIT_OBJECTIVES = 2.2  # the same as a multiple of the route's objective; callers leave after about four times
+_WAIT_OBJECTIVES = 3.0  # the same as a multiple of the route's objective; callers leave after about four times
 _LEAST_S = 0.5
 _STALL_S = 1.2  # silence after which a resumable stream goes on at another engine
 _END_OF_EVENT = re.compile(rb"\r?\n\r?\n")
@@ -132,7 +132,13 @@
     patience_s = min(_WAIT_PART * exchange.remaining_s(), _WAIT_OBJECTIVES * max(exchange.route.objective_s, _LEAST_S))
     try:
         return exchange.places.take(
-            exchange.service, exchange.request, patience_s, exchange.late_in_s(), not reads_anew, avoid
+            exchange.service,
+            exchange.request,
+            patience_s,
+            exchange.late_in_s(),
+            not reads_anew,
+            avoid,
+            bool(exchange.trail),
         )
     except ConnectionResetError:
         raise exchange.gone() from None
--- a/libs/arbutusrill_site/_line.py
+++ b/libs/arbutusrill_site/_line.py
@@ -26,11 +26,15 @@
     late_at: float  # a request that gets a place later misses its objective
     work: float  # expected memory of its engine multiplied by the length of its stream
     asked_at: float  # when the entry VM last asked; it asks again in short steps and keeps its turn
+    continued: bool = False  # whether it had a place before
 
-    def order(self, now: float) -> tuple[bool, float, int]:
-        """Sort key in the line: the shortest first, then as they came those that have missed their objective."""
+    def order(self, now: float) -> tuple[bool, bool, float, int]:
+        """Sort key in the line: the shortest first, then as they came those that have missed their objective.
+
+        Of these, requests whose engine has failed them come first: their prompt was read and their stream has begun.
+        """
         late = now >= self.late_at
-        return late, 0.0 if late else self.work, self.number
+        return late, late and not self.continued, 0.0 if late else self.work, self.number
 
 
 class Line:
@@ -57,7 +61,9 @@
         ticket = self._ticket_by_request.get(request.request_id)
         if ticket is None:
             late_at = self._late_at(request, now) - first_event_s
-            ticket = Ticket(next(self._numbers), request.service_name, late_at, _work(request), now)
+            ticket = Ticket(
+                next(self._numbers), request.service_name, late_at, _work(request), now, bool(request.continued)
+            )
             self._ticket_by_request[request.request_id] = ticket
         ticket.asked_at = now + request.wait_ms / 1000
         return ticket
--- a/libs/arbutusrill_site/tests/test_places.py
+++ b/libs/arbutusrill_site/tests/test_places.py
@@ -138,6 +138,19 @@
     assert streamed("c") and not streamed("d")
 
 
+def test_request_whose_engine_has_failed_comes_before_the_other_late_ones():
+    clock = ManualClock()
+    places = ledger(engine("d"), clock=clock)
+    held = [places.place(wanted(name)) for name in "ab"]
+    assert not places.place(wanted("late", late_in_ms=0)).place
+    assert not places.place(wanted("failed", late_in_ms=0, continued=True)).place
+    assert not places.place(wanted("in-time")).place
+    for place, name in zip(held, ("in-time", "failed"), strict=True):
+        places.free(freed(place.place))
+        assert not places.place(wanted("late", late_in_ms=0)).place
+        assert places.place(wanted(name, late_in_ms=0 if name == "failed" else 900, continued=name == "failed")).place
+
+
 def test_request_that_is_slow_to_ask_again_does_not_hold_up_the_others():
     clock = ManualClock()
     places = ledger(engine("d"), clock=clock)
--- a/libs/arbutusrill_wire/arbutusrill.thrift
+++ b/libs/arbutusrill_wire/arbutusrill.thrift
@@ -480,7 +480,8 @@
   11: list<string> avoid,              // backend servers that this VM has seen fail
   12: i32 patience_ms = 0,             // longest wait in all that the caller is expected to accept
   13: i64 content = 0,                 // hash of the content, by which a caller that comes back is recognised
-  14: list<EngineSpeed> prefills       // speeds of prefill engines that the VM has seen since its last call
+  14: list<EngineSpeed> prefills,      // speeds of prefill engines that the VM has seen since its last call
+  15: bool continued = false           // whether the request had a place before, on an engine that failed it
 }
 
 // Engines by id; both are empty when none had room in time. `wait_ms` is when room is expected. A `refused` request
