limits, site: a change of leader charges no workspace again and fills no bucket

Cause: an entry VM reports only totals that have changed, and the first report to a new leader set the starting point. Without that, a new leader would have begun with full buckets, which a busy workspace could spend a second time. Change: the first report that counts at a leader is a whole one, and it hands over the levels of the leader before.

--- a/libs/arbutusrill_limits/__init__.py
+++ b/libs/arbutusrill_limits/__init__.py
@@ -1,7 +1,7 @@
 """Fleet-wide token rates of workspaces: the owner's buckets and the charges on entry VMs."""
 
 from ._bucket import Bucket, GrantBoundError, Limits, WindowBound
-from ._fleet import FleetBuckets, FleetMeter
+from ._fleet import FleetBuckets, FleetMeter, SpendReport
 from ._leases import Charge, TokenLeases
 from ._owner import GrantOwner
 
@@ -13,6 +13,7 @@
     "GrantBoundError",
     "GrantOwner",
     "Limits",
+    "SpendReport",
     "TokenLeases",
     "WindowBound",
 ]
--- a/libs/arbutusrill_limits/_fleet.py
+++ b/libs/arbutusrill_limits/_fleet.py
@@ -11,17 +11,31 @@
 import math
 import threading
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from arbutusrill_base import Clock
 
 from ._bucket import Limits
 
-__all__ = ["FleetBuckets", "FleetMeter"]
+__all__ = ["FleetBuckets", "FleetMeter", "SpendReport"]
 
 _LEVEL_AGE_S = 1.0  # age in seconds from which levels are not used any more
 
 
+@dataclass(slots=True, frozen=True)
+class SpendReport:
+    """What an entry VM tells the leader.
+
+    `spent` holds the tokens by workspace since the VM's start; a report that is not `whole` leaves out workspaces whose
+    totals have not changed. A whole one has the `levels` that another leader returned `levels_age_s` seconds ago.
+    """
+
+    spent: dict[str, float]
+    whole: bool = False
+    levels: dict[str, float] = field(default_factory=dict)
+    levels_age_s: float = 0.0
+
+
 @dataclass(slots=True)
 class _Level:
     tokens: float
@@ -38,9 +52,9 @@
 
     >>> from arbutusrill_base import ManualClock
     >>> buckets = FleetBuckets(lambda workspace: Limits(10.0, 100.0), ManualClock())
-    >>> buckets.report("vm-1", 1, {"clinic": 0.0})
+    >>> buckets.report("vm-1", 1, SpendReport({"clinic": 0.0}, whole=True))
     {}
-    >>> buckets.report("vm-1", 1, {"clinic": 30.0})
+    >>> buckets.report("vm-1", 1, SpendReport({"clinic": 30.0}))
     {'clinic': 70.0}
     """
 
@@ -51,16 +65,21 @@
         self._level_by_workspace: dict[str, _Level] = {}
         self._spent_by_reporter: dict[tuple[str, int], dict[str, float]] = {}
 
-    def report(self, vm: str, incarnation: int, spent: dict[str, float]) -> dict[str, float]:
-        """Takes the tokens that an entry VM has spent since its start; returns the levels that are not full.
+    def report(self, vm: str, incarnation: int, report: SpendReport) -> dict[str, float]:
+        """Takes the report of an entry VM; returns the levels that are not full.
 
-        `spent` may leave out workspaces whose totals have not changed. A first report only sets the starting point,
-        since a new leader does not know what of it is old.
+        The first whole report only sets the starting point, since a new leader does not know what of it is old; nothing
+        is charged before it. Levels of the leader before go on from there, so that no bucket is filled by the change.
         """
         now = self._clock.monotonic()
         with self._lock:
-            known = self._spent_by_reporter.setdefault((vm, incarnation), dict(spent))
-            for workspace, total in spent.items():
+            known = self._spent_by_reporter.get((vm, incarnation))
+            if known is None:
+                if report.whole:
+                    self._spent_by_reporter[vm, incarnation] = dict(report.spent)
+                    self._take_over(report, now)
+                return self._levels(now)
+            for workspace, total in report.spent.items():
                 limits = self._limits_of(workspace)
                 if limits is not None:
                     level = self._level_by_workspace.setdefault(workspace, _Level(limits.burst, now))
@@ -69,6 +88,15 @@
                 known[workspace] = total
             return self._levels(now)
 
+    def _take_over(self, report: SpendReport, now: float) -> None:
+        for workspace, tokens in report.levels.items():
+            limits = self._limits_of(workspace)
+            if limits is None:
+                continue
+            level = self._level_by_workspace.setdefault(workspace, _Level(limits.burst, now))
+            _refill(level, limits, now)
+            level.tokens = min(level.tokens, tokens + limits.rate * report.levels_age_s)
+
     def _levels(self, now: float) -> dict[str, float]:
         levels = {}
         for workspace, level in list(self._level_by_workspace.items()):
@@ -110,7 +138,7 @@
     >>> meter = FleetMeter(ManualClock(), lambda: 2)
     >>> meter.admit("clinic", 40.0, Limits(10.0, 100.0)), meter.admit("clinic", 40.0, Limits(10.0, 100.0))
     (None, 6.0)
-    >>> meter.learn({"clinic": 40.0}, {"clinic": 60.0})
+    >>> meter.learn(SpendReport({"clinic": 40.0}, whole=True), {"clinic": 60.0}, 1)
     >>> meter.admit("clinic", 40.0, Limits(10.0, 100.0)), meter.admit("clinic", 40.0, Limits(10.0, 100.0))
     (None, 2.0)
     """
@@ -123,6 +151,10 @@
         self._account_by_workspace: dict[str, _Account] = {}
         self._levels: dict[str, float] = {}
         self._learned_at = float("-inf")
+        self._term = -1  # of the leader that was last sent a whole report
+        self._whole_next = True
+        self._old_levels: dict[str, float] = {}  # as the leader before this one returned them
+        self._old_learned_at = float("-inf")
 
     def admit(self, workspace: str, tokens: float, limits: Limits) -> float | None:
         """Charges `tokens` and returns None, or returns after how many seconds they would be there."""
@@ -156,20 +188,29 @@
                 account.spent -= tokens
                 account.own.tokens += tokens
 
-    def totals(self) -> dict[str, float]:
-        """Returns the tokens spent since the start, of the workspaces whose totals the leader does not know yet."""
+    def report(self) -> SpendReport:
+        """Returns what to tell the leader: everything after a change of leader, otherwise what has changed."""
+        now = self._clock.monotonic()
         with self._lock:
-            return {
+            spent = {
                 workspace: account.spent
                 for workspace, account in self._account_by_workspace.items()
-                if account.spent != account.reported
+                if self._whole_next or account.spent != account.reported
             }
+            if not self._whole_next:
+                return SpendReport(spent)
+            return SpendReport(spent, True, self._old_levels, now - self._old_learned_at if self._old_levels else 0.0)
 
-    def learn(self, reported: dict[str, float], levels: dict[str, float]) -> None:
-        """Takes the levels that the leader returned for the totals in `reported`; the others are full."""
+    def learn(self, report: SpendReport, levels: dict[str, float], term: int) -> None:
+        """Takes the levels that the leader of `term` returned for a report; the other buckets are full."""
         now = self._clock.monotonic()
         with self._lock:
+            if report.whole:
+                self._term = term
+            elif term != self._term and not self._whole_next:
+                self._old_levels, self._old_learned_at = self._levels, self._learned_at
+            self._whole_next = term != self._term
             self._levels = levels
             self._learned_at = now
-            for workspace, total in reported.items():
+            for workspace, total in report.spent.items():
                 self._account_by_workspace[workspace].reported = total
--- a/libs/arbutusrill_site/_follower.py
+++ b/libs/arbutusrill_site/_follower.py
@@ -139,7 +139,7 @@
             _events.emit(event, reason=reason, version=self.view.version, age_s=self.view.age_s())
 
     def _follow(self, wait_ms: int) -> None:
-        spent = self._meter.totals()
+        report = self._meter.report()
         entry = self._entry
         request = messages.SiteFollowRequest(
             messages.EntryRecord(entry.id, entry.address, entry.data_centre, self.state),
@@ -149,15 +149,18 @@
             self._backends_revision,
             self._entries_revision,
             wait_ms,
-            spent,
+            report.spent,
             self._uses(),
             self._places(),
+            report.whole,
+            report.levels,
+            report.levels_age_s,
         )
         sent_at = self._clock.monotonic()
         reply = self._client.call("follow_site", request, timeout=_CALL_S, try_timeout=wait_ms / 1000 + 0.35)
         with self._state_lock:
             self._take(reply)
-        self._meter.learn(spent, reply.available or {})
+        self._meter.learn(report, reply.available or {}, reply.term)
         self.view.confirmed_at = sent_at
         self._client.learn(reply.control or [])
 
--- a/libs/arbutusrill_site/_service.py
+++ b/libs/arbutusrill_site/_service.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 from arbutusrill_base import Clock, EventLog
-from arbutusrill_limits import FleetBuckets, Limits
+from arbutusrill_limits import FleetBuckets, Limits, SpendReport
 from arbutusrill_raft import LogUnavailableError, NotLeaderError, Replica
 from arbutusrill_state import SharedState, command
 from arbutusrill_wire import decode, encode, messages
@@ -105,7 +105,7 @@
             None if knows_entries else self.entries.records(),
             self.backends.complete,
             self.entries.complete,
-            self._buckets.report(request.entry.id, request.incarnation, request.spent or {}),
+            self._buckets.report(request.entry.id, request.incarnation, _spend_report(request)),
             self.entries.uses_of_others(request.entry.id),
             self._keeper.addresses(),
             None if knows_backends else self._state.departures.records(),
@@ -260,3 +260,7 @@
             raise messages.Refused("not_leader", str(error), leader=error.leader) from None
         except LogUnavailableError as error:
             raise messages.Refused("unavailable", str(error)) from None
+
+
+def _spend_report(request: Any) -> SpendReport:
+    return SpendReport(request.spent or {}, request.spent_whole, request.levels or {}, request.levels_age_s)
--- a/libs/arbutusrill_wire/arbutusrill.thrift
+++ b/libs/arbutusrill_wire/arbutusrill.thrift
@@ -442,7 +442,10 @@
   7: i32 wait_ms = 0,
   8: map<string, double> spent,        // tokens by workspace since the entry VM's start
   9: list<BackendUse> uses,
-  10: list<HeldPlace> places
+  10: list<HeldPlace> places,
+  11: bool spent_whole = false,        // otherwise workspaces whose totals have not changed are left out
+  12: map<string, double> levels,      // of the leader before this one, with a whole report
+  13: double levels_age_s = 0
 }
 
 // Lists are left out when the follower has their revision already.
