--- a/libs/arbutusrill_base/__init__.py
+++ b/libs/arbutusrill_base/__init__.py
@@ -2,7 +2,7 @@
 
 from ._blocks import BLOCK_BYTES, prefix_blocks
 from ._budget import RetryBudget, backoff_s
-from ._clock import Clock, ManualClock, SystemClock
+from ._clock import BootClock, Clock, ManualClock, SystemClock
 from ._events import EventLog, EventWriter, write_events
 from ._ids import hash_key, new_incarnation, new_key, new_request_id
 from ._lease_times import CLOCK_DRIFT_S, VM_LEASE_S
@@ -15,6 +15,7 @@
     "CLOCK_DRIFT_S",
     "VM_LEASE_S",
     "BLOCK_BYTES",
+    "BootClock",
     "Clock",
     "EventLog",
     "EventWriter",
--- a/libs/arbutusrill_base/_clock.py
+++ b/libs/arbutusrill_base/_clock.py
@@ -6,7 +6,7 @@
 import threading
 import time
 
-__all__ = ["Clock", "ManualClock", "SystemClock"]
+__all__ = ["BootClock", "Clock", "ManualClock", "SystemClock"]
 
 
 class Clock(abc.ABC):
@@ -37,6 +37,17 @@
         return time.time()
 
 
+class BootClock(SystemClock):
+    """The operating system's clock whose `monotonic` goes on while the VM is suspended.
+
+    Leases need it: a leader that was suspended for longer than its lease must not believe that it still holds it.
+    """
+
+    def monotonic(self) -> float:
+        """Returns the seconds since the VM has booted."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class ManualClock(Clock):
     """A clock for tests that moves only when told to.
 
--- a/libs/arbutusrill_raft/_replica.py
+++ b/libs/arbutusrill_raft/_replica.py
@@ -7,7 +7,7 @@
 from concurrent.futures import Future
 from dataclasses import dataclass
 
-from arbutusrill_base import Clock, PartLog, SystemClock
+from arbutusrill_base import BootClock, Clock, PartLog
 
 from ._changes import Changes
 from ._core import Core, Progress, Role
@@ -53,8 +53,8 @@
 
     `address` is its RPC address, where `handler` must be served as the IDL's `Raft` service. `initial` lists the
     RPC addresses of the group's first voters; it matters only until the group has formed. Raises `StorageError`
-    when the files in `folder` cannot be used. `alone_since` is a time on the monotonic clock at which no other process
-    used `folder` any more, the start of this process for example: the later it is, the longer the first election waits.
+    when the files in `folder` cannot be used. `alone_since` is a time on `clock`, a `BootClock` unless given, at which
+    no other process used `folder` any more, such as the start of this process; the first election waits for it.
     """
 
     def __init__(
@@ -73,7 +73,7 @@
         folder = _opened(folder) if isinstance(folder, str) else folder
         try:
             self._storage = Storage(folder, address)
-            clock = clock or SystemClock()
+            clock = clock or BootClock()
             self._core = Core(
                 self._storage,
                 address,
--- a/libs/arbutusrill_raft/tests/test_replica.py
+++ b/libs/arbutusrill_raft/tests/test_replica.py
@@ -6,6 +6,7 @@
 import time
 
 import pytest
+from arbutusrill_base import BootClock
 from arbutusrill_wire import messages
 
 from arbutusrill_raft import Bounds, LogUnavailableError, MembershipError, NotLeaderError
@@ -137,7 +138,7 @@
         group.kill(follower)
         for other in list(group.replicas):
             group.kill(other)
-        replica = group.start(follower, alone_since=time.monotonic() - QUICK.election_min_s)
+        replica = group.start(follower, alone_since=BootClock().monotonic() - QUICK.election_min_s)
         status = replica.status()
         request = messages.VoteRequest(status.term + 1, "10.0.0.9:1/x", 999, 999, True, target=status.replica)
         assert replica.handler.vote(request).granted
@@ -147,8 +148,8 @@
     with Group() as group:
         address = group.followers()[0]
         group.kill(address)
-        replica = group.start(address, alone_since=time.monotonic() - QUICK.election_min_s)
-        assert replica._core.election_at <= time.monotonic() + QUICK.election_min_s
+        replica = group.start(address, alone_since=BootClock().monotonic() - QUICK.election_min_s)
+        assert replica._core.election_at <= BootClock().monotonic() + QUICK.election_min_s
 
 
 def test_vote_is_kept_through_a_power_failure():
@@ -278,7 +279,7 @@
     with Group(1) as group:
         core = group.replicas[group.leader()]._core
         peer = Peer(core, None, None, "10.0.0.9:1/x")
-        now = time.monotonic()
+        now = core.clock.monotonic()
         peer._failed(_Job("append", None, now - core.timing.call_s, None))
         assert peer._not_before < now
         peer._failed(_Job("append", None, now, None))
