--- a/libs/arbutusrill_site/_places.py
+++ b/libs/arbutusrill_site/_places.py
@@ -37,7 +37,6 @@
     backend: str
     tokens: int
     taken_at: float
-    prefill: str = ""
     service: str = ""
     output_tokens: int = 0  # part of `tokens` that is filled while the stream lasts
     overflow: bool = False  # in the engine's own queue, beyond the memory that is given out
@@ -99,11 +98,7 @@
         deadline = now + request.wait_ms / 1000
         with self._freed:
             self._line.drop_silent(now)
-            for seen in request.prefills or []:
-                self.speeds.learn_prefill(seen.id, seen.took_s, seen.units)
-            if not self._line.holds(request):
-                output_tokens = _output_tokens(request)
-                self.speeds.learn_work(request.service_name, request.prompt_tokens, output_tokens, engine.kv_tokens)
+            self._learn(request, engine)
             ticket = self._line.join(request, now, self._first_event_s(request, now))
             expected_s = self._line.expected_wait_s(ticket, now, len(self._usable(request, "decode")))
             while True:
@@ -121,6 +116,14 @@
                 self._freed.wait(min(deadline - now, _TURN_S))
                 now = self._clock.monotonic()
 
+    def _learn(self, request: Any, engine: Engine) -> None:
+        """Takes the work of a request that is new, and the speeds that its entry VM tells."""
+        for seen in request.prefills or []:
+            self.speeds.learn_prefill(seen.id, seen.took_s, seen.units)
+        if not self._line.holds(request):
+            output_tokens = _output_tokens(request)
+            self.speeds.learn_work(request.service_name, request.prompt_tokens, output_tokens, engine.kv_tokens)
+
     def _first_event_s(self, request: Any, now: float) -> float:
         """Returns the expected time from a place to the first event, behind the prefills that are under way."""
         ends = [self.speeds.own_read_s(request.prompt_tokens)]
@@ -156,9 +159,7 @@
     def _fits(self, request: Any, record: Any, held: list[_Place], engine: Engine, now: float) -> bool:
         """Whether an engine's memory is expected to hold one more stream until the others have ended."""
         capacity = engine.kv_tokens * _MEMORY_PART
-        wanted = _Place(
-            record.id, request.memory_tokens, now, service=request.service_name, output_tokens=_output_tokens(request)
-        )
+        wanted = _wanted_place(request, record.id, now)
         if sum(place.tokens for place in held) + wanted.tokens <= capacity:
             return True
         return peak_tokens([place.load(self.speeds) for place in [*held, wanted]], now) <= capacity
@@ -188,9 +189,7 @@
         number = next(self._numbers)
         holder = self._places_by_holder.setdefault((request.vm, request.incarnation), {})
         prefill = self._prefill(request, decode, now) if request.prefill else ""
-        holder[number] = _Place(
-            decode.id, request.memory_tokens, now, prefill, request.service_name, _output_tokens(request)
-        )
+        holder[number] = _wanted_place(request, decode.id, now)
         _events.emit(
             "placed",
             request=request.request_id,
@@ -216,9 +215,8 @@
             return None
         number = next(self._numbers)
         holder = self._places_by_holder.setdefault((request.vm, request.incarnation), {})
-        holder[number] = _Place(
-            best.id, request.memory_tokens, self._clock.monotonic(), "", request.service_name, overflow=True
-        )
+        now = self._clock.monotonic()
+        holder[number] = _Place(best.id, request.memory_tokens, now, request.service_name, overflow=True)
         _events.emit("placed_in_queue", request=request.request_id, vm_of=request.vm, decode=best.id)
         return messages.PlaceReply(number, "", best.id)
 
@@ -275,5 +273,9 @@
             self._freed.notify_all()
 
 
+def _wanted_place(request: Any, backend: str, now: float) -> _Place:
+    return _Place(backend, request.memory_tokens, now, request.service_name, _output_tokens(request))
+
+
 def _output_tokens(request: Any) -> int:
     return max(0, request.memory_tokens - request.prompt_tokens)
