--- a/libs/arbutusrill_gateway/_places.py
+++ b/libs/arbutusrill_gateway/_places.py
@@ -15,13 +15,14 @@
 
 from ._protocol import CallerRequest
 
-__all__ = ["Place", "Places"]
+__all__ = ["Place", "Places", "WantedPlace"]
 
 _FIRST_STEP_S = 0.15  # wait of the first call, short so that a leader that has stopped is noticed soon
 _STEP_S = 0.4  # wait of the further calls; between two of them the caller's connection is checked
 _CALL_S = 0.2  # for a call beyond its wait; after it this VM chooses by its own view
 _FREE_S = 0.3
 _MOST_SPEEDS = 50  # that are kept while the leader does not answer
+_LEAST_RETRY_S = 0.05
 _LOST_S = 0.4  # after a call without an answer, this VM chooses by its own view for so long
 _events = EventLog("placement")
 
@@ -38,6 +39,22 @@
     unreachable: list[str] = field(default_factory=list)
 
 
+@dataclass(slots=True, frozen=True)
+class WantedPlace:
+    """What a request needs: a prefill engine too where `prefill` is set, and none of the engines in `avoid`.
+
+    In `late_in_s` seconds the request misses its objective, unless it was asked for before: the leader knows.
+    `continued` says that it had a place before.
+    """
+
+    service: Service
+    request: CallerRequest
+    late_in_s: float
+    prefill: bool
+    avoid: list[str]
+    continued: bool
+
+
 class Places:
     """Asks the leader for places and keeps account of those that this VM holds.
 
@@ -64,47 +81,20 @@
                 for number, place in self._place_by_number.items()
             ]
 
-    def take(
-        self,
-        service: Service,
-        request: CallerRequest,
-        patience_s: float,
-        late_in_s: float,
-        prefill: bool,
-        avoid: list[str],
-        continued: bool,
-    ) -> tuple[Place | None, float | None]:
+    def take(self, wanted: WantedPlace, patience_s: float) -> tuple[Place | None, float | None]:
         """Asks for a place and waits for it up to `patience_s` seconds.
 
-        In `late_in_s` seconds the request misses its objective, unless it was asked for before: the leader knows.
-        `continued` says that it had a place before.
-
         Returns the place, or the seconds after which one is expected; both are None when the leader does not answer.
         Raises `ConnectionResetError` when the caller has left meanwhile.
         """
-        deadline = self._clock.monotonic() + patience_s
-        late_at = self._clock.monotonic() + late_in_s
+        request = wanted.request
+        started = self._clock.monotonic()
+        deadline = started + patience_s
         step_s = _FIRST_STEP_S
         while (now := self._clock.monotonic()) >= self._lost_until:
-            wanted = messages.PlaceRequest(
-                self._vm,
-                self._incarnation,
-                request.id,
-                service.name,
-                request.model,
-                request.prompt_tokens or 0,
-                request.memory_tokens,
-                max(0, int(min(step_s, deadline - now) * 1000)),
-                max(0, int((late_at - now) * 1000)),
-                prefill,
-                avoid,
-                max(0, int((deadline - now) * 1000)),
-                request.content_hash(),
-                self._untold_prefills(),
-                continued,
-            )
+            message = self._message(wanted, now - started, min(step_s, deadline - now), deadline - now)
             try:
-                reply = self._client.call("place", wanted, timeout=step_s + _CALL_S, try_timeout=step_s + _CALL_S)
+                reply = self._client.call("place", message, timeout=step_s + _CALL_S, try_timeout=step_s + _CALL_S)
             except (ControlUnavailableError, messages.Refused) as error:
                 self._lost_until = self._clock.monotonic() + _LOST_S
                 _events.emit("places_unavailable", request=request.id, reason=str(error))
@@ -112,12 +102,32 @@
             if reply.place:
                 return self._taken(reply, request), None
             if reply.refused or self._clock.monotonic() >= deadline:
-                return None, max(0.05, reply.wait_ms / 1000)
+                return None, max(_LEAST_RETRY_S, reply.wait_ms / 1000)
             if request.connection is not None and caller_gone(request.connection):
                 raise ConnectionResetError("the caller left while it waited for an engine")
             step_s = _STEP_S
         return None, None
 
+    def _message(self, wanted: WantedPlace, waited_s: float, step_s: float, patience_s: float) -> Any:
+        request = wanted.request
+        return messages.PlaceRequest(
+            self._vm,
+            self._incarnation,
+            request.id,
+            wanted.service.name,
+            request.model,
+            request.prompt_tokens or 0,
+            request.memory_tokens,
+            max(0, int(step_s * 1000)),
+            max(0, int((wanted.late_in_s - waited_s) * 1000)),
+            wanted.prefill,
+            wanted.avoid,
+            max(0, int(patience_s * 1000)),
+            request.content_hash(),
+            self._untold_prefills(),
+            wanted.continued,
+        )
+
     def learn_prefill(self, backend: str, took_s: float, tokens: int) -> None:
         """Notes the speed of a prefill engine; the leader is told with the next call for a place."""
         with self._lock:
--- a/libs/arbutusrill_gateway/_stream.py
+++ b/libs/arbutusrill_gateway/_stream.py
@@ -14,7 +14,7 @@
 from ._attempt import Attempt, Outcome, attempt
 from ._backends import Candidate
 from ._exchange import Exchange
-from ._places import Place
+from ._places import Place, WantedPlace
 from ._prefill import BudgetSpentError, release, run_prefill
 from ._protocol import Answer, Prefilled
 
@@ -130,16 +130,11 @@
     avoid = [*exchange.pool.avoided(), *exchange.tried]
     reads_anew = bool(_resume_point(exchange, events))
     patience_s = min(_WAIT_PART * exchange.remaining_s(), _WAIT_OBJECTIVES * max(exchange.route.objective_s, _LEAST_S))
+    wanted = WantedPlace(
+        exchange.service, exchange.request, exchange.late_in_s(), not reads_anew, avoid, bool(exchange.trail)
+    )
     try:
-        return exchange.places.take(
-            exchange.service,
-            exchange.request,
-            patience_s,
-            exchange.late_in_s(),
-            not reads_anew,
-            avoid,
-            bool(exchange.trail),
-        )
+        return exchange.places.take(wanted, patience_s)
     except ConnectionResetError:
         raise exchange.gone() from None
 
