--- a/libs/arbutusrill_wire/_specs.py
+++ b/libs/arbutusrill_wire/_specs.py
@@ -1,4 +1,4 @@
-"""Thrift classes from their specification in JSON, which is read 20 times as fast as the IDL.
+"""Thrift classes from their specification in JSON, which is read in a fraction of the time that the IDL takes.
 
 The specification is generated from the IDL by ``python -m arbutusrill_wire.generate`` and committed with it.
 """
