bench: wait_for_pool waits until every entry VM has applied the pool's assignment

Change: wait_for_pool also waits until the revision in which the pool has its owner is in force on every entry VM. Test: test_pool_is_waited_for_until_the_slowest_entry_vm_knows_it, failed first. Conclusion: a race of the demo and of the proofs, not of the product.

--- a/libs/arbutusrill_bench/_site.py
+++ b/libs/arbutusrill_bench/_site.py
@@ -221,11 +221,12 @@
     def wait_for_pool(self, name: str) -> None:
         """Waits until every entry VM knows the owner of a pool."""
 
-        def owned() -> bool:
-            pools = self.operators.call("GET", "/status")["pools"]
-            return any(pool["name"] == name and pool["owner"] for pool in pools)
+        def known() -> bool:
+            status = self.operators.call("GET", "/status")
+            owned = any(pool["name"] == name and pool["owner"] for pool in status["pools"])
+            return owned and self.operators.call("GET", f"/in-force/{status['revision']}")["in_force"]
 
-        self.wait_until(owned, f"pool {name} has an owner")
+        self.wait_until(known, f"every entry VM knows the owner of pool {name}")
 
 
 def _ok(url: str) -> bool:
--- a/libs/arbutusrill_bench/tests/test_site.py
+++ b/libs/arbutusrill_bench/tests/test_site.py
@@ -1,5 +1,8 @@
 """Tests of what proofs and scenarios do to the members of a site."""
 
+import types
+from functools import partial
+
 import pytest
 from arbutusrill_http import Transfer, fetch
 
@@ -44,3 +47,24 @@
     assert (folder / "marker").exists()
     site.restart("control1", empty=True)
     assert not (folder / "marker").exists()
+
+
+class SlowOperators:
+    """A control VM at which the pool has its owner at once, and an entry VM that applies revision 7 late."""
+
+    def __init__(self, behind):
+        self.behind = behind
+
+    def call(self, _method, path):
+        if path == "/status":
+            return {"revision": 7, "pools": [{"name": "seats", "owner": "entry1"}]}
+        assert path == "/in-force/7"
+        self.behind -= 1
+        return {"in_force": self.behind < 0}
+
+
+def test_pool_is_waited_for_until_the_slowest_entry_vm_knows_it():
+    operators = SlowOperators(behind=2)
+    site = types.SimpleNamespace(operators=operators, wait_until=partial(LocalSite.wait_until, None))
+    LocalSite.wait_for_pool(site, "seats")
+    assert operators.behind == -1
