--- a/libs/arbutusrill_base/__init__.py
+++ b/libs/arbutusrill_base/__init__.py
@@ -1,5 +1,6 @@
 """Types and helpers that every part of arbutusrill shares."""
 
+from ._addresses import split_address
 from ._blocks import BLOCK_BYTES, prefix_blocks
 from ._budget import RetryBudget, backoff_s
 from ._clock import BootClock, Clock, ManualClock, SystemClock
@@ -39,5 +40,6 @@
     "parse_settings",
     "prefix_blocks",
     "read_settings",
+    "split_address",
     "write_events",
 ]
--- a/libs/arbutusrill_daemon/_roles.py
+++ b/libs/arbutusrill_daemon/_roles.py
@@ -6,7 +6,7 @@
 import threading
 from typing import Any
 
-from arbutusrill_base import Clock, PartLog, RetryBudget, SystemClock, TaskGroup, new_incarnation
+from arbutusrill_base import Clock, PartLog, RetryBudget, SystemClock, TaskGroup, new_incarnation, split_address
 from arbutusrill_control import ControlService, OperatorApp, SharedMachine
 from arbutusrill_entry import (
     REPORT_S,
@@ -54,11 +54,6 @@
         stopping.wait()
 
 
-def _split(address: str) -> tuple[str, int]:
-    host, _, port = address.rpartition(":")
-    return host, int(port)
-
-
 @contextlib.contextmanager
 def _control(settings: DaemonSettings):
     role = settings.control
@@ -73,11 +68,11 @@
             OperatorApp(service, client, clock, role.operator_token_sha256_by_name) as operators,
             TaskGroup("control", 4) as tasks,
             RpcServer(
-                *_split(role.rpc),
+                *split_address(role.rpc),
                 {messages.Control: service, messages.Raft: log.handler},
                 limit=_CONTROL_CONNECTIONS,
             ),
-            HttpServer(*_split(role.http), operators),
+            HttpServer(*split_address(role.http), operators),
         ):
             tasks.every(_TICK_S, service.tick)
             yield
@@ -112,8 +107,8 @@
         application = EntryApp(context, role.announce_token_sha256)
         limits = HttpLimits(connections=role.connections, reserve=_RESERVE, reserved_paths=RESERVED_PATHS)
         with (
-            RpcServer(*_split(role.rpc), {messages.Pool: directory}),
-            HttpServer(*_split(role.http), application, limits) as server,
+            RpcServer(*split_address(role.rpc), {messages.Pool: directory}),
+            HttpServer(*split_address(role.http), application, limits) as server,
         ):
             _add_gauges(context, server)
             follower.start(tasks)
--- a/libs/arbutusrill_raft/_core.py
+++ b/libs/arbutusrill_raft/_core.py
@@ -102,7 +102,8 @@
         self.heard_at = alone_since
         # The first election is early: a leader that is there is heard before, and without one all wait for it.
         free_at = max(clock.monotonic(), alone_since + timing.election_min_s)
-        self.election_at = free_at + random.uniform(timing.heartbeat_s, timing.election_min_s)
+        self._early_until = free_at + timing.election_max_s
+        self.election_at = free_at + self._early_wait_s()
         self.on_membership: Callable[[], None] = lambda: None
 
     # ---- short questions
@@ -193,8 +194,16 @@
 
     def postpone_election(self) -> None:
         """Draws the time of the next election."""
-        wait = random.uniform(self.timing.election_min_s, self.timing.election_max_s)
-        self.election_at = self.clock.monotonic() + wait
+        now = self.clock.monotonic()
+        if self.role is Role.PRE_CANDIDATE and now < self._early_until:
+            # Others that were started with this replica may be a moment behind and refuse the first request.
+            wait = self._early_wait_s()
+        else:
+            wait = random.uniform(self.timing.election_min_s, self.timing.election_max_s)
+        self.election_at = now + wait
+
+    def _early_wait_s(self) -> float:
+        return random.uniform(1, 2) * self.timing.heartbeat_s
 
     def step_down(self, term: int, why: str) -> None:
         """Becomes a follower in `term`, which is at least the current one."""
--- a/libs/arbutusrill_raft/tests/test_replica.py
+++ b/libs/arbutusrill_raft/tests/test_replica.py
@@ -152,6 +152,19 @@
         assert replica._core.election_at <= BootClock().monotonic() + QUICK.election_min_s
 
 
+def test_first_request_for_votes_is_soon_repeated():
+    # After the loss of all VMs, peers that start a moment later cannot vote yet when they are asked first.
+    with Group() as group:
+        address = group.followers()[0]
+        for other in list(group.replicas):
+            group.kill(other)
+        replica = group.start(address, alone_since=BootClock().monotonic() - QUICK.election_min_s)
+        core = replica._core
+        wait_until(lambda: core.round > 0, "the first request for votes")
+        with core.lock:
+            assert core.election_at <= BootClock().monotonic() + 2 * QUICK.heartbeat_s
+
+
 def test_vote_is_kept_through_a_power_failure():
     # A second vote in the same term could elect two leaders.
     with Group() as group:
--- a/libs/arbutusrill_wire/_client.py
+++ b/libs/arbutusrill_wire/_client.py
@@ -9,6 +9,7 @@
 from collections import deque
 from typing import Any
 
+from arbutusrill_base import split_address
 from thriftpy2.protocol import TBinaryProtocolFactory
 from thriftpy2.thrift import TApplicationException, TMessageType
 from thriftpy2.transport import TMemoryBuffer
@@ -38,9 +39,8 @@
     """
 
     def __init__(self, address: str):
-        host, _, port = address.rpartition(":")
         self.address = address
-        self._target = (host, int(port))
+        self._target = split_address(address)
         self._lock = threading.Lock()
         self._idle: deque[tuple[float, socket.socket]] = deque()
         self._sequence = itertools.count(1)
--- a/libs/arbutusrill_wire/_server.py
+++ b/libs/arbutusrill_wire/_server.py
@@ -28,16 +28,19 @@
     """
 
     def __init__(self, host: str, port: int, handlers: dict[Any, object], limit: int = 256):
-        self._method_by_name = {
-            name: (service, getattr(handler, name))
-            for service, handler in handlers.items()
-            for name in service.thrift_services
-        }
+        self._method_by_name: dict[str, tuple[Any, Any]] = {}
+        for service, handler in handlers.items():
+            self.add(service, handler)
         self._listener = socket.create_server((host, port), backlog=256)
         self._tasks = TaskGroup("rpc", limit + 1)
         self._connections: set[socket.socket] = set()
         self.address = "{}:{}".format(*self._listener.getsockname()[:2])
 
+    def add(self, service: Any, handler: object) -> None:
+        """Serves one more service; calls that came before were answered that their method is unknown."""
+        methods = {name: (service, getattr(handler, name)) for name in service.thrift_services}
+        self._method_by_name = {**self._method_by_name, **methods}
+
     def __enter__(self) -> RpcServer:
         self._tasks.start(self._accept)
         return self
--- a/libs/arbutusrill_wire/tests/test_rpc.py
+++ b/libs/arbutusrill_wire/tests/test_rpc.py
@@ -69,3 +69,11 @@
     with socket.create_connection((host, int(port)), timeout=5) as raw:
         raw.sendall(b"\x7f\xff\xff\xff")
         assert raw.recv(1) == b""
+
+
+def test_service_that_is_added_later_is_served_by_the_same_server(handler):
+    with RpcServer("127.0.0.1", 0, {}) as server, RpcClient(server.address) as client:
+        with pytest.raises(RpcError, match="unknown method"):
+            client.call(messages.Control, "propose", messages.Command("r-1", at_ms=5), timeout=2.0)
+        server.add(messages.Control, handler)
+        assert client.call(messages.Control, "propose", messages.Command("r-1", at_ms=5), timeout=2.0).revision == 5
