limits, site: near its limit a workspace is charged by the leader before each request

Also found by reading: tokens that no leader had counted were lost at a change of leader, and a VM that the leader had dropped while it was suspended was never charged again. Change: above half of the bucket entry VMs spend and report as before; below it they ask the leader, which charges at once (charge_tokens). Without an answer a VM uses its part of the rate and of what was left. The leader says when it does not know a VM's totals; a whole report carries what was not counted.

--- a/libs/arbutusrill_limits/__init__.py
+++ b/libs/arbutusrill_limits/__init__.py
@@ -1,7 +1,8 @@
 """Fleet-wide token rates of workspaces: the owner's buckets and the charges on entry VMs."""
 
 from ._bucket import Bucket, GrantBoundError, Limits, WindowBound
-from ._fleet import FleetBuckets, FleetMeter, SpendReport
+from ._fleet_buckets import FleetBuckets, FleetLevels, SpendReport
+from ._fleet_meter import FleetMeter, RateAuthority, RateAuthorityLostError
 from ._leases import Charge, TokenLeases
 from ._owner import GrantOwner
 
@@ -9,10 +10,13 @@
     "Bucket",
     "Charge",
     "FleetBuckets",
+    "FleetLevels",
     "FleetMeter",
     "GrantBoundError",
     "GrantOwner",
     "Limits",
+    "RateAuthority",
+    "RateAuthorityLostError",
     "SpendReport",
     "TokenLeases",
     "WindowBound",
--- a/libs/arbutusrill_limits/tests/test_fleet.py
+++ b/libs/arbutusrill_limits/tests/test_fleet.py
@@ -1,33 +1,46 @@
-"""Guards against workspaces that are refused inside their rate, or admitted beyond it, around a change of leader."""
+"""Guards against workspaces that are refused inside their rate, or admitted beyond it, by many entry VMs together."""
+
+import random
 
 import pytest
 from arbutusrill_base import ManualClock
 
-from arbutusrill_limits import FleetBuckets, FleetMeter, Limits, SpendReport
+from arbutusrill_limits import FleetBuckets, FleetMeter, Limits, RateAuthority, RateAuthorityLostError, SpendReport
 
 LIMITS = Limits(10.0, 100.0)
 
 
 class Leader:
-    def __init__(self, clock):
-        self.buckets = FleetBuckets(lambda workspace: LIMITS, clock)
-        self.term = 1
+    def __init__(self, clock, limits=LIMITS, slack=0.0):
+        self.clock, self.limits = clock, limits
+        self.buckets = FleetBuckets(lambda workspace: limits, clock, slack)
+        self.lost = False
+        self.asked = 0
 
     def change(self):
         self.buckets.reset()
-        self.term += 1
 
 
-class Entry:
+class Entry(RateAuthority):
     """One entry VM with the calls that its follower makes."""
 
-    def __init__(self, clock, leader, name="vm-1"):
-        self.meter = FleetMeter(clock, lambda: 1)
+    def __init__(self, leader, name="vm-1", count=1, slack=0.0):
+        self.meter = FleetMeter(leader.clock, self, lambda: count, slack)
         self.leader, self.name = leader, name
 
+    def charge(self, workspace, tokens):
+        self.leader.asked += 1
+        wait_s = None if self.leader.lost else self.leader.buckets.charge(self.name, 1, workspace, tokens)
+        if wait_s is None:
+            raise RateAuthorityLostError("no answer")
+        return wait_s
+
     def poll(self):
         report = self.meter.report()
-        self.meter.learn(report, self.leader.buckets.report(self.name, 1, report), self.leader.term)
+        self.meter.learn(report, self.leader.buckets.report(self.name, 1, report))
+
+    def admit(self, tokens):
+        return self.meter.admit("clinic", tokens, self.leader.limits)
 
 
 @pytest.fixture()
@@ -41,10 +54,10 @@
 
 
 def test_what_was_spent_before_a_change_of_leader_is_not_charged_again(clock, leader):
-    entry = Entry(clock, leader)
+    entry = Entry(leader)
     for _ in range(30):
         entry.poll()
-        assert entry.meter.admit("clinic", 50.0, LIMITS) is None
+        assert entry.admit(50.0) is None
         clock.advance(5.0)
         entry.poll()
     leader.change()
@@ -52,44 +65,136 @@
         entry.poll()
     clock.advance(5.0)
     entry.poll()
-    assert entry.meter.admit("clinic", 50.0, LIMITS) is None
+    assert entry.admit(50.0) is None
     entry.poll()
-    assert leader.buckets.report("other", 1, SpendReport({}, True)) == {"clinic": 50.0}
+    assert leader.buckets.report("other", 1, SpendReport({}, True)).tokens_by_workspace == {"clinic": 50.0}
 
 
-def test_spending_after_a_change_of_leader_is_charged(clock, leader):
-    entry, other = Entry(clock, leader), Entry(clock, leader, "vm-2")
+def test_spending_after_a_change_of_leader_is_charged(leader):
+    entry, other = Entry(leader), Entry(leader, "vm-2")
     entry.poll()
     other.poll()
     leader.change()
     for vm in (entry, other):
         vm.poll()
         vm.poll()
-    assert entry.meter.admit("clinic", 80.0, LIMITS) is None
+    assert entry.admit(80.0) is None
     entry.poll()
     other.poll()
-    assert other.meter.admit("clinic", 80.0, LIMITS) == pytest.approx(6.0)
+    assert other.admit(80.0) == pytest.approx(6.0)
+
 
+def test_spending_that_no_leader_has_counted_is_charged_by_the_next_one(leader):
+    entry, other = Entry(leader), Entry(leader, "vm-2")
+    entry.poll()
+    other.poll()
+    assert entry.admit(40.0) is None
+    leader.change()
+    for _ in range(2):
+        entry.poll()
+        other.poll()
+    assert other.admit(80.0) == pytest.approx(2.0)
+
+
+def test_vm_that_the_leader_has_forgotten_is_charged_again_from_then_on(leader):
+    # A suspended VM is dropped; its totals were never asked for again under the same leader.
+    entry, other = Entry(leader), Entry(leader, "vm-2")
+    entry.poll()
+    other.poll()
+    leader.buckets.forget("vm-1", 1)
+    entry.poll()
+    entry.poll()
+    assert entry.admit(40.0) is None
+    entry.poll()
+    assert other.admit(80.0) == pytest.approx(2.0)
 
-def test_report_in_part_before_a_whole_one_charges_nothing(clock, leader):
-    assert leader.buckets.report("vm-1", 1, SpendReport({"clinic": 500.0})) == {}
-    assert leader.buckets.report("vm-1", 1, SpendReport({"clinic": 500.0, "desk": 900.0}, True)) == {}
-    assert leader.buckets.report("vm-1", 1, SpendReport({"clinic": 530.0})) == {"clinic": 70.0}
 
+def test_report_in_part_before_a_whole_one_charges_nothing(leader):
+    answer = leader.buckets.report("vm-1", 1, SpendReport({"clinic": 500.0}))
+    assert answer.tokens_by_workspace == {} and not answer.counted
+    answer = leader.buckets.report("vm-1", 1, SpendReport({"clinic": 500.0, "desk": 900.0}, True))
+    assert answer.tokens_by_workspace == {} and answer.counted
+    answer = leader.buckets.report("vm-1", 1, SpendReport({"clinic": 530.0}))
+    assert answer.tokens_by_workspace == {"clinic": 70.0}
 
-def test_workspace_that_a_whole_report_did_not_name_is_charged_from_its_first_request(clock, leader):
+
+def test_workspace_that_a_whole_report_did_not_name_is_charged_from_its_first_request(leader):
     leader.buckets.report("vm-1", 1, SpendReport({}, True))
-    assert leader.buckets.report("vm-1", 1, SpendReport({"clinic": 30.0})) == {"clinic": 70.0}
+    answer = leader.buckets.report("vm-1", 1, SpendReport({"clinic": 30.0}))
+    assert answer.tokens_by_workspace == {"clinic": 70.0}
 
 
 def test_change_of_leader_fills_no_bucket(clock, leader):
-    entry = Entry(clock, leader)
+    entry = Entry(leader)
     entry.poll()
-    assert entry.meter.admit("clinic", 100.0, LIMITS) is None
+    assert entry.admit(100.0) is None
     entry.poll()
     leader.change()
     clock.advance(0.5)
     entry.poll()
     clock.advance(0.1)
     entry.poll()
-    assert entry.meter.admit("clinic", 20.0, LIMITS) == pytest.approx(1.4)
+    assert entry.admit(20.0) == pytest.approx(1.4)
+
+
+def test_leader_that_does_not_know_a_vm_leaves_it_to_its_part_of_the_rate(clock, leader):
+    entry = Entry(leader, count=2)
+    assert entry.admit(50.0) is None
+    assert entry.admit(5.0) == pytest.approx(1.0)
+
+
+def test_lost_leader_leaves_a_vm_its_part_of_what_was_left(clock, leader):
+    # A full part beside a bucket that is spent already would admit twice the burst.
+    entry = Entry(leader, count=2)
+    entry.poll()
+    leader.buckets.report("vm-2", 1, SpendReport({}, True))
+    leader.buckets.report("vm-2", 1, SpendReport({"clinic": 90.0}))
+    entry.poll()
+    leader.lost = True
+    assert entry.admit(5.0) is None
+    assert entry.admit(5.0) is not None
+    assert leader.asked == 1
+
+
+def test_refused_request_is_not_asked_for_again_before_its_time(clock, leader):
+    entry = Entry(leader)
+    entry.poll()
+    assert entry.admit(100.0) is None
+    assert entry.admit(50.0) == pytest.approx(5.0)
+    asked = leader.asked
+    assert entry.admit(50.0) is not None and leader.asked == asked
+    clock.advance(0.3)
+    assert entry.admit(2.0) is None
+
+
+def test_refund_gives_back_what_the_leader_has_charged(leader):
+    entry = Entry(leader)
+    entry.poll()
+    assert entry.admit(100.0) is None
+    entry.meter.refund("clinic", 100.0)
+    entry.poll()
+    assert entry.admit(100.0) is None
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_many_vms_that_poll_seldom_keep_to_the_bucket_under_several_times_the_rate(clock, seed):
+    rng = random.Random(seed)
+    limits, slack, window_s = Limits(47_000.0, 47_000.0), 105_000.0, 8.0
+    leader = Leader(clock, limits, slack)
+    entries = [Entry(leader, f"vm-{number}", 54, slack) for number in range(54)]
+    polls_at = {entry.name: rng.uniform(0.0, 0.5) for entry in entries}
+    admitted, tokens = [], 5_300.0
+    for _ in range(2_400):
+        now = clock.monotonic()
+        for entry in entries:
+            if now >= polls_at[entry.name]:
+                polls_at[entry.name] = now + 0.5
+                entry.poll()
+        for _ in range(rng.randint(0, 1)):
+            if rng.choice(entries).admit(tokens) is None:
+                admitted.append(now)
+        clock.advance(0.01)
+    most = max(sum(tokens for at in admitted if start <= at < start + window_s) for start in admitted)
+    allowed = limits.rate * window_s + limits.burst + slack
+    assert most <= allowed
+    assert len(admitted) * tokens >= 0.95 * (limits.rate * 24.0)
--- a/libs/arbutusrill_site/__init__.py
+++ b/libs/arbutusrill_site/__init__.py
@@ -17,6 +17,7 @@
 from ._follower import SiteFollower, SiteView
 from ._membership import GroupKeeper, Joiner
 from ._places import PlaceLedger
+from ._rates import LeaderRates
 from ._service import SiteLimits, SiteService
 from ._stages import EngineWork, OrderAnswer, StageKeeper, StageOrders
 
@@ -30,6 +31,7 @@
     "EntryRegistry",
     "GroupKeeper",
     "Joiner",
+    "LeaderRates",
     "OrderAnswer",
     "PlaceLedger",
     "Route",
--- a/libs/arbutusrill_site/_follower.py
+++ b/libs/arbutusrill_site/_follower.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from arbutusrill_base import Clock, EventLog, TaskGroup
-from arbutusrill_limits import FleetMeter
+from arbutusrill_limits import FleetLevels, FleetMeter
 from arbutusrill_state import ControlClient, ControlUnavailableError
 from arbutusrill_wire import messages
 
@@ -155,12 +155,13 @@
             report.whole,
             report.levels,
             report.levels_age_s,
+            report.uncounted,
         )
         sent_at = self._clock.monotonic()
         reply = self._client.call("follow_site", request, timeout=_CALL_S, try_timeout=wait_ms / 1000 + 0.35)
         with self._state_lock:
             self._take(reply)
-        self._meter.learn(report, reply.available or {}, reply.term)
+        self._meter.learn(report, FleetLevels(reply.available or {}, reply.counted))
         self.view.confirmed_at = sent_at
         self._client.learn(reply.control or [])
 
--- a/libs/arbutusrill_site/_service.py
+++ b/libs/arbutusrill_site/_service.py
@@ -45,7 +45,8 @@
     """Answers the IDL's `Site` service. Only the leader answers; other control VMs name it.
 
     `decode_document` turns a document's body into the configuration. `stages` makes the keeper of the engines' stages
-    from a function that returns the backend servers and from what is learned of them.
+    from a function that returns the backend servers and from what is learned of them. `rate_slack` is the number of
+    tokens by which a workspace may exceed its bucket for a moment.
     """
 
     def __init__(
@@ -58,6 +59,7 @@
         decode_document: Callable[[bytes], SiteConfiguration],
         keeper: GroupKeeper,
         stages: Callable[[Callable[[], list[Any]], EngineWork], StageKeeper],
+        rate_slack: float,
     ):
         self._log = log
         self._state = state
@@ -67,7 +69,7 @@
         self._keeper = keeper
         self.backends = BackendRegistry(clock, limits.backend_silent_s, changed, state.departures, state.roster)
         self.entries = EntryRegistry(clock, limits.entry_silent_s, changed)
-        self._buckets = FleetBuckets(self._limits, clock)
+        self._buckets = FleetBuckets(self._limits, clock, rate_slack)
         self.places = PlaceLedger(
             clock, self.backends.records, self._engine, self._is_switching, lambda: self.backends.complete
         )
@@ -95,6 +97,7 @@
         backends_revision, entries_revision = self.backends.revision, self.entries.revision
         knows_backends = same_term and request.backends_revision == backends_revision
         knows_entries = same_term and request.entries_revision == entries_revision
+        levels = self._buckets.report(request.entry.id, request.incarnation, _spend_report(request))
         return messages.SiteFollowReply(
             self._term,
             version,
@@ -105,10 +108,11 @@
             None if knows_entries else self.entries.records(),
             self.backends.complete,
             self.entries.complete,
-            self._buckets.report(request.entry.id, request.incarnation, _spend_report(request)),
+            levels.tokens_by_workspace,
             self.entries.uses_of_others(request.entry.id),
             self._keeper.addresses(),
             None if knows_backends else self._state.departures.records(),
+            levels.counted,
         )
 
     def _wait(self, request: Any, term: int) -> bool:
@@ -152,6 +156,14 @@
         self._check_leads()
         self.places.free(freed)
 
+    def charge_tokens(self, charge: Any) -> float:
+        """Charges a request of a workspace that is near its limit; returns 0, or the seconds until it may come back."""
+        self._check_leads()
+        wait_s = self._buckets.charge(charge.vm, charge.incarnation, charge.workspace, charge.tokens)
+        if wait_s is None:
+            raise messages.Refused("unknown_vm", f"{charge.vm} has not told yet what it has spent")
+        return wait_s
+
     def put_document(self, document: Any) -> int:
         """Commits a document unless the held version is as high; returns the version in force afterwards."""
         self._confirm()
@@ -263,4 +275,10 @@
 
 
 def _spend_report(request: Any) -> SpendReport:
-    return SpendReport(request.spent or {}, request.spent_whole, request.levels or {}, request.levels_age_s)
+    return SpendReport(
+        request.spent or {},
+        request.spent_whole,
+        request.levels or {},
+        request.levels_age_s,
+        request.uncounted or {},
+    )
--- a/libs/arbutusrill_wire/arbutusrill.thrift
+++ b/libs/arbutusrill_wire/arbutusrill.thrift
@@ -444,8 +444,9 @@
   9: list<BackendUse> uses,
   10: list<HeldPlace> places,
   11: bool spent_whole = false,        // otherwise workspaces whose totals have not changed are left out
-  12: map<string, double> levels,      // of the leader before this one, with a whole report
-  13: double levels_age_s = 0
+  12: map<string, double> levels,      // as last learned from a leader, with a whole report
+  13: double levels_age_s = 0,
+  14: map<string, double> uncounted    // part of `spent` that no leader has counted, with a whole report
 }
 
 // Lists are left out when the follower has their revision already.
@@ -462,7 +463,8 @@
   10: map<string, double> available,   // tokens by workspace, after what the request reported
   11: list<BackendUse> uses,           // load by the other entry VMs
   12: list<string> control,            // RPC addresses of the control group
-  13: list<PutDeparture> departures    // sent together with the backends
+  13: list<PutDeparture> departures,   // sent together with the backends
+  14: bool counted = true              // false: the leader does not know the entry VM's totals and wants all of them
 }
 
 // How fast an engine was: seconds for `units` tokens or events.
@@ -498,6 +500,9 @@
 
 struct SiteDocument { 1: i64 version, 2: binary body }
 
+// A charge that an entry VM asks for before it admits a request.
+struct TokenCharge { 1: string vm, 2: i64 incarnation, 3: string workspace, 4: double tokens }
+
 service Site {
   SiteFollowReply follow_site(1: SiteFollowRequest request) throws (1: Refused refused),
   void announce_backend(1: BackendRecord record) throws (1: Refused refused),
@@ -506,5 +511,6 @@
   SiteDocument read_document() throws (1: Refused refused),
   PlaceReply place(1: PlaceRequest request) throws (1: Refused refused),
   void free_place(1: FreePlace freed) throws (1: Refused refused),
+  double charge_tokens(1: TokenCharge charge) throws (1: Refused refused),    // 0, or seconds until they are there
   list<string> join(1: string member) throws (1: Refused refused)             // RPC addresses of the group
 }
