site: orders to change the stage are written to the log before they are given

The leader kept the orders in memory. Change: a backend server's record has ordered_stage. Tests: test_stages.py, test_backends.py; written with the change, they use the register's new method.

--- a/libs/arbutusrill_gateway/_backends.py
+++ b/libs/arbutusrill_gateway/_backends.py
@@ -245,6 +245,6 @@
 
 
 def _serves(record: Any, stage: str, model: str) -> bool:
-    if record.draining or (stage and record.stage != stage):
+    if record.draining or (stage and (record.stage != stage or record.ordered_stage)):
         return False
     return not (model and record.models) or any(loaded.name == model for loaded in record.models)
--- a/libs/arbutusrill_site/__init__.py
+++ b/libs/arbutusrill_site/__init__.py
@@ -19,13 +19,14 @@
 from ._places import PlaceLedger
 from ._rates import LeaderRates
 from ._service import SiteLimits, SiteService
-from ._stages import EngineWork, OrderAnswer, StageKeeper, StageOrders
+from ._stages import EngineRegister, EngineWork, OrderAnswer, StageKeeper, StageOrders
 
 __all__ = [
     "BackendRegistry",
     "ClientLimits",
     "ConfigurationError",
     "Engine",
+    "EngineRegister",
     "EngineWork",
     "EntryDirectory",
     "EntryRegistry",
--- a/libs/arbutusrill_site/_backends.py
+++ b/libs/arbutusrill_site/_backends.py
@@ -38,6 +38,7 @@
         "stage",
         "models",
         "software",
+        "ordered_stage",
     )
     return all(getattr(record, field) == getattr(known, field) for field in fields)
 
@@ -85,6 +86,8 @@
                 _events.emit("announcement_outdated", backend=record.id, start=record.started_ms, seq=record.sequence)
                 return False
             known = self._record_by_id.get(record.id)
+            if known is not None and known.started_ms == record.started_ms and known.ordered_stage != record.stage:
+                record.ordered_stage = known.ordered_stage
             self._record_by_id[record.id] = record
             self._heard_by_id[record.id] = now
             if known is None or not _same_use(record, known):
@@ -114,11 +117,20 @@
             address=record.address,
             draining=record.draining,
             stage=record.stage,
+            ordered_stage=record.ordered_stage,
             start=record.started_ms,
             seq=record.sequence,
         )
         self._bump()
 
+    def note_order(self, backend: str, stage: str) -> None:
+        """Notes that an engine is about to change its stage, until it announces it; empty when it will not."""
+        with self._changed:
+            known = self._record_by_id.get(backend)
+            if known is not None and known.ordered_stage != stage:
+                known.ordered_stage = stage
+                self._bump()
+
     def start_of(self, backend: str) -> int:
         """Returns when a server started, 0 when it is not known."""
         with self._changed:
--- a/libs/arbutusrill_site/_places.py
+++ b/libs/arbutusrill_site/_places.py
@@ -52,8 +52,7 @@
 
     Requests wait in line, the shortest first; those that can no longer meet their objective wait behind the others in
     the order in which they came, so that large requests are not passed over for ever. `engine_of` returns the capacity
-    of a service's engines, `is_switching` whether an engine is about to change its stage, `is_complete` whether
-    every engine that runs has had the time to be heard.
+    of a service's engines, `is_complete` whether every engine that runs has had the time to be heard.
     """
 
     def __init__(
@@ -61,13 +60,11 @@
         clock: Clock,
         backends: Callable[[], list[Any]],
         engine_of: Callable[[str], Engine | None],
-        is_switching: Callable[[str], bool] = lambda backend: False,
         is_complete: Callable[[], bool] = lambda: True,
     ):
         self._clock = clock
         self._backends = backends
         self._engine_of = engine_of
-        self._is_switching = is_switching
         self._is_complete = is_complete
         self._freed = threading.Condition()
         self._numbers = itertools.count(1)
@@ -172,7 +169,7 @@
             if record.service_name == request.service_name
             and record.stage == stage
             and not record.draining
-            and not self._is_switching(record.id)
+            and not record.ordered_stage
             and self._unreachable_until.get(record.id, 0.0) <= now
             and (not request.model or not record.models or any(m.name == request.model for m in record.models))
         ]
--- a/libs/arbutusrill_site/_service.py
+++ b/libs/arbutusrill_site/_service.py
@@ -20,7 +20,7 @@
 from ._entries import EntryRegistry
 from ._membership import GroupKeeper
 from ._places import PlaceLedger
-from ._stages import EngineWork, StageKeeper
+from ._stages import EngineRegister, EngineWork, StageKeeper
 
 __all__ = ["SiteLimits", "SiteService"]
 
@@ -45,7 +45,7 @@
     """Answers the IDL's `Site` service. Only the leader answers; other control VMs name it.
 
     `decode_document` turns a document's body into the configuration. `stages` makes the keeper of the engines' stages
-    from a function that returns the backend servers and from what is learned of them. `rate_slack` is the number of
+    from the register of engines and from what is learned of them. `rate_slack` is the number of
     tokens by which a workspace may exceed its bucket for a moment.
     """
 
@@ -58,7 +58,7 @@
         limits: SiteLimits,
         decode_document: Callable[[bytes], SiteConfiguration],
         keeper: GroupKeeper,
-        stages: Callable[[Callable[[], list[Any]], EngineWork], StageKeeper],
+        stages: Callable[[EngineRegister, EngineWork], StageKeeper],
         rate_slack: float,
     ):
         self._log = log
@@ -70,10 +70,8 @@
         self.backends = BackendRegistry(clock, limits.backend_silent_s, changed, state.departures, state.roster)
         self.entries = EntryRegistry(clock, limits.entry_silent_s, changed)
         self._buckets = FleetBuckets(self._limits, clock, rate_slack)
-        self.places = PlaceLedger(
-            clock, self.backends.records, self._engine, self._is_switching, lambda: self.backends.complete
-        )
-        self.stages = stages(self.backends.records, self.places.speeds)
+        self.places = PlaceLedger(clock, self.backends.records, self._engine, lambda: self.backends.complete)
+        self.stages = stages(_Engines(self), self.places.speeds)
         self._decoded: tuple[int, SiteConfiguration | None] = (0, None)
         self._term: int | None = None
         self._term_lock = threading.Lock()
@@ -215,11 +213,22 @@
         # The list of a large site is written less often.
         if unsaved is None or self._clock.monotonic() < self._saved_at + _SAVE_S_PER_BACKEND * len(unsaved):
             return
+        self._save(unsaved)
+
+    def note_stage_order(self, backend: str, stage: str) -> bool:
+        """Notes durably that an engine is about to change its stage; returns False where that cannot be written."""
+        self.backends.note_order(backend, stage)
+        unsaved = self.backends.unsaved()
+        return unsaved is None or self._save(unsaved)
+
+    def _save(self, backends: list[Any]) -> bool:
         self._saved_at = self._clock.monotonic()
         try:
-            self._propose(messages.PutBackends(unsaved))
+            self._propose(messages.PutBackends(backends))
         except messages.Refused as error:
             _events.emit("backends_not_saved", reason=error.message)
+            return False
+        return True
 
     def balance(self) -> None:
         """Keeps prefill and decode engines in proportion; waits for the engine that it gives an order to."""
@@ -240,9 +249,6 @@
             self._term = term
         return term is not None
 
-    def _is_switching(self, backend: str) -> bool:
-        return self.stages.is_switching(backend)
-
     def _configuration(self) -> SiteConfiguration | None:
         """Returns the decoded document, None before the first one."""
         version, body = self._state.document.held()
@@ -274,6 +280,19 @@
             raise messages.Refused("unavailable", str(error)) from None
 
 
+class _Engines(EngineRegister):
+    """The engines of a site, for the keeper of their stages."""
+
+    def __init__(self, service: SiteService):
+        self._service = service
+
+    def records(self) -> list[Any]:
+        return self._service.backends.records()
+
+    def note_order(self, backend: str, stage: str) -> bool:
+        return self._service.note_stage_order(backend, stage)
+
+
 def _spend_report(request: Any) -> SpendReport:
     return SpendReport(
         request.spent or {},
--- a/libs/arbutusrill_site/_stages.py
+++ b/libs/arbutusrill_site/_stages.py
@@ -5,12 +5,11 @@
 import abc
 import enum
 import itertools
-from collections.abc import Callable
 from typing import Any
 
 from arbutusrill_base import Clock, EventLog
 
-__all__ = ["EngineWork", "OrderAnswer", "StageKeeper", "StageOrders"]
+__all__ = ["EngineRegister", "EngineWork", "OrderAnswer", "StageKeeper", "StageOrders"]
 
 _MARGIN = 1.2  # prefill capacity over what is needed, so that short peaks find room
 _LEARNED_PREFILL_PART = 0.5  # part of the prefill engines whose speed has to be known before one is switched
@@ -42,6 +41,18 @@
         """Orders one engine to change its stage under a fencing token."""
 
 
+class EngineRegister(abc.ABC):
+    """The backend servers, and which of them were ordered to change their stage: a new leader has to know it."""
+
+    @abc.abstractmethod
+    def records(self) -> list[Any]:
+        """Returns the backend servers; `ordered_stage` names the stage that an engine is about to change to."""
+
+    @abc.abstractmethod
+    def note_order(self, backend: str, stage: str) -> bool:
+        """Notes an order durably, with an empty stage that it has ended; returns whether that was written."""
+
+
 class EngineWork(abc.ABC):
     """What is learned of engines and of the work of their requests."""
 
@@ -67,46 +78,46 @@
         clock: Clock,
         lease_s: float,
         orders: StageOrders,
-        records: Callable[[], list[Any]],
+        engines: EngineRegister,
         work: EngineWork,
     ):
         self._vm = vm
         self._clock = clock
         self._lease_s = lease_s
         self._orders = orders
-        self._records = records
+        self._engines = engines
         self._work = work
         self._ordered_at: dict[str, float] = {}
-        self._pending_by_backend: dict[str, tuple[str, float]] = {}
+        self._pending_since_by_backend: dict[str, float] = {}
         self._term: int | None = None
         self._began_at = 0.0
         self._fenced = False
         self._numbers = itertools.count(1)
 
-    def is_switching(self, backend: str) -> bool:
-        """Whether an engine has accepted an order that is not carried out yet."""
-        return backend in self._pending_by_backend
-
     def tick(self, term: int | None) -> None:
         """Gives at most one order; `term` is None where this VM does not lead."""
         now = self._clock.monotonic()
         if term != self._term:
             self._term, self._began_at, self._fenced = term, now, False
-            self._pending_by_backend.clear()
+            self._pending_since_by_backend.clear()
             self._numbers = itertools.count(1)
         if term is None or self._fenced or now - self._began_at < self._lease_s + _SETTLED_S:
             return
-        records = [record for record in self._records() if record.stage and not record.draining]
+        records = [record for record in self._engines.records() if record.stage and not record.draining]
         self._settle(records, now)
         for service in sorted({record.service_name for record in records}):
             if self._balance(service, [record for record in records if record.service_name == service], now):
                 return
 
     def _settle(self, records: list[Any], now: float) -> None:
-        stage_by_id = {record.id: record.stage for record in records}
-        for backend, (stage, since) in list(self._pending_by_backend.items()):
-            if stage_by_id.get(backend) in (stage, None) or now - since > _PENDING_S:
-                del self._pending_by_backend[backend]
+        """Ends the orders that had no effect for long, also those that a leader before has given."""
+        pending = {record.id for record in records if record.ordered_stage}
+        since_by_backend = self._pending_since_by_backend
+        self._pending_since_by_backend = {backend: since_by_backend.get(backend, now) for backend in pending}
+        for backend, since in self._pending_since_by_backend.items():
+            if now - since > _PENDING_S:
+                _events.emit("stage_order_without_effect", backend=backend, waited_s=round(now - since, 1))
+                self._engines.note_order(backend, "")
 
     def _balance(self, service: str, records: list[Any], now: float) -> bool:
         """Gives an order when prefill engines have too much or too little of the capacity; returns whether it did."""
@@ -134,7 +145,7 @@
 
     def _stage(self, record: Any) -> str:
         """The stage that an engine has, or will have after an order that it was given."""
-        return self._pending_by_backend.get(record.id, (record.stage, 0.0))[0]
+        return record.ordered_stage or record.stage
 
     def _speeds(self, records: list[Any]) -> dict[str, float]:
         """Returns the engines' speeds; a decode engine that is not learned yet counts as the mean of the others.
@@ -153,6 +164,9 @@
         return sum(learned) >= part * len(records)
 
     def _order(self, record: Any, stage: str, service: str, capacity: float, needed: float) -> bool:
+        if not self._engines.note_order(record.id, stage):
+            self._engines.note_order(record.id, "")
+            return False
         fence = self._term * _FENCE_SHIFT + next(self._numbers)
         answer = self._orders.switch(record, stage, self._vm, fence)
         _events.emit(
@@ -168,6 +182,6 @@
         now = self._clock.monotonic()
         self._ordered_at[service] = now
         self._fenced = answer is OrderAnswer.FENCED
-        if answer in (OrderAnswer.ACCEPTED, OrderAnswer.UNKNOWN):
-            self._pending_by_backend[record.id] = (stage, now)
+        if answer not in (OrderAnswer.ACCEPTED, OrderAnswer.UNKNOWN):
+            self._engines.note_order(record.id, "")
         return True
--- a/libs/arbutusrill_site/tests/test_backends.py
+++ b/libs/arbutusrill_site/tests/test_backends.py
@@ -106,3 +106,34 @@
     registry.announce(record("back", started=200, sequence=1, address="10.0.0.2:80"))
     registry.recall()
     assert [(row.id, row.started_ms) for row in registry.records()] == [("back", 200)]
+
+
+def engine(sequence=1, started=100, stage="prefill"):
+    return messages.BackendRecord("e", started, sequence, "model", "10.0.0.9:80", "z1", 64, False, stage, [])
+
+
+def test_order_to_change_the_stage_is_known_until_the_engine_has_changed(registry):
+    registry.announce(engine())
+    registry.note_order("e", "decode")
+    registry.announce(engine(2))
+    assert registry.records()[0].ordered_stage == "decode"
+    registry.announce(engine(3, stage="decode"))
+    assert registry.records()[0].ordered_stage == ""
+
+
+def test_engine_that_has_started_again_knows_no_order(registry):
+    registry.announce(engine())
+    registry.note_order("e", "decode")
+    registry.announce(engine(started=200))
+    assert registry.records()[0].ordered_stage == ""
+
+
+def test_next_leader_knows_the_orders_that_were_written_down(registry, roster):
+    # It gave prefills to an engine that rejected all of them for six seconds.
+    registry.announce(engine())
+    registry.note_order("e", "decode")
+    roster.put([messages.BackendRecord(**vars(record)) for record in registry.unsaved()])
+    registry.begin_term()
+    registry.recall()
+    registry.announce(engine(2))
+    assert registry.records()[0].ordered_stage == "decode"
--- a/libs/arbutusrill_site/tests/test_places.py
+++ b/libs/arbutusrill_site/tests/test_places.py
@@ -45,11 +45,12 @@
 
 
 def test_draining_switching_and_avoided_engines_are_not_chosen():
+    switching = engine("switching")
+    switching.ordered_stage = "prefill"
     places = PlaceLedger(
         SystemClock(),
-        lambda: [engine("leaving", draining=True), engine("switching"), engine("bad"), engine("good")],
+        lambda: [engine("leaving", draining=True), switching, engine("bad"), engine("good")],
         lambda service: Engine(8, 1000, 0.5),
-        lambda backend: backend == "switching",
     )
     request = wanted("a")
     request.avoid = ["bad"]
--- a/libs/arbutusrill_site/tests/test_stages.py
+++ b/libs/arbutusrill_site/tests/test_stages.py
@@ -3,7 +3,7 @@
 from arbutusrill_base import ManualClock
 from arbutusrill_wire import messages
 
-from arbutusrill_site import EngineWork, OrderAnswer, StageKeeper, StageOrders
+from arbutusrill_site import EngineRegister, EngineWork, OrderAnswer, StageKeeper, StageOrders
 
 
 class Orders(StageOrders):
@@ -28,6 +28,21 @@
         return self.speed_by_id.get(backend, 1.0)
 
 
+class Engines(EngineRegister):
+    def __init__(self, records, durable=True):
+        self.listed = records
+        self.durable = durable
+
+    def records(self):
+        return self.listed
+
+    def note_order(self, backend, stage):
+        for record in self.listed:
+            if record.id == backend:
+                record.ordered_stage = stage
+        return self.durable
+
+
 def engines(prefill, decode):
     names = [(f"p{number}", "prefill") for number in range(prefill)]
     names += [(f"d{number}", "decode") for number in range(decode)]
@@ -36,7 +51,8 @@
 
 def keeper(orders, records, work=None):
     clock = ManualClock()
-    return clock, StageKeeper("vm-1", clock, 3.0, orders, lambda: records, work or Work())
+    register = records if isinstance(records, EngineRegister) else Engines(records)
+    return clock, StageKeeper("vm-1", clock, 3.0, orders, register, work or Work())
 
 
 def test_new_leader_waits_for_the_lease_before_its_first_order():
@@ -74,13 +90,13 @@
 
 
 def test_fastest_engine_that_can_be_spared_is_switched():
-    orders = Orders()
-    clock, stages = keeper(orders, engines(4, 5), Work(0.1, {"p2": 2.0}))
+    orders, records = Orders(), engines(4, 5)
+    clock, stages = keeper(orders, records, Work(0.1, {"p2": 2.0}))
     stages.tick(7)
     clock.advance(10)
     stages.tick(7)
     assert orders.given[0][0] == "p2"
-    assert stages.is_switching("p2")
+    assert [record.id for record in records if record.ordered_stage] == ["p2"]
 
 
 def test_balanced_small_and_unlearned_services_get_no_order():
@@ -134,3 +150,40 @@
     clock.advance(10)
     stages.tick(7)
     assert not orders.given
+
+
+def test_new_leader_counts_the_orders_of_the_one_before():
+    records = engines(3, 6)
+    records[0].ordered_stage = "decode"
+    orders = Orders()
+    clock, stages = keeper(orders, records, Work(0.2))
+    stages.tick(8)
+    clock.advance(10)
+    stages.tick(8)
+    assert not orders.given
+
+
+def test_order_that_cannot_be_written_down_is_not_given():
+    # The next leader would use an engine that is about to change its stage.
+    register, orders = Engines(engines(4, 5), durable=False), Orders()
+    clock, stages = keeper(orders, register)
+    stages.tick(7)
+    clock.advance(10)
+    stages.tick(7)
+    assert not orders.given
+    assert not any(record.ordered_stage for record in register.records())
+
+
+def test_order_without_effect_ends_after_a_while_and_a_refused_one_at_once():
+    records = engines(4, 5)
+    clock, stages = keeper(Orders(OrderAnswer.REFUSED), records)
+    stages.tick(7)
+    clock.advance(10)
+    stages.tick(7)
+    assert not any(record.ordered_stage for record in records)
+    records[0].ordered_stage = "decode"
+    clock, stages = keeper(Orders(), records, Work(None))
+    for _ in range(4):
+        stages.tick(8)
+        clock.advance(10)
+    assert not records[0].ordered_stage
--- a/libs/arbutusrill_wire/arbutusrill.thrift
+++ b/libs/arbutusrill_wire/arbutusrill.thrift
@@ -144,7 +144,8 @@
   8: bool draining = false,
   9: string stage = "",          // prefill, decode, or empty for a plain service
   10: list<LoadedModel> models,
-  11: string software = ""
+  11: string software = "",
+  12: string ordered_stage = ""   // set by the leader: the stage that the engine is about to change to
 }
 
 // A backend server that has said that it leaves: announcements of that start up to `sequence` no longer count.
