gateway: connections to backend servers time out after 0.12 s

The connection took 0.25 s to time out; with the next turn in line the KV cache, which lives for 0.5 s, had lapsed. Change: the connection times out after 0.12 s. A lost packet is sent again after a second, so a longer wait gains nothing.

--- a/libs/arbutusrill_gateway/_attempt.py
+++ b/libs/arbutusrill_gateway/_attempt.py
@@ -15,7 +15,7 @@
 
 __all__ = ["Attempt", "Outcome", "attempt"]
 
-_CONNECT_S = 0.25
+_CONNECT_S = 0.12  # a KV cache that waits to be taken lives for half a second
 _BROKEN_STATUS = (408, 421, 429, 503)  # promises that a backend server makes only together with its statement
 
 
