site, limits, platform: metrics of the control role; a line for each request beyond its rate

Cause: control VMs had no metrics address, and a 429 could not be traced to the level that decided it. It is imported after the VM serves. rate_refused has the tokens, who decided and the age of the levels.

--- a/libs/arbutusrill_gateway/_gateway.py
+++ b/libs/arbutusrill_gateway/_gateway.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import threading
 import time
 from collections.abc import Callable
@@ -24,6 +25,7 @@
 __all__ = ["Gateway"]
 
 _RETRY_S = 0.3
+_LEAST_RETRY_S = 0.05
 _START_S = 1.0  # longest wait for the first configuration after a start
 _START_PART = 0.4  # the same as a part of the time that the caller waits
 _events = EventLog("entry")
@@ -105,10 +107,22 @@
     def _charge(self, workspace: Workspace | None, request: CallerRequest) -> Refusal | None:
         if workspace is None or workspace.limits is None:
             return None
-        wait_s = self._meter.admit(workspace.name, _cost(workspace, request), workspace.limits)
-        if wait_s is None:
+        tokens = _cost(workspace, request)
+        decision = self._meter.admit(workspace.name, tokens, workspace.limits)
+        if decision.wait_s <= 0:
             return None
-        return Refusal(429, "rate_limited", f"workspace {workspace.name} has spent its rate", max(0.05, wait_s))
+        _events.emit(
+            "rate_refused",
+            request=request.id,
+            workspace=workspace.name,
+            tokens=tokens,
+            rate=workspace.limits.rate,
+            wait_ms=round(decision.wait_s * 1000),
+            decided_by=decision.decided_by,
+            level_age_ms=round(decision.age_s * 1000) if math.isfinite(decision.age_s) else None,
+        )
+        message = f"workspace {workspace.name} has spent its rate"
+        return Refusal(429, "rate_limited", message, max(_LEAST_RETRY_S, decision.wait_s))
 
     def _relay(
         self,
--- a/libs/arbutusrill_limits/__init__.py
+++ b/libs/arbutusrill_limits/__init__.py
@@ -2,7 +2,7 @@
 
 from ._bucket import Bucket, GrantBoundError, Limits, WindowBound
 from ._fleet_buckets import FleetBuckets, FleetLevels, SpendReport
-from ._fleet_meter import FleetMeter, RateAuthority, RateAuthorityLostError
+from ._fleet_meter import FleetMeter, RateAuthority, RateAuthorityLostError, RateDecision
 from ._leases import Charge, TokenLeases
 from ._owner import GrantOwner
 
@@ -17,6 +17,7 @@
     "Limits",
     "RateAuthority",
     "RateAuthorityLostError",
+    "RateDecision",
     "SpendReport",
     "TokenLeases",
     "WindowBound",
--- a/libs/arbutusrill_limits/_fleet_meter.py
+++ b/libs/arbutusrill_limits/_fleet_meter.py
@@ -18,7 +18,7 @@
 from ._bucket import Limits
 from ._fleet_buckets import FleetLevels, Level, SpendReport
 
-__all__ = ["FleetMeter", "RateAuthority", "RateAuthorityLostError"]
+__all__ = ["FleetMeter", "RateAuthority", "RateAuthorityLostError", "RateDecision"]
 
 _LEVEL_AGE_S = 1.0  # age in seconds from which levels are not used any more
 _UNASKED_PART = 0.5  # part of a bucket above which a VM spends before it reports
@@ -41,6 +41,19 @@
         """
 
 
+@dataclass(slots=True, frozen=True)
+class RateDecision:
+    """Whether a request is inside its workspace's rate: `wait_s` is 0, or the seconds until its tokens are there.
+
+    `decided_by` is ``level`` (this VM, by the last level that it was told), ``leader``, ``refusal`` (a recent refusal
+    by the leader) or ``part`` (this VM's part of the rate, without the leader). `age_s` is the age of the last levels.
+    """
+
+    wait_s: float
+    decided_by: str
+    age_s: float
+
+
 @dataclass(slots=True)
 class _Account:
     own: Level  # this VM's part of the bucket, for times without the leader
@@ -71,8 +84,8 @@
         self._whole_next = True
         self._lost_until = float("-inf")
 
-    def admit(self, workspace: str, tokens: float, limits: Limits) -> float | None:
-        """Charges `tokens` and returns None, or returns after how many seconds they would be there."""
+    def admit(self, workspace: str, tokens: float, limits: Limits) -> RateDecision:
+        """Charges `tokens`, or says after how many seconds they would be there."""
         now = self._clock.monotonic()
         capacity = limits.burst + self._slack
         with self._lock:
@@ -81,9 +94,9 @@
             if level is not None and level - tokens >= capacity * _UNASKED_PART:
                 account.spent += tokens
                 account.own.tokens -= tokens
-                return None
+                return RateDecision(0.0, "level", now - self._learned_at)
             if now < account.refused_until and tokens >= account.refused_tokens:
-                return account.refused_until - now
+                return RateDecision(account.refused_until - now, "refusal", now - self._learned_at)
             lost = now < self._lost_until
         if not lost:
             try:
@@ -92,9 +105,11 @@
                 with self._lock:
                     self._lost_until = self._clock.monotonic() + _LOST_S
             else:
-                return self._note_answer(workspace, account, tokens, limits, wait_s)
+                self._note_answer(workspace, account, tokens, limits, wait_s)
+                return RateDecision(wait_s, "leader", now - self._learned_at)
         with self._lock:
-            return self._admit_own_part(workspace, account, tokens, limits)
+            wait_s = self._admit_own_part(workspace, account, tokens, limits)
+            return RateDecision(wait_s, "part", now - self._learned_at)
 
     def _account(self, workspace: str, limits: Limits, now: float) -> _Account:
         own = self._own_part(limits)
@@ -116,15 +131,13 @@
         level = self._levels.get(workspace, math.inf) + limits.rate * age_s
         return min(level, limits.burst + self._slack) - account.asked - (account.spent - account.reported)
 
-    def _note_answer(
-        self, workspace: str, account: _Account, tokens: float, limits: Limits, wait_s: float
-    ) -> float | None:
+    def _note_answer(self, workspace: str, account: _Account, tokens: float, limits: Limits, wait_s: float) -> None:
         now = self._clock.monotonic()
         with self._lock:
             if wait_s <= 0:
                 account.asked += tokens
                 account.own.tokens -= tokens
-                return None
+                return
             if now - self._learned_at <= _LEVEL_AGE_S:
                 left = min(tokens, limits.burst + self._slack) - wait_s * limits.rate
                 self._levels[workspace] = left + account.asked - limits.rate * (now - self._learned_at)
@@ -132,9 +145,8 @@
                 account.refused_tokens = math.inf
             account.refused_until = now + min(wait_s, _LONGEST_REFUSAL_S)
             account.refused_tokens = min(account.refused_tokens, tokens)
-            return wait_s
 
-    def _admit_own_part(self, workspace: str, account: _Account, tokens: float, limits: Limits) -> float | None:
+    def _admit_own_part(self, workspace: str, account: _Account, tokens: float, limits: Limits) -> float:
         own = self._own_part(limits)
         if workspace in self._levels:  # the bucket was not full when the leader was heard last
             age_s = self._clock.monotonic() - self._learned_at
@@ -146,7 +158,7 @@
             return lacking / own.rate
         account.spent += tokens
         account.own.tokens -= tokens
-        return None
+        return 0.0
 
     def refund(self, workspace: str, tokens: float) -> None:
         """Gives back what was charged for a request that has not run."""
--- a/libs/arbutusrill_limits/tests/test_fleet.py
+++ b/libs/arbutusrill_limits/tests/test_fleet.py
@@ -40,7 +40,9 @@
         self.meter.learn(report, self.leader.buckets.report(self.name, 1, report))
 
     def admit(self, tokens):
-        return self.meter.admit("clinic", tokens, self.leader.limits)
+        """Returns None, or the wait of a refused request."""
+        self.last = self.meter.admit("clinic", tokens, self.leader.limits)
+        return self.last.wait_s or None
 
 
 @pytest.fixture()
@@ -141,6 +143,7 @@
     entry = Entry(leader, count=2)
     assert entry.admit(50.0) is None
     assert entry.admit(5.0) == pytest.approx(1.0)
+    assert entry.last.decided_by == "part"
 
 
 def test_lost_leader_leaves_a_vm_its_part_of_what_was_left(clock, leader):
@@ -161,8 +164,10 @@
     entry.poll()
     assert entry.admit(100.0) is None
     assert entry.admit(50.0) == pytest.approx(5.0)
+    assert entry.last.decided_by == "leader"
     asked = leader.asked
     assert entry.admit(50.0) is not None and leader.asked == asked
+    assert entry.last.decided_by == "refusal"
     clock.advance(0.3)
     assert entry.admit(2.0) is None
 
--- a/libs/arbutusrill_site/__init__.py
+++ b/libs/arbutusrill_site/__init__.py
@@ -1,4 +1,11 @@
-"""Shared knowledge of a site: its configuration document, its backend servers and its entry VMs."""
+"""Shared knowledge of a site: its configuration document, its backend servers and its entry VMs.
+
+The metrics are imported on first use: a control VM that starts needs a leader first.
+"""
+
+from __future__ import annotations
+
+from typing import Any
 
 from ._backends import BackendRegistry, is_newer
 from ._configuration import (
@@ -21,7 +28,7 @@
 from ._service import SiteLimits, SiteService
 from ._stages import EngineRegister, EngineWork, OrderAnswer, StageKeeper, StageOrders
 
-__all__ = [
+__all__ = [  # noqa: F822
     "BackendRegistry",
     "ClientLimits",
     "ConfigurationError",
@@ -41,6 +48,7 @@
     "SiteConfiguration",
     "SiteFollower",
     "SiteLimits",
+    "SiteMetrics",
     "SiteService",
     "SiteView",
     "StageKeeper",
@@ -49,3 +57,11 @@
     "Workspace",
     "is_newer",
 ]
+
+
+def __getattr__(name: str) -> Any:
+    if name != "SiteMetrics":
+        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    from ._metrics import SiteMetrics
+
+    return SiteMetrics
--- /dev/null
+++ b/libs/arbutusrill_site/_metrics.py
@@ -0,0 +1,63 @@
+"""Counters and latency histograms of a control VM's site service."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from arbutusrill_raft import Replica
+from prometheus_client import CollectorRegistry, Counter, Histogram, generate_latest
+from prometheus_client.core import GaugeMetricFamily
+from prometheus_client.registry import Collector
+
+from ._service import SiteService
+
+__all__ = ["SiteMetrics"]
+
+_BUCKETS_S = (0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5)
+
+
+class SiteMetrics(Collector):
+    """Metrics of one control VM: its calls by method and outcome, and its replica's state when they are read."""
+
+    def __init__(self, service: SiteService, log: Replica):
+        self._service = service
+        self._log = log
+        self._registry = CollectorRegistry()
+        self._calls = Counter(
+            "arbutusrill_control_calls", "Calls by method and outcome.", ["method", "outcome"], registry=self._registry
+        )
+        self._seconds = Histogram(
+            "arbutusrill_control_call_seconds",
+            "Time in which a call was answered; long polls and places include their wait.",
+            ["method"],
+            buckets=_BUCKETS_S,
+            registry=self._registry,
+        )
+        self._registry.register(self)
+
+    def called(self, method: str, outcome: str, took_s: float) -> None:
+        """Counts a call; `outcome` is ``ok``, ``refused`` or ``failed``."""
+        self._calls.labels(method, outcome).inc()
+        self._seconds.labels(method).observe(took_s)
+
+    def collect(self) -> Iterable[GaugeMetricFamily]:
+        """Reads the gauges."""
+        status, service = self._log.status(), self._service
+        values = {
+            "leader": (float(self._log.is_leader()), "1 when this control VM leads"),
+            "term": (status.term, "term of the replicated log"),
+            "commit_index": (status.commit_index, "highest committed entry"),
+            "applied_index": (status.applied_index, "highest applied entry"),
+            "voters": (len(status.voters), "voters of the control group"),
+            "fault": (float(bool(status.fault)), "1 when the replica has stopped for a fault"),
+            "config_version": (service.document_version, "version of the latest configuration"),
+            "backends": (len(service.backends.records()), "backend servers that the leader knows"),
+            "entries": (len(service.entries.records()), "entry VMs that the leader knows"),
+            "places_waiting": (service.places.waiting, "requests in line for a place on an engine"),
+        }
+        for name, (value, text) in values.items():
+            yield GaugeMetricFamily(f"arbutusrill_control_{name}", text, value=value)
+
+    def expose(self) -> bytes:
+        """Returns the metrics in the text format."""
+        return generate_latest(self._registry)
--- a/libs/arbutusrill_site/_places.py
+++ b/libs/arbutusrill_site/_places.py
@@ -73,6 +73,12 @@
         self.speeds = EngineSpeeds()
         self._unreachable_until: dict[str, float] = {}
 
+    @property
+    def waiting(self) -> int:
+        """Number of requests in line."""
+        with self._freed:
+            return len(self._line)
+
     def begin_term(self, term: int) -> None:
         """Forgets the places at the start of a leadership; the entry VMs report them again."""
         with self._freed:
--- a/libs/arbutusrill_site/_service.py
+++ b/libs/arbutusrill_site/_service.py
@@ -77,6 +77,11 @@
         self._term_lock = threading.Lock()
         self._saved_at = float("-inf")
 
+    @property
+    def document_version(self) -> int:
+        """Version of the latest committed document that this VM has applied."""
+        return self._state.document.version
+
     # ---- RPC methods
 
     def follow_site(self, request: Any) -> Any:
--- a/libs/arbutusrill_wire/_server.py
+++ b/libs/arbutusrill_wire/_server.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import socket
+import time
+from collections.abc import Callable
 from typing import Any
 
 from arbutusrill_base import PartLog, TaskGroup
@@ -25,12 +27,14 @@
 
     `handlers` maps a service of the IDL to the object with its methods. Method names are unique over
     all services, so that one port serves several of them. A connection above `limit` is closed at once.
+    `on_call` is told each call's method, its outcome (``ok``, ``refused`` or ``failed``) and its time in seconds.
     """
 
     def __init__(self, host: str, port: int, handlers: dict[Any, object], limit: int = 256):
         self._method_by_name: dict[str, tuple[Any, Any]] = {}
         for service, handler in handlers.items():
             self.add(service, handler)
+        self.on_call: Callable[[str, str, float], None] = lambda method, outcome, took_s: None
         self._listener = socket.create_server((host, port), backlog=256)
         self._tasks = TaskGroup("rpc", limit + 1)
         self._connections: set[socket.socket] = set()
@@ -99,13 +103,17 @@
         arguments = getattr(service, f"{name}_args")()
         arguments.read(protocol)
         result = getattr(service, f"{name}_result")()
+        started, outcome = time.monotonic(), "ok"
         try:
             result.success = method(*(getattr(arguments, spec[1]) for spec in arguments.thrift_spec.values()))
         except Exception as error:
-            if not _set_declared(result, error):
+            outcome = "refused" if _set_declared(result, error) else "failed"
+            if outcome == "failed":
                 _log.exception("call of %s failed", name)
                 _write_fault(reply, name, sequence, TApplicationException.INTERNAL_ERROR, repr(error))
-                return out.getvalue()
+        self.on_call(name, outcome, time.monotonic() - started)
+        if outcome == "failed":
+            return out.getvalue()
         reply.write_message_begin(name, TMessageType.REPLY, sequence)
         result.write(reply)
         reply.write_message_end()
--- a/libs/arbutusrill_wire/tests/test_rpc.py
+++ b/libs/arbutusrill_wire/tests/test_rpc.py
@@ -77,3 +77,13 @@
             client.call(messages.Control, "propose", messages.Command("r-1", at_ms=5), timeout=2.0)
         server.add(messages.Control, handler)
         assert client.call(messages.Control, "propose", messages.Command("r-1", at_ms=5), timeout=2.0).revision == 5
+
+
+def test_calls_are_told_with_their_outcome(handler):
+    told = []
+    with RpcServer("127.0.0.1", 0, {messages.Control: handler}) as server, RpcClient(server.address) as client:
+        server.on_call = lambda method, outcome, took_s: told.append((method, outcome))
+        client.call(messages.Control, "propose", messages.Command("r-1"), timeout=2.0)
+        with pytest.raises(messages.Refused):
+            client.call(messages.Control, "follow", messages.FollowRequest("vm"), timeout=2.0)
+    assert told == [("propose", "ok"), ("follow", "refused")]
