site, gateway: the next leader counts a stream by what it fills; a turn in line is computed once

Cause: an entry VM reported a place without its output and age, so that after a change of leader a stream counted with its whole memory until it ended. Each call for a place computed the expected first event, which only a new ticket needs. Change: HeldPlace carries service, output tokens and age; Line.resume finds a ticket, Line.join makes one. One function derives the output from a request for a place. Test: test_new_leader_counts_a_stream_by_what_it_fills_until_it_ends.

--- a/libs/arbutusrill_gateway/_places.py
+++ b/libs/arbutusrill_gateway/_places.py
@@ -35,6 +35,8 @@
     decode: Any
     prefill: Any
     tokens: int
+    output_tokens: int  # part of `tokens` that is filled while the stream lasts
+    taken_at: float
     speeds: list[Any] = field(default_factory=list)
     unreachable: list[str] = field(default_factory=list)
 
@@ -75,9 +77,17 @@
 
     def held(self) -> list[Any]:
         """Returns the places that this VM holds."""
+        now = self._clock.monotonic()
         with self._lock:
             return [
-                messages.HeldPlace(number, place.decode.id, place.tokens)
+                messages.HeldPlace(
+                    number,
+                    place.decode.id,
+                    place.tokens,
+                    place.decode.service_name,
+                    place.output_tokens,
+                    int((now - place.taken_at) * 1000),
+                )
                 for number, place in self._place_by_number.items()
             ]
 
@@ -144,14 +154,15 @@
         if decode is None:  # the leader knows a backend server that has not reached this VM's view
             self._free(reply.place, [], [])
             return None
-        place = Place(reply.place, decode, backends.get(reply.prefill), request.memory_tokens)
-        with self._lock:
-            self._place_by_number[place.number] = place
-        return place
+        return self._note(reply.place, decode, backends.get(reply.prefill), request)
 
-    def take_unasked(self, decode: Any, tokens: int) -> Place:
+    def take_unasked(self, decode: Any, request: CallerRequest) -> Place:
         """Notes a place that this VM chose by its own view; the leader learns of it with the next report."""
-        place = Place(next(self._own_numbers), decode, None, tokens)
+        return self._note(next(self._own_numbers), decode, None, request)
+
+    def _note(self, number: int, decode: Any, prefill: Any, request: CallerRequest) -> Place:
+        now = self._clock.monotonic()
+        place = Place(number, decode, prefill, request.memory_tokens, request.reserved_output_tokens, now)
         with self._lock:
             self._place_by_number[place.number] = place
         return place
--- a/libs/arbutusrill_gateway/_protocol.py
+++ b/libs/arbutusrill_gateway/_protocol.py
@@ -52,11 +52,16 @@
     @property
     def memory_tokens(self) -> int:
         """Tokens of engine memory that the request is expected to fill."""
+        return (self.prompt_tokens or 0) + self.reserved_output_tokens
+
+    @property
+    def reserved_output_tokens(self) -> int:
+        """Part of `memory_tokens` that is filled while the stream lasts."""
         output = self.output_tokens or 0
         if self.expected_output_tokens is not None:
             # Estimates are right in the middle; the requests that run are more often those that last longer.
             output = min(output, int(self.expected_output_tokens * _ESTIMATE_FACTOR) + _ESTIMATE_TOKENS)
-        return (self.prompt_tokens or 0) + output
+        return output
 
 
 @dataclass(slots=True)
--- a/libs/arbutusrill_gateway/_stream.py
+++ b/libs/arbutusrill_gateway/_stream.py
@@ -216,7 +216,7 @@
     with contextlib.ExitStack() as stack:
         stack.enter_context(exchange.pool.hold(candidate.id, tokens))
         if exchange.service.engine is not None and (place is None or place.decode.id != candidate.id):
-            stack.callback(exchange.places.free, exchange.places.take_unasked(candidate.record, tokens))
+            stack.callback(exchange.places.free, exchange.places.take_unasked(candidate.record, exchange.request))
         yield
 
 
--- a/libs/arbutusrill_site/_line.py
+++ b/libs/arbutusrill_site/_line.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-__all__ = ["Line", "Ticket"]
+__all__ = ["Line", "Ticket", "output_tokens_of"]
 
 _SILENT_S = 0.4  # a request that has not asked again for longer has lost its turn
 _GAP_S = 0.03  # between two calls for the same request; for longer it does not hold up the others
@@ -49,23 +49,24 @@
     def __len__(self) -> int:
         return len(self._ticket_by_request)
 
-    def holds(self, request: Any) -> bool:
-        """Whether a request has a ticket."""
-        return request.request_id in self._ticket_by_request
+    def resume(self, request: Any, now: float) -> Ticket | None:
+        """Returns the ticket of a request that asks again, None for a new one."""
+        ticket = self._ticket_by_request.get(request.request_id)
+        if ticket is not None:
+            ticket.asked_at = now + request.wait_ms / 1000
+        return ticket
 
     def join(self, request: Any, now: float, first_event_s: float) -> Ticket:
-        """Returns the ticket of a request, a new one when it has none.
-
-        `first_event_s` is the expected time from a place to the first event.
-        """
-        ticket = self._ticket_by_request.get(request.request_id)
-        if ticket is None:
-            late_at = self._late_at(request, now) - first_event_s
-            ticket = Ticket(
-                next(self._numbers), request.service_name, late_at, _work(request), now, bool(request.continued)
-            )
-            self._ticket_by_request[request.request_id] = ticket
-        ticket.asked_at = now + request.wait_ms / 1000
+        """Returns the ticket of a new request; `first_event_s` is the expected time from a place to the first event."""
+        ticket = Ticket(
+            next(self._numbers),
+            request.service_name,
+            self._late_at(request, now) - first_event_s,
+            _work(request),
+            now + request.wait_ms / 1000,
+            bool(request.continued),
+        )
+        self._ticket_by_request[request.request_id] = ticket
         return ticket
 
     def pause(self, request: Any, ticket: Ticket, now: float) -> None:
@@ -121,6 +122,11 @@
         return (sum(1 for _ in self._ahead(ticket, now)) + 1) / rate
 
 
+def output_tokens_of(request: Any) -> int:
+    """Returns the part of a request's memory that is filled while its stream lasts."""
+    return max(0, request.memory_tokens - request.prompt_tokens)
+
+
 def _work(request: Any) -> float:
-    output = max(1, request.memory_tokens - request.prompt_tokens)
+    output = max(1, output_tokens_of(request))
     return (request.prompt_tokens + output / 2) * output
--- a/libs/arbutusrill_site/_places.py
+++ b/libs/arbutusrill_site/_places.py
@@ -13,7 +13,7 @@
 from arbutusrill_wire import messages
 
 from ._configuration import Engine
-from ._line import Line
+from ._line import Line, Ticket, output_tokens_of
 from ._memory import StreamLoad, peak_tokens
 from ._speeds import EngineSpeeds
 
@@ -101,8 +101,7 @@
         deadline = now + request.wait_ms / 1000
         with self._freed:
             self._line.drop_silent(now)
-            self._learn(request, engine)
-            ticket = self._line.join(request, now, self._first_event_s(request, now))
+            ticket = self._ticket(request, engine, now)
             expected_s = self._line.expected_wait_s(ticket, now, len(self._usable(request, "decode")))
             while True:
                 found = self._choose(request, engine) if self._line.is_first(ticket, now) else None
@@ -119,13 +118,16 @@
                 self._freed.wait(min(deadline - now, _TURN_S))
                 now = self._clock.monotonic()
 
-    def _learn(self, request: Any, engine: Engine) -> None:
-        """Takes the work of a request that is new, and the speeds that its entry VM tells."""
+    def _ticket(self, request: Any, engine: Engine, now: float) -> Ticket:
+        """Returns the turn of a request; takes the work of a new one, and the speeds that its entry VM tells."""
         for seen in request.prefills or []:
             self.speeds.learn_prefill(seen.id, seen.took_s, seen.units)
-        if not self._line.holds(request):
-            output_tokens = _output_tokens(request)
+        ticket = self._line.resume(request, now)
+        if ticket is None:
+            output_tokens = output_tokens_of(request)
             self.speeds.learn_work(request.service_name, request.prompt_tokens, output_tokens, engine.kv_tokens)
+            ticket = self._line.join(request, now, self._first_event_s(request, now))
+        return ticket
 
     def _first_event_s(self, request: Any, now: float) -> float:
         """Returns the expected time from a place to the first event, behind the prefills that are under way."""
@@ -262,7 +264,9 @@
             places = self._places_by_holder.setdefault((vm, incarnation), {})
             reported = {row.place for row in held}
             for row in held:
-                places.setdefault(row.place, _Place(row.backend, row.tokens, now))
+                taken_at = now - row.age_ms / 1000
+                place = _Place(row.backend, row.tokens, taken_at, row.service_name, row.output_tokens)
+                places.setdefault(row.place, place)
             lost = [key for key, row in places.items() if key not in reported and now - row.taken_at > _UNCONFIRMED_S]
             for number in lost:
                 del places[number]
@@ -277,8 +281,4 @@
 
 
 def _wanted_place(request: Any, backend: str, now: float) -> _Place:
-    return _Place(backend, request.memory_tokens, now, request.service_name, _output_tokens(request))
-
-
-def _output_tokens(request: Any) -> int:
-    return max(0, request.memory_tokens - request.prompt_tokens)
+    return _Place(backend, request.memory_tokens, now, request.service_name, output_tokens_of(request))
--- a/libs/arbutusrill_site/tests/test_places.py
+++ b/libs/arbutusrill_site/tests/test_places.py
@@ -241,3 +241,21 @@
     answers = [places.place(wanted(str(number), tokens=4000)) for number in range(12)]
     assert answers[0].prefill == "p"
     assert answers[-1].prefill == "" and answers[-1].decode == "d"
+
+
+def test_new_leader_counts_a_stream_by_what_it_fills_until_it_ends():
+    # With its whole memory until its end, a stream kept others from the engine for seconds after a change of leader.
+    clock = ManualClock()
+    places = ledger(engine("d"), clock=clock, tokens=1000)
+    for number in range(20):
+        request = wanted(f"learn-{number}", tokens=400)
+        request.prompt_tokens = 50
+        held = places.place(request)
+        places.free(messages.FreePlace("vm", 1, held.place, [messages.EngineSpeed("d", 6.0, 100)], []))
+    clock.advance(10.0)
+    places.begin_term(2)
+    rows = [messages.HeldPlace(number, "d", 400, "model", 350, 5500) for number in (1, 2)]
+    places.report("vm", 1, rows)
+    request = wanted("new", tokens=400)
+    request.prompt_tokens = 50
+    assert places.place(request).place
--- a/libs/arbutusrill_wire/arbutusrill.thrift
+++ b/libs/arbutusrill_wire/arbutusrill.thrift
@@ -431,7 +431,14 @@
 struct BackendUse { 1: string id, 2: i32 requests, 3: i64 tokens }
 
 // A place that an entry VM holds on a decode engine.
-struct HeldPlace { 1: i64 place, 2: string backend, 3: i64 tokens }
+struct HeldPlace {
+  1: i64 place,
+  2: string backend,
+  3: i64 tokens,
+  4: string service_name = "",
+  5: i64 output_tokens = 0,            // part of `tokens` that is filled while the stream lasts
+  6: i64 age_ms = 0
+}
 
 struct SiteFollowRequest {
   1: EntryRecord entry,
