gateway: a success without an event is no answer to a new stream

Change: such an answer counts as broken unless the stream was resumed; a resumed one that holds nothing more is passed on.

--- a/libs/arbutusrill_gateway/_stream.py
+++ b/libs/arbutusrill_gateway/_stream.py
@@ -73,9 +73,14 @@
         if whole:
             self._forward(b"".join(whole))
 
+    @property
+    def received(self) -> bool:
+        """Whether anything of a stream has come."""
+        return bool(self._buffer or self._exchange.responder.status)
+
     def finish(self) -> None:
-        """Forwards what follows the last separator; the answer is whole."""
-        if self._answer is not None and self._buffer:
+        """Forwards what follows the last separator; the answer is whole, and may hold nothing when it was resumed."""
+        if self._answer is not None and (self._buffer or not self._exchange.responder.status):
             self._forward(self._buffer)
             self._buffer = b""
 
@@ -225,7 +230,7 @@
     stall_s = _STALL_S if exchange.route.resumable and exchange.sends + 1 < exchange.route.max_attempts else None
     events.plain.clear()
     try:
-        return attempt(
+        made = attempt(
             exchange.protocol,
             exchange.request,
             send,
@@ -235,6 +240,13 @@
             events.on_head,
             events.on_data,
         )
+        if (
+            made.outcome is Outcome.ANSWERED
+            and made.answer.status == 200
+            and not (events.received or send.resume_after)
+        ):
+            made.outcome, made.detail = Outcome.BROKEN, "a success without an event"
+        return made
     except _CallerLeftError:
         exchange.verdict = exchange.verdict.worst(Verdict.MAY_HAVE_RUN)
         raise exchange.gone() from None
