limits: tokens that a leader granted are charged by the next one

Cause: found by reading: a charge that the leader granted since the last report was in no VM's totals, so that the next leader did not know it. Change: a whole report counts it as uncounted. Test: test_tokens_that_a_leader_granted_are_charged_by_the_next_one, failed first.

--- a/libs/arbutusrill_limits/_fleet_buckets.py
+++ b/libs/arbutusrill_limits/_fleet_buckets.py
@@ -18,8 +18,8 @@
     """What an entry VM tells the leader.
 
     `spent` holds the tokens by workspace since the VM's start; a report that is not `whole` leaves out workspaces whose
-    totals have not changed. A whole one also has the `levels` that the VM learned `levels_age_s` seconds ago, and what
-    it has spent since then in `uncounted`.
+    totals have not changed. A whole one also has the `levels` that the VM learned `levels_age_s` seconds ago, and in
+    `uncounted` what it has spent or been granted since then.
     """
 
     spent: dict[str, float]
--- a/libs/arbutusrill_limits/_fleet_meter.py
+++ b/libs/arbutusrill_limits/_fleet_meter.py
@@ -182,7 +182,7 @@
                 True,
                 dict(self._levels),
                 now - self._learned_at if self._levels else 0.0,
-                {key: row.spent - row.reported for key, row in accounts if row.spent != row.reported},
+                {key: tokens for key, row in accounts if (tokens := row.spent - row.reported + row.asked)},
             )
 
     def learn(self, report: SpendReport, levels: FleetLevels) -> None:
--- a/libs/arbutusrill_limits/tests/test_fleet.py
+++ b/libs/arbutusrill_limits/tests/test_fleet.py
@@ -98,6 +98,18 @@
     assert other.admit(80.0) == pytest.approx(2.0)
 
 
+def test_tokens_that_a_leader_granted_are_charged_by_the_next_one(leader):
+    entry, other = Entry(leader), Entry(leader, "vm-2")
+    entry.poll()
+    other.poll()
+    assert entry.admit(80.0) is None and entry.last.decided_by == "leader"
+    leader.change()
+    for _ in range(2):
+        entry.poll()
+        other.poll()
+    assert other.admit(80.0) == pytest.approx(6.0)
+
+
 def test_vm_that_the_leader_has_forgotten_is_charged_again_from_then_on(leader):
     # A suspended VM is dropped; its totals were never asked for again under the same leader.
     entry, other = Entry(leader), Entry(leader, "vm-2")
--- a/libs/arbutusrill_wire/arbutusrill.thrift
+++ b/libs/arbutusrill_wire/arbutusrill.thrift
@@ -454,7 +454,7 @@
   11: bool spent_whole = false,        // otherwise workspaces whose totals have not changed are left out
   12: map<string, double> levels,      // as last learned from a leader, with a whole report
   13: double levels_age_s = 0,
-  14: map<string, double> uncounted    // part of `spent` that no leader has counted, with a whole report
+  14: map<string, double> uncounted    // spent or granted since `levels`, with a whole report
 }
 
 // Lists are left out when the follower has their revision already.
