--- a/libs/arbutusrill_bench/_ledger_service.py
+++ b/libs/arbutusrill_bench/_ledger_service.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
-from arbutusrill_base import new_incarnation
+from arbutusrill_base import new_incarnation, split_address
 from arbutusrill_http import AbortStreamError, HttpServer, json_response
 from arbutusrill_standins import Announcer
 from werkzeug.wrappers import Request
@@ -70,8 +70,8 @@
 
 class _Serving:
     def __init__(self, app: LedgerService, address: str, service: str, entries: list[str], token: str):
-        host, _, port = address.rpartition(":")
-        self._server = HttpServer(host, int(port), app)
+        host, port = split_address(address)
+        self._server = HttpServer(host, port, app)
         incarnation = new_incarnation()
         description = {
             "id": f"{service}-{port}",
--- a/libs/arbutusrill_bench/_streams_client.py
+++ b/libs/arbutusrill_bench/_streams_client.py
@@ -9,6 +9,8 @@
 import time
 from dataclasses import dataclass, field
 
+from arbutusrill_base import split_address
+
 __all__ = ["StreamClient", "StreamResult", "Target"]
 
 _READ = 262_144
@@ -100,8 +102,7 @@
         if self._target.key:
             head += f"Authorization: Bearer {self._target.key}\r\n"
         stream.data.clear()
-        host, _, port = address.rpartition(":")
-        stream.connection = socket.create_connection((host, int(port)), timeout=5)
+        stream.connection = socket.create_connection(split_address(address), timeout=5)
         stream.connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         stream.connection.sendall(head.encode() + b"\r\n" + data)
         stream.connection.setblocking(False)
--- a/libs/arbutusrill_bench/_tap.py
+++ b/libs/arbutusrill_bench/_tap.py
@@ -6,6 +6,8 @@
 import socket
 import threading
 
+from arbutusrill_base import split_address
+
 __all__ = ["Tap"]
 
 _CHUNK = 262_144
@@ -18,9 +20,8 @@
     """
 
     def __init__(self, target: str):
-        host, _, port = target.rpartition(":")
-        self._target = (host, int(port))
-        self._listener = socket.create_server((host, 0), backlog=512)
+        self._target = split_address(target)
+        self._listener = socket.create_server((self._target[0], 0), backlog=512)
         self.address = "{}:{}".format(*self._listener.getsockname())
         self.to_target = 0
         self.from_target = 0
--- a/libs/arbutusrill_bench/proof_gone.py
+++ b/libs/arbutusrill_bench/proof_gone.py
@@ -14,6 +14,7 @@
 from typing import Annotated, Any
 
 import typer
+from arbutusrill_base import split_address
 from arbutusrill_http import Transfer, fetch
 
 from ._site import LocalSite, SiteError
@@ -90,8 +91,7 @@
         body = json.dumps(
             {"model": _MODEL, "stream": True, "max_tokens": _MAX_TOKENS, "prompt": "stop " * (_PROMPT_BYTES // 5)}
         )
-        host, _, port = address.rpartition(":")
-        caller = socket.create_connection((host, int(port)), timeout=5)
+        caller = socket.create_connection(split_address(address), timeout=5)
         head = f"POST /v1/completions HTTP/1.1\r\nHost: {address}\r\nAuthorization: Bearer {self._key}\r\n"
         caller.sendall(f"{head}X-Deadline-Ms: 60000\r\nContent-Length: {len(body)}\r\n\r\n{body}".encode())
         return caller
--- a/libs/arbutusrill_bench/proof_key.py
+++ b/libs/arbutusrill_bench/proof_key.py
@@ -16,6 +16,7 @@
 from typing import Annotated, Any
 
 import typer
+from arbutusrill_base import split_address
 from arbutusrill_cli import OperatorError
 from arbutusrill_http import Transfer, fetch
 
@@ -92,8 +93,7 @@
 
     def _watch(self, entry: Member, key: str, withdrawn: threading.Event) -> float:
         """Asks over one kept connection; returns when the last accepted request was sent."""
-        host, _, port = entry.address.rpartition(":")
-        connection = http.client.HTTPConnection(host, int(port), timeout=10)
+        connection = http.client.HTTPConnection(*split_address(entry.address), timeout=10)
         accepted = time.monotonic()
         end = float("inf")
         while time.monotonic() < end:
--- a/libs/arbutusrill_standins/engine.py
+++ b/libs/arbutusrill_standins/engine.py
@@ -10,7 +10,7 @@
 from typing import Annotated, Any
 
 import typer
-from arbutusrill_base import TaskGroup
+from arbutusrill_base import TaskGroup, split_address
 from arbutusrill_http import HttpLimits, HttpServer
 
 from ._announcer import Announcer, CacheEventSender, LaggedReport
@@ -28,7 +28,6 @@
     engine: Engine, listen: str, entries: list[str], token: str, report_lag_s: float, event_lag_s: float, place: str
 ) -> None:
     """Serves an engine in data centre `place` and announces it until it is interrupted."""
-    host, _, port = listen.rpartition(":")
     report = LaggedReport(report_lag_s, engine.load)
     identity = {"id": engine.name, "incarnation": engine.incarnation}
 
@@ -38,7 +37,7 @@
     def describe() -> dict[str, Any]:
         return {**announcement(engine, place), "running": report.read()[0], "queued": report.read()[1]}
 
-    with HttpServer(host, int(port), engine, _LIMITS) as server, TaskGroup("engine", 4) as tasks:
+    with HttpServer(*split_address(listen), engine, _LIMITS) as server, TaskGroup("engine", 4) as tasks:
         engine.own_address = f"http://{server.address}"
         engine.start(tasks)
         tasks.every(_SAMPLE_S, report.sample)
--- a/libs/arbutusrill_standins/service.py
+++ b/libs/arbutusrill_standins/service.py
@@ -16,7 +16,7 @@
 from typing import Annotated, Any
 
 import typer
-from arbutusrill_base import new_incarnation
+from arbutusrill_base import new_incarnation, split_address
 from arbutusrill_http import AbortStreamError, HttpLimits, HttpServer, json_response
 from werkzeug.wrappers import Request
 
@@ -124,7 +124,7 @@
     """Serves a plain service stand-in until it is interrupted."""
     application = PlainService(server_id, work)
     incarnation = new_incarnation()
-    host, _, port = listen.rpartition(":")
+    host, port = split_address(listen)
 
     def describe() -> dict[str, Any]:
         return {
@@ -139,7 +139,7 @@
         }
 
     with (
-        HttpServer(host, int(port), application, _LIMITS) as server,
+        HttpServer(host, port, application, _LIMITS) as server,
         Announcer(entries.split(","), announce_token, describe),
     ):
         while True:
