gateway, site: a prefill engine that hangs is kept from all entry VMs for 1.5 s

Change: a prefill that timed out is told to the leader like a connection that was not taken; FreePlace.unresponsive.

--- a/libs/arbutusrill_gateway/_places.py
+++ b/libs/arbutusrill_gateway/_places.py
@@ -38,7 +38,7 @@
     output_tokens: int  # part of `tokens` that is filled while the stream lasts
     taken_at: float
     speeds: list[Any] = field(default_factory=list)
-    unreachable: list[str] = field(default_factory=list)
+    unresponsive: list[str] = field(default_factory=list)
 
 
 @dataclass(slots=True, frozen=True)
@@ -173,10 +173,10 @@
             self._place_by_number.pop(place.number, None)
         if place.number < 0 and self._clock.monotonic() < self._lost_until:
             return
-        self._free(place.number, place.speeds, place.unreachable)
+        self._free(place.number, place.speeds, place.unresponsive)
 
-    def _free(self, number: int, speeds: list[Any], unreachable: list[str]) -> None:
-        freed = messages.FreePlace(self._vm, self._incarnation, number, speeds, unreachable)
+    def _free(self, number: int, speeds: list[Any], unresponsive: list[str]) -> None:
+        freed = messages.FreePlace(self._vm, self._incarnation, number, speeds, unresponsive)
         try:
             self._client.call("free_place", freed, timeout=_FREE_S, try_timeout=_FREE_S)
         except (ControlUnavailableError, messages.Refused) as error:
--- a/libs/arbutusrill_gateway/_prefill.py
+++ b/libs/arbutusrill_gateway/_prefill.py
@@ -50,13 +50,13 @@
                 exchange.places.learn_prefill(candidate.id, made.took_s, max(1, tokens))
                 return prefilled
         pool.failed(candidate.record, f"prefill: {made.detail}", avoid=made.outcome is not Outcome.REJECTED)
+        if place is not None and made.outcome in (Outcome.UNREACHED, Outcome.TIMEOUT):
+            place.unresponsive.append(candidate.id)
         if made.outcome is not Outcome.UNREACHED:
             if not exchange.budget.take():
                 raise BudgetSpentError
             return None
         excluded.add(candidate.id)
-        if place is not None:
-            place.unreachable.append(candidate.id)
     return None
 
 
--- a/libs/arbutusrill_gateway/_stream.py
+++ b/libs/arbutusrill_gateway/_stream.py
@@ -180,7 +180,7 @@
         if made.outcome is not Outcome.UNREACHED:
             self._prefilled = None
         elif place is not None:
-            place.unreachable.append(candidate.id)
+            place.unresponsive.append(candidate.id)
         if made.outcome is Outcome.ANSWERED and made.answer.status == 200:
             exchange.pool.served(candidate.record, made.took_s, max(1, events.count))
             if place is not None:
--- a/libs/arbutusrill_site/_places.py
+++ b/libs/arbutusrill_site/_places.py
@@ -22,7 +22,7 @@
 _MOST_SLOWNESS = 3.0
 _LEAST_PREFILL_S = 0.35
 _FIRST_EVENT_S = 0.12  # from the end of a prefill to the first event at the caller
-_UNREACHABLE_S = 1.5  # an engine that took no connection from one entry VM is kept from all of them for so long
+_UNRESPONSIVE_S = 1.5  # an engine that did not answer one entry VM is kept from all of them for so long
 _MEMORY_PART = 0.92  # part of an engine's memory that is given out
 _BEGIN_S = 0.2  # from a place to the begin of its stream
 _OTHER_DATA_CENTRE_S = 0.05  # later end of a prefill that is accepted to stay in one data centre
@@ -71,7 +71,7 @@
         self._places_by_holder: dict[tuple[str, int], dict[int, _Place]] = {}
         self._line = Line()
         self.speeds = EngineSpeeds()
-        self._unreachable_until: dict[str, float] = {}
+        self._unresponsive_until: dict[str, float] = {}
 
     @property
     def waiting(self) -> int:
@@ -178,7 +178,7 @@
             and record.stage == stage
             and not record.draining
             and not record.ordered_stage
-            and self._unreachable_until.get(record.id, 0.0) <= now
+            and self._unresponsive_until.get(record.id, 0.0) <= now
             and (not request.model or not record.models or any(m.name == request.model for m in record.models))
         ]
 
@@ -251,8 +251,8 @@
             self._line.note_freed(self._clock.monotonic())
             for seen in freed.speeds or [] if place is not None else []:
                 self.speeds.learn_decode(seen.id, place.service, seen.took_s, seen.units, place.output_tokens)
-            for backend in freed.unreachable or []:
-                self._unreachable_until[backend] = self._clock.monotonic() + _UNREACHABLE_S
+            for backend in freed.unresponsive or []:
+                self._unresponsive_until[backend] = self._clock.monotonic() + _UNRESPONSIVE_S
             self._freed.notify_all()
 
     def report(self, vm: str, incarnation: int, held: list[Any]) -> None:
--- a/libs/arbutusrill_wire/arbutusrill.thrift
+++ b/libs/arbutusrill_wire/arbutusrill.thrift
@@ -501,9 +501,9 @@
 // has lost its turn.
 struct PlaceReply { 1: i64 place = 0, 2: string prefill = "", 3: string decode = "", 4: i32 wait_ms = 0, 5: bool refused = false }
 
-// `speeds` are of the decode engine. `unreachable` names engines that did not take a connection.
+// `speeds` are of the decode engine. `unresponsive` names engines that took no connection or read a prompt for too long.
 struct FreePlace {
-  1: string vm, 2: i64 incarnation, 3: i64 place, 4: list<EngineSpeed> speeds, 5: list<string> unreachable
+  1: string vm, 2: i64 incarnation, 3: i64 place, 4: list<EngineSpeed> speeds, 5: list<string> unresponsive
 }
 
 struct SiteDocument { 1: i64 version, 2: binary body }
