--- a/libs/arbutusrill_gateway/_gateway.py
+++ b/libs/arbutusrill_gateway/_gateway.py
@@ -62,6 +62,12 @@
         self._stale_s = stale_s
         self._lock = threading.Lock()
         self._budget_by_service: dict[str, RetryBudget] = {}
+        self._accepts_until = self._ends_at = math.inf  # set while this VM leaves
+
+    def leave(self, accepts_s: float, ends_s: float) -> None:
+        """Refuses, from `accepts_s` seconds on, the requests that may last longer than `ends_s` seconds from now."""
+        now = time.monotonic()
+        self._ends_at, self._accepts_until = now + ends_s, now + accepts_s
 
     def serve(self, request: CallerRequest, responder: Responder) -> None:
         """Answers one request; raises `AbortStreamError` where the caller's connection has to be cut."""
@@ -77,6 +83,8 @@
             self._refuse(request, responder, Refusal(404, "no_route", "no route matches"), started)
             return
         workspace, refusal = self._authorize(configuration, route, request)
+        if refusal is None and started >= self._accepts_until and started + _limit_s(route, request) > self._ends_at:
+            refusal = Refusal(503, "leaving", "this VM ends before the answer might", _LEAST_RETRY_S)
         if refusal is None:
             refusal = self._charge(workspace, request)
         if refusal is not None:
@@ -134,7 +142,7 @@
         started: float,
     ) -> None:
         service = configuration.services_by_name[route.pick_service()]
-        limit_s = route.timeout_s if request.deadline_s is None else min(route.timeout_s, request.deadline_s)
+        limit_s = _limit_s(route, request)
         budget = self._budget(service.name)
         budget.request()
         exchange = Exchange(
@@ -219,6 +227,10 @@
         _events.emit("request", **fields)
 
 
+def _limit_s(route: Route, request: CallerRequest) -> float:
+    return route.timeout_s if request.deadline_s is None else min(route.timeout_s, request.deadline_s)
+
+
 def _cost(workspace: Workspace, request: CallerRequest) -> float:
     if request.prompt_tokens is None:
         return workspace.plain_tokens
--- /dev/null
+++ b/libs/arbutusrill_gateway/tests/test_leaving.py
@@ -0,0 +1,50 @@
+"""Guards against requests that a VM takes shortly before its end and cannot finish."""
+
+import pytest
+from arbutusrill_base import SystemClock
+from arbutusrill_site import Route, RouteKind, SiteView, Target
+
+from arbutusrill_gateway import CallerRequest, Gateway, Responder
+
+
+class Metrics:
+    def finished(self, *_):
+        pass
+
+
+class Configuration:
+    workspaces_by_name = {}
+
+    def route_of(self, host, path):
+        return Route("r", host, path, RouteKind.STREAM, 14.0, 0.9, (Target("model", 1.0),))
+
+
+@pytest.fixture()
+def gateway():
+    view = SiteView(SystemClock())
+    view.document = Configuration()
+    gateway = Gateway(view, None, None, None, None, Metrics(), 0.1, lambda: 1.0)
+    gateway.relayed = []
+    gateway._relay = lambda *arguments: gateway.relayed.append(arguments)
+    return gateway
+
+
+def served(gateway, deadline_s):
+    """Returns the status of a refusal, or None for a request that was relayed."""
+    statuses, count = [], len(gateway.relayed)
+    request = CallerRequest("1", "POST", "host", "/a/", [], b"", deadline_s=deadline_s)
+    gateway.serve(request, Responder(lambda status, headers: statuses.append(status) or len, []))
+    assert bool(statuses) != (len(gateway.relayed) > count)
+    return statuses[0] if statuses else None
+
+
+def test_request_that_may_outlast_the_vm_is_refused_near_its_end(gateway):
+    # A stream that came 3.3 s after SIGTERM was cut when the process had to end.
+    gateway.leave(accepts_s=0.0, ends_s=4.0)
+    assert served(gateway, 14.0).startswith("503")
+    assert served(gateway, 0.6) is None
+
+
+def test_request_is_served_while_its_caller_may_not_know_yet_that_the_vm_leaves(gateway):
+    gateway.leave(accepts_s=3.0, ends_s=7.0)
+    assert served(gateway, 14.0) is None
