raft: the test of a cut-off follower waits until the follower has the leader's term

Reproduced with calls delayed by up to 50 ms: 1 of 60 groups. Change: the test waits for the term before it cuts the follower off; what it asserts is as before.

--- a/libs/arbutusrill_raft/tests/test_replica.py
+++ b/libs/arbutusrill_raft/tests/test_replica.py
@@ -94,6 +94,8 @@
         leader = group.leader()
         term = group.replicas[leader].status().term
         follower = group.followers()[0]
+        # A leader needs one follower only: the other may not have heard of its term yet.
+        wait_until(lambda: group.replicas[follower].status().term == term, "the follower in the leader's term")
         group.cut(follower)
         time.sleep(3 * group.timing.election_max_s)
         assert group.replicas[follower].status().term == term
