site: a decode engine reads a short prompt itself while the prefill engines are busy

Cause: a decode engine was thought to need 0.76 s for a prompt of 3,200 tokens; played without prefill engines it gave first events after 0.2 s (median) to 0.45 s. In bursts requests waited for a prefill engine for up to 0.75 s beside idle decode engines. Change: the leader leaves a prompt to the decode engine when that ends sooner and no stream there pauses for longer than its route accepts, one prompt at a time; the accepted pause comes from the route, with the request and in the VMs' reports.

--- a/libs/arbutusrill_gateway/_places.py
+++ b/libs/arbutusrill_gateway/_places.py
@@ -37,6 +37,7 @@
     tokens: int
     output_tokens: int  # part of `tokens` that is filled while the stream lasts
     taken_at: float
+    event_gap_s: float = 0.0  # longest pause between its events that the caller accepts; 0 if unknown
     speeds: list[Any] = field(default_factory=list)
     unresponsive: list[str] = field(default_factory=list)
 
@@ -46,7 +47,8 @@
     """What a request needs: a prefill engine too where `prefill` is set, and none of the engines in `avoid`.
 
     In `late_in_s` seconds the request misses its objective, unless it was asked for before: the leader knows.
-    `continued` says that it had a place before.
+    `continued` says that it had a place before; `event_gap_s` is the longest pause between its events that its caller
+    accepts.
     """
 
     service: Service
@@ -55,6 +57,7 @@
     prefill: bool
     avoid: list[str]
     continued: bool
+    event_gap_s: float = 0.0
 
 
 class Places:
@@ -87,6 +90,7 @@
                     place.decode.service_name,
                     place.output_tokens,
                     int((now - place.taken_at) * 1000),
+                    int(place.event_gap_s * 1000),
                 )
                 for number, place in self._place_by_number.items()
             ]
@@ -110,7 +114,7 @@
                 _events.emit("places_unavailable", request=request.id, reason=str(error))
                 break
             if reply.place:
-                return self._taken(reply, request), None
+                return self._taken(reply, wanted), None
             if reply.refused or self._clock.monotonic() >= deadline:
                 return None, max(_LEAST_RETRY_S, reply.wait_ms / 1000)
             if request.connection is not None and caller_gone(request.connection):
@@ -136,6 +140,7 @@
             request.content_hash(),
             self._untold_prefills(),
             wanted.continued,
+            int(wanted.event_gap_s * 1000),
         )
 
     def learn_prefill(self, backend: str, took_s: float, tokens: int) -> None:
@@ -148,21 +153,22 @@
             speeds, self._prefills = self._prefills, []
             return speeds
 
-    def _taken(self, reply: Any, request: CallerRequest) -> Place | None:
+    def _taken(self, reply: Any, wanted: WantedPlace) -> Place | None:
         backends = self._view.backends_by_id
         decode = backends.get(reply.decode)
         if decode is None:  # the leader knows a backend server that has not reached this VM's view
             self._free(reply.place, [], [])
             return None
-        return self._note(reply.place, decode, backends.get(reply.prefill), request)
+        return self._note(reply.place, decode, backends.get(reply.prefill), wanted.request, wanted.event_gap_s)
 
-    def take_unasked(self, decode: Any, request: CallerRequest) -> Place:
+    def take_unasked(self, decode: Any, request: CallerRequest, event_gap_s: float) -> Place:
         """Notes a place that this VM chose by its own view; the leader learns of it with the next report."""
-        return self._note(next(self._own_numbers), decode, None, request)
+        return self._note(next(self._own_numbers), decode, None, request, event_gap_s)
 
-    def _note(self, number: int, decode: Any, prefill: Any, request: CallerRequest) -> Place:
+    def _note(self, number: int, decode: Any, prefill: Any, request: CallerRequest, event_gap_s: float) -> Place:
         now = self._clock.monotonic()
-        place = Place(number, decode, prefill, request.memory_tokens, request.reserved_output_tokens, now)
+        output_tokens = request.reserved_output_tokens
+        place = Place(number, decode, prefill, request.memory_tokens, output_tokens, now, event_gap_s)
         with self._lock:
             self._place_by_number[place.number] = place
         return place
--- a/libs/arbutusrill_gateway/_stream.py
+++ b/libs/arbutusrill_gateway/_stream.py
@@ -136,7 +136,13 @@
     reads_anew = bool(_resume_point(exchange, events))
     patience_s = min(_WAIT_PART * exchange.remaining_s(), _WAIT_OBJECTIVES * max(exchange.route.objective_s, _LEAST_S))
     wanted = WantedPlace(
-        exchange.service, exchange.request, exchange.late_in_s(), not reads_anew, avoid, bool(exchange.trail)
+        exchange.service,
+        exchange.request,
+        exchange.late_in_s(),
+        not reads_anew,
+        avoid,
+        bool(exchange.trail),
+        exchange.route.event_gap_s,
     )
     try:
         return exchange.places.take(wanted, patience_s)
@@ -221,7 +227,8 @@
     with contextlib.ExitStack() as stack:
         stack.enter_context(exchange.pool.hold(candidate.id, tokens))
         if exchange.service.engine is not None and (place is None or place.decode.id != candidate.id):
-            stack.callback(exchange.places.free, exchange.places.take_unasked(candidate.record, exchange.request))
+            unasked = exchange.places.take_unasked(candidate.record, exchange.request, exchange.route.event_gap_s)
+            stack.callback(exchange.places.free, unasked)
         yield
 
 
--- a/libs/arbutusrill_site/_places.py
+++ b/libs/arbutusrill_site/_places.py
@@ -15,12 +15,15 @@
 from ._configuration import Engine
 from ._line import Line, Ticket, output_tokens_of
 from ._memory import StreamLoad, peak_tokens
+from ._reads import OwnReads
 from ._speeds import EngineSpeeds
 
 __all__ = ["PlaceLedger"]
 
 _MOST_SLOWNESS = 3.0
-_LEAST_PREFILL_S = 0.35
+_LONGEST_PREFILL_S = (
+    0.75  # a decode engine reads the prompt itself, also when its streams pause, rather than wait longer
+)
 _FIRST_EVENT_S = 0.12  # from the end of a prefill to the first event at the caller
 _UNRESPONSIVE_S = 1.5  # an engine that did not answer one entry VM is kept from all of them for so long
 _MEMORY_PART = 0.92  # part of an engine's memory that is given out
@@ -39,6 +42,7 @@
     taken_at: float
     service: str = ""
     output_tokens: int = 0  # part of `tokens` that is filled while the stream lasts
+    event_gap_s: float = 0.0  # longest pause between its events that its caller accepts; 0 if unknown
     overflow: bool = False  # in the engine's own queue, beyond the memory that is given out
 
     def load(self, speeds: EngineSpeeds) -> StreamLoad:
@@ -71,6 +75,7 @@
         self._places_by_holder: dict[tuple[str, int], dict[int, _Place]] = {}
         self._line = Line()
         self.speeds = EngineSpeeds()
+        self._reads = OwnReads(self.speeds)
         self._unresponsive_until: dict[str, float] = {}
 
     @property
@@ -222,13 +227,15 @@
         holder = self._places_by_holder.setdefault((request.vm, request.incarnation), {})
         now = self._clock.monotonic()
         holder[number] = _Place(best.id, request.memory_tokens, now, request.service_name, overflow=True)
+        self._reads.begin(best.id, request.prompt_tokens, now)
         _events.emit("placed_in_queue", request=request.request_id, vm_of=request.vm, decode=best.id)
         return messages.PlaceReply(number, "", best.id)
 
     def _prefill(self, request: Any, decode: Any, now: float) -> str:
         """Returns the prefill engine that is expected to end first, and counts the prompt there.
 
-        The engine is empty where the decode engine is expected to read the prompt sooner by itself.
+        The engine is empty where the decode engine reads the prompt sooner by itself and its streams bear the pause,
+        and where the prefill engines are far behind.
         """
         best, best_end, best_cost = None, 0.0, float("inf")
         usable = self._usable(request, "prefill")
@@ -238,12 +245,19 @@
             cost = end + (_OTHER_DATA_CENTRE_S if record.data_centre != decode.data_centre else 0.0)
             if cost < best_cost:
                 best, best_end, best_cost = record, end, cost
-        own_s = self.speeds.own_read_s(request.prompt_tokens)
-        if best is None or best_end - now > max(own_s, _LEAST_PREFILL_S):
+        if best is None or best_end - now > _LONGEST_PREFILL_S or self._reads_sooner(request, decode, best_end, now):
+            self._reads.begin(decode.id, request.prompt_tokens, now)
             return ""
         self.speeds.of(best.id, "prefill").give(request.prompt_tokens, now)
         return best.id
 
+    def _reads_sooner(self, request: Any, decode: Any, prefill_end: float, now: float) -> bool:
+        """Whether a decode engine has read a prompt before `prefill_end` without harm to the streams that it runs."""
+        if now + self.speeds.own_read_s(request.prompt_tokens, decode.id) >= prefill_end:
+            return False
+        gaps_s = [place.event_gap_s for place in self._held().get(decode.id, [])]
+        return not self._reads.disturbs(decode.id, request.prompt_tokens, gaps_s, now)
+
     def free(self, freed: Any) -> None:
         """Frees a place and takes what its holder has learned of its decode engine's speed."""
         with self._freed:
@@ -265,7 +279,8 @@
             reported = {row.place for row in held}
             for row in held:
                 taken_at = now - row.age_ms / 1000
-                place = _Place(row.backend, row.tokens, taken_at, row.service_name, row.output_tokens)
+                gap_s = row.event_gap_ms / 1000
+                place = _Place(row.backend, row.tokens, taken_at, row.service_name, row.output_tokens, gap_s)
                 places.setdefault(row.place, place)
             lost = [key for key, row in places.items() if key not in reported and now - row.taken_at > _UNCONFIRMED_S]
             for number in lost:
@@ -281,4 +296,5 @@
 
 
 def _wanted_place(request: Any, backend: str, now: float) -> _Place:
-    return _Place(backend, request.memory_tokens, now, request.service_name, output_tokens_of(request))
+    output_tokens, gap_s = output_tokens_of(request), request.event_gap_ms / 1000
+    return _Place(backend, request.memory_tokens, now, request.service_name, output_tokens, gap_s)
--- a/libs/arbutusrill_site/_speeds.py
+++ b/libs/arbutusrill_site/_speeds.py
@@ -18,7 +18,7 @@
 _LEAST_SPEEDS = 3  # observations from which an engine's speed counts as learned
 _LEAST_SEEN = 15  # requests from which the work of a service counts as learned
 _SHARED_FACTOR = 1.1  # the learned speed follows the shortest times; other streams add to them
-_OWN_READ_FACTOR = 5.3  # how much longer a decode engine takes for a prompt, beside the streams that it runs
+_OWN_READ_FACTOR = 2.0  # how much longer a decode engine takes for a prompt than a prefill engine
 
 
 @dataclass(slots=True)
@@ -103,9 +103,10 @@
         """Returns how many times longer than a nominal engine an engine takes for an event."""
         return self.of(backend, "decode").unit_s / _DECODE_S_PER_EVENT
 
-    def own_read_s(self, prompt_tokens: int) -> float:
-        """Returns the expected time in which a decode engine reads a prompt by itself."""
-        return prompt_tokens * _PREFILL_S_PER_TOKEN * _OWN_READ_FACTOR
+    def own_read_s(self, prompt_tokens: int, backend: str = "") -> float:
+        """Returns the expected time in which a decode engine reads a prompt by itself; without a name a nominal one."""
+        slowness = self.slowness(backend) if backend else 1.0
+        return prompt_tokens * _PREFILL_S_PER_TOKEN * _OWN_READ_FACTOR * slowness
 
     def learn_prefill(self, backend: str, took_s: float, tokens: int) -> None:
         """Takes the time that an engine needed for a prompt of `tokens`."""
--- a/libs/arbutusrill_site/tests/test_places.py
+++ b/libs/arbutusrill_site/tests/test_places.py
@@ -243,6 +243,41 @@
     assert answers[-1].prefill == "" and answers[-1].decode == "d"
 
 
+def busy_prefill_ledger(clock):
+    """A ledger whose only prefill engine is expected to be busy for longer than a decode engine needs for a prompt."""
+    places = ledger(engine("d"), engine("p", "prefill"), clock=clock, tokens=10**9)
+    places.speeds.of("p", "prefill").busy_until = clock.monotonic() + 0.5
+    return places
+
+
+def test_decode_engine_reads_a_short_prompt_itself_while_the_prefill_engines_are_busy():
+    # In bursts, requests waited for a prefill engine for up to 0.75 s while decode engines had time to spare.
+    clock = ManualClock()
+    places = busy_prefill_ledger(clock)
+    assert places.place(wanted("running", tokens=10, event_gap_ms=300)).place
+    clock.advance(0.2)
+    assert places.place(wanted("new", tokens=2000, event_gap_ms=300)).prefill == ""
+
+
+def test_decode_engine_reads_no_prompt_that_makes_its_streams_pause_for_too_long():
+    clock = ManualClock()
+    places = busy_prefill_ledger(clock)
+    assert places.place(wanted("running", tokens=10, event_gap_ms=300)).place
+    clock.advance(0.2)
+    assert places.place(wanted("long", tokens=3200, event_gap_ms=300)).prefill == "p"
+    places = busy_prefill_ledger(clock)
+    assert places.place(wanted("running", tokens=10, event_gap_ms=300)).place
+    clock.advance(0.2)
+    assert places.place(wanted("first", tokens=1000, event_gap_ms=300)).prefill == ""
+    assert places.place(wanted("second", tokens=1000, event_gap_ms=300)).prefill == "p"
+
+
+def test_reported_streams_are_spared_long_pauses_after_a_change_of_leader():
+    places = busy_prefill_ledger(ManualClock())
+    places.report("vm", 1, [messages.HeldPlace(1, "d", 400, "model", 350, 500, 100)])
+    assert places.place(wanted("new", tokens=2000, event_gap_ms=300)).prefill == "p"
+
+
 def test_new_leader_counts_a_stream_by_what_it_fills_until_it_ends():
     # With its whole memory until its end, a stream kept others from the engine for seconds after a change of leader.
     clock = ManualClock()
--- a/libs/arbutusrill_wire/arbutusrill.thrift
+++ b/libs/arbutusrill_wire/arbutusrill.thrift
@@ -437,7 +437,8 @@
   3: i64 tokens,
   4: string service_name = "",
   5: i64 output_tokens = 0,            // part of `tokens` that is filled while the stream lasts
-  6: i64 age_ms = 0
+  6: i64 age_ms = 0,
+  7: i32 event_gap_ms = 0              // longest pause between its events that its caller accepts; 0 if unknown
 }
 
 struct SiteFollowRequest {
@@ -494,7 +495,8 @@
   12: i32 patience_ms = 0,             // longest wait in all that the caller is expected to accept
   13: i64 content = 0,                 // hash of the content, by which a caller that comes back is recognised
   14: list<EngineSpeed> prefills,      // speeds of prefill engines that the VM has seen since its last call
-  15: bool continued = false           // whether the request had a place before, on an engine that failed it
+  15: bool continued = false,          // whether the request had a place before, on an engine that failed it
+  16: i32 event_gap_ms = 0             // longest pause between events that its caller accepts; 0 if unknown
 }
 
 // Engines by id; both are empty when none had room in time. `wait_ms` is when room is expected. A `refused` request
