site: unused services are brought near the usual balance of stages before traffic

Cause: four of nine engines start as prefill engines. Change: before any engine of a service was used, an assumed part of prefill decides and all engines count alike.

--- a/libs/arbutusrill_site/_stages.py
+++ b/libs/arbutusrill_site/_stages.py
@@ -12,6 +12,7 @@
 __all__ = ["EngineRegister", "EngineWork", "OrderAnswer", "StageKeeper", "StageOrders"]
 
 _MARGIN = 1.2  # prefill capacity over what is needed, so that short peaks find room
+_ASSUMED_PREFILL_PART = 0.18  # part of a service's engine time that is prefill, before any of it was used
 _LEARNED_PREFILL_PART = 0.5  # part of the prefill engines whose speed has to be known before one is switched
 _LEARNED_PART = 0.8  # part of the decode engines whose speed has to be known before one is switched to prefill
 _LACKING = 0.4  # part of what is needed below which a decode engine is switched
@@ -120,20 +121,26 @@
                 self._engines.note_order(backend, "")
 
     def _balance(self, service: str, records: list[Any], now: float) -> bool:
-        """Gives an order when prefill engines have too much or too little of the capacity; returns whether it did."""
+        """Gives an order when prefill engines have too much or too little of the capacity; returns whether it did.
+
+        Before a service is used an assumed part of prefill counts, since a switch takes seconds of an engine's time.
+        """
         if len(records) < _FEWEST_ENGINES or now - self._ordered_at.get(service, -_PAUSE_S) < _PAUSE_S:
             return False
         prefill = [record for record in records if self._stage(record) == "prefill"]
         decode = [record for record in records if self._stage(record) == "decode"]
         part, speeds = self._work.prefill_part(service), self._speeds(records)
-        if part is None or not self._is_learned(prefill, _LEARNED_PREFILL_PART):
+        unused = not any(self._work.relative_speed(record.id, record.stage) for record in records)
+        if unused:
+            part = _ASSUMED_PREFILL_PART
+        elif part is None or not self._is_learned(prefill, _LEARNED_PREFILL_PART):
             return False
         capacity = sum(speeds[record.id] for record in prefill)
         needed = part * sum(speeds.values())
         surplus = [
             record
             for record in prefill
-            if self._is_learned([record], 1.0) and capacity - speeds[record.id] >= needed * _MARGIN
+            if (unused or self._is_learned([record], 1.0)) and capacity - speeds[record.id] >= needed * _MARGIN
         ]
         if surplus:
             fastest = max(surplus, key=lambda record: speeds[record.id])
--- a/libs/arbutusrill_site/tests/test_stages.py
+++ b/libs/arbutusrill_site/tests/test_stages.py
@@ -109,6 +109,21 @@
         assert not orders.given
 
 
+def test_unused_service_is_brought_near_the_usual_balance():
+    # The first switch came with the first requests and cost the service an engine for six seconds of its first burst.
+    class Unused(Work):
+        def relative_speed(self, backend, stage):
+            return None
+
+    orders = Orders()
+    clock, stages = keeper(orders, engines(4, 5), Unused(None))
+    stages.tick(7)
+    for _ in range(7):
+        clock.advance(2)
+        stages.tick(7)
+    assert [given[1] for given in orders.given] == ["decode", "decode"]
+
+
 def test_prefill_engine_is_spared_before_any_stream_has_ended():
     class Young(Work):
         def relative_speed(self, backend, stage):
