site: the queue of a prefill engine is what it was given and has not read

The times in the queue also counted as slowness. Change: an ended prefill tells which of the given ones are read; the others are the queue. A time that contains a wait no longer makes an engine slower.

--- a/libs/arbutusrill_site/_places.py
+++ b/libs/arbutusrill_site/_places.py
@@ -126,7 +126,7 @@
     def _ticket(self, request: Any, engine: Engine, now: float) -> Ticket:
         """Returns the turn of a request; takes the work of a new one, and the speeds that its entry VM tells."""
         for seen in request.prefills or []:
-            self.speeds.learn_prefill(seen.id, seen.took_s, seen.units)
+            self.speeds.learn_prefill(seen.id, seen.took_s, seen.units, now)
         ticket = self._line.resume(request, now)
         if ticket is None:
             output_tokens = output_tokens_of(request)
--- a/libs/arbutusrill_site/_speeds.py
+++ b/libs/arbutusrill_site/_speeds.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import threading
+from collections import deque
 from dataclasses import dataclass, field
 
 from ._stages import EngineWork
@@ -18,6 +19,7 @@
 _LEAST_SPEEDS = 3  # observations from which an engine's speed counts as learned
 _LEAST_SEEN = 15  # requests from which the work of a service counts as learned
 _SHARED_FACTOR = 1.1  # the learned speed follows the shortest times; other streams add to them
+_LONGEST_READ_S = 3.0  # prompts that were given to an engine longer ago count as read
 _OWN_READ_FACTOR = 2.0  # how much longer a decode engine takes for a prompt than a prefill engine
 
 
@@ -50,6 +52,13 @@
         return output_tokens * self.events.value / self.output.value
 
 
+@dataclass(slots=True)
+class _GivenPrompt:
+    at: float
+    tokens: int
+    queued: bool  # whether the engine was expected to be busy
+
+
 @dataclass(slots=True)
 class Speed:
     """Seconds for a token of a prompt or an event of a stream, on one engine in one stage.
@@ -60,6 +69,7 @@
     unit_s: float
     count: int = 0
     busy_until: float = 0.0  # when the engine is expected to have read the prompts that it was given
+    _given: deque[_GivenPrompt] = field(default_factory=deque)  # the oldest first, without those that are read
 
     def ends_at(self, tokens: int, now: float) -> float:
         """Returns when a prefill that is given to the engine now is expected to end."""
@@ -67,8 +77,25 @@
 
     def give(self, tokens: int, now: float) -> None:
         """Counts a prefill that the engine is given."""
+        while self._given and self._given[0].at < now - _LONGEST_READ_S:
+            self._given.popleft()
+        self._given.append(_GivenPrompt(now, tokens, self.busy_until > now))
         self.busy_until = max(now, self.busy_until) + tokens * self.unit_s * _BUSY_PART
 
+    def finish(self, tokens: int, took_s: float, now: float) -> None:
+        """Learns from a prefill that has ended `took_s` seconds after the engine was given it.
+
+        An engine reads its prompts in turn, so that the older ones are read too; the others are its queue. The time of
+        a prompt that had to wait tells a speed only when it is short.
+        """
+        queued = False
+        while self._given and self._given[0].at <= now - took_s:
+            queued = self._given.popleft().queued
+        if not queued or took_s / tokens < self.unit_s:
+            self.add(took_s / tokens)
+        waiting = sum(prompt.tokens for prompt in self._given)
+        self.busy_until = max(self.busy_until, now + waiting * self.unit_s * _BUSY_PART)
+
     def add(self, observed: float) -> None:
         """Takes an observation; the nominal value counts as none."""
         self.count += 1
@@ -108,9 +135,9 @@
         slowness = self.slowness(backend) if backend else 1.0
         return prompt_tokens * _PREFILL_S_PER_TOKEN * _OWN_READ_FACTOR * slowness
 
-    def learn_prefill(self, backend: str, took_s: float, tokens: int) -> None:
+    def learn_prefill(self, backend: str, took_s: float, tokens: int, now: float) -> None:
         """Takes the time that an engine needed for a prompt of `tokens`."""
-        self.of(backend, "prefill").add(took_s / max(1, tokens))
+        self.of(backend, "prefill").finish(max(1, tokens), took_s, now)
 
     def learn_decode(self, backend: str, service: str, took_s: float, events: int, output_tokens: int) -> None:
         """Takes the time that an engine needed for a stream of `events`; `output_tokens` were expected."""
--- a/libs/arbutusrill_site/tests/test_speeds.py
+++ b/libs/arbutusrill_site/tests/test_speeds.py
@@ -24,3 +24,27 @@
         speeds.learn_decode("engine-1", "model", took_s=4.0, events=80, output_tokens=800)
     assert 3.9 < speeds.stream_s("engine-1", "model", 800) < 5.0
     assert speeds.stream_s("engine-2", "model", 800) is None
+
+
+def test_prompts_that_an_engine_has_not_read_in_time_are_its_queue():
+    # An engine slower than expected was given prompts faster than it read them, until they timed out after 1.5 s.
+    speeds = EngineSpeeds()
+    speed = speeds.of("engine-1", "prefill")
+    for number in range(30):
+        speed.give(3000, 10.0 + number * 0.1)
+    assert speed.ends_at(3000, 13.0) < 13.3
+    for number in range(3):
+        speeds.learn_prefill("engine-1", 0.9 + number * 0.1, 3000, 11.0 + number)
+    assert speed.ends_at(3000, 13.0) > 14.0
+
+
+def test_time_in_the_queue_of_an_engine_does_not_count_as_slowness():
+    # Two busy engines seemed to have the capacity of half a one, and decode engines were ordered to prefill in a burst.
+    speeds = EngineSpeeds()
+    for start in range(3):
+        speeds.of("engine-1", "prefill").give(3000, start)
+        speeds.learn_prefill("engine-1", 0.135, 3000, start + 0.135)
+    for number in range(40):
+        speeds.of("engine-1", "prefill").give(3000, 10.0 + number * 0.05)
+        speeds.learn_prefill("engine-1", 0.3 + number * 0.02, 3000, 10.3 + number * 0.07)
+    assert speeds.relative_speed("engine-1", "prefill") > 0.9
