raft: a restarted replica votes as soon as no lease can rest on its promise

Cause: after the loss of all VMs the second control VM kept its vote back for a whole election timeout (0.3 s) from its start, though a lease that it may have extended before ends after 0.22 s. Change: the promise of a process that has just started is the lease and 5% of clock drift.

--- a/libs/arbutusrill_raft/_core.py
+++ b/libs/arbutusrill_raft/_core.py
@@ -19,6 +19,7 @@
 
 __all__ = ["Core", "InvariantError", "Progress", "Role"]
 
+_CLOCK_DRIFT = 0.05  # between two VMs, as a part of a time that both measure
 _log = PartLog("raft")
 
 
@@ -98,10 +99,10 @@
         self.first_index_of_term = 0
         self.uncommitted_bytes = 0
         self.proposal_by_index: dict[int, tuple[int, Future]] = {}
-        # Before it was started again, a replica may have promised to wait for a leader that it heard.
-        self.heard_at = alone_since
+        # No vote is given before then. Before it was started again, a replica may have extended a leader's lease.
+        self.no_vote_until = alone_since + timing.lease_s * (1 + _CLOCK_DRIFT)
         # The first election is early: a leader that is there is heard before, and without one all wait for it.
-        free_at = max(clock.monotonic(), alone_since + timing.election_min_s)
+        free_at = max(clock.monotonic(), self.no_vote_until)
         self._early_until = free_at + timing.election_max_s
         self.election_at = free_at + self._early_wait_s()
         self.on_membership: Callable[[], None] = lambda: None
@@ -233,7 +234,7 @@
 
     def heard(self) -> None:
         """Notes that the leader is alive."""
-        self.heard_at = self.clock.monotonic()
+        self.no_vote_until = self.clock.monotonic() + self.timing.election_min_s
         self.postpone_election()
 
     def lead(self) -> None:
--- a/libs/arbutusrill_raft/_receiver.py
+++ b/libs/arbutusrill_raft/_receiver.py
@@ -57,7 +57,7 @@
         core = self._core
         if core.role is Role.LEADER:
             return True
-        return core.clock.monotonic() < core.heard_at + core.timing.election_min_s
+        return core.clock.monotonic() < core.no_vote_until
 
     def _is_current(self, request: Any) -> bool:
         log = self._core.log
--- a/libs/arbutusrill_raft/tests/test_replica.py
+++ b/libs/arbutusrill_raft/tests/test_replica.py
@@ -146,6 +146,21 @@
         assert replica.handler.vote(request).granted
 
 
+def test_restarted_replica_votes_as_soon_as_no_lease_can_rest_on_it():
+    # After the loss of all VMs, it kept its vote back for a whole election timeout, and service waited for it.
+    with Group() as group:
+        follower = group.followers()[0]
+        for other in list(group.replicas):
+            group.kill(other)
+        started_at = BootClock().monotonic()
+        replica = group.start(follower, alone_since=started_at)
+        core, status = replica._core, replica.status()
+        assert started_at + QUICK.lease_s < core.no_vote_until < started_at + QUICK.election_min_s
+        request = messages.VoteRequest(status.term + 1, "10.0.0.9:1/x", 999, 999, True, target=status.replica)
+        time.sleep(max(0.0, core.no_vote_until - BootClock().monotonic()))
+        assert replica.handler.vote(request).granted
+
+
 def test_first_election_after_a_restart_is_early():
     with Group() as group:
         address = group.followers()[0]
