--- a/libs/arbutusrill_gateway/_gateway.py
+++ b/libs/arbutusrill_gateway/_gateway.py
@@ -18,14 +18,13 @@
 from ._metrics import GatewayMetrics
 from ._places import Places
 from ._plain import relay_plain
-from ._protocol import BackendProtocol, CallerRequest
+from ._protocol import LEAST_RETRY_S, BackendProtocol, CallerRequest
 from ._reply import Refusal, Responder
 from ._stream import relay_stream
 
 __all__ = ["Gateway"]
 
 _RETRY_S = 0.3
-_LEAST_RETRY_S = 0.05
 _START_S = 1.0  # longest wait for the first configuration after a start
 _START_PART = 0.4  # the same as a part of the time that the caller waits
 _events = EventLog("entry")
@@ -84,7 +83,7 @@
             return
         workspace, refusal = self._authorize(configuration, route, request)
         if refusal is None and started >= self._accepts_until and started + _limit_s(route, request) > self._ends_at:
-            refusal = Refusal(503, "leaving", "this VM ends before the answer might", _LEAST_RETRY_S)
+            refusal = Refusal(503, "leaving", "this VM ends before the answer might", LEAST_RETRY_S)
         if refusal is None:
             refusal = self._charge(workspace, request)
         if refusal is not None:
@@ -130,7 +129,7 @@
             level_age_ms=round(decision.age_s * 1000) if math.isfinite(decision.age_s) else None,
         )
         message = f"workspace {workspace.name} has spent its rate"
-        return Refusal(429, "rate_limited", message, max(_LEAST_RETRY_S, decision.wait_s))
+        return Refusal(429, "rate_limited", message, max(LEAST_RETRY_S, decision.wait_s))
 
     def _relay(
         self,
--- a/libs/arbutusrill_gateway/_places.py
+++ b/libs/arbutusrill_gateway/_places.py
@@ -13,7 +13,7 @@
 from arbutusrill_state import ControlClient, ControlUnavailableError
 from arbutusrill_wire import messages
 
-from ._protocol import CallerRequest
+from ._protocol import LEAST_RETRY_S, CallerRequest
 
 __all__ = ["Place", "Places", "WantedPlace"]
 
@@ -22,7 +22,6 @@
 _CALL_S = 0.2  # for a call beyond its wait; after it this VM chooses by its own view
 _FREE_S = 0.3
 _MOST_SPEEDS = 50  # that are kept while the leader does not answer
-_LEAST_RETRY_S = 0.05
 _LOST_S = 0.4  # after a call without an answer, this VM chooses by its own view for so long
 _events = EventLog("placement")
 
@@ -116,7 +115,7 @@
             if reply.place:
                 return self._taken(reply, wanted), None
             if reply.refused or self._clock.monotonic() >= deadline:
-                return None, max(_LEAST_RETRY_S, reply.wait_ms / 1000)
+                return None, max(LEAST_RETRY_S, reply.wait_ms / 1000)
             if request.connection is not None and caller_gone(request.connection):
                 raise ConnectionResetError("the caller left while it waited for an engine")
             step_s = _STEP_S
--- a/libs/arbutusrill_gateway/_protocol.py
+++ b/libs/arbutusrill_gateway/_protocol.py
@@ -11,8 +11,9 @@
 
 _ESTIMATE_FACTOR = 1.1
 _ESTIMATE_TOKENS = 100
+LEAST_RETRY_S = 0.05  # shortest time after which a refused caller is asked to come back
 
-__all__ = ["Answer", "BackendProtocol", "CallerRequest", "Prefilled", "Send"]
+__all__ = ["LEAST_RETRY_S", "Answer", "BackendProtocol", "CallerRequest", "Prefilled", "Send"]
 
 
 @dataclass(slots=True)
--- a/libs/arbutusrill_limits/_bucket.py
+++ b/libs/arbutusrill_limits/_bucket.py
@@ -23,11 +23,21 @@
 
     >>> Limits(1000.0, 2000.0).lease_s, Limits(1000.0, 2000.0).capacity
     (0.5, 1500.0)
+    >>> Limits(1000.0, 2000.0).widened(500.0).scaled(0.5)
+    Limits(rate=500.0, burst=1250.0)
     """
 
     rate: float
     burst: float
 
+    def widened(self, slack: float) -> Limits:
+        """Returns the limits of a bucket that holds `slack` tokens more."""
+        return Limits(self.rate, self.burst + slack)
+
+    def scaled(self, part: float) -> Limits:
+        """Returns a part of the rate and of the burst."""
+        return Limits(self.rate * part, self.burst * part)
+
     @property
     def lease_s(self) -> float:
         """Time in seconds for which a grant may be used, counted from when it was asked for.
--- a/libs/arbutusrill_limits/_fleet_buckets.py
+++ b/libs/arbutusrill_limits/_fleet_buckets.py
@@ -66,13 +66,17 @@
     """
 
     def __init__(self, limits_of: Callable[[str], Limits | None], clock: Clock, slack: float = 0.0):
-        self._limits_of = limits_of
+        self._plain_limits_of = limits_of
         self._clock = clock
         self._slack = slack
         self._lock = threading.Lock()
         self._level_by_workspace: dict[str, Level] = {}
         self._spent_by_reporter: dict[tuple[str, int], dict[str, float]] = {}
 
+    def _limits_of(self, workspace: str) -> Limits | None:
+        limits = self._plain_limits_of(workspace)
+        return None if limits is None else limits.widened(self._slack)
+
     def report(self, vm: str, incarnation: int, report: SpendReport) -> FleetLevels:
         """Takes the report of an entry VM; returns the levels that are not full.
 
@@ -107,16 +111,15 @@
             if limits is None:
                 return 0.0
             level = self._level(workspace, limits, now)
-            lacking = min(tokens, limits.burst + self._slack) - level.tokens
+            lacking = min(tokens, limits.burst) - level.tokens
             if lacking > 0:
                 return lacking / limits.rate
             level.tokens -= tokens
             return 0.0
 
     def _level(self, workspace: str, limits: Limits, now: float) -> Level:
-        capacity = limits.burst + self._slack
-        level = self._level_by_workspace.setdefault(workspace, Level(capacity, now))
-        level.refill(limits.rate, capacity, now)
+        level = self._level_by_workspace.setdefault(workspace, Level(limits.burst, now))
+        level.refill(limits.rate, limits.burst, now)
         return level
 
     def _spend(self, workspace: str, tokens: float, now: float) -> None:
@@ -140,7 +143,7 @@
             limits = self._limits_of(workspace)
             if limits is not None:
                 level = self._level(workspace, limits, now)
-                if level.tokens < limits.burst + self._slack:
+                if level.tokens < limits.burst:
                     levels[workspace] = level.tokens
                     continue
             del self._level_by_workspace[workspace]
--- a/libs/arbutusrill_limits/_fleet_meter.py
+++ b/libs/arbutusrill_limits/_fleet_meter.py
@@ -87,11 +87,11 @@
     def admit(self, workspace: str, tokens: float, limits: Limits) -> RateDecision:
         """Charges `tokens`, or says after how many seconds they would be there."""
         now = self._clock.monotonic()
-        capacity = limits.burst + self._slack
+        limits = limits.widened(self._slack)
         with self._lock:
             account = self._account(workspace, limits, now)
             level = self._level(workspace, account, limits, now)
-            if level is not None and level - tokens >= capacity * _UNASKED_PART:
+            if level is not None and level - tokens >= limits.burst * _UNASKED_PART:
                 account.spent += tokens
                 account.own.tokens -= tokens
                 return RateDecision(0.0, "level", now - self._learned_at)
@@ -112,16 +112,16 @@
             return RateDecision(wait_s, "part", now - self._learned_at)
 
     def _account(self, workspace: str, limits: Limits, now: float) -> _Account:
-        own = self._own_part(limits)
+        own = limits.scaled(self._part())
         account = self._account_by_workspace.get(workspace)
         if account is None:
             account = self._account_by_workspace[workspace] = _Account(Level(own.burst, now))
         account.own.refill(own.rate, own.burst, now)
         return account
 
-    def _own_part(self, limits: Limits) -> Limits:
-        parts = max(1, self._entry_count())
-        return Limits(limits.rate / parts, (limits.burst + self._slack) / parts)
+    def _part(self) -> float:
+        """Returns this VM's part of what the entry VMs share."""
+        return 1 / max(1, self._entry_count())
 
     def _level(self, workspace: str, account: _Account, limits: Limits, now: float) -> float | None:
         """Returns the tokens that are left by the leader's last word, None when that is too old."""
@@ -129,7 +129,7 @@
         if age_s > _LEVEL_AGE_S:
             return None
         level = self._levels.get(workspace, math.inf) + limits.rate * age_s
-        return min(level, limits.burst + self._slack) - account.asked - (account.spent - account.reported)
+        return min(level, limits.burst) - account.asked - (account.spent - account.reported)
 
     def _note_answer(self, workspace: str, account: _Account, tokens: float, limits: Limits, wait_s: float) -> None:
         now = self._clock.monotonic()
@@ -139,7 +139,7 @@
                 account.own.tokens -= tokens
                 return
             if now - self._learned_at <= _LEVEL_AGE_S:
-                left = min(tokens, limits.burst + self._slack) - wait_s * limits.rate
+                left = min(tokens, limits.burst) - wait_s * limits.rate
                 self._levels[workspace] = left + account.asked - limits.rate * (now - self._learned_at)
             if now >= account.refused_until:
                 account.refused_tokens = math.inf
@@ -147,11 +147,12 @@
             account.refused_tokens = min(account.refused_tokens, tokens)
 
     def _admit_own_part(self, workspace: str, account: _Account, tokens: float, limits: Limits) -> float:
-        own = self._own_part(limits)
+        part = self._part()
+        own = limits.scaled(part)
         if workspace in self._levels:  # the bucket was not full when the leader was heard last
             age_s = self._clock.monotonic() - self._learned_at
-            left = max(0.0, self._levels[workspace] + limits.rate * age_s) / max(1, self._entry_count())
-            account.own.tokens = min(account.own.tokens, left)
+            left = max(0.0, self._levels[workspace] + limits.rate * age_s)
+            account.own.tokens = min(account.own.tokens, left * part)
         # A request larger than this VM's part is admitted when the part is full.
         lacking = min(tokens, own.burst) - account.own.tokens
         if lacking > 0:
