--- a/libs/arbutusrill_site/_places.py
+++ b/libs/arbutusrill_site/_places.py
@@ -25,7 +25,7 @@
     0.75  # a decode engine reads the prompt itself, also when its streams pause, rather than wait longer
 )
 _FIRST_EVENT_S = 0.12  # from the end of a prefill to the first event at the caller
-_UNRESPONSIVE_S = 1.5  # an engine that did not answer one entry VM is kept from all of them for so long
+_UNRESPONSIVE_S = 1.5  # an engine that did not answer one entry VM is kept from all of them for at least so long
 _MEMORY_PART = 0.92  # part of an engine's memory that is given out
 _BEGIN_S = 0.2  # from a place to the begin of its stream
 _OTHER_DATA_CENTRE_S = 0.05  # later end of a prefill that is accepted to stay in one data centre
@@ -51,6 +51,14 @@
         return StreamLoad(self.tokens - self.output_tokens, self.output_tokens, self.taken_at + _BEGIN_S, length_s)
 
 
+@dataclass(slots=True)
+class _Unanswered:
+    """An engine that took no connection or read a prompt for too long."""
+
+    until: float  # it is not used before then
+    announcement: tuple[int, int]  # the last one before
+
+
 class PlaceLedger:
     """Gives out memory and slots of decode engines, and chooses the prefill engine that ends first.
 
@@ -76,7 +84,7 @@
         self._line = Line()
         self.speeds = EngineSpeeds()
         self._reads = OwnReads(self.speeds)
-        self._unresponsive_until: dict[str, float] = {}
+        self._unanswered_by_id: dict[str, _Unanswered] = {}
 
     @property
     def waiting(self) -> int:
@@ -183,7 +191,7 @@
             and record.stage == stage
             and not record.draining
             and not record.ordered_stage
-            and self._unresponsive_until.get(record.id, 0.0) <= now
+            and self._answers(record, now)
             and (not request.model or not record.models or any(m.name == request.model for m in record.models))
         ]
 
@@ -265,10 +273,23 @@
             self._line.note_freed(self._clock.monotonic())
             for seen in freed.speeds or [] if place is not None else []:
                 self.speeds.learn_decode(seen.id, place.service, seen.took_s, seen.units, place.output_tokens)
-            for backend in freed.unresponsive or []:
-                self._unresponsive_until[backend] = self._clock.monotonic() + _UNRESPONSIVE_S
+            if freed.unresponsive:
+                self._note_unanswered(freed.unresponsive)
             self._freed.notify_all()
 
+    def _note_unanswered(self, engines: list[str]) -> None:
+        until = self._clock.monotonic() + _UNRESPONSIVE_S
+        record_by_id = {record.id: record for record in self._backends()}
+        known = {id_: row for id_, row in self._unanswered_by_id.items() if id_ in record_by_id}
+        for id_ in record_by_id.keys() & set(engines):
+            known[id_] = _Unanswered(until, _announcement(record_by_id[id_]))
+        self._unanswered_by_id = known
+
+    def _answers(self, record: Any, now: float) -> bool:
+        """Whether an engine is expected to answer: one that did not is used again when it was heard of since."""
+        row = self._unanswered_by_id.get(record.id)
+        return row is None or (now >= row.until and _announcement(record) > row.announcement)
+
     def report(self, vm: str, incarnation: int, held: list[Any]) -> None:
         """Takes the places that an entry VM holds: unknown ones are added, unreported ones freed after a while."""
         now = self._clock.monotonic()
@@ -295,6 +316,10 @@
             self._freed.notify_all()
 
 
+def _announcement(record: Any) -> tuple[int, int]:
+    return record.started_ms, record.sequence
+
+
 def _wanted_place(request: Any, backend: str, now: float) -> _Place:
     output_tokens, gap_s = output_tokens_of(request), request.event_gap_ms / 1000
     return _Place(backend, request.memory_tokens, now, request.service_name, output_tokens, gap_s)
--- a/libs/arbutusrill_site/tests/test_places.py
+++ b/libs/arbutusrill_site/tests/test_places.py
@@ -219,14 +219,21 @@
     assert not places.place(wanted("c", tokens=900)).place
 
 
-def test_engine_that_one_entry_vm_cannot_reach_is_kept_from_all_for_a_while():
-    clock = ManualClock()
-    places = ledger(engine("dark"), clock=clock)
+def test_engine_that_one_entry_vm_cannot_reach_is_kept_from_all_until_it_is_heard_of():
+    # Dark engines look empty: after 1.5 s they were given places again, dozens a second, until they were dropped.
+    clock, dark = ManualClock(), engine("dark")
+    places = ledger(dark, clock=clock)
     place = places.place(wanted("a")).place
     places.free(messages.FreePlace("vm", 1, place, [], ["dark"]))
+    dark.sequence += 1
     assert not places.place(wanted("b")).place
     clock.advance(2.0)
     assert places.place(wanted("b")).place
+    places.free(messages.FreePlace("vm", 1, 0, [], ["dark"]))
+    clock.advance(2.0)
+    assert not places.place(wanted("c")).place
+    dark.started_ms, dark.sequence = dark.started_ms + 1, 1  # started again
+    assert places.place(wanted("c")).place
 
 
 def test_places_of_an_entry_vm_that_is_gone_are_freed():
