gateway: the leader hears at once of an engine that does not answer

Cause: an entry VM told the leader of a prefill engine that took no connection when the request's place was free again, seconds later at the end of its stream. News of an engine also counted as a place that had come free. Change: the entry VM tells it with a call of its own; only a place that was held counts as freed.

--- a/libs/arbutusrill_gateway/_places.py
+++ b/libs/arbutusrill_gateway/_places.py
@@ -21,6 +21,7 @@
 _STEP_S = 0.4  # wait of the further calls; between two of them the caller's connection is checked
 _CALL_S = 0.2  # for a call beyond its wait; after it this VM chooses by its own view
 _FREE_S = 0.3
+_NO_PLACE = 0
 _MOST_SPEEDS = 50  # that are kept while the leader does not answer
 _LOST_S = 0.4  # after a call without an answer, this VM chooses by its own view for so long
 _events = EventLog("placement")
@@ -38,7 +39,6 @@
     taken_at: float
     event_gap_s: float = 0.0  # longest pause between its events that the caller accepts; 0 if unknown
     speeds: list[Any] = field(default_factory=list)
-    unresponsive: list[str] = field(default_factory=list)
 
 
 @dataclass(slots=True, frozen=True)
@@ -178,7 +178,12 @@
             self._place_by_number.pop(place.number, None)
         if place.number < 0 and self._clock.monotonic() < self._lost_until:
             return
-        self._free(place.number, place.speeds, place.unresponsive)
+        self._free(place.number, place.speeds, [])
+
+    def tell_unresponsive(self, backend: str) -> None:
+        """Tells the leader at once of an engine that does not answer, while the place that named it is still held."""
+        if self._clock.monotonic() >= self._lost_until:
+            self._free(_NO_PLACE, [], [backend])
 
     def _free(self, number: int, speeds: list[Any], unresponsive: list[str]) -> None:
         freed = messages.FreePlace(self._vm, self._incarnation, number, speeds, unresponsive)
--- a/libs/arbutusrill_gateway/_prefill.py
+++ b/libs/arbutusrill_gateway/_prefill.py
@@ -51,7 +51,7 @@
                 return prefilled
         pool.failed(candidate.record, f"prefill: {made.detail}", avoid=made.outcome is not Outcome.REJECTED)
         if place is not None and made.outcome in (Outcome.UNREACHED, Outcome.TIMEOUT):
-            place.unresponsive.append(candidate.id)
+            exchange.places.tell_unresponsive(candidate.id)
         if made.outcome is not Outcome.UNREACHED:
             if not exchange.budget.take():
                 raise BudgetSpentError
--- a/libs/arbutusrill_gateway/_stream.py
+++ b/libs/arbutusrill_gateway/_stream.py
@@ -186,7 +186,7 @@
         if made.outcome is not Outcome.UNREACHED:
             self._prefilled = None
         elif place is not None:
-            place.unresponsive.append(candidate.id)
+            exchange.places.tell_unresponsive(candidate.id)
         if made.outcome is Outcome.ANSWERED and made.answer.status == 200:
             exchange.pool.served(candidate.record, made.took_s, max(1, events.count))
             if place is not None:
--- a/libs/arbutusrill_site/_places.py
+++ b/libs/arbutusrill_site/_places.py
@@ -270,7 +270,8 @@
         """Frees a place and takes what its holder has learned of its decode engine's speed."""
         with self._freed:
             place = self._places_by_holder.get((freed.vm, freed.incarnation), {}).pop(freed.place, None)
-            self._line.note_freed(self._clock.monotonic())
+            if place is not None:
+                self._line.note_freed(self._clock.monotonic())
             for seen in freed.speeds or [] if place is not None else []:
                 self.speeds.learn_decode(seen.id, place.service, seen.took_s, seen.units, place.output_tokens)
             if freed.unresponsive:
--- a/libs/arbutusrill_site/tests/test_places.py
+++ b/libs/arbutusrill_site/tests/test_places.py
@@ -236,6 +236,18 @@
     assert places.place(wanted("c")).place
 
 
+def test_news_of_an_engine_frees_no_place():
+    # Each one counted as a place that has come free, and waiting requests expected their turn too soon.
+    clock = ManualClock()
+    places = ledger(engine("d"), clock=clock)
+    for name in "ab":
+        places.place(wanted(name))
+    expected_ms = places.place(wanted("c")).wait_ms
+    for _ in range(20):
+        places.free(messages.FreePlace("vm", 1, 0, [], ["other"]))
+    assert places.place(wanted("c")).wait_ms == expected_ms
+
+
 def test_places_of_an_entry_vm_that_is_gone_are_freed():
     places = ledger(engine("d"))
     places.place(wanted("a", tokens=900))
