--- a/libs/arbutusrill_site/_places.py
+++ b/libs/arbutusrill_site/_places.py
@@ -21,9 +21,7 @@
 __all__ = ["PlaceLedger"]
 
 _MOST_SLOWNESS = 3.0
-_LONGEST_PREFILL_S = (
-    0.75  # a decode engine reads the prompt itself, also when its streams pause, rather than wait longer
-)
+_LONGEST_PREFILL_S = 0.75  # a decode engine reads a prompt itself, whatever its streams, rather than wait longer
 _FIRST_EVENT_S = 0.12  # from the end of a prefill to the first event at the caller
 _UNRESPONSIVE_S = 1.5  # an engine that did not answer one entry VM is kept from all of them for at least so long
 _MEMORY_PART = 0.92  # part of an engine's memory that is given out
