--- a/libs/arbutusrill_bench/_runs.py
+++ b/libs/arbutusrill_bench/_runs.py
@@ -183,7 +183,7 @@
         body = json.dumps({"model": MODEL, "prompt": "warm up", "max_tokens": 2}).encode()
         for entry in self._site.of_kind("entry"):
             url = f"http://{entry.address}/v1/completions"
-            result = fetch(Transfer("POST", url, headers, body, timeout_s=5.0, new_connection=True))
+            result = fetch(Transfer("POST", url, headers, body, timeout_s=5.0))
             if not result.is_complete or result.status != 200:
                 return False
         return True
--- a/libs/arbutusrill_bench/proof_once.py
+++ b/libs/arbutusrill_bench/proof_once.py
@@ -96,7 +96,7 @@
             headers.append(f"Idempotency-Key: {call_id}")
         body = json.dumps({"id": call_id}).encode()
         url = f"http://{entry.address}/services/{_SERVICE_NAME}/bookings"
-        result = fetch(Transfer("POST", url, headers, body, timeout_s=_CALL_TIMEOUT_S, new_connection=True))
+        result = fetch(Transfer("POST", url, headers, body, timeout_s=_CALL_TIMEOUT_S))
         if not result.is_complete:
             return "not_run" if result.error == "connect" else "lost"
         if result.status == 201:
--- a/libs/arbutusrill_cli/_client.py
+++ b/libs/arbutusrill_cli/_client.py
@@ -75,7 +75,7 @@
             failures = []
             for address in self._addresses:
                 url = f"http://{address}/v1/operator{path}{suffix}"
-                result = fetch(Transfer(method, url, headers, data, timeout_s=_REQUEST_TIMEOUT_S, new_connection=True))
+                result = fetch(Transfer(method, url, headers, data, timeout_s=_REQUEST_TIMEOUT_S))
                 if result.is_complete and result.status not in (421, 503):
                     return _parse_response(result.status, result.body)
                 failures.append(f"{address}: {result.detail or _error_message(result.status, result.body)}")
--- a/libs/arbutusrill_entry/_relay.py
+++ b/libs/arbutusrill_entry/_relay.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from arbutusrill_base import Failure, FailureError, PartLog, Verdict
-from arbutusrill_http import AbortStreamError, Transfer, TransferResult, close_connections, fetch
+from arbutusrill_http import AbortStreamError, Transfer, TransferResult, fetch
 
 from ._context import EntryContext
 from ._events import EventReader
@@ -125,7 +125,7 @@
         for is_repeat in (False, True):
             self._reader = EventReader(self._reservation.ticket, len(self._texts))
             self._token_received = False
-            result = self._decode(self._prefill(new_connection=is_repeat), new_connection=is_repeat)
+            result = self._decode(self._prefill())
             try:
                 while not self._reader.finish_reason:
                     result = self._resume(result)
@@ -137,7 +137,7 @@
         self._reservation.release.tokens = len(self._texts)
         self._reservation.release.decode_s = time.monotonic() - self._decode_started_at
 
-    def _prefill(self, new_connection: bool) -> dict[str, Any]:
+    def _prefill(self) -> dict[str, Any]:
         assignment = self._reservation.assignment
         started = time.monotonic()
         predicted_s = assignment.predicted_first_token_s or 0
@@ -148,12 +148,11 @@
         )
         body = {"model": self._completion.model, "prompt": self._completion.prompt + "".join(self._texts)}
         self._reservation.mark_stage(assignment.prefill_address, "prefill")
-        transfer = self._post(assignment.prefill_address, "/engine/prefill", body, limit_s, new_connection)
+        transfer = self._post(assignment.prefill_address, "/engine/prefill", body, limit_s)
         result = self._transfer(transfer, self._key_refused)
         answer = _parse_json_object(result.body) if result.is_complete and result.status == 200 else None
         if answer is None or answer.get("request_id") != self._reservation.ticket or "kv_handle" not in answer:
             if answer is not None:
-                close_connections()
                 result.detail = "the answer is not the one to this request"
             raise self._make_attempt_error("prefill_failed", assignment.prefill_server, result)
         self._reservation.release.prefill_s = time.monotonic() - started
@@ -161,7 +160,7 @@
         self._prompt_tokens = self._prompt_tokens or int(answer.get("prompt_tokens") or 0)
         return answer
 
-    def _decode(self, prefill: dict[str, Any], new_connection: bool) -> TransferResult:
+    def _decode(self, prefill: dict[str, Any]) -> TransferResult:
         assignment = self._reservation.assignment
         body = {
             "model": self._completion.model,
@@ -174,9 +173,7 @@
         }
         self._decode_started_at = time.monotonic()
         self._reservation.mark_stage(assignment.decode_address, "decode")
-        return self._stream(
-            self._post(assignment.decode_address, "/engine/decode", body, _STREAM_TIMEOUT_S, new_connection)
-        )
+        return self._stream(self._post(assignment.decode_address, "/engine/decode", body, _STREAM_TIMEOUT_S))
 
     def _resume(self, broken_result: TransferResult) -> TransferResult:
         """Continues a broken stream over a new connection, from the next token offset.
@@ -203,14 +200,14 @@
             f"{assignment.decode_address}/engine/streams/{self._reservation.ticket}?offset={self._reader.next_offset()}"
         )
         self._reader.restart()
-        result = self._stream(Transfer("GET", url, new_connection=True, timeout_s=_STREAM_TIMEOUT_S))
+        result = self._stream(Transfer("GET", url, timeout_s=_STREAM_TIMEOUT_S))
         if result.status in _STATE_LOST_STATUSES:
             raise _EngineStateLostError(self._make_attempt_error("decode_failed", assignment.decode_server, result))
         if len(self._texts) == tokens_before and not self._reader.finish_reason:
             raise self._make_attempt_error("decode_failed", assignment.decode_server, result)
         return result
 
-    def _post(self, address: str, path: str, body: dict[str, Any], timeout_s: float, new_connection: bool) -> Transfer:
+    def _post(self, address: str, path: str, body: dict[str, Any], timeout_s: float) -> Transfer:
         identity = self._context.follower.identity
         payload = {
             "request_id": self._reservation.ticket,
@@ -224,7 +221,6 @@
             _JSON_HEADERS,
             json.dumps(payload).encode(),
             timeout_s,
-            new_connection=new_connection,
         )
 
     def _stream(self, transfer: Transfer) -> TransferResult:
--- a/libs/arbutusrill_entry/_services.py
+++ b/libs/arbutusrill_entry/_services.py
@@ -24,7 +24,6 @@
 
 _CALL_TIMEOUT_S = 600.0
 _STALL_TIMEOUT_S = 30.0
-_FIRST_ATTEMPT_STALL_TIMEOUT_S = 2.0  # a middlebox may have dropped the state of a reused connection
 _MAX_ATTEMPTS = 3
 
 
@@ -119,7 +118,7 @@
             self._context.retry_budget.record_request()
         with ServerReservation(self._context, self.requirements, self._caller, self._guard) as reservation:
             for attempt in range(1, _MAX_ATTEMPTS + 1):
-                answer, result = self._send(reservation, attempt)
+                answer, result = self._send(reservation)
                 if result.is_complete:
                     return answer
                 outcome = "not_sent" if result.verdict is Verdict.NOT_RUN else "decode_failed"
@@ -147,7 +146,7 @@
             caller_deadline=deadline if set_by_caller else float("inf"),
         )
 
-    def _send(self, reservation: ServerReservation, attempt: int) -> tuple[Answer, TransferResult]:
+    def _send(self, reservation: ServerReservation) -> tuple[Answer, TransferResult]:
         failure = self._guard.check_key(self.verdict, force=True)
         if failure is not None:
             raise FailureError(failure)
@@ -155,7 +154,7 @@
         answer = Answer(
             self.start_response, self._call.request_id, max_recorded_bytes, read_after_disconnect=not self._repeatable
         )
-        transfer = self._make_transfer(reservation, attempt, answer)
+        transfer = self._make_transfer(reservation, answer)
         if self._journaled is not None:
             self._journaled.check_send(self.requirements.deadline)
         earlier_verdict = self.verdict
@@ -169,7 +168,7 @@
             raise FailureError(failure or _service_failure(self._name, result, self.verdict))
         return answer, result
 
-    def _make_transfer(self, reservation: ServerReservation, attempt: int, answer: Answer) -> Transfer:
+    def _make_transfer(self, reservation: ServerReservation, answer: Answer) -> Transfer:
         query = forwarded_query(self.request)
         headers = [*forwarded_headers(self.request), f"X-Request-Id: {self._call.request_id}"]
         if self._guard.workspace:
@@ -181,7 +180,6 @@
             self.request.get_data(),
             _CALL_TIMEOUT_S,
             _STALL_TIMEOUT_S,
-            new_connection=not self._repeatable or attempt > 1,
             on_head=answer.on_head,
             on_data=answer.on_data,
         )
@@ -189,7 +187,6 @@
             # Only repeatable calls may be aborted: the outcome of any other aborted call would be unknown.
             transfer.caller_connection = self._caller
             transfer.should_stop = self._key_refused
-            transfer.stall_s = _FIRST_ATTEMPT_STALL_TIMEOUT_S if attempt == 1 else _STALL_TIMEOUT_S
         return transfer
 
     def _key_refused(self) -> bool:
--- a/libs/arbutusrill_gateway/_attempt.py
+++ b/libs/arbutusrill_gateway/_attempt.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
+import abc
 import enum
 import time
-from collections.abc import Callable
 from dataclasses import dataclass
 
 from arbutusrill_base import Verdict
@@ -13,13 +13,34 @@
 from ._backends import Candidate
 from ._protocol import BackendProtocol, BackendRequest, CallerRequest, ResponseHead
 
-__all__ = ["AttemptResult", "Outcome", "send_attempt"]
+__all__ = ["AttemptResult", "BodyReceiver", "Outcome", "send_attempt"]
 
 _CONNECT_TIMEOUT_S = 0.12  # leaves time for a second engine: an unfetched KV cache expires after 0.5 s
 # Statuses that tell a caller that its request has not run. They are trusted only if the backend server states so.
 _NOT_RUN_STATUSES = (408, 421, 429, 503)
 
 
+class BodyReceiver(abc.ABC):
+    """Receives the response of one attempt while it arrives.
+
+    `problem` is empty, or says why the response is invalid, which ends the attempt.
+    """
+
+    problem: str = ""
+
+    @abc.abstractmethod
+    def on_head(self, status: int, headers_by_name: dict[str, str]) -> None:
+        """Processes the status and the headers."""
+
+    @abc.abstractmethod
+    def on_data(self, data: bytes) -> None:
+        """Processes a part of the body."""
+
+    @abc.abstractmethod
+    def progress_at(self) -> float:
+        """Returns when the response last made progress, on the monotonic clock."""
+
+
 class Outcome(enum.Enum):
     """How an attempt ended."""
 
@@ -56,13 +77,11 @@
     candidate: Candidate,
     timeout_s: float,
     stall_s: float | None = None,
-    on_head: Callable[[int, dict[str, str]], None] | None = None,
-    on_data: Callable[[bytes], None] | None = None,
+    receiver: BodyReceiver | None = None,
 ) -> AttemptResult:
-    """Sends `request` to `candidate` over a new connection and waits for the end of the response.
+    """Sends `request` to `candidate` and waits for the end of the response, whose body `receiver` gets.
 
-    Connections are not reused: libcurl would silently resend a request over a reused connection that turns out to be
-    closed, and the response to an earlier request could be read from it.
+    Without `receiver`, the body is collected, up to a limit. `stall_s` is the longest time without progress.
     """
     transfer = Transfer(
         request.method,
@@ -75,16 +94,18 @@
         timeout_s,
         stall_s,
         min(_CONNECT_TIMEOUT_S, timeout_s),
-        new_connection=True,
         omit_default_headers=True,
         caller_connection=request.connection,
-        on_head=on_head,
-        on_data=on_data,
     )
+    if receiver is not None:
+        transfer.on_head, transfer.on_data = receiver.on_head, receiver.on_data
+        transfer.progress_at, transfer.should_stop = receiver.progress_at, lambda: bool(receiver.problem)
     started = time.monotonic()
     result = fetch(transfer)
     took_s = time.monotonic() - started
     response = protocol.decode_response(result.status, result.headers_by_name) if result.status else None
+    if result.error == "stopped":
+        result.detail = receiver.problem
     outcome, detail = _outcome(request, backend_request, result, response)
     return AttemptResult(outcome, response, result.body, detail, took_s)
 
@@ -96,11 +117,12 @@
         return Outcome.GONE, result.detail
     if response is not None and response.request_id not in ("", request.id):
         return Outcome.BROKEN, f"the answer is for request {response.request_id}"
-    if response is not None and response.not_run:
-        return Outcome.REJECTED, f"status {response.status}, not run"
     if result.is_complete:
         if response is None or response.request_id != request.id:
             return Outcome.BROKEN, "the answer names no request"
+        # Believed only in a complete answer to this very request: any other may repeat an earlier refusal.
+        if response.not_run:
+            return Outcome.REJECTED, f"status {response.status}, not run"
         if response.status < 300 and not response.stamped and not backend_request.prefill:
             return Outcome.BROKEN, "a success without the server's proof"
         if response.status in _NOT_RUN_STATUSES:
--- a/libs/arbutusrill_gateway/_backends.py
+++ b/libs/arbutusrill_gateway/_backends.py
@@ -218,6 +218,11 @@
             stats = self._stats_by_id[record.id] = _BackendStats(record.started_ms)
         return stats
 
+    def unit_time_s(self, record: Any) -> float | None:
+        """Returns the measured seconds per unit (see `record_success`) of a backend server, None if unknown."""
+        with self._lock:
+            return self._stats_of(record).unit_s
+
     def record_success(self, record: Any, took_s: float, units: int = 1) -> None:
         """Records a successful request; `units` is the number of tokens, or 1 for a plain request."""
         now = self._clock.monotonic()
--- a/libs/arbutusrill_gateway/_plain.py
+++ b/libs/arbutusrill_gateway/_plain.py
@@ -1,15 +1,22 @@
-"""Relay of requests whose response is buffered and delivered as a whole."""
+"""Relay of requests whose response is buffered and delivered as a whole, unless it is large."""
 
 from __future__ import annotations
 
+import time
+
+from arbutusrill_base import Verdict
+from arbutusrill_http import AbortStreamError
 from arbutusrill_site import RouteKind
 
-from ._attempt import AttemptResult, Outcome, send_attempt
+from ._attempt import AttemptResult, BodyReceiver, Outcome, send_attempt
 from ._backends import Candidate
 from ._exchange import Exchange
+from ._protocol import ResponseHead
 
 __all__ = ["relay_plain"]
 
+_MAX_BUFFERED_BYTES = 1_048_576  # a larger response is forwarded while it arrives and cannot be retried
+
 _MAX_UNREACHED = 4  # unreachable backend servers per request
 _RETRY_AFTER_S = 0.1
 # Fractions of the remaining time: for the wait while a new leader collects the backend servers, and for an attempt
@@ -18,6 +25,57 @@
 _FIRST_ATTEMPT_FRACTION = 0.5
 
 
+class _ResponseRelay(BodyReceiver):
+    """Buffers a response; forwards it once it exceeds `_MAX_BUFFERED_BYTES`, if it is a valid answer."""
+
+    def __init__(self, exchange: Exchange):
+        self._exchange = exchange
+        self._response: ResponseHead | None = None
+        self._chunks: list[bytes] = []
+        self._size_bytes = 0
+        self._progress_at = time.monotonic()
+
+    @property
+    def begun(self) -> bool:
+        """Whether the response to the caller has begun."""
+        return bool(self._exchange.responder.status)
+
+    @property
+    def body(self) -> bytes:
+        """The buffered body; empty once the response to the caller has begun."""
+        return b"".join(self._chunks)
+
+    def on_head(self, status: int, headers_by_name: dict[str, str]) -> None:
+        """Stores the head."""
+        self._response = self._exchange.protocol.decode_response(status, headers_by_name)
+        self._progress_at = time.monotonic()
+
+    def on_data(self, data: bytes) -> None:
+        """Buffers or forwards a part of the body."""
+        self._progress_at = time.monotonic()
+        if self.begun:
+            self._exchange.responder.write(data)
+            return
+        self._chunks.append(data)
+        self._size_bytes += len(data)
+        if self._size_bytes > _MAX_BUFFERED_BYTES and not self.problem:
+            self._begin_forwarding()
+
+    def _begin_forwarding(self) -> None:
+        response = self._response
+        is_answer = response.request_id == self._exchange.request.id and not response.not_run and response.status < 500
+        if is_answer and (response.stamped or response.status >= 300):
+            self._exchange.responder.send_head(response.status, response.headers)
+            self._exchange.responder.write(self.body)
+        else:
+            self.problem = f"status {response.status} with a body of more than {_MAX_BUFFERED_BYTES} bytes"
+        self._chunks.clear()
+
+    def progress_at(self) -> float:
+        """Returns when the last part of the response arrived."""
+        return self._progress_at
+
+
 def relay_plain(exchange: Exchange) -> None:
     """Sends a request to a backend server, and to others after failures as far as the route allows retries."""
     unreached = 0
@@ -53,15 +111,29 @@
     timeout_s = exchange.remaining_s()
     if exchange.route.kind is RouteKind.IDEMPOTENT and exchange.attempt_count + 1 < exchange.route.max_attempts:
         timeout_s *= _FIRST_ATTEMPT_FRACTION
-    with exchange.pool.track_request(candidate.id, 0):
-        return send_attempt(
-            exchange.protocol, exchange.request, exchange.backend_request(candidate), candidate, timeout_s
-        )
+    relay = _ResponseRelay(exchange)
+    backend_request = exchange.backend_request(candidate)
+    try:
+        with exchange.pool.track_request(candidate.id, 0):
+            result = send_attempt(
+                exchange.protocol, exchange.request, backend_request, candidate, timeout_s, receiver=relay
+            )
+    except OSError:  # from the connection of the caller, while a large response is forwarded
+        exchange.verdict = exchange.verdict.combine(Verdict.MAY_HAVE_RUN)
+        raise exchange.caller_gone_error() from None
+    result.body = relay.body
+    return result
 
 
 def _deliver_or_retry(exchange: Exchange, candidate: Candidate, result: AttemptResult) -> bool:
     """Responds to the caller, or takes a retry from the budget; returns whether a response was sent."""
     pool, response = exchange.pool, result.response
+    if exchange.responder.status:
+        if result.outcome is not Outcome.ANSWERED:
+            pool.record_failure(candidate.record, result.detail, avoid=False)
+            raise AbortStreamError(f"backend_failed: {result.detail}")
+        pool.record_success(candidate.record, result.took_s)
+        return True
     if result.outcome is Outcome.ANSWERED and response.status < 500:
         pool.record_success(candidate.record, result.took_s)
         exchange.responder.send_response(response.status, response.headers, result.body)
--- a/libs/arbutusrill_gateway/_prefill.py
+++ b/libs/arbutusrill_gateway/_prefill.py
@@ -82,7 +82,6 @@
             url,
             timeout_s=_RELEASE_TIMEOUT_S,
             connect_s=_RELEASE_TIMEOUT_S,
-            new_connection=True,
             omit_default_headers=True,
         )
     )
--- a/libs/arbutusrill_gateway/_stream.py
+++ b/libs/arbutusrill_gateway/_stream.py
@@ -11,7 +11,7 @@
 from arbutusrill_http import AbortStreamError
 from arbutusrill_wire import messages
 
-from ._attempt import AttemptResult, Outcome, send_attempt
+from ._attempt import AttemptResult, BodyReceiver, Outcome, send_attempt
 from ._backends import Candidate
 from ._exchange import Exchange
 from ._placement import Placement, PlacementRequest
@@ -27,7 +27,12 @@
 _PLACEMENT_WAIT_FRACTION = 0.35
 _PLACEMENT_WAIT_OBJECTIVE_FACTOR = 3.0
 _MIN_OBJECTIVE_S = 0.5  # lower bound of the objective in that limit
-_STALL_TIMEOUT_S = 1.2  # a resumable stream without data for this time is resumed on another engine
+# A resumable stream is resumed on another engine after this time without a complete event, or after a multiple of the
+# usual time between events of its engine if that is longer. Time to prefill the prompt is added before the first event.
+_MIN_STALL_S = 1.2
+_STALL_FACTOR = 8.0
+_LOCAL_PREFILL_S_PER_TOKEN = 0.0002
+_MAX_EVENT_BYTES = 1_048_576  # also of a response that is not a stream
 _END_OF_EVENT = re.compile(rb"\r?\n\r?\n")
 
 
@@ -35,16 +40,20 @@
     """The caller's connection failed while an event was written to it."""
 
 
-class _EventRelay:
-    """Forwards the events of a stream to the caller; incomplete events are buffered.
+class _EventRelay(BodyReceiver):
+    """Forwards the events of a stream to the caller; incomplete events are buffered, up to `_MAX_EVENT_BYTES`.
 
-    `last_id` is the id of the last event forwarded. Events up to it are dropped if a resumed stream repeats them.
+    `last_id` is the id of the last event forwarded. Events up to it are dropped if a resumed stream repeats them, and
+    do not count as progress.
     """
 
     def __init__(self, exchange: Exchange):
         self._exchange = exchange
         self._buffer = b""
+        self._scanned_bytes = 0  # prefix of the buffer that holds no end of an event
         self._response_head: ResponseHead | None = None
+        self._progress_at = time.monotonic()
+        self._non_stream_bytes = 0
         self.last_id: int | None = None
         self.forwarded_count = 0
         self.non_stream_body: list[bytes] = []  # chunks of a response that is not a stream, such as an error
@@ -56,29 +65,64 @@
         """
         response = self._exchange.protocol.decode_response(status, headers_by_name)
         matches = response.request_id == self._exchange.request.id
-        self._buffer = b""
+        self._buffer, self._scanned_bytes = b"", 0
+        self._progress_at = time.monotonic()
         self._response_head = (
             response if matches and response.stamped and status == 200 and not response.not_run else None
         )
 
+    def begin_attempt(self) -> None:
+        """Forgets what an earlier attempt received, except for the events that were forwarded."""
+        self.problem = ""
+        self.non_stream_body.clear()
+        self._non_stream_bytes = 0
+        self._progress_at = time.monotonic()
+
     def on_data(self, data: bytes) -> None:
         """Processes a chunk of the body."""
+        if self.problem:
+            return
         if self._response_head is None:
-            self.non_stream_body.append(data)
+            self._collect_non_stream(data)
             return
         self._buffer += data
-        complete_events = []
-        while separator := _END_OF_EVENT.search(self._buffer):
-            event, self._buffer = self._buffer[: separator.end()], self._buffer[separator.end() :]
+        events = self._take_events()
+        if events:
+            self._forward(b"".join(events))
+        if len(self._buffer) > _MAX_EVENT_BYTES:
+            self.problem = f"an event exceeds {_MAX_EVENT_BYTES} bytes"
+            self._buffer = b""
+
+    def _collect_non_stream(self, data: bytes) -> None:
+        self._non_stream_bytes += len(data)
+        if self._non_stream_bytes > _MAX_EVENT_BYTES:
+            self.problem = f"a response that is not a stream exceeds {_MAX_EVENT_BYTES} bytes"
+            self.non_stream_body.clear()
+            return
+        self.non_stream_body.append(data)
+
+    def _take_events(self) -> list[bytes]:
+        """Removes the complete events from the buffer and returns the new ones."""
+        events, start = [], 0
+        search_from = max(0, self._scanned_bytes - len(b"\r\n\r"))
+        while separator := _END_OF_EVENT.search(self._buffer, search_from):
+            event, start = self._buffer[start : separator.end()], separator.end()
+            search_from = start
             event_id = self._exchange.protocol.event_id(event)
             if event_id is not None:
                 if self.last_id is not None and event_id <= self.last_id:
                     continue
                 self.last_id = event_id
-            complete_events.append(event)
+            events.append(event)
             self.forwarded_count += 1
-        if complete_events:
-            self._forward(b"".join(complete_events))
+            self._progress_at = time.monotonic()
+        self._buffer = self._buffer[start:]
+        self._scanned_bytes = len(self._buffer)
+        return events
+
+    def progress_at(self) -> float:
+        """Returns when the last new event was complete, or when the head arrived."""
+        return self._progress_at
 
     @property
     def has_data(self) -> bool:
@@ -271,12 +315,9 @@
     backend_request = exchange.backend_request(
         candidate, kv_cache=kv_cache, resume_after=_last_event_id(exchange, events)
     )
-    stall_s = (
-        _STALL_TIMEOUT_S
-        if exchange.route.resumable and exchange.attempt_count + 1 < exchange.route.max_attempts
-        else None
-    )
-    events.non_stream_body.clear()
+    may_resume = exchange.route.resumable and exchange.attempt_count + 1 < exchange.route.max_attempts
+    stall_s = _stall_timeout_s(exchange, candidate, kv_cache) if may_resume else None
+    events.begin_attempt()
     try:
         result = send_attempt(
             exchange.protocol,
@@ -285,8 +326,7 @@
             candidate,
             max(0.001, exchange.remaining_s()),
             stall_s,
-            events.on_head,
-            events.on_data,
+            events,
         )
         if (
             result.outcome is Outcome.ANSWERED
@@ -300,6 +340,16 @@
         raise exchange.caller_gone_error() from None
 
 
+def _stall_timeout_s(exchange: Exchange, candidate: Candidate, kv_cache: KvCacheHandle | None) -> float:
+    """Returns the time without a complete event after which a stream is resumed on another engine.
+
+    It follows the speed of the engine, so that a slow but sound stream is not cut.
+    """
+    event_s = exchange.pool.unit_time_s(candidate.record) or 0.0
+    prefill_s = 0.0 if kv_cache is not None else (exchange.request.prompt_tokens or 0) * _LOCAL_PREFILL_S_PER_TOKEN
+    return max(_MIN_STALL_S, _STALL_FACTOR * event_s) + prefill_s
+
+
 def _finish_or_retry(exchange: Exchange, result: AttemptResult, events: _EventRelay) -> bool:
     """Ends the exchange, or takes a retry from the budget; returns whether the exchange has ended."""
     if result.outcome is Outcome.ANSWERED and result.response.status == 200:
--- /dev/null
+++ b/libs/arbutusrill_gateway/tests/test_faulty_backends.py
@@ -0,0 +1,288 @@
+"""Answers of faulty backend servers: refusals that are not true, bodies without end, and streams that stall."""
+
+import contextlib
+import resource
+import socket
+import threading
+import time
+
+import pytest
+from arbutusrill_base import RetryBudget, SystemClock, Verdict
+from arbutusrill_http import AbortStreamError
+from arbutusrill_site import Route, RouteKind, Service, Target
+from arbutusrill_wire import messages
+
+from arbutusrill_gateway import BackendPool, BackendProtocol, CallerRequest, ResponseHead
+from arbutusrill_gateway._exchange import Exchange
+from arbutusrill_gateway._plain import relay_plain
+from arbutusrill_gateway._reply import Responder
+from arbutusrill_gateway._stream import relay_stream
+
+MIB = 1_048_576
+
+
+class HeaderProtocol(BackendProtocol):
+    """Protocol with the headers ``id``, ``stamp`` and ``refused``."""
+
+    def request_headers(self, request, backend_request):
+        return [("Id", request.id), ("After", backend_request.resume_after)]
+
+    def decode_response(self, status, headers_by_name):
+        names = headers_by_name.keys()
+        return ResponseHead(status, headers_by_name.get("id", ""), "refused" in names, "stamp" in names)
+
+    def decode_prefill(self, record, body):
+        return None
+
+    def release_path(self, kv_cache):
+        return "/"
+
+    def event_id(self, event):
+        return int(event[4 : event.index(b"\n")]) if event.startswith(b"id: ") else None
+
+
+class Backend:
+    """Answers each connection with the next of `scripts`, the last one repeatedly; `requests` holds what it read."""
+
+    def __init__(self, *scripts):
+        self.requests = []
+        self._scripts = scripts
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.address = "{}:{}".format(*self._listener.getsockname())
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self):
+        with contextlib.suppress(OSError):
+            while True:
+                connection, _ = self._listener.accept()
+                threading.Thread(target=self._answer, args=(connection,), daemon=True).start()
+
+    def _answer(self, connection):
+        with connection, contextlib.suppress(OSError):
+            script = self._scripts[min(len(self.requests), len(self._scripts) - 1)]
+            self.requests.append(connection.recv(65536))
+            script(connection)
+
+
+def head(status=200, *fields, id="r"):
+    lines = [f"HTTP/1.1 {status} X", f"Id: {id}", *fields]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n"
+
+
+def sends(*parts, pause_s=0.0):
+    def script(connection):
+        for part in parts:
+            connection.sendall(part)
+            time.sleep(pause_s)
+
+    return script
+
+
+def repeats(first, part, pause_s=0.0):
+    def script(connection):
+        connection.sendall(first)
+        while True:
+            connection.sendall(part)
+            time.sleep(pause_s)
+
+    return script
+
+
+STREAM = head(200, "Stamp: 1", "Transfer-Encoding: chunked")
+WHOLE = head(200, "Stamp: 1", "Content-Length: 5") + b"whole"
+
+
+def chunk(data):
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+def event(number):
+    return chunk(b"id: %d\ndata: x\n\n" % number)
+
+
+class Caller:
+    """Records what a caller receives; `received_bytes` counts bodies that are not kept."""
+
+    def __init__(self, keep=True):
+        self.status, self.body, self.received_bytes = 0, b"", 0
+        self._keep = keep
+
+    def start(self, status, headers):
+        self.status = int(status.split()[0])
+        return self.write
+
+    def write(self, data):
+        self.received_bytes += len(data)
+        self.body += data if self._keep else b""
+
+
+def relay(*backends, kind=RouteKind.NON_IDEMPOTENT, caller=None, deadline_s=5.0, max_attempts=2, event_s=0.0):
+    """Relays one request to `backends`; returns the caller, the exchange and whether the response was aborted.
+
+    The first backend is known to take `event_s` seconds for an event.
+    """
+    records, stream = {}, kind is RouteKind.STREAM
+    for number, backend in enumerate(backends):
+        # The first one is in the data centre of the VM and so preferred.
+        record = messages.BackendRecord(str(number), 1, 1, "s", backend.address, f"z{number + 1}", 8, False, "", [])
+        records[record.id] = record
+    view = SiteViewStub(records)
+    caller = caller or Caller()
+    pool = BackendPool(view, "z1", SystemClock())
+    if event_s:
+        for record in records.values():
+            pool.record_success(record, event_s)
+    route = Route("r", "h", "/", kind, deadline_s, 0.9, (Target("s", 1.0),), max_attempts, False, stream, 0.3)
+    exchange = Exchange(
+        CallerRequest("r", "POST", "h", "/x", [], b"body"),
+        Responder(caller.start, []),
+        route,
+        Service("s"),
+        None,
+        HeaderProtocol(),
+        pool,
+        None,
+        RetryBudget(1.0, 10),
+        time.monotonic() + deadline_s,
+        time.monotonic(),
+    )
+    aborted = False
+    try:
+        (relay_stream if stream else relay_plain)(exchange)
+    except AbortStreamError:
+        aborted = True
+    return caller, exchange, aborted
+
+
+class SiteViewStub:
+    def __init__(self, backends_by_id):
+        self.backends_by_id = backends_by_id
+        self.backends_complete = True
+        self.other_vms_requests_by_backend = self.other_vms_tokens_by_backend = {}
+
+    def wait_for(self, condition, timeout_s):
+        return condition()
+
+
+REFUSAL_FIELDS = ("Refused: 1", "Content-Length: 0")
+UNTRUE_REFUSALS = {
+    "of another request": sends(head(503, *REFUSAL_FIELDS, id="earlier")),
+    "without an id": sends(b"HTTP/1.1 503 X\r\nRefused: 1\r\nContent-Length: 0\r\n\r\n"),
+    "incomplete head": sends(b"HTTP/1.1 503 X\r\nId: r\r\nRefused: 1\r\n"),
+    "incomplete body": sends(head(503, "Refused: 1", "Content-Length: 9") + b"abc"),
+    "status without the statement": sends(head(503, "Content-Length: 0")),
+    "in a trailer": sends(STREAM + chunk(b"x") + b"0\r\nHTTP/1.1 503 X\r\nRefused: 1\r\n\r\n"),
+}
+
+
+@pytest.mark.parametrize("name", UNTRUE_REFUSALS)
+def test_refusal_that_may_belong_to_another_request_is_not_believed(name):
+    # Callers were told "not run" for requests that had run, and the request was sent to a second server.
+    faulty, sound = Backend(UNTRUE_REFUSALS[name]), Backend(sends(WHOLE))
+    caller, exchange, _ = relay(faulty, sound)
+    assert faulty.requests and not sound.requests
+    assert exchange.verdict is not Verdict.NOT_RUN
+    assert caller.status not in (408, 421, 429, 503)
+
+
+def test_refusal_of_this_request_is_believed_and_sent_to_another_server():
+    backends = [Backend(sends(head(503, *REFUSAL_FIELDS))), Backend(sends(WHOLE))]
+    caller, _, _ = relay(*backends)
+    assert (caller.status, caller.body) == (200, b"whole")
+    caller, exchange, _ = relay(backends[0], max_attempts=1)
+    assert (caller.status, exchange.verdict) == (503, Verdict.NOT_RUN)
+
+
+def memory_growth_kib(call):
+    before = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+    call()
+    return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss - before
+
+
+@pytest.mark.parametrize("kind", [RouteKind.NON_IDEMPOTENT, RouteKind.STREAM])
+@pytest.mark.parametrize(
+    "first", [head(500, "Stamp: 1"), head(200), head(200, "Stamp: 1", id="other"), b"HTTP/1.1 200 X\r\n", b""]
+)
+def test_body_without_end_that_is_no_answer_is_broken_off(kind, first):
+    # A body without end was collected until the VM's memory was used up, and came back as a success.
+    backend = Backend(repeats(first, b"X" * 65536))
+    started = time.monotonic()
+
+    def call():
+        caller, exchange, aborted = relay(backend, kind=kind, max_attempts=1)
+        assert caller.status in (502, 504) or aborted
+        assert exchange.verdict is Verdict.MAY_HAVE_RUN
+
+    assert memory_growth_kib(call) < 48 * 1024
+    assert time.monotonic() - started < 4
+
+
+@pytest.mark.parametrize("data", [b"x" * 65536, b": comment\n" * 6000, b"id: 1\ndata: x\n\n" * 4000])
+def test_stream_without_progress_is_resumed_at_another_server(data):
+    # No event ever ends, or the first one is repeated for ever.
+    faulty = Backend(repeats(STREAM, chunk(data), pause_s=0.001))
+    sound = Backend(sends(STREAM + b"".join(event(number) for number in (1, 2, 3)) + b"0\r\n\r\n"))
+
+    def call():
+        caller, _, aborted = relay(faulty, sound, kind=RouteKind.STREAM, deadline_s=8)
+        assert not aborted and caller.body.endswith(b"id: 3\ndata: x\n\n")
+
+    started = time.monotonic()
+    assert memory_growth_kib(call) < 48 * 1024
+    assert time.monotonic() - started < 5
+
+
+def test_stream_that_sends_a_byte_now_and_then_is_resumed():
+    # Any byte counted as progress, so that a stalled stream never ended.
+    faulty = Backend(repeats(STREAM + event(1), chunk(b":"), pause_s=0.1))
+    sound = Backend(sends(STREAM + event(1) + event(2) + b"0\r\n\r\n"))
+    caller, _, aborted = relay(faulty, sound, kind=RouteKind.STREAM, deadline_s=8)
+    assert faulty.requests and not aborted
+    assert caller.body.count(b"id: 1\n") == caller.body.count(b"id: 2\n") == 1
+
+
+def test_slow_but_sound_stream_is_not_cut():
+    # A fixed limit of 1.2 s cut the streams of engines that need longer for an event.
+    slow = Backend(sends(STREAM, event(1), event(2), event(3), b"0\r\n\r\n", pause_s=1.4))
+    sound = Backend(sends(STREAM + event(1) + event(2) + event(3) + b"0\r\n\r\n"))
+    caller, _, aborted = relay(slow, sound, kind=RouteKind.STREAM, deadline_s=15, event_s=0.3)
+    assert (caller.body.count(b"id: "), aborted) == (3, False)
+    assert len(slow.requests) == 1 and not sound.requests
+
+
+def test_large_answer_is_forwarded_while_it_arrives():
+    size = 24 * MIB
+    backend = Backend(
+        lambda connection: (
+            connection.sendall(head(200, "Stamp: 1", f"Content-Length: {size}")),
+            [connection.sendall(b"x" * MIB) for _ in range(size // MIB)],
+        )
+    )
+    caller = Caller(keep=False)
+    assert memory_growth_kib(lambda: relay(backend, caller=caller, deadline_s=20)) < 16 * 1024
+    assert (caller.status, caller.received_bytes) == (200, size)
+
+
+@pytest.mark.parametrize("stamped", ["Stamp: 1", "Other: 1"])
+def test_large_answer_that_breaks_off_does_not_look_complete(stamped):
+    backend = Backend(sends(head(200, stamped, f"Content-Length: {4 * MIB}"), b"x" * (2 * MIB)))
+    caller, exchange, aborted = relay(backend, max_attempts=1)
+    assert aborted or caller.status == 502
+    assert aborted is (stamped == "Stamp: 1")
+    assert exchange.verdict is Verdict.MAY_HAVE_RUN
+
+
+@pytest.mark.parametrize("kind", [RouteKind.NON_IDEMPOTENT, RouteKind.STREAM])
+@pytest.mark.parametrize("end", ["no last chunk", "reset", "short"])
+def test_answer_that_breaks_off_is_not_a_success(kind, end):
+    def script(connection):
+        if end == "short":
+            connection.sendall(head(200, "Stamp: 1", "Content-Length: 99") + b"id: 1\ndata: x\n\n")
+            return
+        connection.sendall((STREAM if end == "no last chunk" else head(200, "Stamp: 1")) + event(1))
+        if end == "reset":
+            time.sleep(0.1)
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+
+    caller, _, aborted = relay(Backend(script), kind=kind, max_attempts=1)
+    assert aborted or caller.status == 502
--- a/libs/arbutusrill_http/__init__.py
+++ b/libs/arbutusrill_http/__init__.py
@@ -18,7 +18,6 @@
     "HttpServer",
     "Transfer",
     "TransferResult",
-    "close_connections",
     "error_body",
     "failure_response",
     "fetch",
@@ -26,7 +25,7 @@
     "peer_closed",
 ]
 
-_LAZY_NAMES = ("Transfer", "TransferResult", "close_connections", "fetch")
+_LAZY_NAMES = ("Transfer", "TransferResult", "fetch")
 
 
 def __getattr__(name: str) -> Any:
--- a/libs/arbutusrill_http/_handler.py
+++ b/libs/arbutusrill_http/_handler.py
@@ -18,7 +18,9 @@
 __all__ = ["AbortStreamError", "Handler", "error_response"]
 
 _RESERVED_HEADER_TIMEOUT_S = 2.0
+_FIRST_REQUEST_WAIT_S = 0.5  # for the first request of a connection, which is served even if the server drains
 _HEADER_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+_PENDING_INPUT_WAIT_S = 0.001  # for bytes that are already in the receive buffer
 _log = PartLog("http")
 
 
@@ -80,13 +82,14 @@
         self._socket_reader = _DeadlineSocketReader(self.connection)
         self.rfile = io.BufferedReader(self._socket_reader, 65_536)
         self._is_reserved = self.server.is_reserved(self.connection)
+        self._is_first_request = True
 
     def handle(self) -> None:
         """Serves requests until either side closes the connection or the server drains."""
         try:
             self.close_connection = True
             self.handle_one_request()
-            while not self.close_connection and not self.server.draining():
+            while not self.close_connection:
                 self.handle_one_request()
         except (ConnectionError, TimeoutError, OSError):
             pass
@@ -95,8 +98,7 @@
         """Reads and serves one request; rejects it if it is malformed, too large or too slow."""
         limits = self.server.limits
         header_s = min(limits.header_s, _RESERVED_HEADER_TIMEOUT_S) if self._is_reserved else limits.header_s
-        self._socket_reader.deadline = time.monotonic() + (header_s if self._is_reserved else limits.idle_s)
-        if not self._wait_for_request():
+        if not self._wait_for_request(header_s if self._is_reserved else limits.idle_s):
             self.close_connection = True
             return
         self._socket_reader.deadline = time.monotonic() + header_s
@@ -120,10 +122,30 @@
         self.connection.settimeout(None)
         self._run_application(body)
 
-    def _wait_for_request(self) -> bool:
-        """Waits for the first byte of a request; returns False on end of input or when the server drains."""
+    def _wait_for_request(self, timeout_s: float) -> bool:
+        """Waits for the first byte of a request; returns False on end of input or when the server drains.
+
+        A request that has already been sent is served in any case.
+        """
+        is_first, self._is_first_request = self._is_first_request, False
+        if is_first and self._has_input_within(min(timeout_s, _FIRST_REQUEST_WAIT_S)):
+            return True
         with self.server.idle_connection(self.connection):
-            return not self.server.draining() and bool(self.rfile.peek(1))
+            if self.server.draining():
+                return self._has_input_within(_PENDING_INPUT_WAIT_S)
+            self._socket_reader.deadline = time.monotonic() + timeout_s
+            return bool(self.rfile.peek(1))
+
+    def _has_input_within(self, timeout_s: float) -> bool:
+        self._socket_reader.deadline = time.monotonic() + timeout_s
+        try:
+            return bool(self.rfile.peek(1))
+        except TimeoutError:
+            return False
+
+    def handle_expect_100(self) -> bool:
+        """Sends nothing yet: `_read_body` asks for the body once its size is known to be acceptable."""
+        return True
 
     def send_error(self, code: int, message: str | None = None, explain: str | None = None) -> None:
         """Rejects a request that `http.server` cannot parse, with a JSON body instead of HTML."""
@@ -226,11 +248,15 @@
             response.finish()
         except (AbortStreamError, ConnectionError, TimeoutError):
             self.close_connection = True
+            if response.ends_with_connection:
+                self.server.reset_on_close(self.connection)
         except Exception:
             _log.exception("the application raised an exception")
             self.close_connection = True
             if not response.head_sent:
                 self._reject(_RequestError(500, "internal_error", "internal error"))
+            elif response.ends_with_connection:
+                self.server.reset_on_close(self.connection)
 
     def log_request(self, code: int | str = "-", size: int | str = "-") -> None:
         """Logs nothing: the application logs requests with their request ID."""
--- a/libs/arbutusrill_http/_server.py
+++ b/libs/arbutusrill_http/_server.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import socket
+import struct
 import threading
 import time
 from collections import deque
@@ -25,6 +26,7 @@
 _LINGER_S = 1.0
 _IDLE_EVICTION_FRACTION = 0.9  # of the connection limit, from which a new connection evicts an idle one
 _MIN_IDLE_S = 0.2  # younger idle connections are not evicted: their next request is probably in flight
+_RESET_LINGER = struct.pack("ii", 1, 0)
 _log = PartLog("http")
 
 
@@ -59,13 +61,15 @@
         self._reserved_by_connection: dict[socket.socket, bool] = {}  # open connections
         self._lingering: deque[tuple[float, socket.socket]] = deque()
         self._close_lock = threading.Lock()
+        self._draining = threading.Event()
+        self._reset_on_close: set[socket.socket] = set()
         super().__init__(host, port, app, handler=Handler)
         # Accepted connections inherit the options, which saves system calls for each of them.
         set_dead_peer_timeouts(self.socket, _TCP_USER_TIMEOUT_S)
         set_send_timeout(self.socket, limits.write_s)
 
     def draining(self) -> bool:
-        return self.tasks.stopping.is_set()
+        return self._draining.is_set()
 
     def active_connections(self) -> int:
         """Returns the number of connections with a request in progress."""
@@ -90,7 +94,7 @@
 
     def drain(self) -> None:
         """Closes idle connections; the others close after the response to their current request."""
-        self.tasks.stopping.set()
+        self._draining.set()
         self.close_idle_connections()
 
     def close_idle_connections(self) -> None:
@@ -157,10 +161,39 @@
         # The accepting thread also closes the listener when it ends. The second caller must wait for the first to
         # finish: otherwise the port may still accept connections after this returns, and reset them.
         with self._close_lock:
+            if self.socket.fileno() >= 0:
+                self._accept_backlog()
             super().server_close()
         while self._lingering:
             self._lingering.popleft()[1].close()
 
+    def _accept_backlog(self) -> None:
+        """Accepts the connections that callers have already opened: closing the listener would reset them."""
+        self.socket.setblocking(False)
+        while True:
+            try:
+                connection, address = self.socket.accept()
+            except OSError:
+                return
+            connection.setblocking(True)
+            self.process_request(connection, address)
+
+    def reset_on_close(self, connection: socket.socket) -> None:
+        """Makes the end of a connection a reset, for a response whose end is the end of its connection."""
+        with contextlib.suppress(OSError):
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_LINGER)
+        with self._lock:
+            self._reset_on_close.add(connection)
+
+    def shutdown_request(self, request: Any) -> None:
+        with self._lock:
+            is_reset = request in self._reset_on_close
+            self._reset_on_close.discard(request)
+        if is_reset:
+            self.close_request(request)
+        else:
+            super().shutdown_request(request)
+
     def _serve_connection(self, request: Any, client_address: Any) -> None:
         try:
             self.finish_request(request, client_address)
--- a/libs/arbutusrill_http/_writer.py
+++ b/libs/arbutusrill_http/_writer.py
@@ -22,6 +22,7 @@
         self._chunked = False
         self._has_body = True
         self.head_sent = False
+        self.ends_with_connection = False  # whether only the end of the connection marks the end of the body
 
     def start(self, status: str, headers: list[tuple[str, str]], exc_info: Any = None) -> Callable[[bytes], None]:
         """Implements `start_response` of WSGI: stores status and headers until the first write."""
@@ -44,7 +45,7 @@
             if self._chunked:
                 lines.append("Transfer-Encoding: chunked")
             else:
-                handler.close_connection = True
+                self.ends_with_connection = handler.close_connection = True
         if handler.server.draining():
             handler.close_connection = True
         if handler.close_connection:
--- a/libs/arbutusrill_http/tests/test_server.py
+++ b/libs/arbutusrill_http/tests/test_server.py
@@ -199,6 +199,31 @@
     assert not exchange(server, get("/abort")).endswith(b"0\r\n\r\n")
 
 
+def test_aborted_response_to_an_http_1_0_caller_is_reset():
+    # Without a length and chunks, the end of the connection is the end of the body, so that a break looked complete.
+    def app(environ, start):
+        start("200 OK", [])(b"some")
+        raise AbortStreamError
+
+    with HttpServer("127.0.0.1", 0, app, LIMITS) as server, connect(server) as connection:
+        connection.sendall(b"GET /x HTTP/1.0\r\n\r\n")
+        with pytest.raises(ConnectionResetError):
+            while connection.recv(1000):
+                pass
+
+
+@pytest.mark.parametrize(("length", "continues"), [(5, 1), (5000, 0)])
+def test_body_is_asked_for_once_and_only_if_its_size_is_acceptable(server, length, continues):
+    with connect(server) as connection:
+        head = f"POST /x HTTP/1.1\r\nHost: x\r\nConnection: close\r\nExpect: 100-continue\r\nContent-Length: {length}"
+        connection.sendall(head.encode() + b"\r\n\r\n")
+        time.sleep(0.1)
+        connection.sendall(b"x" * length if continues else b"")
+        response = connection.makefile("rb").read()
+    assert response.count(b"100 Continue") == continues
+    assert (b" 200 OK" if continues else b" 413 ") in response
+
+
 def test_application_error_has_verdict_may_have_run(server):
     assert b'"verdict": "may_have_run"' in exchange(server, get("/bug"))
 
@@ -236,3 +261,40 @@
         assert idle.recv(1) == b""
         app.release.set()
         assert held.makefile("rb").read().endswith(b"whole")
+
+
+def test_requests_sent_before_the_listener_closes_are_answered(app, monkeypatch):
+    # Connections in the backlog were reset, and accepted ones were closed with their first request unread.
+    with HttpServer("127.0.0.1", 0, app, LIMITS) as server:
+        connections = []
+        drain = server._server.drain
+
+        def drain_with_late_callers():
+            drain()
+            for _ in range(3):
+                connections.append(connect(server))
+                connections[-1].sendall(get("/x"))
+
+        monkeypatch.setattr(server._server, "drain", drain_with_late_callers)
+        server.stop_listening()
+        for connection in connections:
+            with connection:
+                assert connection.makefile("rb").read().endswith(b"whole")
+
+
+def test_request_sent_on_a_kept_connection_before_draining_is_answered():
+    def app(environ, start):
+        if environ["PATH_INFO"] == "/first":
+            start("200 OK", [("Content-Length", "2")])(b"a")  # the head does not announce the close
+            second_sent.wait(10)
+            server.stop_listening()
+            return [b"b"]
+        return Response(b"whole")(environ, start)
+
+    second_sent = threading.Event()
+    with HttpServer("127.0.0.1", 0, app, LIMITS) as server, connect(server) as connection:
+        connection.sendall(b"GET /first HTTP/1.1\r\nHost: x\r\n\r\n")
+        assert connection.recv(1000).endswith(b"a")
+        connection.sendall(get("/second"))
+        second_sent.set()
+        assert connection.makefile("rb").read().endswith(b"whole")
--- a/libs/arbutusrill_pool/_engine_calls.py
+++ b/libs/arbutusrill_pool/_engine_calls.py
@@ -66,7 +66,7 @@
 
     def requests(self, address: str) -> list[EngineRequest] | None:
         """Calls ``GET /engine/requests``."""
-        result = fetch(Transfer("GET", address + "/engine/requests", timeout_s=CALL_TIMEOUT_S, new_connection=True))
+        result = fetch(Transfer("GET", address + "/engine/requests", timeout_s=CALL_TIMEOUT_S))
         if not result.is_complete or result.status != 200:
             return None
         try:
@@ -84,11 +84,7 @@
         return OrderAnswer(result.status, result.body[:200].decode("utf-8", "replace"))
 
     def _post(self, address: str, path: str, body: dict[str, Any], timeout_s: float) -> TransferResult:
-        return fetch(
-            Transfer(
-                "POST", address + path, _HEADERS, json.dumps(body).encode(), timeout_s=timeout_s, new_connection=True
-            )
-        )
+        return fetch(Transfer("POST", address + path, _HEADERS, json.dumps(body).encode(), timeout_s=timeout_s))
 
 
 @dataclass(slots=True)
--- a/libs/arbutusrill_site/_service.py
+++ b/libs/arbutusrill_site/_service.py
@@ -70,7 +70,13 @@
         self.backends = BackendRegistry(clock, timeouts.backend_timeout_s, changed, state.departures, state.roster)
         self.entries = EntryRegistry(clock, timeouts.entry_timeout_s, changed)
         self._buckets = FleetBuckets(self._limits_of, clock, rate_slack)
-        self.places = PlaceLedger(clock, self.backends.records, self._engine_of, lambda: self.backends.complete)
+        self.places = PlaceLedger(
+            clock,
+            self.backends.records,
+            self._engine_of,
+            lambda: self.backends.complete,
+            lambda: self.backends.revision,
+        )
         self.stage_balancer = make_stage_balancer(_SiteEngineRegistry(self), self.places.speeds)
         self._decoded_document: tuple[int, SiteConfiguration | None] = (0, None)
         self._term: int | None = None
@@ -208,6 +214,7 @@
         for entry, incarnation in self.entries.expire():
             self._buckets.drop_reporter(entry, incarnation)
             self.places.free_places_of(entry, incarnation)
+        self.places.tick()
 
     def save_backends(self) -> None:
         """Commits the list of backend servers for the next leader when it has changed; blocks until it is committed."""
--- a/libs/arbutusrill_site/_stages.py
+++ b/libs/arbutusrill_site/_stages.py
@@ -5,6 +5,7 @@
 import abc
 import enum
 import itertools
+from dataclasses import dataclass
 from typing import Any
 
 from arbutusrill_base import Clock, EventLog
@@ -17,6 +18,11 @@
 _MIN_KNOWN_DECODE_FRACTION = 0.8  # share of decode engines whose speed must be known before one is switched to prefill
 _SHORTAGE_FRACTION = 0.4  # of the prefill demand; a decode engine is switched when capacity is below it
 _ORDER_INTERVAL_S = 1.0  # shortest time between two orders for a service
+# An imbalance must last this long before an engine is switched: the switch itself takes at least as long, so that it
+# comes too late for a burst and only removes an engine from it.
+_IMBALANCE_PERSISTENCE_S = 6.0
+_REVERSAL_INTERVAL_S = 20.0  # shortest time between two orders of opposite direction for a service
+_ENGINES_PER_PENDING_ORDER = 12  # one engine in this number may be out of use for a switch at a time, at least one
 _MIN_ENGINES = 4  # services with fewer are not balanced
 _REGISTRY_SETTLE_S = 1.5  # after the order lease, for backend servers to announce themselves to a new leader
 _ORDER_TIMEOUT_S = 14.0  # longest time in which an engine carries out an order
@@ -66,6 +72,14 @@
         """Returns the speed of an engine as a multiple of a nominal one; None before enough samples."""
 
 
+@dataclass(slots=True, frozen=True)
+class _StageDemand:
+    """Stage that a service lacks, or that an engine was ordered to change to, and since when (monotonic clock)."""
+
+    stage: str
+    since: float
+
+
 class StageBalancer:
     """On the leader, keeps the share of prefill capacity near the share of prefill in the work of each service.
 
@@ -88,7 +102,8 @@
         self._orders = orders
         self._engines = engines
         self._statistics = statistics
-        self._ordered_at_by_service: dict[str, float] = {}
+        self._last_order_by_service: dict[str, _StageDemand] = {}
+        self._demand_by_service: dict[str, _StageDemand] = {}
         self._pending_since_by_backend: dict[str, float] = {}
         self._term: int | None = None
         self._term_began_at = 0.0
@@ -101,6 +116,7 @@
         if term != self._term:
             self._term, self._term_began_at, self._fenced = term, now, False
             self._pending_since_by_backend.clear()
+            self._demand_by_service.clear()
             self._order_numbers = itertools.count(1)
         if term is None or self._fenced or now - self._term_began_at < self._lease_s + _REGISTRY_SETTLE_S:
             return
@@ -124,40 +140,72 @@
         """Sends an order when prefill capacity is too high or too low; returns whether an order was sent.
 
         While no engine speed is known, the prefill fraction is assumed: a switch takes an engine out of use for
-        seconds, so it is made before the first burst of requests rather than during it.
+        seconds, so it is made before the first burst of requests rather than during it. Later, an imbalance has to
+        last, since a burst is over before a switched engine could help.
         """
-        if (
-            len(records) < _MIN_ENGINES
-            or now - self._ordered_at_by_service.get(service, -_ORDER_INTERVAL_S) < _ORDER_INTERVAL_S
-        ):
+        no_speed_known = not any(self._statistics.relative_speed(record.id, record.stage) for record in records)
+        candidate = self._switch_candidate(service, records, no_speed_known)
+        if candidate is None:
+            self._demand_by_service.pop(service, None)
+            return False
+        engine, stage, prefill_capacity, prefill_demand = candidate
+        demand = self._demand_by_service.get(service)
+        if demand is None or demand.stage != stage:
+            demand = self._demand_by_service[service] = _StageDemand(stage, now)
+        if not no_speed_known and now - demand.since < _IMBALANCE_PERSISTENCE_S:
+            return False
+        if not self._interval_has_passed(service, stage, now):
             return False
+        pending_count = sum(1 for record in records if record.ordered_stage)
+        if not no_speed_known and pending_count >= max(1, len(records) // _ENGINES_PER_PENDING_ORDER):
+            return False
+        return self._send_order(engine, stage, service, prefill_capacity, prefill_demand)
+
+    def _interval_has_passed(self, service: str, stage: str, now: float) -> bool:
+        """Whether the last order for a service is old enough for another one to change an engine to `stage`."""
+        last = self._last_order_by_service.get(service)
+        if last is None:
+            return True
+        return now - last.since >= (_ORDER_INTERVAL_S if last.stage == stage else _REVERSAL_INTERVAL_S)
+
+    def _switch_candidate(
+        self, service: str, records: list[Any], no_speed_known: bool
+    ) -> tuple[Any, str, float, float] | None:
+        """Returns the engine to switch, its new stage, and the present prefill capacity and demand; None if balanced.
+
+        Also None while the speeds of the engines are not known well enough.
+        """
+        if len(records) < _MIN_ENGINES:
+            return None
         prefill = [record for record in records if self._effective_stage(record) == "prefill"]
         decode = [record for record in records if self._effective_stage(record) == "decode"]
         fraction, speeds = self._statistics.prefill_fraction(service), self._estimated_speeds(records)
-        no_speed_known = not any(self._statistics.relative_speed(record.id, record.stage) for record in records)
         if no_speed_known:
             fraction = _ASSUMED_PREFILL_FRACTION
         elif fraction is None or not self._speeds_known(prefill, _MIN_KNOWN_PREFILL_FRACTION):
-            return False
+            return None
         prefill_capacity = sum(speeds[record.id] for record in prefill)
         prefill_demand = fraction * sum(speeds.values())
         surplus = [
             record
             for record in prefill
-            if (no_speed_known or self._speeds_known([record], 1.0))
+            if not record.ordered_stage
+            and (no_speed_known or self._speeds_known([record], 1.0))
             and prefill_capacity - speeds[record.id] >= prefill_demand * _CAPACITY_MARGIN_FACTOR
         ]
         if surplus:
             fastest = max(surplus, key=lambda record: speeds[record.id])
-            return self._send_order(fastest, "decode", service, prefill_capacity, prefill_demand)
+            return fastest, "decode", prefill_capacity, prefill_demand
+        switchable = [record for record in decode if not record.ordered_stage]
         if (
             prefill_capacity < prefill_demand * _SHORTAGE_FRACTION
             and len(decode) > 1
+            and switchable
             and self._speeds_known(decode, _MIN_KNOWN_DECODE_FRACTION)
         ):
-            slowest = min(decode, key=lambda record: speeds[record.id])
-            return self._send_order(slowest, "prefill", service, prefill_capacity, prefill_demand)
-        return False
+            slowest = min(switchable, key=lambda record: speeds[record.id])
+            return slowest, "prefill", prefill_capacity, prefill_demand
+        return None
 
     def _effective_stage(self, record: Any) -> str:
         """Returns the stage of an engine after its pending order, if any."""
@@ -197,8 +245,7 @@
             prefill_capacity=prefill_capacity,
             needed=prefill_demand,
         )
-        now = self._clock.monotonic()
-        self._ordered_at_by_service[service] = now
+        self._last_order_by_service[service] = _StageDemand(stage, self._clock.monotonic())
         self._fenced = answer is OrderAnswer.FENCED
         if answer not in (OrderAnswer.ACCEPTED, OrderAnswer.UNKNOWN):
             self._engines.record_stage_order(record.id, "")
--- a/libs/arbutusrill_site/_waiting_queue.py
+++ b/libs/arbutusrill_site/_waiting_queue.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import heapq
 import itertools
 from collections import deque
 from collections.abc import Iterator
 from dataclasses import dataclass
 from typing import Any
 
+from sortedcontainers import SortedKeyList
+
 __all__ = ["Ticket", "WaitingQueue", "output_tokens_of"]
 
 _TICKET_EXPIRY_S = 0.4  # time after the end of its last poll at which a ticket is dropped
@@ -17,28 +20,59 @@
 _DEADLINE_RETENTION_S = 20.0  # time for which a passed deadline is kept; a caller that retries later gets a new one
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class Ticket:
-    """Queue entry of one request; times are on the monotonic clock."""
+    """Queue entry of one request; times are on the monotonic clock.
+
+    Requests within their deadline come first, by job size; late ones follow in order of arrival. Late requests whose
+    engine failed precede other late ones: their prefill ran and their stream has started.
+    """
 
     number: int
-    service: str
+    request: Any
     placement_deadline: float  # latest time at which getting a place still lets the first event meet its objective
     job_size: float  # mean KV cache tokens of the stream times its output tokens
     polled_until: float  # end of the current or last poll; the entry VM polls in short steps and keeps its position
     continued: bool = False  # whether it had a place on an engine that failed
+    is_late: bool = False
+    reply: Any = None  # the place that was granted and not yet delivered
 
-    def sort_key(self, now: float) -> tuple[bool, bool, float, int]:
-        """Returns the sort key: requests within their deadline by job size, then late ones in order of arrival.
+    @property
+    def rank(self) -> tuple[bool, float, int]:
+        """Sort key within the requests that are late, or within those that are not."""
+        return (not self.continued, 0.0, self.number) if self.is_late else (False, self.job_size, self.number)
 
-        Late requests whose engine failed precede other late ones: their prefill ran and their stream has started.
-        """
-        late = now >= self.placement_deadline
-        return late, late and not self.continued, 0.0 if late else self.job_size, self.number
+    def is_polled(self, now: float) -> bool:
+        """Whether the request is being polled for, or was until a moment ago."""
+        return now - self.polled_until <= _MAX_POLL_GAP_S
+
+
+class _ServiceQueue:
+    """Tickets of one service in order."""
+
+    __slots__ = ("by_deadline", "in_time", "late", "released_at")
+
+    def __init__(self):
+        self.in_time = SortedKeyList(key=lambda ticket: ticket.rank)
+        self.late = SortedKeyList(key=lambda ticket: ticket.rank)
+        self.by_deadline: list[tuple[float, int, Ticket]] = []
+        self.released_at: deque[float] = deque()
+
+    def move_late(self, now: float) -> None:
+        """Moves the tickets whose deadline has passed to the late ones."""
+        while self.by_deadline and self.by_deadline[0][0] <= now:
+            ticket = heapq.heappop(self.by_deadline)[2]
+            if ticket in self.in_time:
+                self.in_time.remove(ticket)
+                ticket.is_late = True
+                self.late.add(ticket)
+
+    def remove(self, ticket: Ticket) -> None:
+        (self.late if ticket.is_late else self.in_time).discard(ticket)
 
 
 class WaitingQueue:
-    """Tickets by request ID, served in the order of `Ticket.sort_key`.
+    """Tickets by request ID, in the order of `Ticket`; each operation takes logarithmic time in the waiting requests.
 
     Not thread-safe: the caller holds a lock around each call. Times are on the monotonic clock.
     """
@@ -46,16 +80,28 @@
     def __init__(self):
         self._numbers = itertools.count(1)
         self._ticket_by_request: dict[str, Ticket] = {}
-        self._released_at: deque[float] = deque()
+        self._queue_by_service: dict[str, _ServiceQueue] = {}
+        self._polled_until_heap: list[tuple[float, int, Ticket]] = []
         self._deadline_by_content: dict[int, float] = {}  # monotonic time by content hash, in order of first arrival
 
     def __len__(self) -> int:
         return len(self._ticket_by_request)
 
+    def _queue(self, service: str) -> _ServiceQueue:
+        queue = self._queue_by_service.get(service)
+        if queue is None:
+            queue = self._queue_by_service[service] = _ServiceQueue()
+        return queue
+
+    def services(self) -> list[str]:
+        """Returns the services for which requests have waited."""
+        return list(self._queue_by_service)
+
     def resume(self, request: Any, now: float) -> Ticket | None:
         """Returns the ticket of a request that polls again, extended to the end of its poll; None if new."""
         ticket = self._ticket_by_request.get(request.request_id)
         if ticket is not None:
+            ticket.request = request
             ticket.polled_until = now + request.wait_ms / 1000
         return ticket
 
@@ -63,20 +109,28 @@
         """Adds a request; `first_event_s` is the expected time from getting a place to the first event."""
         ticket = Ticket(
             next(self._numbers),
-            request.service_name,
+            request,
             self._objective_deadline(request, now) - first_event_s,
             _job_size(request),
             now + request.wait_ms / 1000,
             bool(request.continued),
         )
+        ticket.is_late = now >= ticket.placement_deadline
         self._ticket_by_request[request.request_id] = ticket
+        queue = self._queue(request.service_name)
+        if ticket.is_late:
+            queue.late.add(ticket)
+        else:
+            queue.in_time.add(ticket)
+            heapq.heappush(queue.by_deadline, (ticket.placement_deadline, ticket.number, ticket))
+        heapq.heappush(self._polled_until_heap, (ticket.polled_until, ticket.number, ticket))
         return ticket
 
-    def end_poll(self, request: Any, ticket: Ticket, now: float) -> None:
+    def end_poll(self, ticket: Ticket, now: float) -> None:
         """Ends a poll without a place; removes a request that will not poll again because its `patience_ms` is over."""
         ticket.polled_until = now
-        if request.wait_ms >= request.patience_ms:
-            self.remove(request)
+        if ticket.request.wait_ms >= ticket.request.patience_ms:
+            self.remove(ticket)
 
     def _objective_deadline(self, request: Any, now: float) -> float:
         """Returns the time by which a request needs its first event, counted from its caller's first attempt.
@@ -93,41 +147,57 @@
             del self._deadline_by_content[oldest]
         return min(deadline, self._deadline_by_content.setdefault(request.content, deadline))
 
-    def remove(self, request: Any) -> None:
-        """Removes a request from the queue."""
-        self._ticket_by_request.pop(request.request_id, None)
-
-    def drop_expired(self, now: float) -> None:
-        """Removes the tickets whose last poll ended more than `_TICKET_EXPIRY_S` ago."""
-        expired = [
-            key for key, ticket in self._ticket_by_request.items() if now - ticket.polled_until > _TICKET_EXPIRY_S
-        ]
-        for key in expired:
-            del self._ticket_by_request[key]
-
-    def is_first(self, ticket: Ticket, now: float) -> bool:
-        """Whether no ticket ahead of this one is being polled or was polled within `_MAX_POLL_GAP_S`."""
-        return not any(now - other.polled_until <= _MAX_POLL_GAP_S for other in self._tickets_ahead(ticket, now))
-
-    def _tickets_ahead(self, ticket: Ticket, now: float) -> Iterator[Ticket]:
-        own_key = ticket.sort_key(now)
-        for other in self._ticket_by_request.values():
-            if other.service == ticket.service and other.sort_key(now) < own_key:
-                yield other
-
-    def record_release(self, now: float) -> None:
-        """Records the release of a place of any service, for the release rate."""
-        self._released_at.append(now)
+    def remove(self, ticket: Ticket) -> None:
+        """Removes a request from the queue, with any place that was not delivered."""
+        if self._ticket_by_request.get(ticket.request.request_id) is ticket:
+            del self._ticket_by_request[ticket.request.request_id]
+        self._queue(ticket.request.service_name).remove(ticket)
+
+    def set_granted(self, ticket: Ticket, reply: Any) -> None:
+        """Takes a request out of the order and keeps the place granted to it until the request polls again."""
+        ticket.reply = reply
+        self._queue(ticket.request.service_name).remove(ticket)
+
+    def drop_expired(self, now: float) -> list[Ticket]:
+        """Removes and returns the tickets whose last poll ended more than `_TICKET_EXPIRY_S` ago."""
+        expired, heap = [], self._polled_until_heap
+        while heap and now - heap[0][0] > _TICKET_EXPIRY_S:
+            ticket = heapq.heappop(heap)[2]
+            if self._ticket_by_request.get(ticket.request.request_id) is not ticket:
+                continue
+            if now - ticket.polled_until > _TICKET_EXPIRY_S:
+                self.remove(ticket)
+                expired.append(ticket)
+            else:
+                heapq.heappush(heap, (ticket.polled_until, ticket.number, ticket))
+        return expired
+
+    def polled(self, service: str, now: float) -> Iterator[Ticket]:
+        """Yields the waiting tickets of a service in order, without those that are not polled for at the moment."""
+        queue = self._queue(service)
+        queue.move_late(now)
+        for ticket in itertools.chain(queue.in_time, queue.late):
+            if ticket.is_polled(now):
+                yield ticket
+
+    def record_release(self, service: str, now: float) -> None:
+        """Records the release of a place, for the release rate of its service."""
+        self._queue(service).released_at.append(now)
 
     def expected_wait_s(self, ticket: Ticket, now: float, engines: int) -> float:
         """Returns the expected seconds until the ticket gets a place, from its position and the release rate.
 
         The release rate is that of the last `_RATE_WINDOW_S`, at least `_MIN_RELEASES_PER_S_PER_ENGINE` per engine.
         """
-        while self._released_at and now - self._released_at[0] > _RATE_WINDOW_S:
-            self._released_at.popleft()
-        rate = max(len(self._released_at) / _RATE_WINDOW_S, _MIN_RELEASES_PER_S_PER_ENGINE * max(1, engines))
-        return (sum(1 for _ in self._tickets_ahead(ticket, now)) + 1) / rate
+        queue = self._queue(ticket.request.service_name)
+        queue.move_late(now)
+        while queue.released_at and now - queue.released_at[0] > _RATE_WINDOW_S:
+            queue.released_at.popleft()
+        rate = max(len(queue.released_at) / _RATE_WINDOW_S, _MIN_RELEASES_PER_S_PER_ENGINE * max(1, engines))
+        ahead = queue.in_time.bisect_left(ticket) if not ticket.is_late else len(queue.in_time)
+        if ticket.is_late:
+            ahead += queue.late.bisect_left(ticket)
+        return (ahead + 1) / rate
 
 
 def output_tokens_of(request: Any) -> int:
