--- a/libs/arbutusrill_site/_backends.py
+++ b/libs/arbutusrill_site/_backends.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import copy
 import threading
 from typing import Any
 
 from arbutusrill_base import Clock, EventLog
 from arbutusrill_state import BackendRoster, Departures
+from arbutusrill_wire import messages
 
 from ._registry import Registry
 
@@ -71,7 +73,8 @@
         for record in self._roster.records():
             with self._changed:
                 if record.id not in self._record_by_id:
-                    self.announce(record)
+                    # A copy: changes of the registry must not reach the replicated state before they are committed.
+                    self.announce(copy.copy(record))
 
     def records_to_save(self) -> list[Any] | None:
         """Returns the records if they differ from the roster, otherwise None."""
@@ -124,6 +127,7 @@
         if id_at_address not in (None, record.id):
             self._drop(id_at_address, f"its address is now used by {record.id}")
         self._id_by_address[record.address] = record.id
+        self._record_change(record.id)
         _events.emit(
             "backend_changed" if known else "backend_added",
             backend=record.id,
@@ -135,7 +139,6 @@
             start=record.started_ms,
             seq=record.sequence,
         )
-        self._increment_revision()
 
     def record_stage_order(self, backend: str, stage: str) -> None:
         """Sets the stage that an engine was ordered to change to, empty for none.
@@ -146,7 +149,7 @@
             known = self._record_by_id.get(backend)
             if known is not None and known.ordered_stage != stage:
                 known.ordered_stage = stage
-                self._increment_revision()
+                self._record_change(backend)
 
     def started_ms_of(self, backend: str) -> int:
         """Returns the start of a server in milliseconds of its wall clock, 0 for an unknown server."""
@@ -160,20 +163,19 @@
             known = self._record_by_id.get(backend)
             if known is not None and known.started_ms <= started_ms:
                 self._drop(backend, "it has departed")
-            self._increment_revision()
+            elif known is None:  # followers may know it from an earlier term
+                self._record_removal(backend, messages.BackendRecord(backend, started_ms))
 
     def expire(self) -> None:
         """Drops the servers without an announcement within the timeout."""
         with self._changed:
-            silent = self._silent_ids()
-            for backend in silent:
+            for backend in self._silent_ids():
                 self._drop(backend, f"no announcement for {self._silence_timeout_s:g} s")
-            if silent:
-                self._increment_revision()
 
     def _drop(self, backend: str, reason: str) -> None:
         record = self._record_by_id.pop(backend)
         self._last_heard_by_id.pop(backend, None)
         if self._id_by_address.get(record.address) == backend:
             del self._id_by_address[record.address]
+        self._record_removal(backend, record)
         _events.emit("backend_dropped", backend=backend, address=record.address, reason=reason)
--- a/libs/arbutusrill_site/_follower.py
+++ b/libs/arbutusrill_site/_follower.py
@@ -157,6 +157,7 @@
             report.levels,
             report.levels_age_s,
             report.uncounted,
+            accepts_deltas=True,
         )
         sent_at = self._clock.monotonic()
         reply = self._client.call("follow_site", request, timeout=_CALL_TIMEOUT_S, try_timeout=wait_ms / 1000 + 0.35)
@@ -177,16 +178,14 @@
             took_ms = round((time.monotonic() - started) * 1000, 1)
             _events.emit("document_applied", version=view.version, term=reply.term, took_ms=took_ms)
         if reply.backends is not None:
-            departed = {record.id: (record.started_ms, record.sequence) for record in reply.departures or []}
-            merged = self._merge_backends(view.backends_by_id, reply.backends, reply.backends_complete)
-            view.backends_by_id = {
-                id_: record
-                for id_, record in merged.items()
-                if record.draining or (record.started_ms, record.sequence) > departed.get(id_, (-1, -1))
-            }
+            view.backends_by_id = self._updated_backends(view.backends_by_id, reply)
         if reply.entries is not None:
             entries = {record.id: record for record in reply.entries}
-            view.entries_by_id = entries if reply.entries_complete else {**view.entries_by_id, **entries}
+            if reply.entries_delta or not reply.entries_complete:
+                removed = set(reply.removed_entries or ())
+                kept = {id_: record for id_, record in view.entries_by_id.items() if id_ not in removed}
+                entries = {**kept, **entries}
+            view.entries_by_id = entries
         view.backends_complete = reply.backends_complete
         self._term = reply.term
         self._backends_revision = reply.backends_revision
@@ -197,6 +196,20 @@
             self.on_change()
             view.notify()
 
+    def _updated_backends(self, known: dict[str, Any], reply: Any) -> dict[str, Any]:
+        """Returns the backend servers after a reply with a whole list or with changes."""
+        if reply.backends_delta:
+            removed = {departure.id: departure.started_ms for departure in reply.removed_backends or ()}
+            kept = {id_: record for id_, record in known.items() if record.started_ms > removed.get(id_, -1)}
+            return self._merge_backends(kept, reply.backends, complete=False)
+        departed = {record.id: (record.started_ms, record.sequence) for record in reply.departures or []}
+        merged = self._merge_backends(known, reply.backends, reply.backends_complete)
+        return {
+            id_: record
+            for id_, record in merged.items()
+            if record.draining or (record.started_ms, record.sequence) > departed.get(id_, (-1, -1))
+        }
+
     @staticmethod
     def _merge_backends(known: dict[str, Any], records: list[Any], complete: bool) -> dict[str, Any]:
         """Merges a list of the leader into the known backend servers; a complete list replaces them."""
--- a/libs/arbutusrill_site/_registry.py
+++ b/libs/arbutusrill_site/_registry.py
@@ -4,11 +4,24 @@
 
 import abc
 import threading
+from dataclasses import dataclass
 from typing import Any
 
 from arbutusrill_base import Clock
 
-__all__ = ["Registry"]
+__all__ = ["Registry", "RegistryChanges"]
+
+_MAX_REMOVALS = 4096  # followers whose revision is older than the oldest kept one get the whole list
+
+
+@dataclass(slots=True, frozen=True)
+class RegistryChanges:
+    """What a follower lacks: the whole list, or only the records that were changed or removed since its revision."""
+
+    revision: int
+    records: list[Any]
+    removed: list[Any]  # the last record of each server or VM that was removed
+    is_delta: bool
 
 
 class Registry(abc.ABC):
@@ -25,6 +38,9 @@
         self._last_heard_by_id: dict[str, float] = {}
         self._collecting_since = clock.monotonic()
         self._complete = False  # changes together with `revision`
+        self._changed_revision_by_id: dict[str, int] = {}
+        self._removed_by_id: dict[str, tuple[int, Any]] = {}  # revision and last record, in order of removal
+        self._delta_from_revision = 0  # the oldest revision from which a delta is possible
         self.revision = 0
 
     @abc.abstractmethod
@@ -39,7 +55,10 @@
             self._clear()
             self._collecting_since = self._clock.monotonic()
             self._complete = False
+            self._changed_revision_by_id.clear()
+            self._removed_by_id.clear()
             self._increment_revision()
+            self._delta_from_revision = self.revision
 
     @property
     def complete(self) -> bool:
@@ -51,12 +70,43 @@
         with self._changed:
             return list(self._record_by_id.values())
 
+    def changes_since(self, revision: int | None) -> RegistryChanges | None:
+        """Returns what changed after a revision of this term, the whole list for None; None if nothing changed."""
+        with self._changed:
+            if revision == self.revision:
+                return None
+            if revision is None or not self._delta_from_revision <= revision < self.revision:
+                return RegistryChanges(self.revision, list(self._record_by_id.values()), [], False)
+            records = [
+                self._record_by_id[id_] for id_, changed in self._changed_revision_by_id.items() if changed > revision
+            ]
+            removed = [record for removed_at, record in self._removed_by_id.values() if removed_at > revision]
+            return RegistryChanges(self.revision, records, removed, True)
+
+    def _record_change(self, id_: str) -> None:
+        """Increments the revision for a changed or new record."""
+        self._increment_revision()
+        self._changed_revision_by_id[id_] = self.revision
+        self._removed_by_id.pop(id_, None)
+
+    def _record_removal(self, id_: str, record: Any) -> None:
+        """Increments the revision for a removed record."""
+        self._increment_revision()
+        self._changed_revision_by_id.pop(id_, None)
+        self._removed_by_id.pop(id_, None)
+        self._removed_by_id[id_] = (self.revision, record)
+        if len(self._removed_by_id) > _MAX_REMOVALS:
+            oldest = next(iter(self._removed_by_id))
+            self._delta_from_revision = self._removed_by_id.pop(oldest)[0]
+
     def _silent_ids(self) -> list[str]:
         """Returns the IDs that have timed out; marks the registry complete one timeout after the start of the term."""
         now = self._clock.monotonic()
         if not self._complete and now - self._collecting_since >= self._silence_timeout_s:
             self._complete = True
             self._increment_revision()
+            # Followers need the whole list once, to drop what they know from earlier terms only.
+            self._delta_from_revision = self.revision
         return [
             id_
             for id_, last_heard_at in self._last_heard_by_id.items()
--- a/libs/arbutusrill_site/_service.py
+++ b/libs/arbutusrill_site/_service.py
@@ -20,6 +20,7 @@
 from ._entries import EntryRegistry
 from ._membership import MembershipManager
 from ._places import PlaceLedger
+from ._registry import RegistryChanges
 from ._stages import EngineRegistry, EngineStatistics, StageBalancer
 
 __all__ = ["SilenceTimeouts", "SiteService"]
@@ -101,37 +102,59 @@
         self._require_leadership()
         same_term = request.term == self._term
         version, body = self._state.document.held()
-        # Revisions are read before the lists, so that a change in between is sent twice rather than missed.
-        backends_revision, entries_revision = self.backends.revision, self.entries.revision
-        knows_backends = same_term and request.backends_revision == backends_revision
-        knows_entries = same_term and request.entries_revision == entries_revision
+        backends = self.backends.changes_since(request.backends_revision if same_term else None)
+        entries = self.entries.changes_since(request.entries_revision if same_term else None)
+        if not request.accepts_deltas:
+            backends = backends and self.backends.changes_since(None)
+            entries = entries and self.entries.changes_since(None)
         levels = self._buckets.report(request.entry.id, request.incarnation, _spend_report(request))
-        return messages.SiteFollowReply(
+        reply = messages.SiteFollowReply(
             self._term,
             version,
             body if version > request.document_version else None,
-            backends_revision,
-            None if knows_backends else self.backends.records(),
-            entries_revision,
-            None if knows_entries else self.entries.records(),
+            request.backends_revision,
+            None,
+            request.entries_revision,
+            None,
             self.backends.complete,
             self.entries.complete,
             levels.tokens_by_workspace,
             self.entries.uses_of_others(request.entry.id),
             self._membership_manager.addresses(),
-            None if knows_backends else self._state.departures.records(),
+            None,
             levels.is_reporter_known,
         )
+        self._add_lists(reply, backends, entries)
+        return reply
+
+    def _add_lists(self, reply: Any, backends: RegistryChanges | None, entries: RegistryChanges | None) -> None:
+        """Adds to a reply what has changed in the lists of backend servers and entry VMs."""
+        if backends is not None:
+            reply.backends_revision, reply.backends = backends.revision, backends.records
+            reply.backends_delta = backends.is_delta
+            if backends.is_delta:
+                reply.removed_backends = [
+                    messages.PutDeparture(record.id, record.started_ms, _MAX_SEQUENCE) for record in backends.removed
+                ]
+            else:
+                reply.departures = self._state.departures.records()
+        if entries is not None:
+            reply.entries_revision, reply.entries = entries.revision, entries.records
+            reply.entries_delta = entries.is_delta
+            reply.removed_entries = [record.id for record in entries.removed]
 
     def _wait_for_change(self, request: Any, term: int) -> bool:
-        """Waits for a change that the entry VM has not seen, at most `request.wait_ms`; returns whether one came."""
+        """Waits for a change that the entry VM has not seen, at most `request.wait_ms`; returns whether one came.
+
+        A change of the entry VMs ends no wait: it is sent with the next reply. After the loss of all VMs, each of them
+        is a change that would otherwise be followed by a poll of all the others.
+        """
 
         def is_behind() -> bool:
             return (
                 self._term != term
                 or self._state.document.version > request.document_version
                 or self.backends.revision != request.backends_revision
-                or self.entries.revision != request.entries_revision
             )
 
         with self._changed:
--- a/libs/arbutusrill_wire/arbutusrill.thrift
+++ b/libs/arbutusrill_wire/arbutusrill.thrift
@@ -443,7 +443,8 @@
   11: bool spent_whole = false,        // false: `spent` omits workspaces whose totals have not changed
   12: map<string, double> levels,      // latest levels from a leader, sent if `spent_whole`
   13: double levels_age_s = 0,
-  14: map<string, double> uncounted    // spent or granted since `levels`, sent if `spent_whole`
+  14: map<string, double> uncounted,   // spent or granted since `levels`, sent if `spent_whole`
+  15: bool accepts_deltas = false      // lists may be sent as changes since the revisions above
 }
 
 // Lists are omitted if the follower already has their revision.
@@ -461,7 +462,11 @@
   11: list<BackendUse> uses,           // load of the other entry VMs
   12: list<string> control,            // RPC addresses of the control group
   13: list<PutDeparture> departures,   // sent together with `backends`
-  14: bool counted = true              // false: the leader lacks the totals of the entry VM and requests a whole report
+  14: bool counted = true,             // false: the leader lacks the totals of the entry VM and requests a whole report
+  15: bool backends_delta = false,     // `backends` holds only what has changed, `removed_backends` what is gone
+  16: list<PutDeparture> removed_backends,  // a server that started later than `started_ms` stays
+  17: bool entries_delta = false,
+  18: list<string> removed_entries
 }
 
 // Measured speed of an engine: `took_s` seconds for `units` tokens or events.
