--- a/libs/arbutusrill_site/__init__.py
+++ b/libs/arbutusrill_site/__init__.py
@@ -23,6 +23,7 @@
 from ._entries import EntryRegistry
 from ._follower import SiteFollower, SiteView
 from ._membership import GroupJoinClient, MembershipManager
+from ._placement import PlacementScheduler
 from ._places import PlaceLedger
 from ._rates import LeaderRateAuthority
 from ._service import SilenceTimeouts, SiteService
@@ -42,6 +43,7 @@
     "MembershipManager",
     "OrderAnswer",
     "PlaceLedger",
+    "PlacementScheduler",
     "Route",
     "RouteKind",
     "Service",
--- /dev/null
+++ b/libs/arbutusrill_site/tests/test_placement.py
@@ -0,0 +1,169 @@
+"""Replays of load patterns on the placement scheduler in virtual time, without sockets, threads or processes."""
+
+import heapq
+import itertools
+import random
+
+import pytest
+from arbutusrill_bench.placement_speed import LoadedSite, measure_ms
+from arbutusrill_wire import messages
+
+from arbutusrill_site import Engine, PlacementScheduler
+
+POLL_S = 0.4
+OBJECTIVE_S = 0.9
+PATIENCE_S = 2.7
+STREAM_S = 2.4
+
+
+class Replay:
+    """Emulates engines and entry VMs: requests poll for a place, hold it for their stream and release it."""
+
+    def __init__(self, seed, decode=8, prefill=2, kv_tokens=29_000):
+        self.rng = random.Random(seed)
+        self.records = [self._engine(f"d{number}", "decode") for number in range(decode)]
+        self.records += [self._engine(f"p{number}", "prefill") for number in range(prefill)]
+        self.revision = 1
+        capacity = Engine(16, kv_tokens, 0.5)
+        self.scheduler = PlacementScheduler(lambda: self.records, lambda _: capacity, lambda: self.revision)
+        self.capacity_tokens = kv_tokens
+        self.events, self.order = [], itertools.count()
+        self.waits, self.refused, self.wakeups, self.tokens_by_engine = [], 0, 0, {}
+        self.peak_tokens = 0
+        self.arrived = 0
+
+    @staticmethod
+    def _engine(name, stage):
+        return messages.BackendRecord(name, 1, 1, "model", f"10.0.0.1:{name}", "z1", 16, False, stage, [])
+
+    def at(self, moment, step, *args):
+        heapq.heappush(self.events, (moment, next(self.order), step, args))
+
+    def arrive(self, now, prompt_tokens=3200, output_tokens=700):
+        self.arrived += 1
+        request = messages.PlaceRequest(
+            "vm", 1, str(self.arrived), "model", "", prompt_tokens, prompt_tokens + output_tokens, int(POLL_S * 1000),
+            int(OBJECTIVE_S * 1000), True, [], int(PATIENCE_S * 1000),
+        )  # fmt: skip
+        self.poll(now, request, now)
+
+    def poll(self, now, request, arrived_at):
+        request.patience_ms = max(0, int((arrived_at + PATIENCE_S - now) * 1000))
+        ticket, expected_s = self.scheduler.poll(request, now)
+        self.dispatch(now)
+        reply = self.scheduler.take_reply(ticket)
+        if reply is None and expected_s * 1000 > request.patience_ms:
+            reply = self.scheduler.refuse(ticket, expected_s, now)
+        if reply is None:
+            self.at(now + POLL_S, self.end_poll, ticket, arrived_at)
+        elif reply.refused:
+            self.refused += 1
+        else:
+            self.begin_stream(now, reply, request, arrived_at)
+
+    def end_poll(self, now, ticket, arrived_at):
+        reply = self.scheduler.take_reply(ticket)
+        if reply is not None:
+            return
+        self.scheduler.end_poll(ticket, now)
+        if now - arrived_at < PATIENCE_S:
+            self.at(now + 0.005, self.poll, ticket.request, arrived_at)
+        else:
+            self.refused += 1
+
+    def dispatch(self, now):
+        for ticket in self.scheduler.dispatch(now):
+            self.wakeups += 1
+            if now < ticket.polled_until:
+                self.at(now, self.deliver, ticket)
+
+    def deliver(self, now, ticket):
+        reply = ticket.reply
+        if self.scheduler.take_reply(ticket) is not None and not getattr(ticket.request, "served", False):
+            self.begin_stream(now, reply, ticket.request, ticket.placement_deadline)
+
+    def begin_stream(self, now, reply, request, arrived_at):
+        if getattr(request, "served", False):
+            return
+        request.served = True
+        self.waits.append(now - arrived_at)
+        used = self.tokens_by_engine.get(reply.decode, 0) + request.prompt_tokens
+        self.tokens_by_engine[reply.decode] = used
+        self.peak_tokens = max(self.peak_tokens, used)
+        self.at(now + STREAM_S * self.rng.uniform(0.7, 1.3), self.end_stream, reply, request)
+
+    def end_stream(self, now, reply, request):
+        self.tokens_by_engine[reply.decode] -= request.prompt_tokens
+        speeds = [messages.EngineSpeed(reply.decode, STREAM_S, 60)]
+        self.scheduler.free(messages.FreePlace("vm", 1, reply.place, speeds), now)
+        self.dispatch(now)
+
+    def run(self, until):
+        while self.events and self.events[0][0] <= until:
+            moment, _, step, args = heapq.heappop(self.events)
+            step(moment, *args)
+
+    def load(self, rate, start, end, **size):
+        moment = start
+        while (moment := moment + self.rng.expovariate(rate)) < end:
+            self.at(moment, lambda now, size=size: self.arrive(now, **size))
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_calm_load_waits_for_nothing(seed):
+    replay = Replay(seed)
+    replay.load(12, 0, 30)
+    replay.run(60)
+    assert replay.refused == 0
+    assert max(replay.waits) < 0.05
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_burst_wakes_only_the_requests_that_get_a_place(seed):
+    # Each release woke all waiting requests, whose number made the leader late when it was needed most.
+    replay = Replay(seed)
+    replay.load(12, 0, 5)
+    replay.load(60, 5, 12)
+    replay.run(40)
+    assert replay.refused > 20, "the burst is above the capacity"
+    assert replay.wakeups <= replay.arrived
+    assert len(replay.scheduler) == 0
+    assert replay.peak_tokens <= replay.capacity_tokens
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_short_burst_is_served_again_at_once_afterwards(seed):
+    replay = Replay(seed)
+    replay.load(60, 0, 5)
+    replay.run(9)
+    refused, served = replay.refused, len(replay.waits)
+    replay.load(10, 9, 19)
+    replay.run(40)
+    assert replay.refused == refused
+    assert len(replay.waits) - served > 60
+
+
+def test_lost_engines_are_not_used_and_returned_ones_are():
+    replay = Replay(1)
+    lost = [record for record in replay.records if record.id in ("d0", "d1", "d2")]
+    replay.records = [record for record in replay.records if record not in lost]
+    replay.revision += 1
+    replay.load(8, 0, 5)
+    replay.run(5)
+    assert not replay.tokens_by_engine.keys() & {"d0", "d1", "d2"}
+    replay.records = replay.records + lost
+    replay.revision += 1
+    replay.load(8, 5, 10)
+    replay.run(10)
+    assert {"d0", "d1", "d2"} <= replay.tokens_by_engine.keys()
+
+
+def test_cost_of_a_release_grows_little_with_the_requests_that_wait():
+    # A ratio within one run, so that the speed of the machine does not matter.
+    few, many = LoadedSite(93, 200), LoadedSite(93, 1200)
+    for site in (few, many):
+        measure_ms(site.release, 20)
+    assert (
+        min(measure_ms(many.release, 40) for _ in range(3))
+        < 1.5 * min(measure_ms(few.release, 40) for _ in range(3)) + 0.02
+    )
