entry: the limit between tokens follows the stream; bytes without tokens end it

Cause: without a token for 1 s a stream was resumed, and failed when the next second brought none either, so that engines slower than that were cut. Change: the limit doubles up to 8 s while the engine confirms that it holds the stream, and is at least twice the longest pause so far. Comments and other bytes do not count. Tests: test_relay (slow stream, bytes without a token, prefill answer without end).

--- a/libs/arbutusrill_entry/_relay.py
+++ b/libs/arbutusrill_entry/_relay.py
@@ -22,7 +22,11 @@
 _MAX_PREFILL_TIMEOUT_S = 30.0
 _STREAM_TIMEOUT_S = 3600.0
 _MIN_PREFILL_TIMEOUT_S = 2.0
-_TOKEN_TIMEOUT_S = 1.0
+_TOKEN_TIMEOUT_S = 1.0  # without a token; the stream is then resumed on a new connection
+# While the engine confirms that it holds the stream but sends no token, the timeout doubles up to this one; after it
+# the engine counts as failed. The timeout is also a multiple of the longest pause of the stream so far.
+_MAX_TOKEN_TIMEOUT_S = 8.0
+_PAUSE_FACTOR = 2.0
 _MIN_FIRST_TOKEN_TIMEOUT_S = 2.0
 _STATE_LOST_STATUSES = (404, 409, 410)  # the engine works but does not hold this stream or KV cache
 _MAX_ATTEMPTS = 4
@@ -76,7 +80,10 @@
         self._reader = EventReader("", 0)
         self._on_tokens: Callable[[list[str]], None] = lambda _: None
         self._token_received = False
-        self._last_token_at = 0.0
+        self._last_token_at = 0.0  # or the start of the transfer
+        self._paused_since = 0.0  # time of the last token, also across resumptions
+        self._longest_pause_s = 0.0
+        self._stall_count = 0  # resumptions without a token since the last one
         self._decode_started_at = 0.0
         self._key_failure: Failure | None = None
 
@@ -203,7 +210,8 @@
         result = self._stream(Transfer("GET", url, timeout_s=_STREAM_TIMEOUT_S))
         if result.status in _STATE_LOST_STATUSES:
             raise _EngineStateLostError(self._make_attempt_error("decode_failed", assignment.decode_server, result))
-        if len(self._texts) == tokens_before and not self._reader.finish_reason:
+        is_alive = len(self._texts) > tokens_before or self._reader.finish_reason or self._extend_timeout(result)
+        if not is_alive:
             raise self._make_attempt_error("decode_failed", assignment.decode_server, result)
         return result
 
@@ -255,9 +263,17 @@
     def _token_timeout_s(self) -> float:
         """Returns the timeout for the next token; the first one includes the transfer of the KV cache."""
         if self._token_received:
-            return _TOKEN_TIMEOUT_S
+            base_s = max(_TOKEN_TIMEOUT_S, _PAUSE_FACTOR * self._longest_pause_s)
+            return min(_MAX_TOKEN_TIMEOUT_S, base_s * 2**self._stall_count)
         return max(_MIN_FIRST_TOKEN_TIMEOUT_S, 4 * (self._reservation.assignment.predicted_first_token_s or 0))
 
+    def _extend_timeout(self, result: TransferResult) -> bool:
+        """Doubles the token timeout if the engine has confirmed that it holds the stream; returns whether it did."""
+        if result.status != 200 or result.error != "stopped" or self._token_timeout_s() >= _MAX_TOKEN_TIMEOUT_S:
+            return False
+        self._stall_count += 1
+        return True
+
     def _should_stop(self) -> bool:
         if self._reader.problem or self._key_refused():
             return True
@@ -266,7 +282,11 @@
     def _on_data(self, data: bytes) -> None:
         texts = self._reader.feed(data)
         if texts:
-            self._last_token_at = time.monotonic()
+            now = time.monotonic()
+            if self._token_received:
+                self._longest_pause_s = max(self._longest_pause_s, now - self._paused_since)
+            self._last_token_at = self._paused_since = now
+            self._stall_count = 0
             if not self._token_received:
                 self._token_received = True
                 self._reservation.clear_stage("prefill")
--- a/libs/arbutusrill_entry/tests/rig.py
+++ b/libs/arbutusrill_entry/tests/rig.py
@@ -80,6 +80,7 @@
 
     def _send(self, request_id, first, start):
         write = start("200 OK", [("Content-Type", "text/event-stream")])
+        write(b"")  # sends the head before the first token, as engines do
         for offset in range(first, len(WORDS)):
             time.sleep(self.token_gap_s)
             if request_id not in self.held:
--- a/libs/arbutusrill_entry/tests/test_relay.py
+++ b/libs/arbutusrill_entry/tests/test_relay.py
@@ -1,11 +1,14 @@
 """Guards against lost, repeated or mismatched tokens, and against work for callers that have disconnected."""
 
 import json
+import resource
 import time
 
 import pytest
 from arbutusrill_wire import messages
 
+from arbutusrill_entry import _relay
+
 from .rig import KEY, WORDS, entry_rig, events_of, eventually, text_of
 
 FULL_TEXT = "".join(WORDS)
@@ -227,3 +230,51 @@
     rig.follower.apply(messages.WithdrawKey("k1"))
     assert rig.call("GET", "/v1/models")[0] == 401
     assert KEY not in rig.meters.render().decode()
+
+
+def test_slow_but_sound_stream_is_not_cut(rig):
+    # Without a token for 1 s, the stream was resumed, and failed if the next second brought none either.
+    engine = rig.engine()
+    engine.token_gap_s = 1.4
+    answer = rig.chat(stream=True, max_tokens=3)
+    assert answer[0] == 200
+    assert len(engine.paths("/engine/decode")) == 1
+    assert text_of(answer[2]).startswith("".join(WORDS[:3]))
+
+
+def test_stream_that_sends_bytes_but_no_token_moves_to_another_server(rig, monkeypatch):
+    # Bytes between tokens must not keep a stalled stream alive.
+    monkeypatch.setattr(_relay, "_MAX_TOKEN_TIMEOUT_S", 1.5)
+    stalled, sound = rig.engine("e1"), rig.engine("e2")
+    rig.pools.servers.reverse()  # prefill at e2, decode at e1
+
+    def send(request_id, first, start):
+        write = start("200 OK", [("Content-Type", "text/event-stream")])
+        if first == 0:
+            event = {"request_id": request_id, "offset": 0, "token": WORDS[0]}
+            write(b"data: " + json.dumps(event).encode() + b"\n\n")
+        while not stalled.closing.wait(0.05):
+            write(b": comment\n\n")
+        return []
+
+    monkeypatch.setattr(stalled, "_send", send)
+    started = time.monotonic()
+    assert_complete(rig.chat(stream=True))
+    assert time.monotonic() - started < 10
+    assert sound.paths("/engine/decode")
+
+
+def test_prefill_answer_without_end_is_not_kept_in_memory(rig, monkeypatch):
+    endless, sound = rig.engine("e1"), rig.engine("e2")
+
+    def prefill(body, environ, start):
+        write = start("200 OK", [])
+        while not endless.closing.is_set():
+            write(b"x" * 65536)
+        return []
+
+    monkeypatch.setattr(endless, "_prefill", prefill)
+    before = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+    assert_complete(rig.chat(stream=True))
+    assert resource.getrusage(resource.RUSAGE_SELF).ru_maxrss - before < 48 * 1024
+    assert sound.paths("/engine/decode")
