--- a/libs/arbutusrill_site/_waiting_queue.py
+++ b/libs/arbutusrill_site/_waiting_queue.py
@@ -17,7 +17,7 @@
 _MAX_POLL_GAP_S = 0.03  # between two polls; after a longer gap a request does not block those behind it
 _RATE_WINDOW_S = 4.0  # window over which released places are counted
 _MIN_RELEASES_PER_S_PER_ENGINE = 1.0  # lower bound on the assumed release rate
-_LARGEST_INTERVAL = 4  # one grant in this number goes to the request nearest to its deadline, whatever its size
+_LARGEST_INTERVAL = 8  # one grant in this number goes to the largest request within its deadline
 _DEADLINE_RETENTION_S = 20.0  # time for which a passed deadline is kept; a caller that retries later gets a new one
 
 
@@ -26,7 +26,7 @@
     """Queue entry of one request; times are on the monotonic clock.
 
     Requests within their deadline come first, by job size, except that one grant in `_LARGEST_INTERVAL` goes to the
-    one nearest to its deadline, so that large requests are served in a lasting overload; late ones follow in order of arrival. Late requests whose
+    largest of them, so that large requests are served in a lasting overload; late ones follow in order of arrival. Late requests whose
     engine failed precede other late ones: their prefill ran and their stream has started.
     """
 
