--- a/libs/arbutusrill_site/_waiting_queue.py
+++ b/libs/arbutusrill_site/_waiting_queue.py
@@ -26,8 +26,8 @@
     """Queue entry of one request; times are on the monotonic clock.
 
     Requests within their deadline come first, by job size, except that one grant in `_LARGEST_INTERVAL` goes to the
-    largest of them, so that large requests are served in a lasting overload. Late ones follow in order of arrival; those
-    whose engine failed precede the others: their prefill ran and their stream has started.
+    largest of them, so that large requests are served in a lasting overload. Late ones follow in order of arrival;
+    those whose engine failed precede the others: their prefill ran and their stream has started.
     """
 
     number: int
