--- a/libs/arbutusrill_bench/_site.py
+++ b/libs/arbutusrill_bench/_site.py
@@ -173,8 +173,12 @@
             self.kill(name)
 
     def suspend(self, name: str) -> None:
-        """Suspends a member with SIGSTOP: it stops responding while its connections stay open."""
+        """Suspends a member with SIGSTOP: it stops responding while its connections stay open.
+
+        Returns once it has stopped, since on a busy machine its other threads run on for a moment after the signal.
+        """
         self.signal(name, signal.SIGSTOP)
+        os.waitid(os.P_PID, self.members_by_name[name].process.pid, os.WSTOPPED | os.WEXITED | os.WNOWAIT)
 
     def resume(self, name: str) -> None:
         """Resumes a suspended member with SIGCONT."""
