--- a/libs/arbutusrill_site/tests/test_placement.py
+++ b/libs/arbutusrill_site/tests/test_placement.py
@@ -28,6 +28,7 @@
         self.scheduler = PlacementScheduler(lambda: self.records, lambda _: capacity, lambda: self.revision)
         self.capacity_tokens = kv_tokens
         self.events, self.order = [], itertools.count()
+        self.waiting_since = {}  # time of arrival by request ID
         self.served = []  # prompt tokens of the requests that got a place
         self.waits, self.refused, self.wakeups, self.tokens_by_engine = [], 0, 0, {}
         self.peak_tokens = 0
@@ -46,6 +47,7 @@
             "vm", 1, str(self.arrived), "model", "", prompt_tokens, prompt_tokens + output_tokens, int(POLL_S * 1000),
             int(OBJECTIVE_S * 1000), True, [], int(PATIENCE_S * 1000),
         )  # fmt: skip
+        self.waiting_since[request.request_id] = now
         self.poll(now, request, now)
 
     def poll(self, now, request, arrived_at):
@@ -60,7 +62,7 @@
         elif reply.refused:
             self.refused += 1
         else:
-            self.begin_stream(now, reply, request, arrived_at)
+            self.begin_stream(now, reply, request)
 
     def end_poll(self, now, ticket, arrived_at):
         reply = self.scheduler.take_reply(ticket)
@@ -79,14 +81,14 @@
                 self.at(now, self.deliver, ticket)
 
     def deliver(self, now, ticket):
-        reply = ticket.reply
-        if self.scheduler.take_reply(ticket) is not None and not getattr(ticket.request, "served", False):
-            self.begin_stream(now, reply, ticket.request, ticket.placement_deadline)
+        reply = self.scheduler.take_reply(ticket)
+        if reply is not None:
+            self.begin_stream(now, reply, ticket.request)
 
-    def begin_stream(self, now, reply, request, arrived_at):
-        if getattr(request, "served", False):
+    def begin_stream(self, now, reply, request):
+        arrived_at = self.waiting_since.pop(request.request_id, None)
+        if arrived_at is None:  # it has got its place already
             return
-        request.served = True
         self.waits.append(now - arrived_at)
         self.served.append(request.prompt_tokens)
         used = self.tokens_by_engine.get(reply.decode, 0) + request.prompt_tokens
