site: remove what the placement scheduler does not use

EngineLoads.record_of and the decode branch of eligible had no caller; loads are compared by identity, not by all their places, when the ranking of engines is updated; a docstring named the wrong bound. No decision changes.

--- a/libs/arbutusrill_site/_engine_loads.py
+++ b/libs/arbutusrill_site/_engine_loads.py
@@ -54,7 +54,7 @@
         )
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class EngineLoad:
     """Places of one engine, with their sums."""
 
@@ -67,7 +67,7 @@
     no_room_until: float = float("-inf")
 
     def has_no_room_for(self, tokens: int, now: float) -> bool:
-        """Whether a request of at most this size was found not to fit since the last change."""
+        """Whether a request of this size or a smaller one was found not to fit since the last change."""
         return now < self.no_room_until and tokens >= self.no_room_tokens
 
 
@@ -166,24 +166,16 @@
         if is_ranked:
             ranking.add(load)
 
-    def record_of(self, backend: str) -> Any | None:
-        """Returns the record of an engine, None if it is unknown."""
-        return self._record_by_id.get(backend)
-
     def event_gaps_s(self, backend: str) -> list[float]:
         """Returns the longest accepted pause in seconds of each stream on an engine, 0 if unknown."""
         return [place.event_gap_s for place in self._load_of(backend).places.values()]
 
-    def eligible(self, request: Any, stage: str, now: float) -> list[Any]:
-        """Returns the records of the engines in a stage that may serve a request."""
-        if stage == "prefill":
-            records = self._prefill_by_service.get(request.service_name, [])
-        else:
-            loads = self._decode_by_service.get(request.service_name, ())
-            records = [self._record_by_id[load.id] for load in loads]
+    def eligible_prefill(self, request: Any, now: float) -> list[Any]:
+        """Returns the records of the prefill engines that may serve a request."""
+        records = self._prefill_by_service.get(request.service_name, [])
         return [record for record in records if self._may_serve(record, request, now)]
 
-    def eligible_count(self, service: str) -> int:
+    def decode_count(self, service: str) -> int:
         """Returns the number of decode engines of a service."""
         return len(self._decode_by_service.get(service, ()))
 
--- a/libs/arbutusrill_site/_placement.py
+++ b/libs/arbutusrill_site/_placement.py
@@ -81,13 +81,13 @@
                 request.service_name, request.prompt_tokens, output_tokens_of(request), capacity.kv_tokens
             )
             ticket = self._waiting_queue.enqueue(request, now, self._first_event_s(request, now))
-        engines = self._loads.eligible_count(request.service_name)
+        engines = self._loads.decode_count(request.service_name)
         return ticket, self._waiting_queue.expected_wait_s(ticket, now, engines)
 
     def _first_event_s(self, request: Any, now: float) -> float:
         """Returns the expected seconds from a place to the first event, including the queues of the prefill engines."""
         ends = [self.speeds.local_prefill_s(request.prompt_tokens)]
-        for record in self._loads.eligible(request, "prefill", now):
+        for record in self._loads.eligible_prefill(request, now):
             ends.append(self.speeds.unit_time_of(record.id, "prefill").ends_at(request.prompt_tokens, now) - now)
         return min(ends) + _FIRST_EVENT_DELAY_S
 
@@ -165,7 +165,7 @@
         stream for too long, or when no prefill engine ends within `_MAX_PREFILL_S`.
         """
         best, best_end, best_cost = None, 0.0, float("inf")
-        eligible = self._loads.eligible(request, "prefill", now)
+        eligible = self._loads.eligible_prefill(request, now)
         preferred = [record for record in eligible if record.id not in (request.avoid or ())]
         for record in preferred or eligible:
             end = self.speeds.unit_time_of(record.id, "prefill").ends_at(request.prompt_tokens, now)
