http: idle connections are closed without making their callers look gone

Callers saw: a request that was sent on a kept connection at the moment at which the VM drained, or evicted an idle connection, got no response, although it had been read and sent to a backend server.

Cause: idle connections were closed by shutting down their reading side from another thread. If a request had just arrived, it was still read and served, but poll() reported the socket as closed by the peer from then on, and the transfer to the backend server was cancelled as if the caller had left. A drain could also abort such a connection, since it counted as idle until its thread ran again.

Change: the threads of idle connections poll a pipe beside their socket. Closing the pipe wakes them; each serves a request that has arrived and closes its own connection otherwise. A drain ends when no connection is open.

Evidence: the new test stops the thread of the connection between the arrival of the request and the close; before, both cases failed with caller_looked_gone == [False, False, True]. Tests of http, gateway and daemon drain pass.

--- a/libs/arbutusrill_entry/_drain.py
+++ b/libs/arbutusrill_entry/_drain.py
@@ -53,7 +53,7 @@
         margin_s = float(follower.config.value("entries.max_age_s")) + _ENTRIES_MARGIN_S
         self._wait(lambda: False, min(deadline, time.monotonic() + margin_s))
         self._server.stop_listening()
-        if not self._wait(lambda: not self._server.active_connections(), deadline):
+        if not self._wait(lambda: not self._server.open_connections(), deadline):
             reason = "a second signal" if self._skip_waits.is_set() else f"the limit of {limit_s:g} s"
             _log.warning("drain ended early by %s, %d requests aborted", reason, self._server.abort_connections())
 
--- a/libs/arbutusrill_http/_handler.py
+++ b/libs/arbutusrill_http/_handler.py
@@ -5,6 +5,7 @@
 import io
 import json
 import re
+import select
 import socket
 import time
 from http import HTTPStatus
@@ -130,11 +131,24 @@
         is_first, self._is_first_request = self._is_first_request, False
         if is_first and self._has_input_within(min(timeout_s, _FIRST_REQUEST_WAIT_S)):
             return True
-        with self.server.idle_connection(self.connection):
-            if self.server.draining():
-                return self._has_input_within(_PENDING_INPUT_WAIT_S)
-            self._socket_reader.deadline = time.monotonic() + timeout_s
-            return bool(self.rfile.peek(1))
+        if self._has_input_within(0):  # of a pipelined request
+            return True
+        deadline = time.monotonic() + timeout_s
+        with self.server.idle_connection(self.connection) as wake_up:
+            while (pipe := wake_up()) is not None:
+                readable = self._poll_with(pipe.receiver, deadline - time.monotonic())
+                if not readable:
+                    return False
+                if self.connection.fileno() in readable:
+                    return self._has_input_within(_PENDING_INPUT_WAIT_S)
+            return self._has_input_within(_PENDING_INPUT_WAIT_S)
+
+    def _poll_with(self, descriptor: int, timeout_s: float) -> list[int]:
+        """Waits until the connection or `descriptor` is readable; returns those that are, none after a timeout."""
+        poller = select.poll()
+        poller.register(self.connection, select.POLLIN)
+        poller.register(descriptor, select.POLLIN)
+        return [ready for ready, _ in poller.poll(max(0.0, timeout_s) * 1000)]
 
     def _has_input_within(self, timeout_s: float) -> bool:
         self._socket_reader.deadline = time.monotonic() + timeout_s
--- a/libs/arbutusrill_http/_server.py
+++ b/libs/arbutusrill_http/_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import os
 import socket
 import struct
 import threading
@@ -49,6 +50,29 @@
     reserved_paths: tuple[str, ...] = ()
 
 
+class _WakeUpPipe:
+    """Wakes all threads that poll `receiver` at once; the descriptors are closed with the last reference.
+
+    Idle connections are woken this way and not by shutting down their sockets: a request that arrives at that moment is
+    still served, and must not look like one whose caller has disconnected.
+    """
+
+    __slots__ = ("_sender", "receiver")
+
+    def __init__(self) -> None:
+        self.receiver, self._sender = os.pipe()
+
+    def wake(self) -> None:
+        """Makes `receiver` readable for good."""
+        sender, self._sender = self._sender, -1
+        if sender >= 0:
+            os.close(sender)
+
+    def __del__(self) -> None:
+        self.wake()
+        os.close(self.receiver)
+
+
 class _Server(BaseWSGIServer):
     request_queue_size = 512
     multithread = True
@@ -62,6 +86,8 @@
         self._lingering: deque[tuple[float, socket.socket]] = deque()
         self._close_lock = threading.Lock()
         self._draining = threading.Event()
+        self._wake_up = _WakeUpPipe()  # of the connections that are idle now
+        self._close_when_idle: set[socket.socket] = set()
         self._reset_on_close: set[socket.socket] = set()
         super().__init__(host, port, app, handler=Handler)
         # Accepted connections inherit the options, which saves system calls for each of them.
@@ -76,33 +102,45 @@
         with self._lock:
             return len(self._reserved_by_connection) - len(self._idle_since)
 
+    def open_connections(self) -> int:
+        """Returns the number of open connections, idle ones included."""
+        with self._lock:
+            return len(self._reserved_by_connection)
+
     def is_reserved(self, connection: socket.socket) -> bool:
         """Returns whether a connection was accepted from the reserve."""
         with self._lock:
             return self._reserved_by_connection.get(connection, False)
 
     @contextlib.contextmanager
-    def idle_connection(self, connection: socket.socket) -> Iterator[None]:
-        """Marks a connection as idle while it waits for its next request."""
+    def idle_connection(self, connection: socket.socket) -> Iterator[Callable[[], _WakeUpPipe | None]]:
+        """Marks a connection as idle while it waits for its next request.
+
+        Yields a function that returns the pipe to poll beside the connection, or None once the connection is to be
+        closed unless a request has arrived.
+        """
         with self._lock:
             self._idle_since[connection] = time.monotonic()
         try:
-            yield
+            yield lambda: self._wake_up_of(connection)
         finally:
             with self._lock:
                 self._idle_since.pop(connection, None)
 
+    def _wake_up_of(self, connection: socket.socket) -> _WakeUpPipe | None:
+        with self._lock:
+            is_closing = self._draining.is_set() or connection in self._close_when_idle
+            return None if is_closing else self._wake_up
+
+    def _wake_idle_connections(self) -> None:
+        with self._lock:
+            wake_up, self._wake_up = self._wake_up, _WakeUpPipe()
+        wake_up.wake()
+
     def drain(self) -> None:
         """Closes idle connections; the others close after the response to their current request."""
         self._draining.set()
-        self.close_idle_connections()
-
-    def close_idle_connections(self) -> None:
-        """Closes the connections that wait for a request."""
-        with self._lock:
-            idle = list(self._idle_since)
-        for connection in idle:
-            _shutdown_socket(connection, socket.SHUT_RD)
+        self._wake_idle_connections()
 
     def abort_connections(self) -> int:
         """Closes all connections immediately and returns how many had a request in progress."""
@@ -110,7 +148,8 @@
             connections = list(self._reserved_by_connection)
             active = len(self._reserved_by_connection) - len(self._idle_since)
         for connection in connections:
-            _shutdown_socket(connection, socket.SHUT_RDWR)
+            with contextlib.suppress(OSError):
+                connection.shutdown(socket.SHUT_RDWR)
         return active
 
     def process_request(self, request: Any, client_address: Any) -> None:
@@ -135,7 +174,8 @@
                 return
             # Excludes the connection from the next call, since its task removes the entry only later.
             self._idle_since[longest_idle] = float("inf")
-        _shutdown_socket(longest_idle, socket.SHUT_RD)
+            self._close_when_idle.add(longest_idle)
+        self._wake_idle_connections()
 
     def _reject_connection(self, connection: socket.socket) -> None:
         """Sends a 503 without blocking.
@@ -206,16 +246,12 @@
     def _remove_connection(self, connection: socket.socket) -> None:
         with self._lock:
             self._reserved_by_connection.pop(connection, None)
+            self._close_when_idle.discard(connection)
 
     def log(self, type: str, message: str, *args: Any) -> None:
         _log.info(message.replace("%", "%%") if not args else message, *args)
 
 
-def _shutdown_socket(connection: socket.socket, how: int) -> None:
-    with contextlib.suppress(OSError):
-        connection.shutdown(how)
-
-
 class HttpServer:
     """Serves a WSGI application on one address until the context ends.
 
@@ -253,14 +289,18 @@
         """Changes the limits for later requests; the number of threads and the send timeout stay unchanged."""
         self._server.limits = limits
 
-    def close_idle_connections(self) -> None:
-        """Closes the connections that wait for a request; new ones are still accepted."""
-        self._server.close_idle_connections()
-
     def active_connections(self) -> int:
         """Returns the number of connections with a request in progress."""
         return self._server.active_connections()
 
+    def open_connections(self) -> int:
+        """Returns the number of open connections, idle ones included.
+
+        A connection counts as idle until its thread runs again after a request has arrived, so that only this number
+        tells whether a connection may still have a request.
+        """
+        return self._server.open_connections()
+
     def abort_connections(self) -> int:
         """Closes all connections immediately and returns how many had a request in progress."""
         return self._server.abort_connections()
--- a/libs/arbutusrill_http/tests/test_server.py
+++ b/libs/arbutusrill_http/tests/test_server.py
@@ -1,5 +1,6 @@
 """Tests that the server does not hang, rejects ambiguous requests and never makes an aborted response look complete."""
 
+import contextlib
 import json
 import socket
 import threading
@@ -8,7 +9,7 @@
 import pytest
 from werkzeug.wrappers import Request, Response
 
-from arbutusrill_http import AbortStreamError, HttpLimits, HttpServer
+from arbutusrill_http import AbortStreamError, HttpLimits, HttpServer, peer_closed
 
 LIMITS = HttpLimits(
     connections=4,
@@ -298,3 +299,40 @@
         connection.sendall(get("/second"))
         second_sent.set()
         assert connection.makefile("rb").read().endswith(b"whole")
+
+
+@pytest.mark.parametrize("close", ["drain", "eviction"])
+def test_request_that_arrives_while_its_idle_connection_is_closed_is_answered(close, monkeypatch):
+    # The request was served, but its caller looked gone: it was cancelled at the backend server and got no response.
+    caller_looked_gone = []
+
+    def app(environ, start):
+        caller_looked_gone.append(peer_closed(environ["werkzeug.socket"]))
+        return Response(b"whole")(environ, start)
+
+    arrived, closed = threading.Event(), threading.Event()
+    with HttpServer("127.0.0.1", 0, app, LIMITS) as server, connect(server) as connection:
+        connection.sendall(b"GET /x HTTP/1.1\r\nHost: x\r\n\r\n")
+        assert connection.recv(1000).endswith(b"whole")
+        idle_connection = server._server.idle_connection
+
+        @contextlib.contextmanager
+        def idle_until_closed(idle):
+            with idle_connection(idle) as wake_up:
+                yield wake_up
+                arrived.set()
+                closed.wait(10)
+
+        monkeypatch.setattr(server._server, "idle_connection", idle_until_closed)
+        connection.sendall(b"GET /x HTTP/1.1\r\nHost: x\r\n\r\n")
+        connection.recv(1000)
+        time.sleep(0.3)  # a connection is evicted after 0.2 s
+        connection.sendall(get("/x"))
+        assert arrived.wait(10)
+        if close == "drain":
+            server.stop_listening()
+        else:
+            server._server._evict_longest_idle()
+        closed.set()
+        assert connection.makefile("rb").read().endswith(b"whole")
+    assert caller_looked_gone == [False] * 3
