stream: a silent engine is given up only for another one that is reserved

Callers saw: a stream ended without its last events and without an error, or with 502, although its engine would have gone on. The users' sound servers fall silent for a second or so.

Cause: a resumable stream was given up after 1.2 s without an event. Only then were a retry and a place on another engine requested; when all engines were full or the retry budget was spent, the response was aborted. Silence was taken for failure before it was known whether there was anything better than to wait.

Change: after a silence the stream first reserves another engine and a retry, and stays with its engine until it has both. The silence has to last for 65% of the gap after which callers disconnect, at least 1.8 s.

--- a/libs/arbutusrill_gateway/_attempt.py
+++ b/libs/arbutusrill_gateway/_attempt.py
@@ -5,6 +5,7 @@
 import abc
 import enum
 import time
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from arbutusrill_base import Verdict
@@ -78,10 +79,12 @@
     timeout_s: float,
     stall_s: float | None = None,
     receiver: BodyReceiver | None = None,
+    on_stall: Callable[[], bool] | None = None,
 ) -> AttemptResult:
     """Sends `request` to `candidate` and waits for the end of the response, whose body `receiver` gets.
 
-    Without `receiver`, the body is collected, up to a limit. `stall_s` is the longest time without progress.
+    Without `receiver`, the body is collected, up to a limit. `stall_s` is the longest time without progress,
+    after which `on_stall` decides whether the attempt ends.
     """
     transfer = Transfer(
         request.method,
@@ -96,6 +99,7 @@
         min(_CONNECT_TIMEOUT_S, timeout_s),
         omit_default_headers=True,
         caller_connection=request.connection,
+        on_stall=on_stall,
     )
     if receiver is not None:
         transfer.on_head, transfer.on_data = receiver.on_head, receiver.on_data
--- a/libs/arbutusrill_gateway/_placement.py
+++ b/libs/arbutusrill_gateway/_placement.py
@@ -23,6 +23,7 @@
 _FREE_TIMEOUT_S = 0.3
 _NO_PLACEMENT = 0  # placement number in messages that only report an unresponsive engine
 _MAX_PREFILL_SPEEDS = 50  # measurements to keep while the leader is unavailable
+_UNLIMITED_PATIENCE_S = 3600.0
 _LEADER_BACKOFF_S = 0.4  # after a failed call, engines are chosen from the local view for this time
 _events = EventLog("placement")
 
@@ -100,9 +101,18 @@
                 for number, placement in self._placement_by_number.items()
             ]
 
-    def acquire(self, requirements: PlacementRequest, max_wait_s: float) -> tuple[Placement | None, float | None]:
+    def acquire_now(self, requirements: PlacementRequest) -> tuple[Placement | None, float | None]:
+        """Requests a placement on an engine that has room now; returns what `acquire` returns."""
+        return self.acquire(requirements, 0.0, _UNLIMITED_PATIENCE_S)
+
+    def acquire(
+        self, requirements: PlacementRequest, max_wait_s: float, patience_s: float | None = None
+    ) -> tuple[Placement | None, float | None]:
         """Requests a placement and waits for it up to `max_wait_s` seconds.
 
+        The leader refuses a request whose expected wait exceeds `patience_s`, by default the rest of `max_wait_s`, or
+        gives it a position in the queue of an engine.
+
         Returns the placement and None, or None and the seconds after which a retry is likely to succeed. Both are None
         if the leader is unavailable or granted an engine that is not yet in this VM's view. Raises
         `ConnectionResetError` if the caller disconnects while waiting.
@@ -112,7 +122,10 @@
         deadline = started + max_wait_s
         poll_s = _FIRST_POLL_S
         while (now := self._clock.monotonic()) >= self._leader_unavailable_until:
-            message = self._wire_request(requirements, now - started, min(poll_s, deadline - now), deadline - now)
+            wait_s = deadline - now
+            message = self._wire_request(
+                requirements, now - started, min(poll_s, wait_s), wait_s if patience_s is None else patience_s
+            )
             try:
                 reply = self._client.call(
                     "place", message, timeout=poll_s + _CALL_MARGIN_S, try_timeout=poll_s + _CALL_MARGIN_S
@@ -130,7 +143,7 @@
             poll_s = _POLL_S
         return None, None
 
-    def _wire_request(self, requirements: PlacementRequest, waited_s: float, poll_s: float, max_wait_s: float) -> Any:
+    def _wire_request(self, requirements: PlacementRequest, waited_s: float, poll_s: float, patience_s: float) -> Any:
         request = requirements.request
         return messages.PlaceRequest(
             self._vm,
@@ -144,7 +157,7 @@
             max(0, int((requirements.objective_remaining_s - waited_s) * 1000)),
             requirements.needs_prefill,
             requirements.avoided_ids,
-            max(0, int(max_wait_s * 1000)),
+            max(0, int(patience_s * 1000)),
             request.content_hash(),
             self._pop_prefill_speeds(),
             requirements.continued,
--- a/libs/arbutusrill_gateway/_stream.py
+++ b/libs/arbutusrill_gateway/_stream.py
@@ -17,6 +17,7 @@
 from ._placement import Placement, PlacementRequest
 from ._prefill import RetryBudgetExhaustedError, release_kv_cache, run_prefill
 from ._protocol import KvCacheHandle, ResponseHead
+from ._replacement import Replacement
 
 __all__ = ["relay_stream"]
 
@@ -27,10 +28,17 @@
 _PLACEMENT_WAIT_FRACTION = 0.35
 _PLACEMENT_WAIT_OBJECTIVE_FACTOR = 3.0
 _MIN_OBJECTIVE_S = 0.5  # lower bound of the objective in that limit
-# A resumable stream is resumed on another engine after this time without a complete event, or after a multiple of the
-# usual time between events of its engine if that is longer. Time to prefill the prompt is added before the first event.
-_MIN_STALL_S = 1.2
+# A resumable stream may be resumed on another engine after the longest of these times without a complete event: a
+# minimum, a fraction of the gap after which callers disconnect, and a multiple of the usual time between events of its
+# engine. Time to prefill the prompt is added before the first event.
+_MIN_STALL_S = 1.8
+_STALL_PATIENCE_FRACTION = 0.65
 _STALL_FACTOR = 8.0
+# Callers disconnect after the longest of these gaps: a minimum, and multiples of the objective and of the longest gap
+# between events that they accept.
+_MIN_PATIENCE_S = 2.0
+_PATIENCE_OBJECTIVE_FACTOR = 4.0
+_PATIENCE_GAP_FACTOR = 8.0
 _LOCAL_PREFILL_S_PER_TOKEN = 0.0002
 _MAX_EVENT_BYTES = 1_048_576  # also of a response that is not a stream
 _END_OF_EVENT = re.compile(rb"\r?\n\r?\n")
@@ -153,13 +161,21 @@
 def relay_stream(exchange: Exchange) -> None:
     """Serves one stream: prefill if a prefill engine is available, then decode, with resumption on other engines."""
     events = _EventRelay(exchange)
-    prefill_decode = _PrefillDecode(exchange, events)
+    with Replacement(exchange, lambda avoided: _requirements(exchange, events, avoided)) as replacement:
+        _relay_attempts(exchange, events, replacement)
+
+
+def _relay_attempts(exchange: Exchange, events: _EventRelay, replacement: Replacement) -> None:
+    prefill_decode = _PrefillDecode(exchange, events, replacement)
     unreached_count = 0
     while True:
         if not exchange.has_time():
             _refuse_or_abort(exchange, "no_time", "the time limit has passed", _RETRY_AFTER_S)
             return
-        placement, retry_after_s = _acquire_placement(exchange, events)
+        if replacement.is_reserved:
+            placement, retry_after_s = replacement.take(), None
+        else:
+            placement, retry_after_s = _acquire_placement(exchange, events)
         if retry_after_s is not None:
             _refuse_or_abort(exchange, "engines_full", "no engine had room in time", retry_after_s)
             return
@@ -180,7 +196,7 @@
             unreached_count += 1
             continue
         exchange.attempt_count += 1
-        if _finish_or_retry(exchange, result, events):
+        if not replacement.is_reserved and _finish_or_retry(exchange, result, events):
             return
 
 
@@ -192,25 +208,28 @@
     """
     if exchange.service.engine is None:
         return None, None
-    avoid = [*exchange.pool.avoided_ids(), *exchange.tried]
-    is_resumed = bool(_last_event_id(exchange, events))
     max_wait_s = min(
         _PLACEMENT_WAIT_FRACTION * exchange.remaining_s(),
         _PLACEMENT_WAIT_OBJECTIVE_FACTOR * max(exchange.route.objective_s, _MIN_OBJECTIVE_S),
     )
-    placement_request = PlacementRequest(
+    requirements = _requirements(exchange, events, [*exchange.pool.avoided_ids(), *exchange.tried])
+    try:
+        return exchange.placements.acquire(requirements, max_wait_s)
+    except ConnectionResetError:
+        raise exchange.caller_gone_error() from None
+
+
+def _requirements(exchange: Exchange, events: _EventRelay, avoided: list[str]) -> PlacementRequest:
+    """Returns what the next attempt needs; a resumed stream needs no prefill."""
+    return PlacementRequest(
         exchange.service,
         exchange.request,
         exchange.objective_remaining_s(),
-        not is_resumed,
-        avoid,
+        not _last_event_id(exchange, events),
+        avoided,
         bool(exchange.trail),
         exchange.route.event_gap_s,
     )
-    try:
-        return exchange.placements.acquire(placement_request, max_wait_s)
-    except ConnectionResetError:
-        raise exchange.caller_gone_error() from None
 
 
 def _last_event_id(exchange: Exchange, events: _EventRelay) -> str:
@@ -225,9 +244,10 @@
     charged to the retry budget; once it is exhausted, the decode engine processes the prompt itself.
     """
 
-    def __init__(self, exchange: Exchange, events: _EventRelay):
+    def __init__(self, exchange: Exchange, events: _EventRelay, replacement: Replacement):
         self._exchange = exchange
         self._events = events
+        self._replacement = replacement
         self._kv_cache: KvCacheHandle | None = None
         self._prefilled_at = 0.0
         self._prefill_count = 0
@@ -241,7 +261,7 @@
             release_kv_cache(exchange, kv_cache)
             return None
         with _track_decode(exchange, placement, candidate):
-            result = _send(exchange, candidate, kv_cache, events)
+            result = _send(exchange, candidate, kv_cache, events, self._replacement)
         exchange.record_attempt(candidate, "decode" if kv_cache else "whole", result)
         if result.outcome is Outcome.GONE:
             # Before the first forwarded event, the decode engine may not have fetched the KV cache.
@@ -310,7 +330,11 @@
 
 
 def _send(
-    exchange: Exchange, candidate: Candidate, kv_cache: KvCacheHandle | None, events: _EventRelay
+    exchange: Exchange,
+    candidate: Candidate,
+    kv_cache: KvCacheHandle | None,
+    events: _EventRelay,
+    replacement: Replacement,
 ) -> AttemptResult:
     backend_request = exchange.backend_request(
         candidate, kv_cache=kv_cache, resume_after=_last_event_id(exchange, events)
@@ -327,6 +351,7 @@
             max(0.001, exchange.remaining_s()),
             stall_s,
             events,
+            on_stall=lambda: replacement.reserve(candidate),
         )
         if (
             result.outcome is Outcome.ANSWERED
@@ -341,13 +366,17 @@
 
 
 def _stall_timeout_s(exchange: Exchange, candidate: Candidate, kv_cache: KvCacheHandle | None) -> float:
-    """Returns the time without a complete event after which a stream is resumed on another engine.
+    """Returns the time without a complete event after which a stream may be resumed on another engine.
 
     It follows the speed of the engine, so that a slow but sound stream is not cut.
     """
     event_s = exchange.pool.unit_time_s(candidate.record) or 0.0
     prefill_s = 0.0 if kv_cache is not None else (exchange.request.prompt_tokens or 0) * _LOCAL_PREFILL_S_PER_TOKEN
-    return max(_MIN_STALL_S, _STALL_FACTOR * event_s) + prefill_s
+    route = exchange.route
+    patience_s = max(
+        _MIN_PATIENCE_S, _PATIENCE_OBJECTIVE_FACTOR * route.objective_s, _PATIENCE_GAP_FACTOR * route.event_gap_s
+    )
+    return max(_MIN_STALL_S, _STALL_PATIENCE_FRACTION * patience_s, _STALL_FACTOR * event_s) + prefill_s
 
 
 def _finish_or_retry(exchange: Exchange, result: AttemptResult, events: _EventRelay) -> bool:
