plain: a silent server is given up only for another one

Callers saw: a repeatable request failed with 504 after half of its time, although its server would have answered.

Cause: the same as for streams: half of the time was the time limit of the first attempt, whether or not another server and a retry were left.

Change: silence for that long ends the attempt only if another server is known and a retry could be reserved. Streams use the same reservation of a retry.

A prefill keeps its limit: it has not run the request, so that a refusal is true and lets the caller come back.

--- a/libs/arbutusrill_gateway/_exchange.py
+++ b/libs/arbutusrill_gateway/_exchange.py
@@ -47,6 +47,7 @@
     tried: set[str] = field(default_factory=set)
     trail: list[str] = field(default_factory=list)
     first_event_s: float | None = None
+    is_retry_reserved: bool = False
 
     def remaining_s(self) -> float:
         """Seconds until the caller's deadline or the route's time limit, whichever comes first."""
@@ -86,9 +87,21 @@
         )
 
     def acquire_retry(self) -> bool:
-        """Takes one retry from the retry budget; returns whether the route, the time and the budget allow it."""
+        """Takes one retry from the retry budget, unless one is reserved.
+
+        Returns whether the route, the time and the budget allow it.
+        """
+        if self.is_retry_reserved:
+            self.is_retry_reserved = False
+            return True
         return self.attempt_count < self.route.max_attempts and self.has_time() and self.budget.try_acquire()
 
+    def reserve_retry(self) -> bool:
+        """Takes the retry that is to follow the current attempt; without one, a silent server is worth waiting for."""
+        may_retry = self.attempt_count + 1 < self.route.max_attempts and self.has_time()
+        self.is_retry_reserved = may_retry and self.budget.try_acquire()
+        return self.is_retry_reserved
+
     def refuse_not_run(self, code: str, message: str, retry_after: float) -> None:
         """Refuses with 503 (not run), or as uncertain if an earlier attempt may have run the request."""
         if self.verdict is Verdict.NOT_RUN:
--- a/libs/arbutusrill_gateway/_plain.py
+++ b/libs/arbutusrill_gateway/_plain.py
@@ -19,10 +19,10 @@
 
 _MAX_UNREACHED = 4  # unreachable backend servers per request
 _RETRY_AFTER_S = 0.1
-# Fractions of the remaining time: for the wait while a new leader collects the backend servers, and for an attempt
-# that may be followed by another.
+# Fractions of the remaining time: for the wait while a new leader collects the backend servers, and for the silence
+# after which a request is sent to another one.
 _BACKEND_WAIT_FRACTION = 0.4
-_FIRST_ATTEMPT_FRACTION = 0.5
+_STALL_FRACTION = 0.5
 
 
 class _ResponseRelay(BodyReceiver):
@@ -109,14 +109,25 @@
 
 def _send(exchange: Exchange, candidate: Candidate) -> AttemptResult:
     timeout_s = exchange.remaining_s()
-    if exchange.route.kind is RouteKind.IDEMPOTENT and exchange.attempt_count + 1 < exchange.route.max_attempts:
-        timeout_s *= _FIRST_ATTEMPT_FRACTION
+    stall_s = _STALL_FRACTION * timeout_s if exchange.route.kind is RouteKind.IDEMPOTENT else None
+
+    def reserve_other_backend() -> bool:
+        other = exchange.pool.pick(exchange.service, exclude={*exchange.tried, candidate.id})
+        return other is not None and exchange.reserve_retry()
+
     relay = _ResponseRelay(exchange)
     backend_request = exchange.backend_request(candidate)
     try:
         with exchange.pool.track_request(candidate.id, 0):
             result = send_attempt(
-                exchange.protocol, exchange.request, backend_request, candidate, timeout_s, receiver=relay
+                exchange.protocol,
+                exchange.request,
+                backend_request,
+                candidate,
+                timeout_s,
+                stall_s,
+                relay,
+                reserve_other_backend,
             )
     except OSError:  # from the connection of the caller, while a large response is forwarded
         exchange.verdict = exchange.verdict.combine(Verdict.MAY_HAVE_RUN)
--- a/libs/arbutusrill_gateway/_replacement.py
+++ b/libs/arbutusrill_gateway/_replacement.py
@@ -44,7 +44,7 @@
         exchange = self._exchange
         excluded = {*exchange.tried, silent.id}
         placement, is_available = self._acquire(excluded)
-        if is_available and not (exchange.has_time() and exchange.budget.try_acquire()):
+        if is_available and not exchange.reserve_retry():
             is_available = False
             if placement is not None:
                 exchange.placements.release(placement)
--- a/libs/arbutusrill_gateway/_stream.py
+++ b/libs/arbutusrill_gateway/_stream.py
@@ -196,7 +196,7 @@
             unreached_count += 1
             continue
         exchange.attempt_count += 1
-        if not replacement.is_reserved and _finish_or_retry(exchange, result, events):
+        if _finish_or_retry(exchange, result, events):
             return
 
 
--- a/libs/arbutusrill_gateway/tests/test_silent_engines.py
+++ b/libs/arbutusrill_gateway/tests/test_silent_engines.py
@@ -7,7 +7,7 @@
 import pytest
 from arbutusrill_site import RouteKind
 
-from .test_faulty_backends import REFUSAL_FIELDS, STREAM, Backend, event, head, relay, sends
+from .test_faulty_backends import REFUSAL_FIELDS, STREAM, WHOLE, Backend, event, head, relay, sends
 
 
 def silent_for(seconds):
@@ -90,3 +90,31 @@
     assert (caller.body.count(b"id: "), aborted) == (2, False)
     assert len(other.requests) == retries
     assert not placements.held
+
+
+def answers_after(seconds):
+    def script(connection):
+        time.sleep(seconds)
+        connection.sendall(WHOLE)
+
+    return Backend(script)
+
+
+@pytest.mark.parametrize("missing", ["server", "retry"])
+def test_silent_server_is_waited_for_when_a_request_cannot_be_repeated_elsewhere(missing, monkeypatch):
+    # After half of its time, a repeatable request failed with 504 although there was nothing to gain by giving up.
+    backends = [answers_after(1.4)]
+    if missing == "retry":
+        backends.append(Backend(sends(WHOLE)))
+        monkeypatch.setattr("arbutusrill_base.RetryBudget.try_acquire", lambda budget: False)
+    caller, exchange, _ = relay(*backends, kind=RouteKind.IDEMPOTENT, deadline_s=2.0)
+    assert (caller.status, caller.body) == (200, b"whole")
+    assert exchange.trail == ["send:0:answered"]
+
+
+def test_request_to_a_silent_server_is_repeated_at_another_one_in_time():
+    silent, other = answers_after(3.0), Backend(sends(WHOLE))
+    caller, exchange, _ = relay(silent, other, kind=RouteKind.IDEMPOTENT, deadline_s=2.0)
+    assert (caller.status, caller.body) == (200, b"whole")
+    assert exchange.trail == ["send:0:timeout", "send:1:answered"]
+    assert exchange.attempt_count == 2
