http: a head or body that breaks off within its framing is no whole response

Callers got a 200 with an empty body when a backend server closed its connection one byte before the end of its head, and a short body when the stated length had more than 64 bits. libcurl passes a line that broke off to the header callback like a whole one, and ignores a length that it cannot represent. A field named like a status line replaced the head.

Lines count only with their line feed, the number of body bytes is compared with the stated length, and a status line is read only at the start of a head.

--- a/libs/arbutusrill_http/_transfer.py
+++ b/libs/arbutusrill_http/_transfer.py
@@ -154,6 +154,8 @@
         self._callback_error: BaseException | None = None
         self._last_byte_at = time.monotonic()
         self._headers_done = False
+        self._in_head = False  # whether the status line of the current head has been read
+        self._received_bytes = 0
 
     def run(self) -> TransferResult:
         loop = _current_loop()
@@ -182,12 +184,8 @@
         stall_s = self._transfer.stall_s
         while True:
             _, done, failed = loop.multi.info_read()
-            if done and not self._headers_done:  # libcurl takes a head that breaks off for a whole one
-                self._fail(easy, "broken", "the connection was closed within the head")
-                return
             if done:
-                self._result.status = easy.getinfo(pycurl.RESPONSE_CODE)
-                self._result.verdict = Verdict.RAN
+                self._end(easy)
                 return
             if failed:
                 if self._body_bytes > self._transfer.max_body_bytes:
@@ -209,6 +207,24 @@
                 self._fail(easy, "stopped", "stopped by this process")
                 return
 
+    def _end(self, easy: pycurl.Curl) -> None:
+        """Stores the outcome of a response that libcurl takes for complete, as it does for a head that breaks off."""
+        if not self._headers_done:
+            self._fail(easy, "broken", "the connection was closed within the head")
+        elif not self._has_stated_length():
+            self._fail(easy, "broken", "the body has another length than stated")
+        else:
+            self._result.status = easy.getinfo(pycurl.RESPONSE_CODE)
+            self._result.verdict = Verdict.RAN
+
+    def _has_stated_length(self) -> bool:
+        """Whether the body has the length in the head; libcurl ignores a length that exceeds 64 bits."""
+        headers = self._result.headers_by_name
+        has_no_body = self._transfer.method == "HEAD" or self._result.status in (204, 304)
+        if has_no_body or "transfer-encoding" in headers or "content-length" not in headers:
+            return True
+        return headers["content-length"].lstrip("0") == str(self._received_bytes or "")
+
     def _progress_at(self) -> float:
         progress_at = self._transfer.progress_at
         return self._last_byte_at if progress_at is None else progress_at()
@@ -258,8 +274,11 @@
         if self._headers_done:
             # Trailer fields: merged into the head, they could turn a response into a refusal after it was delivered.
             return None
+        if not line.endswith(b"\n"):  # the connection was closed within this line, possibly the empty one
+            return None
         text = line.decode("latin-1").strip()
-        if text.startswith("HTTP/"):
+        if not self._in_head:
+            self._in_head = True
             self._result.status = int(text.split(None, 2)[1])
             self._result.headers_by_name.clear()
         elif ":" in text:
@@ -270,10 +289,13 @@
             self._last_byte_at = time.monotonic()
             if self._transfer.on_head is not None:
                 return self._run_callback(self._transfer.on_head, self._result.status, self._result.headers_by_name)
+        elif not text:
+            self._in_head = False  # the end of an interim head
         return None
 
     def _on_data(self, data: bytes) -> int | None:
         self._last_byte_at = time.monotonic()
+        self._received_bytes += len(data)
         if self._transfer.on_data is not None:
             return self._run_callback(self._transfer.on_data, data)
         self._body_bytes += len(data)
--- a/libs/arbutusrill_http/tests/test_transfer.py
+++ b/libs/arbutusrill_http/tests/test_transfer.py
@@ -177,3 +177,86 @@
     with HttpServer("127.0.0.1", 0, app) as server:
         assert fetch(Transfer("GET", f"http://{server.address}/")).is_complete
     assert (server_options, client_options) == ([10_000, 1, 1], [2000])
+
+
+HEAD = b"HTTP/1.1 200 OK\r\nId: r\r\nContent-Length: 0\r\n\r\n"
+
+
+@pytest.mark.parametrize("method", ["GET", "POST"])
+@pytest.mark.parametrize(
+    "head",
+    [
+        HEAD,
+        HEAD.replace(b"Content-Length: 0", b"Connection: close"),
+        HEAD.replace(b"200 OK", b"503 Full"),
+        b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Hints\r\nLink: x\r\n\r\n" + HEAD,
+    ],
+)
+def test_head_that_breaks_off_at_any_byte_is_no_response(method, head):
+    # A head without the last byte of its empty line was a complete response with an empty body.
+    listener = socket.create_server(("127.0.0.1", 0))
+
+    def answer():
+        for length in range(len(head) + 1):
+            connection, _ = listener.accept()
+            with connection:
+                connection.recv(9999)
+                connection.sendall(head[:length])
+
+    threading.Thread(target=answer, daemon=True).start()
+    url = "http://{}:{}/".format(*listener.getsockname())
+    for length in range(len(head) + 1):
+        heads = {}
+        body = b"x" if method == "POST" else b""
+        result = fetch(Transfer(method, url, body=body, on_head=heads.__setitem__))
+        is_whole = length == len(head)
+        assert (result.is_complete, bool(heads)) == (is_whole, is_whole), head[:length]
+        assert is_whole or result.verdict is Verdict.MAY_HAVE_RUN
+
+
+CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    ("rest", "is_complete"),
+    [
+        (b"Content-Length: 5\r\nContent-Length: 5\r\n\r\nwhole", True),
+        (b"Content-Length: 5\r\nContent-Length: 3\r\n\r\nwhole", False),
+        (b"Content-Length: 3\r\nContent-Length: 5\r\n\r\nwhole", False),
+        (b"Content-Length: 3, 5\r\n\r\nwhole", False),
+        (b"Content-Length: -5\r\n\r\nwhole", False),
+        (b"Content-Length: 99999999999999999999\r\n\r\nwhole", False),
+        (b"Content-Length: 005\r\n\r\nwhole", True),
+        (b"Content-Length: 3\r\n" + CHUNKED + b"5\r\nwhole\r\n0\r\n\r\n", True),
+        (CHUNKED + b"5\r\nwhole\r\n0\r\n", False),
+        (CHUNKED + b"5\r\nwhole\r\n", False),
+        (CHUNKED + b"zz\r\nwhole\r\n0\r\n\r\n", False),
+        (CHUNKED + b"5\r\nwholeX\r\n0\r\n\r\n", False),
+        (CHUNKED + b"fffffffffffffffff\r\nwhole\r\n", False),
+        (b"\r\nwhole", True),
+        (b"HTTP/1.1: 503 X\r\nContent-Length: 5\r\n\r\nwhole", True),
+    ],
+)
+def test_body_is_complete_only_with_valid_framing(rest, is_complete):
+    # A body with a stated length of more than 64 bits was complete after any number of bytes.
+    heads = []
+
+    def script(connection):
+        connection.recv(9999)
+        connection.sendall(b"HTTP/1.1 200 OK\r\nId: r\r\n" + rest)
+
+    result = fetch(Transfer("GET", serve_once(script), timeout_s=5, on_head=lambda *head: heads.append(head[0])))
+    assert result.is_complete is is_complete, result.detail
+    if is_complete:
+        assert (heads, result.headers_by_name["id"], result.body) == ([200], "r", b"whole")
+
+
+def test_body_that_ends_with_its_connection_is_complete_unless_the_connection_is_reset():
+    def reset(connection):
+        connection.recv(9999)
+        connection.sendall(b"HTTP/1.1 200 OK\r\n\r\nwhole")
+        time.sleep(0.1)
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+
+    result = fetch(Transfer("GET", serve_once(reset)))
+    assert (result.error, result.verdict) == ("broken", Verdict.MAY_HAVE_RUN)
