gateway: the test of slow but sound streams knows which server comes first

It failed in about a quarter of runs with no request at the slow server: all servers had the same known time for an event, so the random part of their cost decided. The others are now known to take twice as long; the assertions are unchanged.

--- a/libs/arbutusrill_gateway/tests/test_faulty_backends.py
+++ b/libs/arbutusrill_gateway/tests/test_faulty_backends.py
@@ -116,10 +116,12 @@
         self.body += data if self._keep else b""
 
 
-def relay(*backends, kind=RouteKind.NON_IDEMPOTENT, caller=None, deadline_s=5.0, max_attempts=2, event_s=0.0):
+def relay(
+    *backends, kind=RouteKind.NON_IDEMPOTENT, caller=None, deadline_s=5.0, max_attempts=2, event_s=0.0, method="POST"
+):
     """Relays one request to `backends`; returns the caller, the exchange and whether the response was aborted.
 
-    The first backend is known to take `event_s` seconds for an event.
+    The first backend is known to take `event_s` seconds for an event, the others twice as long, so it is chosen first.
     """
     records, stream = {}, kind is RouteKind.STREAM
     for number, backend in enumerate(backends):
@@ -130,8 +132,8 @@
     caller = caller or Caller()
     pool = BackendPool(view, "z1", SystemClock())
     if event_s:
-        for record in records.values():
-            pool.record_success(record, event_s)
+        for number, record in enumerate(records.values()):
+            pool.record_success(record, event_s * min(number + 1, 2))
     route = Route("r", "h", "/", kind, deadline_s, 0.9, (Target("s", 1.0),), max_attempts, False, stream, 0.3)
     exchange = Exchange(
         CallerRequest("r", "POST", "h", "/x", [], b"body"),
