site: a document that cannot be decoded stops neither the lists nor the leader

An entry VM that could not decode a document raised before it applied the lists of the same reply, and asked for the document again at once: it followed no runner any more. On the leader, each poll of each entry VM failed, since the token levels need the limits of the document. Both now log it and keep the previous document.

Two of the three tests failed before; the third guards that the loop goes on after any error.

--- a/libs/arbutusrill_site/_follower.py
+++ b/libs/arbutusrill_site/_follower.py
@@ -62,8 +62,8 @@
 
     `entry` is the record of this entry VM. `decode` decodes the body of a configuration document. `backend_loads`
     returns the load of this VM on backend servers, `places` the places that it holds, `seeds` the configured addresses
-    of control VMs. The document never reverts to an older version; lists that a new leader marks as incomplete are
-    merged with the known ones.
+    of control VMs. The document never reverts to an older version, and one that cannot be decoded leaves the previous
+    one in force. Lists that a new leader marks as incomplete are merged with the known ones.
     """
 
     def __init__(
@@ -91,6 +91,7 @@
         self._places = places
         self._seeds = seeds
         self._term = 0
+        self._received_version = 0  # of the latest document, also if it could not be decoded
         self._backends_revision = 0
         self._entries_revision = 0
         self._connected = True
@@ -129,7 +130,7 @@
                 # All known members may have been replaced during a partition: start again from the seeds.
                 self._client.set_addresses(self._seeds())
                 stopping.wait(_RETRY_DELAY_S)
-            except Exception as error:  # such as a document that this version cannot decode; the task must go on
+            except Exception as error:  # the task must go on
                 _events.emit("view_not_updated", reason=repr(error))
                 stopping.wait(_RETRY_DELAY_S)
 
@@ -146,7 +147,7 @@
             messages.EntryRecord(entry.id, entry.address, entry.data_centre, self.state),
             self._incarnation,
             self._term,
-            self.view.version,
+            self._received_version,
             self._backends_revision,
             self._entries_revision,
             wait_ms,
@@ -171,12 +172,9 @@
         view = self.view
         if reply.term < self._term:
             return
-        if reply.document is not None and reply.document_version > view.version:
-            started = time.monotonic()
-            view.document = self._decode(zlib.decompress(reply.document))
-            view.version = reply.document_version
-            took_ms = round((time.monotonic() - started) * 1000, 1)
-            _events.emit("document_applied", version=view.version, term=reply.term, took_ms=took_ms)
+        if reply.document is not None and reply.document_version > self._received_version:
+            self._received_version = reply.document_version
+            self._apply_document(reply)
         if reply.backends is not None:
             view.backends_by_id = self._updated_backends(view.backends_by_id, reply)
         if reply.entries is not None:
@@ -196,6 +194,18 @@
             self.on_change()
             view.notify()
 
+    def _apply_document(self, reply: Any) -> None:
+        """Puts a document into force; one that cannot be decoded must not keep the lists from being updated."""
+        started = time.monotonic()
+        try:
+            document = self._decode(zlib.decompress(reply.document))
+        except Exception as error:
+            _events.emit("document_not_decoded", version=reply.document_version, reason=repr(error))
+            return
+        self.view.document, self.view.version = document, reply.document_version
+        took_ms = round((time.monotonic() - started) * 1000, 1)
+        _events.emit("document_applied", version=self.view.version, term=reply.term, took_ms=took_ms)
+
     def _updated_backends(self, known: dict[str, Any], reply: Any) -> dict[str, Any]:
         """Returns the backend servers after a reply with a whole list or with changes."""
         if reply.backends_delta:
--- a/libs/arbutusrill_site/_service.py
+++ b/libs/arbutusrill_site/_service.py
@@ -282,11 +282,19 @@
         return term is not None
 
     def _configuration(self) -> SiteConfiguration | None:
-        """Returns the decoded configuration, None before the first document."""
+        """Returns the decoded configuration, None before the first document.
+
+        A document that this version cannot decode leaves the previous one in force, as it does on the entry VMs.
+        """
         version, body = self._state.document.held()
-        if version != self._decoded_document[0]:
-            self._decoded_document = (version, self._decode_document(zlib.decompress(body)))
-        return self._decoded_document[1]
+        decoded_version, configuration = self._decoded_document
+        if version != decoded_version:
+            try:
+                configuration = self._decode_document(zlib.decompress(body))
+            except Exception as error:
+                _events.emit("document_not_decoded", version=version, reason=repr(error))
+            self._decoded_document = (version, configuration)
+        return configuration
 
     def _limits_of(self, workspace: str) -> Limits | None:
         configuration = self._configuration()
--- /dev/null
+++ b/libs/arbutusrill_site/tests/test_follower.py
@@ -0,0 +1,92 @@
+"""Tests that an entry VM goes on following the leader after a document that it cannot decode."""
+
+import zlib
+from types import SimpleNamespace
+
+from arbutusrill_base import ManualClock, TaskGroup
+from arbutusrill_wire import messages
+
+from arbutusrill_site import SiteFollower, SiteView
+from arbutusrill_site._service import SiteService
+
+
+class Leader:
+    """Gives the scripted replies in order, then stops the follower; `requests` holds what it was sent."""
+
+    def __init__(self, tasks, *replies):
+        self.requests = []
+        self._tasks, self._replies = tasks, list(replies)
+
+    def call(self, name, request, **_):
+        self.requests.append(request)
+        reply = self._replies.pop(0)
+        if not self._replies:
+            self._tasks.stopping.set()
+        if isinstance(reply, Exception):
+            raise reply
+        return reply
+
+    def set_addresses(self, addresses):
+        pass
+
+
+def reply(version, document, *backends, term=1):
+    records = [messages.BackendRecord(name, 1, 1, "s", f"10.0.0.1:{name}", "z1", 8) for name in backends]
+    return messages.SiteFollowReply(term, version, zlib.compress(document), 1, records, 1, [], True, True)
+
+
+def decode(body):
+    if body == b"odd":
+        raise RecursionError("nested too deeply")
+    return body
+
+
+def follow(*replies):
+    """Returns the view and the leader after a follower has polled once for each of `replies`."""
+    rates = SimpleNamespace(
+        report=lambda: SimpleNamespace(spent={}, is_full=True, levels={}, levels_age_s=0.0, uncounted={}),
+        apply_levels=lambda report, levels: None,
+    )
+    clock = ManualClock()
+    view = SiteView(clock)
+    with TaskGroup("follower", 2) as tasks:
+        leader = Leader(tasks, *replies)
+        entry = messages.EntryRecord("vm", "10.0.0.9:80", "z1", "starting")
+        follower = SiteFollower(view, entry, 1, leader, clock, rates, decode, list, list, list)
+        follower._run(tasks.stopping)
+    return view, leader
+
+
+def test_document_that_cannot_be_decoded_does_not_stop_the_lists():
+    # The lists in the same reply and in all later ones were ignored, and the document was requested without pause.
+    view, leader = follow(
+        reply(1, b"first"), reply(2, b"odd", "1", "2"), reply(2, b"odd", "1", "3"), reply(3, b"third")
+    )
+    assert [request.document_version for request in leader.requests] == [0, 1, 2, 2]
+    assert (view.document, view.version) == (b"third", 3)
+
+    view, _ = follow(reply(1, b"first"), reply(2, b"odd", "1", "2"), reply(2, b"odd", "1", "3"))
+    assert (view.document, view.version) == (b"first", 1)
+    assert sorted(view.backends_by_id) == ["1", "3"]
+
+
+def test_follower_survives_any_error_and_polls_on():
+    view, leader = follow(
+        reply(1, b"first"), RecursionError(), ValueError("odd"), messages.Refused("x"), reply(2, b"2")
+    )
+    assert (len(leader.requests), view.document) == (5, b"2")
+
+
+def test_leader_uses_the_previous_document_if_the_latest_cannot_be_decoded():
+    # Each poll of every entry VM failed, since the leader needs the document for the token levels.
+    held = [1, zlib.compress(b"first")]
+    service = SimpleNamespace(
+        _state=SimpleNamespace(document=SimpleNamespace(held=lambda: tuple(held))),
+        _decode_document=decode,
+        _decoded_document=(0, None),
+    )
+    assert SiteService._configuration(service) == b"first"
+    held[:] = [2, zlib.compress(b"odd")]
+    assert SiteService._configuration(service) == SiteService._configuration(service) == b"first"
+    held[:] = [3, zlib.compress(b"third")]
+    assert SiteService._configuration(service) == b"third"
