gateway: only events follow in a stream that has begun

When a stream had broken off and the next server sent 200 with a text or the head of an error, callers found it in the middle of their stream; an empty 200 ended the stream as if it were complete.

A response of another content type is no stream, and a block with a line that is no field of an event ends the attempt. A resumption by the gateway that brings no event is broken off; one that the caller asked for may still be empty. Comments are no events and no progress. A response that is invalid and complete with the same bytes counts as invalid. A success of another content type is delivered unchanged if nothing was forwarded before.

Failed before: no event stream, text and an empty line, the two heads of an error, empty, empty chunks, only a comment. Errors with a text and refusals passed before.

--- a/libs/arbutusrill_gateway/_attempt.py
+++ b/libs/arbutusrill_gateway/_attempt.py
@@ -104,8 +104,9 @@
     result = fetch(transfer)
     took_s = time.monotonic() - started
     response = protocol.decode_response(result.status, result.headers_by_name) if result.status else None
-    if result.error == "stopped":
-        result.detail = receiver.problem
+    if receiver is not None and receiver.problem and (result.is_complete or result.error == "stopped"):
+        # The last bytes of a response can make it both invalid and complete.
+        result.error, result.detail, result.verdict = "stopped", receiver.problem, Verdict.MAY_HAVE_RUN
     outcome, detail = _outcome(request, backend_request, result, response)
     return AttemptResult(outcome, response, result.body, detail, took_s)
 
--- a/libs/arbutusrill_gateway/_stream.py
+++ b/libs/arbutusrill_gateway/_stream.py
@@ -34,6 +34,9 @@
 _LOCAL_PREFILL_S_PER_TOKEN = 0.0002
 _MAX_EVENT_BYTES = 1_048_576  # also of a response that is not a stream
 _END_OF_EVENT = re.compile(rb"\r?\n\r?\n")
+_EVENT_STREAM = "text/event-stream"
+_EVENT = re.compile(rb"(?:(?:[\w-]*:[^\n]*|data)?\r?\n)*")  # lines with a field or a comment
+_OUTSIDE_EVENT = re.compile(rb"(?:(?::[^\n]*)?\r?\n)*(?::[^\n]*|[ \t\r]*)")  # comments and empty lines
 
 
 class _CallerDisconnectedError(Exception):
@@ -54,6 +57,7 @@
         self._response_head: ResponseHead | None = None
         self._progress_at = time.monotonic()
         self._non_stream_bytes = 0
+        self._has_event = False  # whether this attempt received a complete event, possibly a repeated one
         self.last_id: int | None = None
         self.forwarded_count = 0
         self.non_stream_body: list[bytes] = []  # chunks of a response that is not a stream, such as an error
@@ -65,10 +69,11 @@
         """
         response = self._exchange.protocol.decode_response(status, headers_by_name)
         matches = response.request_id == self._exchange.request.id
+        is_stream = headers_by_name.get("content-type", _EVENT_STREAM).lower().startswith(_EVENT_STREAM)
         self._buffer, self._scanned_bytes = b"", 0
         self._progress_at = time.monotonic()
         self._response_head = (
-            response if matches and response.stamped and status == 200 and not response.not_run else None
+            response if matches and is_stream and response.stamped and status == 200 and not response.not_run else None
         )
 
     def begin_attempt(self) -> None:
@@ -76,6 +81,7 @@
         self.problem = ""
         self.non_stream_body.clear()
         self._non_stream_bytes = 0
+        self._has_event = False
         self._progress_at = time.monotonic()
 
     def on_data(self, data: bytes) -> None:
@@ -108,6 +114,13 @@
         while separator := _END_OF_EVENT.search(self._buffer, search_from):
             event, start = self._buffer[start : separator.end()], separator.end()
             search_from = start
+            if not _EVENT.fullmatch(event):
+                self.problem = "a line of an event is no field"
+                break
+            if _OUTSIDE_EVENT.fullmatch(event):
+                events.append(event)
+                continue
+            self._has_event = True
             event_id = self._exchange.protocol.event_id(event)
             if event_id is not None:
                 if self.last_id is not None and event_id <= self.last_id:
@@ -124,19 +137,30 @@
         """Returns when the last new event was complete, or when the head arrived."""
         return self._progress_at
 
-    @property
-    def has_data(self) -> bool:
-        """Whether any data of a stream has been received."""
-        return bool(self._buffer or self._exchange.responder.status)
+    def incompleteness(self, resume_after: str) -> str:
+        """Returns why a complete response with status 200 is no complete stream, or an empty text.
 
-    def finish(self) -> None:
-        """Forwards the data after the last separator once the response is complete.
+        A caller's own resumption may be answered without an event. A response that is no event stream is complete if
+        nothing was forwarded before it.
+        """
+        begun = bool(self._exchange.responder.status)
+        if begun and self._response_head is None:
+            return "the response is no event stream"
+        if not (self._has_event or self.non_stream_body) and (begun or not resume_after):
+            return "a success without an event"
+        return ""
+
+    def finish(self) -> bool:
+        """Forwards what follows the last event of a complete stream; returns whether the response is a stream.
 
         The response to a resumed stream may be empty, in which case only its head is forwarded.
         """
-        if self._response_head is not None and (self._buffer or not self._exchange.responder.status):
+        if self._response_head is None:
+            return False
+        if self._buffer or not self._exchange.responder.status:
             self._forward(self._buffer)
             self._buffer = b""
+        return True
 
     def _forward(self, data: bytes) -> None:
         exchange = self._exchange
@@ -328,12 +352,10 @@
             stall_s,
             events,
         )
-        if (
-            result.outcome is Outcome.ANSWERED
-            and result.response.status == 200
-            and not (events.has_data or backend_request.resume_after)
-        ):
-            result.outcome, result.detail = Outcome.BROKEN, "a success without an event"
+        if result.outcome is Outcome.ANSWERED and result.response.status == 200:
+            reason = events.incompleteness(backend_request.resume_after)
+            if reason:
+                result.outcome, result.detail = Outcome.BROKEN, reason
         return result
     except _CallerDisconnectedError:
         exchange.verdict = exchange.verdict.combine(Verdict.MAY_HAVE_RUN)
@@ -352,10 +374,10 @@
 
 def _finish_or_retry(exchange: Exchange, result: AttemptResult, events: _EventRelay) -> bool:
     """Ends the exchange, or takes a retry from the budget; returns whether the exchange has ended."""
-    if result.outcome is Outcome.ANSWERED and result.response.status == 200:
-        events.finish()
+    is_success = result.outcome is Outcome.ANSWERED and result.response.status == 200
+    if is_success and events.finish():
         return True
-    repeatable = result.outcome is Outcome.REJECTED or exchange.route.resumable
+    repeatable = result.outcome is Outcome.REJECTED or (exchange.route.resumable and not is_success)
     if repeatable and exchange.acquire_retry():
         return False
     if result.outcome is Outcome.ANSWERED and not exchange.responder.status:
--- a/libs/arbutusrill_gateway/tests/test_faulty_backends.py
+++ b/libs/arbutusrill_gateway/tests/test_faulty_backends.py
@@ -136,7 +136,7 @@
             pool.record_success(record, event_s * min(number + 1, 2))
     route = Route("r", "h", "/", kind, deadline_s, 0.9, (Target("s", 1.0),), max_attempts, False, stream, 0.3)
     exchange = Exchange(
-        CallerRequest("r", "POST", "h", "/x", [], b"body"),
+        CallerRequest("r", method, "h", "/x", [], b"body" if method == "POST" else b""),
         Responder(caller.start, []),
         route,
         Service("s"),
@@ -288,3 +288,71 @@
 
     caller, _, aborted = relay(Backend(script), kind=kind, max_attempts=1)
     assert aborted or caller.status == 502
+
+
+UNFRAMED = head(200, "Stamp: 1")
+LAST_CHUNK = b"0\r\n\r\n"
+
+
+def plain_event(number):
+    return b"id: %d\ndata: x\n\n" % number
+
+
+BROKEN_AFTER_EVENT_1 = sends(STREAM + event(1) + chunk(b"id: 2\nda"))
+ANSWERS_TO_A_RESUMED_STREAM = {
+    "error with text": head(500, "Stamp: 1", "Content-Length: 15") + b"internal error\n",
+    "error whose text looks like events": head(500, "Stamp: 1", "Content-Length: 17") + b"data: an error\n\n\n",
+    "not run": head(503, "Refused: 1", "Content-Length: 4") + b"full",
+    "no event stream": head(200, "Stamp: 1", "Content-Type: text/plain", "Content-Length: 16")
+    + b"id: 2\ndata: e\n\n\n",
+    "text and an empty line": head(200, "Stamp: 1", "Content-Length: 16") + b"internal error\n\n",
+    "head of an error": STREAM + chunk(b"HTTP/1.1 500 X\r\nId: r\r\n\r\nerror\n\n") + LAST_CHUNK,
+    "event and the head of an error": STREAM + event(2) + chunk(b"HTTP/1.1 500 X\r\nId: r\r\n\r\n") + LAST_CHUNK,
+    "empty": head(200, "Stamp: 1", "Content-Length: 0"),
+    "empty chunks": STREAM + LAST_CHUNK,
+    "only a comment": STREAM + chunk(b": comment\n\n") + LAST_CHUNK,
+}
+
+
+@pytest.mark.parametrize("name", ANSWERS_TO_A_RESUMED_STREAM)
+def test_only_events_follow_in_a_stream_that_has_begun(name):
+    # Callers found the text or the head of an error in their stream, or the stream ended as if it were complete.
+    answer = ANSWERS_TO_A_RESUMED_STREAM[name]
+    servers = [Backend(BROKEN_AFTER_EVENT_1), Backend(sends(answer))]
+    caller, _, aborted = relay(*servers, kind=RouteKind.STREAM, max_attempts=2, event_s=0.1)
+    assert servers[0].requests and servers[1].requests and aborted
+    events = plain_event(1) + plain_event(2)
+    comment = b": comment\n\n"
+    assert caller.body in (events, plain_event(1), plain_event(1) + comment), caller.body
+
+    servers = [
+        Backend(BROKEN_AFTER_EVENT_1),
+        Backend(sends(answer)),
+        Backend(sends(STREAM + event(2), event(3), LAST_CHUNK)),
+    ]
+    caller, _, aborted = relay(*servers, kind=RouteKind.STREAM, max_attempts=3, event_s=0.1)
+    assert not aborted and caller.body.replace(comment, b"") == events + plain_event(3)
+
+
+def test_stream_that_broke_after_its_last_event_is_completed_by_a_repetition():
+    servers = [
+        Backend(sends(STREAM + event(1) + event(2))),
+        Backend(sends(STREAM + event(1) + event(2) + LAST_CHUNK)),
+    ]
+    caller, _, aborted = relay(*servers, kind=RouteKind.STREAM, event_s=0.1)
+    assert (caller.body, aborted) == (plain_event(1) + plain_event(2), False)
+
+
+def test_success_that_is_no_event_stream_is_delivered_unchanged():
+    answer = head(200, "Stamp: 1", "Content-Type: application/json", "Content-Length: 2") + b"{}"
+    caller, _, aborted = relay(Backend(sends(answer)), kind=RouteKind.STREAM)
+    assert (caller.status, caller.body, aborted) == (200, b"{}", False)
+
+
+def test_event_that_is_too_large_is_not_dropped_from_a_complete_stream():
+    # The bytes that exceed the limit may also complete the response.
+    large = b"id: 2\ndata: " + b"x" * (MIB + 10)
+    caller, _, aborted = relay(
+        Backend(sends(STREAM + event(1) + chunk(large) + LAST_CHUNK)), kind=RouteKind.STREAM, max_attempts=1
+    )
+    assert (caller.body, aborted) == (plain_event(1), True)
