gateway: a stream that ends inside an event has been broken off

The rest after the last separator of a complete response was forwarded, and the stream ended as complete.

Such a stream is resumed where the route allows it and aborted otherwise, whatever its framing; the rest is not forwarded. Comments and empty lines after the last event are not inside an event.

Plain answers and streams that end with their connection were delivered before; tests guard it.

--- a/libs/arbutusrill_gateway/_stream.py
+++ b/libs/arbutusrill_gateway/_stream.py
@@ -146,6 +146,8 @@
         begun = bool(self._exchange.responder.status)
         if begun and self._response_head is None:
             return "the response is no event stream"
+        if not _OUTSIDE_EVENT.fullmatch(self._buffer):
+            return "the stream ended inside an event"
         if not (self._has_event or self.non_stream_body) and (begun or not resume_after):
             return "a success without an event"
         return ""
--- a/libs/arbutusrill_gateway/tests/test_faulty_backends.py
+++ b/libs/arbutusrill_gateway/tests/test_faulty_backends.py
@@ -305,12 +305,16 @@
     "not run": head(503, "Refused: 1", "Content-Length: 4") + b"full",
     "no event stream": head(200, "Stamp: 1", "Content-Type: text/plain", "Content-Length: 16")
     + b"id: 2\ndata: e\n\n\n",
+    "text": head(200, "Stamp: 1", "Content-Length: 14") + b"internal error",
     "text and an empty line": head(200, "Stamp: 1", "Content-Length: 16") + b"internal error\n\n",
     "head of an error": STREAM + chunk(b"HTTP/1.1 500 X\r\nId: r\r\n\r\nerror\n\n") + LAST_CHUNK,
     "event and the head of an error": STREAM + event(2) + chunk(b"HTTP/1.1 500 X\r\nId: r\r\n\r\n") + LAST_CHUNK,
     "empty": head(200, "Stamp: 1", "Content-Length: 0"),
     "empty chunks": STREAM + LAST_CHUNK,
     "only a comment": STREAM + chunk(b": comment\n\n") + LAST_CHUNK,
+    "ends inside an event": UNFRAMED + plain_event(2) + b"id: 3\ndata: ",
+    "ends before the empty line": UNFRAMED + plain_event(2) + b"id: 3\ndata: x\n",
+    "whole answer that ends inside an event": STREAM + event(2) + chunk(b"id: 3\nda") + LAST_CHUNK,
 }
 
 
@@ -343,6 +347,36 @@
     assert (caller.body, aborted) == (plain_event(1) + plain_event(2), False)
 
 
+@pytest.mark.parametrize("end", [b"id: 2\nda", b"id: 2\ndata: x", b"id: 2\ndata: x\n", b"id: 2\r\ndata: x\r\n\r"])
+@pytest.mark.parametrize("framing", ["unframed", "length", "chunks"])
+def test_stream_that_ends_inside_an_event_is_broken_off(framing, end):
+    # The rest was forwarded and the stream ended as complete.
+    body = plain_event(1) + end
+    whole = {
+        "unframed": UNFRAMED + body,
+        "length": head(200, "Stamp: 1", f"Content-Length: {len(body)}") + body,
+        "chunks": STREAM + chunk(body) + LAST_CHUNK,
+    }[framing]
+    caller, exchange, aborted = relay(Backend(sends(whole)), kind=RouteKind.STREAM, max_attempts=1)
+    assert (caller.body, aborted, exchange.verdict) == (plain_event(1), True, Verdict.MAY_HAVE_RUN)
+    faulty, sound = Backend(sends(whole)), Backend(sends(UNFRAMED + plain_event(2)))
+    caller, _, aborted = relay(faulty, sound, kind=RouteKind.STREAM, event_s=0.1)
+    assert (caller.body, aborted) == (plain_event(1) + plain_event(2), False)
+    assert b"After: 1\r\n" in sound.requests[0]
+
+
+@pytest.mark.parametrize("end", [b"", b"\n", b"\r\n\r\n", b": comment", b": comment\n", b"\r\n: comment\r\n "])
+def test_stream_that_ends_with_its_connection_is_complete(end):
+    caller, _, aborted = relay(Backend(sends(UNFRAMED + plain_event(1) + end)), kind=RouteKind.STREAM, max_attempts=1)
+    assert (caller.body, aborted) == (plain_event(1) + end, False)
+
+
+@pytest.mark.parametrize("body", [b"", b"whole", b"x" * (2 * MIB)])
+def test_answer_that_ends_with_its_connection_is_delivered(body):
+    caller, _, aborted = relay(Backend(sends(UNFRAMED + body)))
+    assert (caller.status, caller.body, aborted) == (200, body, False)
+
+
 def test_success_that_is_no_event_stream_is_delivered_unchanged():
     answer = head(200, "Stamp: 1", "Content-Type: application/json", "Content-Length: 2") + b"{}"
     caller, _, aborted = relay(Backend(sends(answer)), kind=RouteKind.STREAM)
