--- a/libs/arbutusrill_gateway/tests/test_faulty_backends.py
+++ b/libs/arbutusrill_gateway/tests/test_faulty_backends.py
@@ -390,3 +390,14 @@
         Backend(sends(STREAM + event(1) + chunk(large) + LAST_CHUNK)), kind=RouteKind.STREAM, max_attempts=1
     )
     assert (caller.body, aborted) == (plain_event(1), True)
+
+
+@pytest.mark.parametrize("kind", [RouteKind.NON_IDEMPOTENT, RouteKind.STREAM])
+@pytest.mark.parametrize("method", ["GET", "POST"])
+def test_answer_that_ends_within_its_head_is_not_delivered(kind, method):
+    # A head without its last byte was a 200 with an empty body.
+    whole = b"HTTP/1.1 103 Hints\r\nLink: x\r\n\r\n" + UNFRAMED
+    for length in (0, 5, 12, 17, 30, 36, 50, 55, 60, len(whole) - 2, len(whole) - 1):
+        caller, exchange, aborted = relay(Backend(sends(whole[:length])), kind=kind, max_attempts=1, method=method)
+        assert aborted or caller.status == 502, whole[:length]
+        assert exchange.verdict is Verdict.MAY_HAVE_RUN
