--- a/libs/arbutusrill_http/_transfer.py
+++ b/libs/arbutusrill_http/_transfer.py
@@ -240,7 +240,7 @@
     def _make_easy_handle(self) -> pycurl.Curl:
         transfer = self._transfer
         easy = pycurl.Curl()
-        easy.setopt(pycurl.URL, transfer.url)
+        easy.setopt(pycurl.URL, _encoded(transfer.url))
         easy.setopt(pycurl.CUSTOMREQUEST, transfer.method)
         easy.setopt(pycurl.NOSIGNAL, 1)
         easy.setopt(pycurl.PROXY, "")
@@ -267,7 +267,7 @@
         if transfer.omit_default_headers:
             given_names = {line.partition(":")[0].lower() for line in transfer.headers}
             headers += [f"{name}:" for name in _LIBCURL_HEADERS if name.lower() not in given_names]
-        easy.setopt(pycurl.HTTPHEADER, headers)
+        easy.setopt(pycurl.HTTPHEADER, [_encoded(line) for line in headers])
         return easy
 
     def _on_header(self, line: bytes) -> int | None:
@@ -313,6 +313,14 @@
         return None
 
 
+def _encoded(text: str) -> bytes:
+    """Encodes text of a request; text that came from a request is in Latin-1 and returns to the same bytes."""
+    try:
+        return text.encode("latin-1")
+    except UnicodeEncodeError:
+        return text.encode()
+
+
 def _on_socket_created(descriptor: int, _purpose: int) -> int:
     # With family and type given, Python makes no system calls to find them out.
     connection = socket.socket(socket.AF_INET, socket.SOCK_STREAM, 0, descriptor)
--- a/libs/arbutusrill_http/tests/test_transfer.py
+++ b/libs/arbutusrill_http/tests/test_transfer.py
@@ -260,3 +260,17 @@
 
     result = fetch(Transfer("GET", serve_once(reset)))
     assert (result.error, result.verdict) == ("broken", Verdict.MAY_HAVE_RUN)
+
+
+def test_bytes_beyond_ascii_in_a_header_or_target_are_sent_unchanged():
+    # Callers with such a header got 500: libcurl's binding accepts texts only in ASCII.
+    received = []
+
+    def script(connection):
+        received.append(connection.recv(9999))
+        connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+
+    url = serve_once(script)
+    assert fetch(Transfer("GET", url + "caf\xe9", ["X-Name: caf\xe9", "X-Other: \u20ac"])).is_complete
+    assert b"/caf%E9 " in received[0] and b"X-Name: caf\xe9\r\n" in received[0]
+    assert "X-Other: \u20ac\r\n".encode() in received[0]
