--- a/libs/arbutusrill_base/__init__.py
+++ b/libs/arbutusrill_base/__init__.py
@@ -6,6 +6,7 @@
 from ._clock import BootClock, Clock, ManualClock, SystemClock
 from ._events import EventLog, EventWriter, write_events
 from ._ids import hash_key, new_incarnation, new_key, new_request_id
+from ._json import MAX_INTEGER, load_json, whole_number
 from ._lease_times import CLOCK_DRIFT_S, VM_LEASE_S
 from ._logs import PartLog, configure_logs
 from ._settings import Section, SettingsError, load_settings, parse_settings, read_settings
@@ -22,6 +23,7 @@
     "EventWriter",
     "Failure",
     "FailureError",
+    "MAX_INTEGER",
     "ManualClock",
     "PartLog",
     "RetryBudget",
@@ -33,6 +35,7 @@
     "backoff_s",
     "configure_logs",
     "hash_key",
+    "load_json",
     "load_settings",
     "new_incarnation",
     "new_key",
@@ -41,5 +44,6 @@
     "prefix_blocks",
     "read_settings",
     "split_address",
+    "whole_number",
     "write_events",
 ]
