control: odd values in an operator's change are refused before it is proposed

An argument of an order that is nested some hundred levels deep was accepted or not depending on the stack of the thread that applied it: replicas and entry VMs could have disagreed, and an entry VM that rejects an accepted change follows no further ones. Lone surrogates failed while the change was encoded (500).

Failed before: the deep argument, the deep field and the surrogate; the others guard it.

--- a/libs/arbutusrill_control/_replicas.py
+++ b/libs/arbutusrill_control/_replicas.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-import json
 from typing import Any
 
-from arbutusrill_base import Failure, FailureError, Verdict
+from arbutusrill_base import Failure, FailureError, Verdict, load_json
 from arbutusrill_http import json_response
 from arbutusrill_raft import LogUnavailableError, MembershipError, NotLeaderError, Replica
 from arbutusrill_state import ControlClient, ControlUnavailableError
@@ -70,7 +69,7 @@
 
     def _replace(self, request: Request, actor: str) -> Response:
         try:
-            body = json.loads(request.get_data())
+            body = load_json(request.get_data())
         except ValueError:
             body = None
         members = [body.get(name) if isinstance(body, dict) else None for name in ("old", "new")]
--- a/libs/arbutusrill_control/_request_parsing.py
+++ b/libs/arbutusrill_control/_request_parsing.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-import json
 from typing import Any
 
-from arbutusrill_base import Failure, FailureError
+from arbutusrill_base import MAX_INTEGER, Failure, FailureError, load_json
 from werkzeug.wrappers import Request
 
 __all__ = ["get_field", "get_number", "parse_if_revision", "parse_json_body", "struct_to_dict"]
@@ -20,8 +19,8 @@
     """Parses the body as a JSON object; an empty body gives an empty object. Raises `FailureError`."""
     data = request.get_data()
     try:
-        body = json.loads(data) if data else {}
-    except (ValueError, RecursionError):
+        body = load_json(data) if data else {}
+    except ValueError:
         raise invalid_value_error(None, "the body must be a JSON object", "bad_json") from None
     if not isinstance(body, dict):
         raise invalid_value_error(None, "the body must be a JSON object", "bad_json")
@@ -34,6 +33,8 @@
     if value is None or not isinstance(value, kind) or (isinstance(value, bool) and kind not in (bool, object)):
         message = f"{name} is missing" if name not in body else f"{name} has the wrong type"
         raise invalid_value_error(name, message)
+    if isinstance(value, int) and abs(value) > MAX_INTEGER:
+        raise invalid_value_error(name, f"{name} is too large")
     return value
 
 
--- a/libs/arbutusrill_control/tests/test_operator.py
+++ b/libs/arbutusrill_control/tests/test_operator.py
@@ -1,10 +1,12 @@
 """Guards against retried changes that are applied twice, ignored revision conditions and stale reads."""
 
+import json
+
 import pytest
 from arbutusrill_base import hash_key
 from arbutusrill_wire import messages
 
-from .support import ControlHarness
+from .support import TOKENS, ControlHarness
 
 
 @pytest.fixture
@@ -141,3 +143,30 @@
     text = control.http.get("/metrics").text
     assert "arbutusrill_control_leader 1.0" in text
     assert 'arbutusrill_control_vms{state="live"} 0.0' in text
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b'{"rate": NaN}',
+        b'{"rate": 1e400}',
+        b'{"x": "\\ud800"}',
+        b'{"x": ' + b"[" * 900 + b"]" * 900 + b"}",
+        b"[" * 100_000,
+    ],
+)
+def test_odd_body_is_refused_before_it_is_proposed(control, body):
+    before = control.config.revision
+    headers = {"Authorization": f"Bearer {TOKENS['ops']}"}
+    response = control.http.open("/v1/operator/workspaces/v", method="PUT", data=body, headers=headers)
+    assert (response.status_code, control.config.revision) == (400, before)
+
+
+def test_deep_argument_of_an_order_is_refused(control):
+    # Replicas and entry VMs decode the argument; how deep it may be depended on the stack of the decoding thread, so
+    # that some would have accepted the change and others not.
+    argument = {"a": json.loads("[" * 900 + "]" * 900)}
+    response = control.request(
+        "POST", "backends/e1/orders", {"action": "load_model", "pool": "p", "argument": argument}
+    )
+    assert response.status_code == 400 and not control.config.orders_by_id
