entry: odd announcements and cache events are refused where they arrive

Ports out of range, host names and paths passed as addresses; a lone surrogate failed only while the message to the pool's owner was encoded, and speeds near 0 overflowed in the owner's periodic work.

--- a/libs/arbutusrill_entry/tests/test_parse.py
+++ b/libs/arbutusrill_entry/tests/test_parse.py
@@ -112,6 +112,17 @@
         ({"id": ""}, "id"),
         ({"incarnation": 2**70}, "incarnation"),
         ({"state": "x"}, "state"),
+        ({"address": "http://127.0.0.1:65536"}, "address"),
+        ({"address": "http://127.0.0.1:0"}, "address"),
+        ({"address": "http://127.0.0.1:\u0665"}, "address"),
+        ({"address": "http://127.0.0.1:" + "9" * 5000}, "address"),
+        ({"address": "http://127.0.0.1:1/x?y="}, "address"),
+        ({"address": "http://name:1"}, "address"),
+        ({"slots": 2**31}, "slots"),
+        ({"report_seq": 2**63}, "report_seq"),
+        ({"prefill_tokens_per_s": 1e-320}, "prefill_tokens_per_s"),
+        ({"token_gap_s": 1e300}, "token_gap_s"),
+        ({"pools": ["m"] * 1001}, "pools"),
     ],
 )
 def test_wrong_announcement_names_its_field(rig, change, param):
@@ -119,3 +130,17 @@
     headers = ["X-Test: 1"]
     assert_refused(rig.call("POST", "/backends/announce", {**body, **change}, headers, key="announce"), 400, param)
     assert rig.call("POST", "/backends/announce", body, headers, key="wrong")[0] == 401
+
+
+@pytest.mark.parametrize("path", ["/backends/announce", "/backends/cache-events"])
+@pytest.mark.parametrize(
+    "body",
+    [b"[" * 100_000, b'{"id": "\\ud800"}', b'{"slots": 1e400}', b'{"slots": NaN}', b'{"x": ' + b"9" * 5000 + b"}"]
+    + [b'{"x": ' + b"[" * 900 + b"]" * 900 + b"}", b'{"id": "\xff"}'],
+)
+def test_odd_body_of_another_writer_is_refused(rig, path, body):
+    # A lone surrogate or a nested value failed only while the message to the pool's owner was encoded.
+    calls = len(rig.pools.calls)
+    answer = rig.call("POST", path, body, key="announce")
+    assert (answer[0], json.loads(answer[2])["error"]["code"]) == (400, "invalid_json")
+    assert len(rig.pools.calls) == calls
--- a/libs/arbutusrill_pool/tests/test_owner.py
+++ b/libs/arbutusrill_pool/tests/test_owner.py
@@ -4,7 +4,7 @@
 import time
 
 import pytest
-from arbutusrill_wire import messages
+from arbutusrill_wire import encode, messages
 
 from arbutusrill_pool._fair_queue import Share
 from arbutusrill_pool._server import Server, SpeedEstimate
@@ -215,3 +215,26 @@
     pool.owner.close()
     waiter.join(10)
     assert outcome == ["not_owner"]
+
+
+@pytest.mark.parametrize("speed", [1e-9, 1e18])
+@pytest.mark.parametrize("slots", [1, 2**31 - 1])
+def test_server_with_extreme_numbers_does_not_stop_its_pool(speed, slots):
+    extreme = {
+        "slots": slots,
+        "prefill_tokens_per_s": speed,
+        "token_gap_s": speed,
+        "link_bytes_per_s": speed,
+        "memory_bytes": 2**63 - 1,
+        "kv_bytes_per_token": 2**63 - 1,
+        "running": 2**31 - 1,
+        "queued": 2**31 - 1,
+    }
+    pool = small_pool()
+    pool.announcements += [announcement("p3", "prefill", **extreme), announcement("d3", **extreme)]
+    pool.pass_time(0.5)
+    for number in range(2):
+        assert pool.acquire(f"t{number}").status == "assigned"
+        pool.owner.release(release(f"t{number}", prefill_s=0.1, first_token_s=0.2, tokens=10, decode_s=0.1))
+    pool.pass_time(0.5)
+    assert encode(pool.owner.status())
