entry, pool: odd answers of engines end neither a request nor a call

Values nested too deeply, or of another type, in the answer to a prefill or in an event raised and ended the request with 500; a count of more than 64 bits could not be encoded in the release of its ticket. A list of an engine's requests that raised an unexpected error removed the call without telling its caller, so that slots could stay taken.

Failed before: the four answers to a prefill, the deep event, and all lists of requests (two of them by themselves, the others by the call that raised). The other answers in a stream that has begun, and streams that end inside an event, passed before: only tokens of the request are delivered, and a stream ends with its finish reason.

--- a/libs/arbutusrill_entry/_events.py
+++ b/libs/arbutusrill_entry/_events.py
@@ -74,6 +74,6 @@
             else:
                 texts.append(str(event["token"]))
                 self._offset += 1
-        except (ValueError, KeyError, TypeError, AttributeError):
+        except (ValueError, KeyError, TypeError, AttributeError, RecursionError):
             self.problem = "the engine sent an event that cannot be read"
         return not self.problem
--- a/libs/arbutusrill_entry/_relay.py
+++ b/libs/arbutusrill_entry/_relay.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from arbutusrill_base import Failure, FailureError, PartLog, Verdict
+from arbutusrill_base import Failure, FailureError, PartLog, Verdict, load_json, whole_number
 from arbutusrill_http import AbortStreamError, Transfer, TransferResult, fetch
 
 from ._context import EntryContext
@@ -163,8 +163,8 @@
                 result.detail = "the answer is not the one to this request"
             raise self._make_attempt_error("prefill_failed", assignment.prefill_server, result)
         self._reservation.release.prefill_s = time.monotonic() - started
-        self._reservation.release.cached_tokens = int(answer.get("cached_tokens") or 0)
-        self._prompt_tokens = self._prompt_tokens or int(answer.get("prompt_tokens") or 0)
+        self._reservation.release.cached_tokens = whole_number(answer.get("cached_tokens")) or 0
+        self._prompt_tokens = self._prompt_tokens or whole_number(answer.get("prompt_tokens")) or 0
         return answer
 
     def _decode(self, prefill: dict[str, Any]) -> TransferResult:
@@ -304,7 +304,7 @@
 
 def _parse_json_object(data: bytes) -> dict[str, Any] | None:
     try:
-        value = json.loads(data)
+        value = load_json(data)
     except ValueError:
         return None
     return value if isinstance(value, dict) else None
--- a/libs/arbutusrill_entry/tests/test_relay.py
+++ b/libs/arbutusrill_entry/tests/test_relay.py
@@ -5,7 +5,7 @@
 import time
 
 import pytest
-from arbutusrill_wire import messages
+from arbutusrill_wire import encode, messages
 
 from arbutusrill_entry import _relay
 
@@ -278,3 +278,82 @@
     assert_complete(rig.chat(stream=True))
     assert resource.getrusage(resource.RUSAGE_SELF).ru_maxrss - before < 48 * 1024
     assert sound.paths("/engine/decode")
+
+
+def raw_response(body, status="200 OK", content_type="text/event-stream"):
+    def serve(environ, start):
+        write = start(status, [("Content-Type", content_type)])
+        write(body)
+        return []
+
+    return serve
+
+
+DEEP = b"[" * 100_000
+
+
+@pytest.mark.parametrize("change", [None, {"cached_tokens": 2**70}, {"prompt_tokens": "many"}, {"cached_tokens": [1]}])
+def test_odd_answer_to_a_prefill_ends_no_request(rig, monkeypatch, change):
+    # A value that is nested too deeply or of another type raised, and a number of more than 64 bits kept the ticket.
+    odd = rig.engine("e1")
+    rig.engine("e2")
+    original = odd._prefill
+
+    def prefill(body, environ, start):
+        if change is None:
+            return raw_response(DEEP)(environ, start)
+        original(body, environ, lambda *_: None)
+        answer = {"request_id": body["request_id"], "kv_handle": "kv", "prompt_tokens": 3, **change}
+        return raw_response(json.dumps(answer).encode())(environ, start)
+
+    monkeypatch.setattr(odd, "_prefill", prefill)
+    assert_complete(rig.chat(stream=True))
+    for message in rig.pools.messages_named("release"):
+        assert encode(message)
+
+
+BROKEN_EVENT = b'data: {"request_id": "'
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        raw_response(b"internal error", "500 Error", "text/plain"),
+        raw_response(b'data: {"error": "internal"}\n\n', "500 Error"),
+        raw_response(b"full", "503 Full", "text/plain"),
+        raw_response(b"internal error", content_type="text/plain"),
+        raw_response(b"HTTP/1.1 500 X\r\nContent-Type: text/plain\r\n\r\ninternal error\n\n"),
+        raw_response(b"data: internal error\n\n"),
+        raw_response(b"data: " + DEEP + b"\n\n"),
+        raw_response(BROKEN_EVENT),
+        raw_response(b""),
+    ],
+)
+def test_only_tokens_follow_in_a_stream_that_has_begun(rig, monkeypatch, answer):
+    # The stream broke off, and the engine that continues it answers with something else.
+    faulty, sound = rig.engine("e1"), rig.engine("e2")
+    rig.pools.servers.reverse()  # prefill at e2, decode at e1
+    faulty.cut_at = 5
+    monkeypatch.setattr(faulty, "_resume", lambda request_id, offset, environ, start: answer(environ, start))
+    assert_complete(rig.chat(stream=True))
+    assert sound.paths("/engine/decode")
+
+
+@pytest.mark.parametrize(
+    "end", ["", "data: ", 'data: {"request_id": "R", "end": true}', 'data: {"request_id": "R", "end": true}\n']
+)
+def test_stream_that_ends_inside_an_event_is_resumed(rig, monkeypatch, end):
+    engine = rig.engine("e1")
+    original = engine._send
+
+    def send(request_id, first, start):
+        if first:
+            return original(request_id, first, start)
+        event = {"request_id": request_id, "offset": 0, "token": WORDS[0]}
+        write = start("200 OK", [("Content-Type", "text/event-stream")])
+        write(f"data: {json.dumps(event)}\n\n{end.replace('R', request_id)}".encode())
+        return []
+
+    monkeypatch.setattr(engine, "_send", send)
+    assert_complete(rig.chat(stream=True))
+    assert [path for path, _ in engine.seen if "/streams/" in path]
--- a/libs/arbutusrill_pool/_engine_calls.py
+++ b/libs/arbutusrill_pool/_engine_calls.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from arbutusrill_base import Clock, PartLog
+from arbutusrill_base import Clock, PartLog, load_json
 from arbutusrill_http import Transfer, TransferResult, fetch
 
 __all__ = ["EngineClient", "EngineRequest", "EngineCallQueue", "HttpEngineClient", "OrderAnswer"]
@@ -70,7 +70,7 @@
         if not result.is_complete or result.status != 200:
             return None
         try:
-            rows = json.loads(result.body)["requests"]
+            rows = load_json(result.body)["requests"]
             return [EngineRequest(str(row["request_id"]), str(row["vm"]), int(row["incarnation"])) for row in rows]
         except (ValueError, KeyError, TypeError) as error:
             _log.warning("engine at %s returned no valid list of requests: %r", address, error)
@@ -155,6 +155,8 @@
         answer = None
         try:
             answer = job.run()
+        except Exception:
+            _log.exception("call %s of the engine at %s failed", key[0], key[1])
         finally:
             now = self.clock.monotonic()
             finished = answer is not None or now >= job.deadline
--- a/libs/arbutusrill_pool/tests/test_failures.py
+++ b/libs/arbutusrill_pool/tests/test_failures.py
@@ -2,10 +2,12 @@
 
 import threading
 
+import pytest
 from arbutusrill_base import ManualClock
+from arbutusrill_http import HttpServer
 from arbutusrill_wire import messages
 
-from arbutusrill_pool import EngineRequest, PoolDirectory
+from arbutusrill_pool import EngineCallQueue, EngineRequest, HttpEngineClient, PoolDirectory
 from arbutusrill_pool.tests.support import (
     FakeEngines,
     PoolFixture,
@@ -13,6 +15,7 @@
     held_ticket,
     release,
     request,
+    run_now,
     small_pool,
 )
 
@@ -237,3 +240,31 @@
         return directory.acquire(request("t", wait_ms=30_000)).code
     except messages.Refused as refused:
         return refused.code
+
+
+@pytest.mark.parametrize(
+    "body",
+    [b"[" * 100_000, b"[]", b'{"requests": [{"request_id": "r", "vm": "v", "incarnation": 1e400}]}', b'{"requests": 1}']
+    + [b'{"requests": [{"request_id": "r", "vm": "v", "incarnation": "' + b"9" * 5000 + b'"}]}', b"\xff"],
+)
+def test_odd_list_of_requests_ends_no_call(body):
+    # An error that was not expected removed the call without telling the one who waits for it.
+    def app(environ, start):
+        start("200 OK", [])
+        return [body]
+
+    answers = []
+    with HttpServer("127.0.0.1", 0, app) as server:
+        assert HttpEngineClient().requests(f"http://{server.address}") is None
+    clock = ManualClock(100.0)
+    calls = EngineCallQueue(RaisingEngines(), clock, run_now)
+    calls.read_requests("http://d", answers.append)
+    for _ in range(5):
+        clock.advance(0.5)
+        calls.tick()
+    assert (answers, calls.pending()) == ([None], 0)
+
+
+class RaisingEngines(FakeEngines):
+    def requests(self, address):
+        raise RecursionError
