entry: an event stream of a service that ends inside an event has been broken off

The stream ended as complete, and a call with an idempotency key was recorded as done. The incomplete event is held back (up to 256 KiB) and the response is aborted.

The four cases that end inside an event failed before; heads that break off without their last byte were a 200 before. Streams and answers that end with their connection were delivered before; tests guard it.

--- a/libs/arbutusrill_entry/_answer.py
+++ b/libs/arbutusrill_entry/_answer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Callable, Iterable
 from typing import Any
 
@@ -9,6 +10,8 @@
 
 __all__ = ["Answer"]
 
+_OUTSIDE_EVENT = re.compile(rb"(?:(?::[^\n]*)?\r?\n)*(?::[^\n]*|[ \t\r]*)")  # comments and empty lines
+_SEPARATOR_BYTES = 3  # kept of a long event, in which a separator may begin
 _MAX_BUFFERED_BYTES = 262_144  # larger answers are streamed to the caller
 _FORWARDED_HEADERS = frozenset(
     """content-type content-encoding content-language content-disposition location etag last-modified
@@ -16,6 +19,31 @@
 )
 
 
+class _EventBuffer:
+    """Holds back the incomplete event at the end of a stream, as far as it fits into `_MAX_BUFFERED_BYTES`."""
+
+    def __init__(self) -> None:
+        self.rest = b""
+        self._part_forwarded = False  # of the event in `rest`
+
+    def feed(self, data: bytes) -> bytes:
+        """Adds data; returns what can be forwarded."""
+        data = self.rest + data
+        ends = [data.rfind(separator) + len(separator) for separator in (b"\n\n", b"\n\r\n") if separator in data]
+        end = max(ends, default=0)
+        if end:
+            self._part_forwarded = False
+        if len(data) - end > _MAX_BUFFERED_BYTES:
+            end, self._part_forwarded = len(data) - _SEPARATOR_BYTES, True
+        self.rest = data[end:]
+        return data[:end]
+
+    @property
+    def is_inside_event(self) -> bool:
+        """Whether anything but comments and empty lines follows the last complete event."""
+        return self._part_forwarded or not _OUTSIDE_EVENT.fullmatch(self.rest)
+
+
 class Answer:
     """Buffers an answer, or streams it to the caller if it is too large or an event stream.
 
@@ -32,6 +60,7 @@
         self._chunks: list[bytes] = []
         self._size_bytes = 0
         self._write: Callable[[bytes], Any] | None = None
+        self._events: _EventBuffer | None = None  # of an event stream
         self._caller_left = False
         self.status = 0
         self.headers_by_name: dict[str, str] = {}
@@ -51,6 +80,7 @@
         self.status = status
         self.headers_by_name = {name: value for name, value in headers_by_name.items() if name in _FORWARDED_HEADERS}
         if self.headers_by_name.get("content-type", "").startswith("text/event-stream"):
+            self._events = _EventBuffer()
             self._start_forwarding()
 
     def on_data(self, data: bytes) -> None:
@@ -58,7 +88,9 @@
         self._size_bytes += len(data)
         if self._size_bytes <= self._buffer_limit_bytes:
             self._chunks.append(data)
-        if self.begun:
+        if self._events is not None:
+            self._forward(self._events.feed(data))
+        elif self.begun:
             self._forward(data)
         elif self._size_bytes > self._buffer_limit_bytes:
             self._start_forwarding()
@@ -66,8 +98,15 @@
         if self.begun and self._size_bytes > self._max_recorded_bytes:
             self._chunks.clear()
 
+    @property
+    def ends_inside_event(self) -> bool:
+        """Whether the answer is an event stream that has been broken off, although its framing is complete."""
+        return self._events is not None and self._events.is_inside_event
+
     def finish(self, environ: dict) -> Iterable[bytes]:
         """Completes the response to the caller."""
+        if self._events is not None:
+            self._forward(self._events.rest)
         if self.begun:
             return []
         return self.response()(environ, self._start_response)
--- a/libs/arbutusrill_entry/_services.py
+++ b/libs/arbutusrill_entry/_services.py
@@ -160,6 +160,9 @@
         earlier_verdict = self.verdict
         self.verdict = earlier_verdict.combine(Verdict.MAY_HAVE_RUN)
         result = fetch(transfer)
+        if result.is_complete and answer.ends_inside_event:
+            result.error, result.detail = "broken", "the stream ended inside an event"
+            result.verdict = Verdict.MAY_HAVE_RUN
         self.verdict = earlier_verdict.combine(result.verdict)
         if result.error == "gone":
             raise AbortStreamError
--- a/libs/arbutusrill_entry/tests/test_services.py
+++ b/libs/arbutusrill_entry/tests/test_services.py
@@ -305,3 +305,60 @@
     answer = rig.call("POST", BOOK, b"{}", IDEMPOTENT)
     assert (answer[0], error_of(answer)["verdict"]) == expected
     assert not service.seen
+
+
+class RawAnswer:
+    """Answers each connection with the same bytes and closes it."""
+
+    def __init__(self, rig, data):
+        self._data = data
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        rig.stack.callback(self._listener.close)
+        rig.pools.servers.append(("raw", "http://{}:{}".format(*self._listener.getsockname())))
+        threading.Thread(target=self._run, daemon=True).start()
+
+    def _run(self):
+        while True:
+            try:
+                connection, _ = self._listener.accept()
+            except OSError:
+                return
+            with connection:
+                connection.recv(65_536)
+                connection.sendall(self._data)
+
+
+EVENT_STREAM = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
+EVENT = b"id: 1\ndata: x\n\n"
+
+
+@pytest.mark.parametrize("end", [b"id: 2\nda", b"data: x\n", b"data: x\r\n\r", b"data: " + b"x" * 400_000])
+def test_event_stream_that_ends_inside_an_event_is_aborted(rig, end):
+    # The rest was forwarded and the stream ended as complete.
+    RawAnswer(rig, EVENT_STREAM + EVENT + end)
+    for method, path, headers in (("GET", "/services/seats/stops", []), ("POST", BOOK, IDEMPOTENT)):
+        status, _, body, is_whole = rig.call(method, path, headers=headers)
+        assert (status, is_whole) == (200, False)
+        assert body.startswith(EVENT) and (body == EVENT or len(end) > 300_000)
+    assert recorded_finishes(rig)[0].status != "done"
+
+
+@pytest.mark.parametrize("end", [b"", b"\r\n", b": comment", b"data: " + b"x" * 400_000 + b"\r\n\r\n"])
+def test_event_stream_that_ends_with_its_connection_is_complete(rig, end):
+    RawAnswer(rig, EVENT_STREAM + EVENT + end)
+    assert rig.call("GET", "/services/seats/stops")[2:] == (EVENT + end, True)
+
+
+@pytest.mark.parametrize("method, path", [("GET", "/services/seats/stops"), ("POST", BOOK)])
+def test_answer_that_ends_within_its_head_is_not_delivered(rig, method, path):
+    # A head without its last byte was a 200 with an empty body.
+    whole = b"HTTP/1.1 103 Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nETag: e\r\n\r\n"
+    for length in (9, 17, 30, 40, 50, 56, len(whole) - 2, len(whole) - 1):
+        rig.pools.servers.clear()
+        RawAnswer(rig, whole[:length])
+        answer = rig.call(method, path)
+        # A repeatable call finds no other server to be retried at.
+        assert (answer[0], error_of(answer)["verdict"]) == (503 if method == "GET" else 502, "may_have_run")
+    rig.pools.servers.clear()
+    RawAnswer(rig, whole + b"whole")
+    assert rig.call(method, path)[2:] == (b"whole", True)
