--- a/libs/arbutusrill_gateway/tests/test_faulty_backends.py
+++ b/libs/arbutusrill_gateway/tests/test_faulty_backends.py
@@ -123,12 +123,13 @@
     deadline_s=5.0,
     max_attempts=2,
     event_s=0.0,
+    method="POST",
     placements=None,
 ):
     """Relays one request to `backends`; returns the caller, the exchange and whether the response was aborted.
 
-    The first backend is known to take `event_s` seconds for an event. With `placements`, they are decode engines, and
-    `placements` gets their records.
+    The first backend is known to take `event_s` seconds for an event, the others twice as long, so it is chosen first.
+    With `placements`, they are decode engines, and `placements` gets their records.
     """
     stage = "" if placements is None else "decode"
     records, stream = {}, kind is RouteKind.STREAM
@@ -142,11 +143,11 @@
     caller = caller or Caller()
     pool = BackendPool(view, "z1", SystemClock())
     if event_s:
-        for record in records.values():
-            pool.record_success(record, event_s)
+        for number, record in enumerate(records.values()):
+            pool.record_success(record, event_s * min(number + 1, 2))
     route = Route("r", "h", "/", kind, deadline_s, 0.9, (Target("s", 1.0),), max_attempts, False, stream, 0.3)
     exchange = Exchange(
-        CallerRequest("r", "POST", "h", "/x", [], b"body"),
+        CallerRequest("r", method, "h", "/x", [], b"body" if method == "POST" else b""),
         Responder(caller.start, []),
         route,
         Service("s", None if placements is None else Engine(8, 1000, 0.5)),
@@ -298,3 +299,116 @@
 
     caller, _, aborted = relay(Backend(script), kind=kind, max_attempts=1)
     assert aborted or caller.status == 502
+
+
+UNFRAMED = head(200, "Stamp: 1")
+LAST_CHUNK = b"0\r\n\r\n"
+
+
+def plain_event(number):
+    return b"id: %d\ndata: x\n\n" % number
+
+
+BROKEN_AFTER_EVENT_1 = sends(STREAM + event(1) + chunk(b"id: 2\nda"))
+ANSWERS_TO_A_RESUMED_STREAM = {
+    "error with text": head(500, "Stamp: 1", "Content-Length: 15") + b"internal error\n",
+    "error whose text looks like events": head(500, "Stamp: 1", "Content-Length: 17") + b"data: an error\n\n\n",
+    "not run": head(503, "Refused: 1", "Content-Length: 4") + b"full",
+    "no event stream": head(200, "Stamp: 1", "Content-Type: text/plain", "Content-Length: 16")
+    + b"id: 2\ndata: e\n\n\n",
+    "text": head(200, "Stamp: 1", "Content-Length: 14") + b"internal error",
+    "text and an empty line": head(200, "Stamp: 1", "Content-Length: 16") + b"internal error\n\n",
+    "head of an error": STREAM + chunk(b"HTTP/1.1 500 X\r\nId: r\r\n\r\nerror\n\n") + LAST_CHUNK,
+    "event and the head of an error": STREAM + event(2) + chunk(b"HTTP/1.1 500 X\r\nId: r\r\n\r\n") + LAST_CHUNK,
+    "empty": head(200, "Stamp: 1", "Content-Length: 0"),
+    "empty chunks": STREAM + LAST_CHUNK,
+    "only a comment": STREAM + chunk(b": comment\n\n") + LAST_CHUNK,
+    "ends inside an event": UNFRAMED + plain_event(2) + b"id: 3\ndata: ",
+    "ends before the empty line": UNFRAMED + plain_event(2) + b"id: 3\ndata: x\n",
+    "whole answer that ends inside an event": STREAM + event(2) + chunk(b"id: 3\nda") + LAST_CHUNK,
+}
+
+
+@pytest.mark.parametrize("name", ANSWERS_TO_A_RESUMED_STREAM)
+def test_only_events_follow_in_a_stream_that_has_begun(name):
+    # Callers found the text or the head of an error in their stream, or the stream ended as if it were complete.
+    answer = ANSWERS_TO_A_RESUMED_STREAM[name]
+    servers = [Backend(BROKEN_AFTER_EVENT_1), Backend(sends(answer))]
+    caller, _, aborted = relay(*servers, kind=RouteKind.STREAM, max_attempts=2, event_s=0.1)
+    assert servers[0].requests and servers[1].requests and aborted
+    events = plain_event(1) + plain_event(2)
+    comment = b": comment\n\n"
+    assert caller.body in (events, plain_event(1), plain_event(1) + comment), caller.body
+
+    servers = [
+        Backend(BROKEN_AFTER_EVENT_1),
+        Backend(sends(answer)),
+        Backend(sends(STREAM + event(2), event(3), LAST_CHUNK)),
+    ]
+    caller, _, aborted = relay(*servers, kind=RouteKind.STREAM, max_attempts=3, event_s=0.1)
+    assert not aborted and caller.body.replace(comment, b"") == events + plain_event(3)
+
+
+def test_stream_that_broke_after_its_last_event_is_completed_by_a_repetition():
+    servers = [
+        Backend(sends(STREAM + event(1) + event(2))),
+        Backend(sends(STREAM + event(1) + event(2) + LAST_CHUNK)),
+    ]
+    caller, _, aborted = relay(*servers, kind=RouteKind.STREAM, event_s=0.1)
+    assert (caller.body, aborted) == (plain_event(1) + plain_event(2), False)
+
+
+@pytest.mark.parametrize("end", [b"id: 2\nda", b"id: 2\ndata: x", b"id: 2\ndata: x\n", b"id: 2\r\ndata: x\r\n\r"])
+@pytest.mark.parametrize("framing", ["unframed", "length", "chunks"])
+def test_stream_that_ends_inside_an_event_is_broken_off(framing, end):
+    # The rest was forwarded and the stream ended as complete.
+    body = plain_event(1) + end
+    whole = {
+        "unframed": UNFRAMED + body,
+        "length": head(200, "Stamp: 1", f"Content-Length: {len(body)}") + body,
+        "chunks": STREAM + chunk(body) + LAST_CHUNK,
+    }[framing]
+    caller, exchange, aborted = relay(Backend(sends(whole)), kind=RouteKind.STREAM, max_attempts=1)
+    assert (caller.body, aborted, exchange.verdict) == (plain_event(1), True, Verdict.MAY_HAVE_RUN)
+    faulty, sound = Backend(sends(whole)), Backend(sends(UNFRAMED + plain_event(2)))
+    caller, _, aborted = relay(faulty, sound, kind=RouteKind.STREAM, event_s=0.1)
+    assert (caller.body, aborted) == (plain_event(1) + plain_event(2), False)
+    assert b"After: 1\r\n" in sound.requests[0]
+
+
+@pytest.mark.parametrize("end", [b"", b"\n", b"\r\n\r\n", b": comment", b": comment\n", b"\r\n: comment\r\n "])
+def test_stream_that_ends_with_its_connection_is_complete(end):
+    caller, _, aborted = relay(Backend(sends(UNFRAMED + plain_event(1) + end)), kind=RouteKind.STREAM, max_attempts=1)
+    assert (caller.body, aborted) == (plain_event(1) + end, False)
+
+
+@pytest.mark.parametrize("body", [b"", b"whole", b"x" * (2 * MIB)])
+def test_answer_that_ends_with_its_connection_is_delivered(body):
+    caller, _, aborted = relay(Backend(sends(UNFRAMED + body)))
+    assert (caller.status, caller.body, aborted) == (200, body, False)
+
+
+def test_success_that_is_no_event_stream_is_delivered_unchanged():
+    answer = head(200, "Stamp: 1", "Content-Type: application/json", "Content-Length: 2") + b"{}"
+    caller, _, aborted = relay(Backend(sends(answer)), kind=RouteKind.STREAM)
+    assert (caller.status, caller.body, aborted) == (200, b"{}", False)
+
+
+def test_event_that_is_too_large_is_not_dropped_from_a_complete_stream():
+    # The bytes that exceed the limit may also complete the response.
+    large = b"id: 2\ndata: " + b"x" * (MIB + 10)
+    caller, _, aborted = relay(
+        Backend(sends(STREAM + event(1) + chunk(large) + LAST_CHUNK)), kind=RouteKind.STREAM, max_attempts=1
+    )
+    assert (caller.body, aborted) == (plain_event(1), True)
+
+
+@pytest.mark.parametrize("kind", [RouteKind.NON_IDEMPOTENT, RouteKind.STREAM])
+@pytest.mark.parametrize("method", ["GET", "POST"])
+def test_answer_that_ends_within_its_head_is_not_delivered(kind, method):
+    # A head without its last byte was a 200 with an empty body.
+    whole = b"HTTP/1.1 103 Hints\r\nLink: x\r\n\r\n" + UNFRAMED
+    for length in (0, 5, 12, 17, 30, 36, 50, 55, 60, len(whole) - 2, len(whole) - 1):
+        caller, exchange, aborted = relay(Backend(sends(whole[:length])), kind=kind, max_attempts=1, method=method)
+        assert aborted or caller.status == 502, whole[:length]
+        assert exchange.verdict is Verdict.MAY_HAVE_RUN
--- a/libs/arbutusrill_http/_transfer.py
+++ b/libs/arbutusrill_http/_transfer.py
@@ -158,6 +158,8 @@
         self._last_byte_at = time.monotonic()
         self._headers_done = False
         self._next_stall_check = float("-inf")
+        self._in_head = False  # whether the status line of the current head has been read
+        self._received_bytes = 0
 
     def run(self) -> TransferResult:
         loop = _current_loop()
@@ -185,12 +187,8 @@
         deadline = time.monotonic() + self._transfer.timeout_s
         while True:
             _, done, failed = loop.multi.info_read()
-            if done and not self._headers_done:  # libcurl takes a head that breaks off for a whole one
-                self._fail(easy, "broken", "the connection was closed within the head")
-                return
             if done:
-                self._result.status = easy.getinfo(pycurl.RESPONSE_CODE)
-                self._result.verdict = Verdict.RAN
+                self._end(easy)
                 return
             if failed:
                 if self._body_bytes > self._transfer.max_body_bytes:
@@ -219,6 +217,24 @@
         self._next_stall_check = now + _STALL_RECHECK_S
         return on_stall is None or on_stall()
 
+    def _end(self, easy: pycurl.Curl) -> None:
+        """Stores the outcome of a response that libcurl takes for complete, as it does for a head that breaks off."""
+        if not self._headers_done:
+            self._fail(easy, "broken", "the connection was closed within the head")
+        elif not self._has_stated_length():
+            self._fail(easy, "broken", "the body has another length than stated")
+        else:
+            self._result.status = easy.getinfo(pycurl.RESPONSE_CODE)
+            self._result.verdict = Verdict.RAN
+
+    def _has_stated_length(self) -> bool:
+        """Whether the body has the length in the head; libcurl ignores a length that exceeds 64 bits."""
+        headers = self._result.headers_by_name
+        has_no_body = self._transfer.method == "HEAD" or self._result.status in (204, 304)
+        if has_no_body or "transfer-encoding" in headers or "content-length" not in headers:
+            return True
+        return headers["content-length"].lstrip("0") == str(self._received_bytes or "")
+
     def _progress_at(self) -> float:
         progress_at = self._transfer.progress_at
         return self._last_byte_at if progress_at is None else progress_at()
@@ -234,7 +250,7 @@
     def _make_easy_handle(self) -> pycurl.Curl:
         transfer = self._transfer
         easy = pycurl.Curl()
-        easy.setopt(pycurl.URL, transfer.url)
+        easy.setopt(pycurl.URL, _encoded(transfer.url))
         easy.setopt(pycurl.CUSTOMREQUEST, transfer.method)
         easy.setopt(pycurl.NOSIGNAL, 1)
         easy.setopt(pycurl.PROXY, "")
@@ -261,15 +277,18 @@
         if transfer.omit_default_headers:
             given_names = {line.partition(":")[0].lower() for line in transfer.headers}
             headers += [f"{name}:" for name in _LIBCURL_HEADERS if name.lower() not in given_names]
-        easy.setopt(pycurl.HTTPHEADER, headers)
+        easy.setopt(pycurl.HTTPHEADER, [_encoded(line) for line in headers])
         return easy
 
     def _on_header(self, line: bytes) -> int | None:
         if self._headers_done:
             # Trailer fields: merged into the head, they could turn a response into a refusal after it was delivered.
             return None
+        if not line.endswith(b"\n"):  # the connection was closed within this line, possibly the empty one
+            return None
         text = line.decode("latin-1").strip()
-        if text.startswith("HTTP/"):
+        if not self._in_head:
+            self._in_head = True
             self._result.status = int(text.split(None, 2)[1])
             self._result.headers_by_name.clear()
         elif ":" in text:
@@ -280,10 +299,13 @@
             self._last_byte_at = time.monotonic()
             if self._transfer.on_head is not None:
                 return self._run_callback(self._transfer.on_head, self._result.status, self._result.headers_by_name)
+        elif not text:
+            self._in_head = False  # the end of an interim head
         return None
 
     def _on_data(self, data: bytes) -> int | None:
         self._last_byte_at = time.monotonic()
+        self._received_bytes += len(data)
         if self._transfer.on_data is not None:
             return self._run_callback(self._transfer.on_data, data)
         self._body_bytes += len(data)
@@ -301,6 +323,14 @@
         return None
 
 
+def _encoded(text: str) -> bytes:
+    """Encodes text of a request; text that came from a request is in Latin-1 and returns to the same bytes."""
+    try:
+        return text.encode("latin-1")
+    except UnicodeEncodeError:
+        return text.encode()
+
+
 def _on_socket_created(descriptor: int, _purpose: int) -> int:
     # With family and type given, Python makes no system calls to find them out.
     connection = socket.socket(socket.AF_INET, socket.SOCK_STREAM, 0, descriptor)
