state: record the parts of prompts that are suspected of crashing engines

After the loss of all control VMs nothing would remember which part of a prompt crashes engines.

Tests: libs/arbutusrill_state/tests/test_config.py; they use messages that did not exist before (AttributeError: PutPromptSuspects).

--- a/libs/arbutusrill_state/__init__.py
+++ b/libs/arbutusrill_state/__init__.py
@@ -11,6 +11,7 @@
 from ._journal import Journal
 from ._journal_client import Attempt, JournalClient
 from ._machine import SharedState
+from ._prompt_table import PromptTable
 from ._roster import BackendRoster
 
 __all__ = [
@@ -28,6 +29,7 @@
     "Follower",
     "Journal",
     "JournalClient",
+    "PromptTable",
     "SharedState",
     "UnsupportedLevelError",
     "VmIdentity",
--- a/libs/arbutusrill_state/_machine.py
+++ b/libs/arbutusrill_state/_machine.py
@@ -13,6 +13,7 @@
 from ._departures import Departures
 from ._document import Document
 from ._journal import Journal
+from ._prompt_table import PromptTable
 from ._roster import BackendRoster
 
 __all__ = ["SharedState"]
@@ -34,6 +35,7 @@
         self.document = Document()
         self.departures = Departures()
         self.roster = BackendRoster()
+        self.prompt_table = PromptTable()
         self._recent_commands: deque[Any] = deque(maxlen=_MAX_RECENT_COMMANDS)
 
     def apply(self, data: bytes) -> bytes:
@@ -51,11 +53,13 @@
         if kind == "put_document":
             held_version = self.document.put(change.version, change.body)
             return encode(messages.Outcome(held_version == change.version, held_version))
-        if kind in ("put_departure", "put_backends"):
+        if kind in ("put_departure", "put_backends", "put_prompt_suspects"):
             if kind == "put_departure":
                 self.departures.put(change)
-            else:
+            elif kind == "put_backends":
                 self.roster.put(change.backends or [])
+            else:
+                self.prompt_table.put(change)
             return encode(messages.Outcome(True, self.config.revision))
         with self.config.lock:
             before = self.config.revision
@@ -86,6 +90,7 @@
         state.document = messages.PutDocument(*self.document.held())
         state.departures = self.departures.records()
         state.backends = self.roster.records()
+        state.prompt_suspects = self.prompt_table.record()
         config = encode(state)
         return len(config).to_bytes(8, "big") + config + self.journal.snapshot()
 
@@ -99,5 +104,6 @@
         for record in state.departures or []:
             self.departures.put(record)
         self.roster.put(state.backends or [])
+        self.prompt_table.put(state.prompt_suspects)
         self.journal.restore(data[8 + config_bytes :])
         self._recent_commands.clear()
--- a/libs/arbutusrill_state/tests/test_config.py
+++ b/libs/arbutusrill_state/tests/test_config.py
@@ -194,3 +194,28 @@
     replica = SharedState()
     replica.restore(state.snapshot())
     assert replica.roster.records() == [record]
+
+
+def test_suspected_parts_of_prompts_are_in_the_snapshot_and_absent_from_older_ones(state):
+    # After the loss of all VMs, the part that crashes engines was sent to them again.
+    old_snapshot = state.snapshot()
+    record = messages.PutPromptSuspects(
+        [messages.EngineCrash("e-1", 5, 10, 20)], [messages.SuspectedPart("5c1e", [0], 1, True)]
+    )
+    before = state.config.revision
+    assert apply_change(state, record, "p1").accepted
+    assert restored(state).prompt_table.record() == record
+    assert state.config.revision == before
+    state.restore(old_snapshot)
+    assert state.prompt_table.record().parts == []
+
+
+def test_snapshot_without_suspected_parts_is_restored():
+    snapshot = SharedState().snapshot()
+    length = int.from_bytes(snapshot[:8], "big")
+    config = decode(messages.ConfigSnapshot, snapshot[8 : 8 + length])
+    config.prompt_suspects = None
+    encoded = encode(config)
+    replica = SharedState()
+    replica.restore(len(encoded).to_bytes(8, "big") + encoded + snapshot[8 + length :])
+    assert replica.prompt_table.record().parts == []
--- a/libs/arbutusrill_wire/arbutusrill.thrift
+++ b/libs/arbutusrill_wire/arbutusrill.thrift
@@ -151,6 +151,21 @@
 // Backend servers known to the leader, replicated for its successor.
 struct PutBackends { 1: list<BackendRecord> backends }
 
+// Crash of a backend server. The times are those of the attempts that broke at it: from the start of the earliest one
+// to the first break, in milliseconds of a clock that only the leader who recorded them can read.
+struct EngineCrash { 1: string backend, 2: i64 started_ms, 3: i64 began_ms = 0, 4: i64 ended_ms = 0 }
+
+// Part of prompts whose requests broke at engines that crashed, and none of which was answered since.
+struct SuspectedPart {
+  1: string id,
+  2: list<i32> crashes,          // positions in the list of crashes
+  3: i32 bars = 0,               // number of times that the part was barred
+  4: bool barred = false
+}
+
+// Suspected parts of prompts as the leader last recorded them; replaces the earlier record.
+struct PutPromptSuspects { 1: list<EngineCrash> crashes, 2: list<SuspectedPart> parts }
+
 struct JournalBegin {
   1: string workspace, 2: string key, 3: binary digest, 4: string vm, 5: i64 incarnation
 }
@@ -187,6 +202,7 @@
   30: PutDocument put_document,   // does not change the revision
   31: PutDeparture put_departure, // does not change the revision
   32: PutBackends put_backends,   // does not change the revision
+  33: PutPromptSuspects put_prompt_suspects, // does not change the revision
   40: JournalBegin journal_begin,
   41: JournalFinish journal_finish,
   42: JournalSweep journal_sweep
@@ -224,7 +240,8 @@
   12: i64 clock_ms = 0,
   13: PutDocument document,
   14: list<PutDeparture> departures,
-  15: list<BackendRecord> backends
+  15: list<BackendRecord> backends,
+  16: PutPromptSuspects prompt_suspects
 }
 
 struct JournalRecord {
@@ -444,9 +461,14 @@
   12: map<string, double> levels,      // latest levels from a leader, sent if `spent_whole`
   13: double levels_age_s = 0,
   14: map<string, double> uncounted,   // spent or granted since `levels`, sent if `spent_whole`
-  15: bool accepts_deltas = false      // lists may be sent as changes since the revisions above
+  15: bool accepts_deltas = false,     // lists may be sent as changes since the revisions above
+  20: i64 suspects_revision = -1,      // -1: the follower does not know barred parts of prompts
+  21: i64 bars_revision = -1
 }
 
+// Parts of prompts that crash engines: a request whose prompt has all of them is not sent to an engine.
+struct BarredParts { 1: list<string> parts, 2: i64 remaining_ms, 3: i32 crashes = 0 }
+
 // Lists are omitted if the follower already has their revision.
 struct SiteFollowReply {
   1: i64 term,
@@ -466,7 +488,11 @@
   15: bool backends_delta = false,     // `backends` holds only what has changed, `removed_backends` what is gone
   16: list<PutDeparture> removed_backends,  // a server that started later than `started_ms` stays
   17: bool entries_delta = false,
-  18: list<string> removed_entries
+  18: list<string> removed_entries,
+  20: i64 suspects_revision = 0,       // changes with `barred` and `suspected`
+  21: i64 bars_revision = 0,           // changes with `barred`
+  22: list<BarredParts> barred,        // omitted, like `suspected`, if the follower has their revision
+  23: list<string> suspected           // parts whose successes the leader wants to know
 }
 
 // Measured speed of an engine: `took_s` seconds for `units` tokens or events.
@@ -507,6 +533,24 @@
 // Tokens that an entry VM asks to charge before it admits a request.
 struct TokenCharge { 1: string vm, 2: i64 incarnation, 3: string workspace, 4: double tokens }
 
+// Request that broke at an engine that crashed, before its answer had begun. The times are before the report.
+struct PromptCrash {
+  1: string backend,
+  2: i64 started_ms,
+  3: list<string> parts,               // of the prompt, without those that were answered lately
+  4: i64 began_ago_ms = 0,
+  5: i64 ended_ago_ms = 0,
+  6: string request_id = ""
+}
+
+// Parts of prompts that were involved in crashes of engines, and suspected parts of which an answer has begun.
+struct PromptReport { 1: string vm, 2: list<PromptCrash> crashes, 3: list<string> sound }
+
+// Bars after a report, as in `SiteFollowReply`.
+struct PromptReply {
+  1: i64 term, 2: i64 suspects_revision, 3: i64 bars_revision, 4: list<BarredParts> barred, 5: list<string> suspected
+}
+
 service Site {
   SiteFollowReply follow_site(1: SiteFollowRequest request) throws (1: Refused refused),
   void announce_backend(1: BackendRecord record) throws (1: Refused refused),
@@ -516,5 +560,6 @@
   PlaceReply place(1: PlaceRequest request) throws (1: Refused refused),
   void free_place(1: FreePlace freed) throws (1: Refused refused),
   double charge_tokens(1: TokenCharge charge) throws (1: Refused refused),    // 0, or seconds until the tokens are available
-  list<string> join(1: string member) throws (1: Refused refused)             // returns the RPC addresses of the group
+  list<string> join(1: string member) throws (1: Refused refused),            // returns the RPC addresses of the group
+  PromptReply report_prompts(1: PromptReport report) throws (1: Refused refused)
 }
