site: the leader bars parts of prompts that crash engines

PromptSuspects decides from crashes and answers, without threads, sockets or a clock: three consecutive crashes since the last answer bar the parts that cannot be told apart, as a set; crashes of requests that overlap in time count once, so that an outage of many engines bars nothing (five crashes and two consecutive ones suffice as well). A part whose crashes another one with more crashes explains is not barred. PromptLedger shares it on the leader, commits its record before the report of a new bar is answered, and adds the bars to the replies of follow_site. Mixed versions: polls without the new fields get no bars and do not end early for them.

--- a/libs/arbutusrill_site/__init__.py
+++ b/libs/arbutusrill_site/__init__.py
@@ -25,12 +25,15 @@
 from ._membership import GroupJoinClient, MembershipManager
 from ._placement import PlacementScheduler
 from ._places import PlaceLedger
+from ._prompt_bars import BarredSet, PromptBars
+from ._prompt_suspects import PromptSuspects
 from ._rates import LeaderRateAuthority
 from ._service import SilenceTimeouts, SiteService
 from ._stages import EngineRegistry, EngineStatistics, OrderAnswer, StageBalancer, StageOrderTransport
 
 __all__ = [  # noqa: F822
     "BackendRegistry",
+    "BarredSet",
     "ClientLimits",
     "ConfigurationError",
     "Engine",
@@ -44,6 +47,8 @@
     "OrderAnswer",
     "PlaceLedger",
     "PlacementScheduler",
+    "PromptBars",
+    "PromptSuspects",
     "Route",
     "RouteKind",
     "Service",
--- a/libs/arbutusrill_site/_follower.py
+++ b/libs/arbutusrill_site/_follower.py
@@ -14,6 +14,7 @@
 from arbutusrill_wire import messages
 
 from ._backends import is_newer
+from ._prompt_bars import PromptBars, decode_prompt_bars
 
 __all__ = ["SiteFollower", "SiteView"]
 
@@ -37,6 +38,7 @@
         self.backends_by_id: dict[str, Any] = {}
         self.backends_complete = False
         self.entries_by_id: dict[str, Any] = {}
+        self.prompt_bars = PromptBars()
         self.other_vms_requests_by_backend: dict[str, int] = {}
         self.other_vms_tokens_by_backend: dict[str, int] = {}
         self.last_poll_sent_at = float("-inf")
@@ -52,6 +54,17 @@
         with self._changed:
             self._changed.notify_all()
 
+    def apply_prompt_bars(self, reply: Any) -> None:
+        """Replaces the bars by those in a reply of the leader, unless the reply is older."""
+        bars = decode_prompt_bars(reply, self._clock.monotonic())
+        with self._changed:
+            known = self.prompt_bars
+            if not known.is_older_than(bars):
+                return
+            self.prompt_bars = bars
+        if [barred.parts for barred in known.barred] != [barred.parts for barred in bars.barred]:
+            _events.emit("bars_applied", sets=len(bars.barred), suspected=len(bars.suspected), revision=bars.revision)
+
     def age_s(self) -> float:
         """Returns the seconds since the start of the last successful poll."""
         return self._clock.monotonic() - self.last_poll_sent_at
@@ -158,6 +171,8 @@
             report.levels_age_s,
             report.uncounted,
             accepts_deltas=True,
+            suspects_revision=self.view.prompt_bars.revision,
+            bars_revision=self.view.prompt_bars.bars_revision,
         )
         sent_at = self._clock.monotonic()
         reply = self._client.call("follow_site", request, timeout=_CALL_TIMEOUT_S, try_timeout=wait_ms / 1000 + 0.35)
@@ -171,6 +186,8 @@
         view = self.view
         if reply.term < self._term:
             return
+        if reply.barred is not None:  # before the document: requests may wait for the first one
+            view.apply_prompt_bars(reply)
         if reply.document is not None and reply.document_version > view.version:
             started = time.monotonic()
             view.document = self._decode(zlib.decompress(reply.document))
--- /dev/null
+++ b/libs/arbutusrill_site/_prompt_suspects.py
@@ -0,0 +1,277 @@
+"""Decides which parts of prompts crash engines, from the crashes and from the requests that were answered."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import Any
+
+from arbutusrill_base import EventLog
+from arbutusrill_wire import messages
+
+__all__ = ["Bar", "PromptSuspects"]
+
+_MIN_CONSECUTIVE = 3  # crashes, each by a request that began after the one before had broken
+# With so many crashes, two consecutive ones suffice: many requests with the part may break at the same time.
+_MANY_CRASHES = 5
+_MIN_CONSECUTIVE_OF_MANY = 2
+_BAR_S = 600.0
+_MAX_DOUBLINGS = 10
+_EVIDENCE_S = 1800.0  # a part that is not barred is forgotten so long after its last crash
+_EXPIRY_INTERVAL_S = 5.0
+_MAX_PARTS = 2048
+_EVICTED_PARTS = 256  # at once, when there are more
+_MAX_CRASHES_PER_PART = 256
+_MAX_SAVED_PARTS = 512
+_MAX_LISTED_PARTS = 256
+_MAX_LOGGED_PARTS = 8
+_events = EventLog("prompts")
+
+_CrashKey = tuple[str, int]  # ID of the engine and its start
+
+
+@dataclass(slots=True)
+class _Crash:
+    """Interval of the attempts that broke at a crash: the start of the earliest one and the first break."""
+
+    began: float
+    ended: float
+
+
+@dataclass(slots=True)
+class _Part:
+    """Evidence against one part since its last success. `bars` counts the times that it was barred."""
+
+    crashes: set[_CrashKey] = field(default_factory=set)
+    last_at: float = -math.inf
+    bars: int = 0
+    barred_until: float = -math.inf
+
+
+@dataclass(slots=True, frozen=True)
+class Bar:
+    """Parts that are barred as a set: a request is refused if its prompt has all of them. `until` is a time."""
+
+    parts: frozenset[str]
+    until: float
+    crashes: int
+
+
+class PromptSuspects:
+    """Evidence against parts of prompts, and the sets of parts that are barred.
+
+    A crash implicates all parts of the prompts whose requests broke at it before their answer had begun; an answer that
+    has begun clears all parts of its prompt. Parts that were implicated by the same crashes cannot be told apart and
+    are barred together, as a set, so that each of them stays usable without the others. A part whose crashes are all
+    crashes of another part that has more of them is explained by that one and is not barred. Only consecutive crashes
+    count, so that a failure of many engines at the same time bars nothing.
+
+    All times are passed in, in seconds of one clock. `revision` changes with the table, `bars_revision` with the bars,
+    `save_revision` when the table should be saved.
+    """
+
+    def __init__(self) -> None:
+        self._part_by_id: dict[str, _Part] = {}
+        self._crash_by_key: dict[_CrashKey, _Crash] = {}
+        self._bars: dict[frozenset[str], Bar] = {}
+        self._expired_at = -math.inf
+        self._listed: tuple[int, list[str]] = (-1, [])  # revision and result of `suspected`
+        self.revision = self.bars_revision = self.save_revision = 0
+
+    def __len__(self) -> int:
+        return len(self._part_by_id)
+
+    def bars(self) -> list[Bar]:
+        """Returns the bars in force."""
+        return list(self._bars.values())
+
+    def suspected(self) -> list[str]:
+        """Returns the IDs of the parts with a crash since their last success, those with most crashes first."""
+        if self._listed[0] != self.revision:
+            self._listed = (self.revision, self._heaviest(_MAX_LISTED_PARTS))
+        return self._listed[1]
+
+    def record_crash(
+        self, backend: str, started_ms: int, parts: Iterable[str], began: float, ended: float, now: float
+    ) -> None:
+        """Records that a request with these parts broke at an engine that crashed, in an attempt between two times."""
+        key = (backend, started_ms)
+        crash = self._crash_by_key.setdefault(key, _Crash(began, ended))
+        crash.began, crash.ended = min(crash.began, began), min(crash.ended, ended)
+        added = []
+        for id_ in parts:
+            part = self._part_by_id.setdefault(id_, _Part())
+            if key in part.crashes or len(part.crashes) >= _MAX_CRASHES_PER_PART:
+                continue
+            part.crashes.add(key)
+            part.last_at = now
+            added.append(id_)
+        if not added:
+            return
+        self.revision += 1
+        counts = {id_: len(self._part_by_id[id_].crashes) for id_ in added}
+        if max(counts.values()) > 1:
+            self.save_revision += 1
+        repeated = sorted((id_ for id_ in added if counts[id_] > 1), key=lambda id_: -counts[id_])
+        _events.emit(
+            "parts_suspected",
+            backend=backend,
+            start=started_ms,
+            parts=len(added),
+            repeated={id_: counts[id_] for id_ in repeated[:_MAX_LOGGED_PARTS]},
+        )
+        self._evict()
+        self._update_bars(now, added)
+
+    def record_success(self, parts: Iterable[str], now: float) -> None:
+        """Records that a request with these parts was answered, at least in its beginning."""
+        cleared = {id_: part for id_ in parts if (part := self._part_by_id.pop(id_, None)) is not None}
+        if not cleared:
+            return
+        self.revision += 1
+        if any(len(part.crashes) > 1 or part.bars for part in cleared.values()):
+            self.save_revision += 1
+            _events.emit("parts_cleared", parts=list(cleared)[:_MAX_LOGGED_PARTS], count=len(cleared))
+        self._update_bars(now, ())
+
+    def expire(self, now: float) -> None:
+        """Ends the bars whose time has come and forgets old evidence."""
+        if any(bar.until <= now for bar in self._bars.values()):
+            self._update_bars(now, ())
+        if now < self._expired_at + _EXPIRY_INTERVAL_S:
+            return
+        self._expired_at = now
+        old = [
+            id_
+            for id_, part in self._part_by_id.items()
+            if max(part.last_at, part.barred_until) <= now - _EVIDENCE_S * 2**part.bars
+        ]
+        if old:
+            self._drop(old)
+            self._update_bars(now, ())
+
+    def record(self) -> Any:
+        """Returns the table as a `PutPromptSuspects` message; times are in milliseconds."""
+        kept = self._heaviest(_MAX_SAVED_PARTS)
+        keys = sorted({key for id_ in kept for key in self._part_by_id[id_].crashes})
+        position_by_key = {key: position for position, key in enumerate(keys)}
+        barred = {id_ for parts in self._bars for id_ in parts}
+        return messages.PutPromptSuspects(
+            [
+                messages.EngineCrash(*key, int(crash.began * 1000), int(crash.ended * 1000))
+                for key in keys
+                for crash in (self._crash_by_key[key],)
+            ],
+            [
+                messages.SuspectedPart(
+                    id_, sorted(position_by_key[key] for key in part.crashes), part.bars, id_ in barred
+                )
+                for id_ in kept
+                for part in (self._part_by_id[id_],)
+            ],
+        )
+
+    def restore(self, record: Any, now: float) -> None:
+        """Replaces the table by a recorded one; the periods of its bars start anew."""
+        crashes = record.crashes or []
+        # The times are of another VM's clock: only their order is kept.
+        offset = now - max((crash.ended_ms for crash in crashes), default=0) / 1000
+        keys = [(crash.backend, crash.started_ms) for crash in crashes]
+        self._crash_by_key = {
+            key: _Crash(crash.began_ms / 1000 + offset, crash.ended_ms / 1000 + offset)
+            for key, crash in zip(keys, crashes, strict=True)
+        }
+        self._part_by_id, self._bars = {}, {}
+        for saved in record.parts or []:
+            until = now + _bar_s(saved.bars) if saved.barred else -math.inf
+            crash_keys = {keys[position] for position in saved.crashes or []}
+            self._part_by_id[saved.id] = _Part(crash_keys, now, saved.bars, until)
+        self.revision += 1
+        self.bars_revision += 1
+        self._update_bars(now, ())
+        if self._part_by_id:
+            _events.emit("suspects_restored", parts=len(self._part_by_id), bars=len(self._bars))
+
+    def _heaviest(self, limit: int) -> list[str]:
+        """Returns at most `limit` IDs of parts: the barred ones first, then those with most and latest crashes."""
+        return sorted(self._part_by_id, key=self._weight, reverse=True)[:limit]
+
+    def _weight(self, id_: str) -> tuple[float, int, int, float]:
+        part = self._part_by_id[id_]
+        return part.barred_until, part.bars, len(part.crashes), part.last_at
+
+    def _evict(self) -> None:
+        if len(self._part_by_id) > _MAX_PARTS:
+            self._drop(self._heaviest(len(self._part_by_id))[_MAX_PARTS - _EVICTED_PARTS :])
+
+    def _drop(self, ids: list[str]) -> None:
+        for id_ in ids:
+            del self._part_by_id[id_]
+        used = {key for part in self._part_by_id.values() for key in part.crashes}
+        self._crash_by_key = {key: crash for key, crash in self._crash_by_key.items() if key in used}
+        self.revision += 1
+        self.save_revision += 1
+
+    def _suffices(self, crashes: Iterable[_CrashKey]) -> bool:
+        """Whether the crashes are evidence enough; only those count whose attempts did not overlap in time."""
+        intervals = sorted((self._crash_by_key[key] for key in crashes), key=lambda crash: crash.ended)
+        consecutive, last_ended = 0, -math.inf
+        for crash in intervals:
+            if crash.began >= last_ended:
+                consecutive, last_ended = consecutive + 1, crash.ended
+        return consecutive >= _MIN_CONSECUTIVE or (
+            len(intervals) >= _MANY_CRASHES and consecutive >= _MIN_CONSECUTIVE_OF_MANY
+        )
+
+    def _classes(self) -> list[list[str]]:
+        """Returns the sets of parts against which there is evidence enough, apart from those that others explain."""
+        ids_by_crashes: dict[frozenset[_CrashKey], list[str]] = {}
+        for id_, part in self._part_by_id.items():
+            if len(part.crashes) >= _MIN_CONSECUTIVE:
+                ids_by_crashes.setdefault(frozenset(part.crashes), []).append(id_)
+        sufficient = [crashes for crashes in ids_by_crashes if self._suffices(crashes)]
+        return [ids_by_crashes[crashes] for crashes in sufficient if not any(crashes < others for others in sufficient)]
+
+    def _update_bars(self, now: float, crashed: Iterable[str]) -> None:
+        """Computes the bars; parts in `crashed` have just been implicated, which renews a bar that has ended."""
+        crashed = set(crashed)
+        bars: dict[frozenset[str], Bar] = {}
+        for ids in self._classes():
+            parts = [self._part_by_id[id_] for id_ in ids]
+            until, count = max(part.barred_until for part in parts), max(part.bars for part in parts)
+            if until <= now and (not count or crashed.intersection(ids)):
+                count += 1
+                until = now + _bar_s(count)
+            for part in parts:
+                part.bars, part.barred_until = count, until
+            if until > now:
+                names = frozenset(ids)
+                bars[names] = Bar(names, until, len(parts[0].crashes))
+        before, self._bars = self._bars, bars
+        if before.keys() == bars.keys():
+            return
+        self.revision += 1
+        self.bars_revision += 1
+        self.save_revision += 1
+        for names, bar in before.items():
+            if names not in bars:
+                _events.emit("bar_ended", parts=sorted(names)[:_MAX_LOGGED_PARTS], expired=bar.until <= now)
+        for names, bar in bars.items():
+            if names not in before:
+                self._log_bar(bar, now)
+
+    def _log_bar(self, bar: Bar, now: float) -> None:
+        engines = sorted({backend for backend, _ in self._part_by_id[next(iter(bar.parts))].crashes})
+        _events.emit(
+            "parts_barred",
+            parts=sorted(bar.parts)[:_MAX_LOGGED_PARTS],
+            crashes=bar.crashes,
+            engines=engines[:_MAX_LOGGED_PARTS],
+            for_s=round(bar.until - now),
+        )
+
+
+def _bar_s(count: int) -> float:
+    """Returns the length of the bar of a part that is barred for the `count`-th time, in seconds."""
+    return _BAR_S * 2 ** min(max(0, count - 1), _MAX_DOUBLINGS)
--- a/libs/arbutusrill_site/_service.py
+++ b/libs/arbutusrill_site/_service.py
@@ -20,6 +20,7 @@
 from ._entries import EntryRegistry
 from ._membership import MembershipManager
 from ._places import PlaceLedger
+from ._prompt_ledger import PromptLedger
 from ._registry import RegistryChanges
 from ._stages import EngineRegistry, EngineStatistics, StageBalancer
 
@@ -78,6 +79,7 @@
             lambda: self.backends.complete,
             lambda: self.backends.revision,
         )
+        self.prompts = PromptLedger(clock, changed, state.prompt_table, self._commit_prompt_suspects)
         self.stage_balancer = make_stage_balancer(_SiteEngineRegistry(self), self.places.speeds)
         self._decoded_document: tuple[int, SiteConfiguration | None] = (0, None)
         self._term: int | None = None
@@ -125,6 +127,7 @@
             levels.is_reporter_known,
         )
         self._add_lists(reply, backends, entries)
+        self.prompts.add_to_reply(reply, request.suspects_revision if same_term else min(request.suspects_revision, 0))
         return reply
 
     def _add_lists(self, reply: Any, backends: RegistryChanges | None, entries: RegistryChanges | None) -> None:
@@ -155,6 +158,7 @@
                 self._term != term
                 or self._state.document.version > request.document_version
                 or self.backends.revision != request.backends_revision
+                or self.prompts.is_behind(request.bars_revision)
             )
 
         with self._changed:
@@ -187,6 +191,14 @@
         self._require_leadership()
         self.places.free(freed)
 
+    def report_prompts(self, report: Any) -> Any:
+        """Records crashes and answers of prompts; returns the bars, so that their request is not sent again by them."""
+        self._require_leadership()
+        self.prompts.report(report)
+        reply = messages.PromptReply(self._term)
+        self.prompts.add_to_reply(reply, 0)
+        return reply
+
     def charge_tokens(self, charge: Any) -> float:
         """Charges the tokens of a request of a workspace near its limit; returns 0, or the seconds until a retry."""
         self._require_leadership()
@@ -238,6 +250,7 @@
             self._buckets.drop_reporter(entry, incarnation)
             self.places.free_places_of(entry, incarnation)
         self.places.tick()
+        self.prompts.expire()
 
     def save_backends(self) -> None:
         """Commits the list of backend servers for the next leader when it has changed; blocks until it is committed."""
@@ -246,6 +259,19 @@
             return
         self._save_records(records)
 
+    def save_prompt_suspects(self) -> None:
+        """Commits the suspected parts of prompts for the next leader when they have changed; blocks meanwhile."""
+        if self._log.is_leader() and self._term is not None:
+            self.prompts.save()
+
+    def _commit_prompt_suspects(self, record: Any) -> bool:
+        try:
+            self._propose(record)
+        except messages.Refused as error:
+            _events.emit("prompt_suspects_not_saved", reason=error.message)
+            return False
+        return True
+
     def record_stage_order(self, backend: str, stage: str) -> bool:
         """Commits the stage that an engine was ordered to change to, empty for none; returns False when that fails."""
         self.backends.record_stage_order(backend, stage)
@@ -275,6 +301,7 @@
                 self.entries.begin_term()
                 self._buckets.clear()
                 self.places.begin_term(term)
+                self.prompts.begin_term()
                 _events.emit("leadership_began", term=term, document=self._state.document.version)
             elif term is None and self._term is not None:
                 _events.emit("leadership_ended", term=self._term)
--- /dev/null
+++ b/libs/arbutusrill_site/tests/test_prompt_ledger.py
@@ -0,0 +1,101 @@
+"""Guards against bars that are lost with their leader or that do not reach the entry VMs."""
+
+import threading
+
+import pytest
+from arbutusrill_base import ManualClock
+from arbutusrill_state import PromptTable
+from arbutusrill_wire import messages
+
+from arbutusrill_site._prompt_ledger import PromptLedger
+
+
+class Group:
+    """The replicated record, which can be unavailable."""
+
+    def __init__(self):
+        self.table, self.commits, self.available = PromptTable(), 0, True
+
+    def commit(self, record):
+        if self.available:
+            self.table.put(record)
+            self.commits += 1
+        return self.available
+
+    def leader(self):
+        """Returns the ledger of a new leader."""
+        ledger = PromptLedger(ManualClock(50.0), threading.Condition(), self.table, self.commit)
+        ledger.begin_term()
+        return ledger
+
+
+@pytest.fixture
+def group():
+    return Group()
+
+
+def report(*parts, number, sound=()):
+    crash = messages.PromptCrash("e", number, list(parts), 1000 - number * 100, 950 - number * 100)
+    return messages.PromptReport("vm", [crash], list(sound))
+
+
+def reply(ledger, revision=0):
+    message = messages.PromptReply(1)
+    ledger.add_to_reply(message, revision)
+    return message
+
+
+def crash_three_engines(ledger):
+    for number in (1, 2, 3):
+        ledger.report(report("F", "D", f"own-{number}", number=number))
+
+
+def test_new_bar_is_in_the_log_when_its_report_is_answered(group):
+    ledger = group.leader()
+    crash_three_engines(ledger)
+    assert [sorted(barred.parts) for barred in reply(group.leader()).barred] == [["D", "F"]]
+
+
+def test_report_is_refused_while_its_bar_cannot_be_committed(group):
+    # The VM reports it again, to the next leader if need be.
+    ledger = group.leader()
+    group.available = False
+    with pytest.raises(messages.Refused):
+        crash_three_engines(ledger)
+
+
+def test_counts_of_two_crashes_are_saved_together_and_single_crashes_are_not(group):
+    ledger = group.leader()
+    ledger.report(report("F", "a", number=1))
+    ledger.save()
+    assert group.commits == 0
+    ledger.report(report("F", "b", number=2))
+    ledger.report(report("F", "b", "c", number=2))
+    ledger.save()
+    ledger.save()
+    assert group.commits == 1
+    restored = group.leader()
+    restored.report(report("F", "d", number=3))
+    assert [barred.parts for barred in reply(restored).barred] == [["F"]]
+
+
+def test_change_of_the_bars_ends_long_polls_and_a_change_of_suspects_does_not(group):
+    ledger = group.leader()
+    known = reply(ledger)
+    ledger.report(report("F", "D", "a", number=1))
+    assert not ledger.is_behind(known.bars_revision)
+    changed = reply(ledger, known.suspects_revision)
+    assert sorted(changed.suspected) == ["D", "F", "a"] and changed.barred == []
+    assert reply(ledger, changed.suspects_revision).barred is None
+    crash_three_engines(ledger)
+    assert ledger.is_behind(known.bars_revision)
+    assert not ledger.is_behind(-1), "a VM without bars would poll in a loop"
+    assert reply(ledger, -1).barred is None
+
+
+def test_answer_of_a_sound_part_narrows_the_bar(group):
+    ledger = group.leader()
+    crash_three_engines(ledger)
+    ledger.report(messages.PromptReport("vm", [], ["F"]))
+    assert [barred.parts for barred in reply(ledger).barred] == [["D"]]
+    assert [barred.parts for barred in reply(group.leader()).barred] == [["D"]]
