gateway: refuse streams whose prompt has crashed several engines

Callers' streams broke at every engine that a poisoned request met, and such a request was even sent to a second engine. PromptGuard reports an attempt that lost its connection before its second event to the leader before the request is sent again, reports answered parts that the leader suspects, and refuses barred prompts at admission, before a prefill and before each decode: 503 prompt_part_barred if nothing of the request may have run.

--- a/libs/arbutusrill_gateway/__init__.py
+++ b/libs/arbutusrill_gateway/__init__.py
@@ -4,6 +4,7 @@
 from ._gateway import Gateway
 from ._metrics import GatewayMetrics
 from ._placement import PlacementClient
+from ._prompt_guard import PromptBarredError, PromptGuard
 from ._protocol import BackendProtocol, BackendRequest, CallerRequest, KvCacheHandle, ResponseHead
 from ._reply import Refusal, Responder
 
@@ -17,6 +18,8 @@
     "GatewayMetrics",
     "KvCacheHandle",
     "PlacementClient",
+    "PromptBarredError",
+    "PromptGuard",
     "Refusal",
     "Responder",
     "ResponseHead",
--- a/libs/arbutusrill_gateway/_attempt.py
+++ b/libs/arbutusrill_gateway/_attempt.py
@@ -61,13 +61,17 @@
 
 @dataclass(slots=True)
 class AttemptResult:
-    """Result of a finished attempt. `response` is None if no response head was received."""
+    """Result of a finished attempt. `response` is None if no response head was received.
+
+    `connection_lost` is true if the backend server closed or reset the connection before its response was complete.
+    """
 
     outcome: Outcome
     response: ResponseHead | None
     body: bytes
     detail: str
     took_s: float
+    connection_lost: bool = False
 
 
 def send_attempt(
@@ -107,7 +111,9 @@
     if result.error == "stopped":
         result.detail = receiver.problem
     outcome, detail = _outcome(request, backend_request, result, response)
-    return AttemptResult(outcome, response, result.body, detail, took_s)
+    is_other = response is not None and response.request_id not in ("", request.id)
+    connection_lost = outcome is Outcome.BROKEN and result.error == "broken" and not is_other
+    return AttemptResult(outcome, response, result.body, detail, took_s, connection_lost)
 
 
 def _outcome(
--- a/libs/arbutusrill_gateway/_exchange.py
+++ b/libs/arbutusrill_gateway/_exchange.py
@@ -12,6 +12,7 @@
 from ._attempt import AttemptResult
 from ._backends import BackendPool, Candidate
 from ._placement import PlacementClient
+from ._prompt_guard import PromptGuard
 from ._protocol import BackendProtocol, BackendRequest, CallerRequest
 from ._reply import Refusal, Responder
 
@@ -47,6 +48,7 @@
     tried: set[str] = field(default_factory=set)
     trail: list[str] = field(default_factory=list)
     first_event_s: float | None = None
+    prompt_guard: PromptGuard | None = None
 
     def remaining_s(self) -> float:
         """Seconds until the caller's deadline or the route's time limit, whichever comes first."""
@@ -70,6 +72,21 @@
         self.verdict = self.verdict.combine(result.outcome.verdict)
         self.record_prefill_attempt(candidate, result, step)
 
+    def check_prompt(self) -> None:
+        """Raises `PromptBarredError` if a part of the prompt crashes engines."""
+        if self.prompt_guard is not None:
+            self.prompt_guard.check(self.request)
+
+    def record_prompt_events(self, count: int, new_count: int) -> None:
+        """Records that `count` events of the answer have been forwarded, `new_count` of them just now."""
+        if self.prompt_guard is not None:
+            self.prompt_guard.record_events(self.request, count, new_count)
+
+    def record_prompt_attempt(self, candidate: Candidate, result: AttemptResult, event_count: int) -> None:
+        """Records what an attempt that forwarded `event_count` events tells about the parts of the prompt."""
+        if self.prompt_guard is not None:
+            self.prompt_guard.record_attempt(self.request, candidate, result, event_count)
+
     def record_prefill_attempt(self, candidate: Candidate, result: AttemptResult, step: str = "prefill") -> None:
         """Records the result of a prefill, which never runs the request and leaves the verdict unchanged."""
         self.trail.append(f"{step}:{candidate.id}:{result.outcome.value}")
--- a/libs/arbutusrill_gateway/_gateway.py
+++ b/libs/arbutusrill_gateway/_gateway.py
@@ -18,6 +18,7 @@
 from ._metrics import GatewayMetrics
 from ._placement import PlacementClient
 from ._plain import relay_plain
+from ._prompt_guard import PromptGuard
 from ._protocol import MIN_RETRY_AFTER_S, BackendProtocol, CallerRequest
 from ._reply import Refusal, Responder
 from ._stream import relay_stream
@@ -37,6 +38,7 @@
     `retry_fraction` and `retry_reserve` are the parameters of this VM's retry budget for each service. The reserve is
     a function because the number of VMs that share the deployment's reserve changes. If `max_view_age_s` is set,
     requests that need a key are refused while the view is older, since revoked keys could still be accepted.
+    `prompt_guard` refuses streams whose prompts crash engines.
     """
 
     def __init__(
@@ -50,6 +52,7 @@
         retry_fraction: float,
         retry_reserve: Callable[[], float],
         max_view_age_s: float | None = None,
+        prompt_guard: PromptGuard | None = None,
     ):
         self._view = view
         self._pool = pool
@@ -60,6 +63,7 @@
         self._retry_fraction = retry_fraction
         self._retry_reserve = retry_reserve
         self._max_view_age_s = max_view_age_s
+        self._prompt_guard = prompt_guard
         self._lock = threading.Lock()
         self._budget_by_service: dict[str, RetryBudget] = {}
         self._accepts_all_until = self._shutdown_at = math.inf  # finite once `drain` was called
@@ -168,6 +172,7 @@
             budget,
             started + limit_s,
             started,
+            prompt_guard=self._prompt_guard,
         )
         ending = ""
         try:
--- a/libs/arbutusrill_gateway/_metrics.py
+++ b/libs/arbutusrill_gateway/_metrics.py
@@ -32,6 +32,12 @@
             registry=self.registry,
         )
         self.view_age = Gauge("arbutusrill_view_age_seconds", "Age of the confirmed view.", registry=self.registry)
+        self.barred_part_sets = Gauge(
+            "arbutusrill_barred_part_sets", "Sets of parts of prompts that are barred.", registry=self.registry
+        )
+        self.suspected_parts = Gauge(
+            "arbutusrill_suspected_parts", "Parts of prompts involved in crashes of engines.", registry=self.registry
+        )
         self.version = Gauge("arbutusrill_config_version", "Version in force on this VM.", registry=self.registry)
 
     def record_request(self, route: str, status: int, took_s: float, first_event_s: float | None) -> None:
--- a/libs/arbutusrill_gateway/_protocol.py
+++ b/libs/arbutusrill_gateway/_protocol.py
@@ -24,6 +24,7 @@
     the API key. `deadline_s` is the time for which the caller waits, or None if it sent no deadline. `prompt_tokens`
     and `output_tokens` (the maximum) are None for requests without token counts. `resume_after` is the id of the last
     event that the caller received. `connection` is the caller's socket, which is monitored for a disconnect.
+    `prompt_parts` are the IDs of the parts of the prompt in order, which other requests may share.
     """
 
     id: str
@@ -40,6 +41,7 @@
     expected_output_tokens: int | None = None
     resume_after: str = ""
     connection: socket.socket | None = None
+    prompt_parts: tuple[str, ...] = ()
 
     @property
     def path(self) -> str:
--- a/libs/arbutusrill_gateway/_stream.py
+++ b/libs/arbutusrill_gateway/_stream.py
@@ -16,6 +16,7 @@
 from ._exchange import Exchange
 from ._placement import Placement, PlacementRequest
 from ._prefill import RetryBudgetExhaustedError, release_kv_cache, run_prefill
+from ._prompt_guard import PromptBarredError
 from ._protocol import KvCacheHandle, ResponseHead
 
 __all__ = ["relay_stream"]
@@ -89,6 +90,7 @@
         events = self._take_events()
         if events:
             self._forward(b"".join(events))
+            self._exchange.record_prompt_events(self.forwarded_count, len(events))
         if len(self._buffer) > _MAX_EVENT_BYTES:
             self.problem = f"an event exceeds {_MAX_EVENT_BYTES} bytes"
             self._buffer = b""
@@ -152,10 +154,18 @@
 
 def relay_stream(exchange: Exchange) -> None:
     """Serves one stream: prefill if a prefill engine is available, then decode, with resumption on other engines."""
+    try:
+        _relay_attempts(exchange)
+    except PromptBarredError as error:
+        _refuse_or_abort(exchange, "prompt_part_barred", str(error), error.retry_after_s)
+
+
+def _relay_attempts(exchange: Exchange) -> None:
     events = _EventRelay(exchange)
     prefill_decode = _PrefillDecode(exchange, events)
     unreached_count = 0
     while True:
+        exchange.check_prompt()
         if not exchange.has_time():
             _refuse_or_abort(exchange, "no_time", "the time limit has passed", _RETRY_AFTER_S)
             return
@@ -235,14 +245,18 @@
     def run(self, placement: Placement | None) -> AttemptResult | None:
         """Makes one attempt; returns None if no decode engine is available."""
         exchange, events = self._exchange, self._events
+        exchange.check_prompt()
         kv_cache = self._prefill(placement)
+        self._check_prompt_again(kv_cache)
         candidate = _decode_candidate(exchange, placement, kv_cache)
         if candidate is None:
             release_kv_cache(exchange, kv_cache)
             return None
+        forwarded_before = events.forwarded_count
         with _track_decode(exchange, placement, candidate):
             result = _send(exchange, candidate, kv_cache, events)
         exchange.record_attempt(candidate, "decode" if kv_cache else "whole", result)
+        exchange.record_prompt_attempt(candidate, result, events.forwarded_count - forwarded_before)
         if result.outcome is Outcome.GONE:
             # Before the first forwarded event, the decode engine may not have fetched the KV cache.
             if not exchange.responder.status:
@@ -262,6 +276,14 @@
             _record_failure(exchange, candidate, result, kv_cache)
         return result
 
+    def _check_prompt_again(self, kv_cache: KvCacheHandle | None) -> None:
+        """Checks the prompt after its prefill, during which it may have been barred."""
+        try:
+            self._exchange.check_prompt()
+        except PromptBarredError:
+            release_kv_cache(self._exchange, kv_cache)
+            raise
+
     def _prefill(self, placement: Placement | None) -> KvCacheHandle | None:
         exchange = self._exchange
         engine = exchange.service.engine
--- /dev/null
+++ b/libs/arbutusrill_gateway/tests/test_prompt_guard.py
@@ -0,0 +1,144 @@
+"""Guards against further sends of a prompt that crashes engines, and against evidence that is none or is lost."""
+
+import pytest
+from arbutusrill_base import ManualClock
+from arbutusrill_site import BarredSet, PromptBars, SiteView
+from arbutusrill_state import ControlUnavailableError
+from arbutusrill_wire import messages
+
+from arbutusrill_gateway import CallerRequest, Candidate, PromptBarredError, PromptGuard, ResponseHead
+from arbutusrill_gateway._attempt import AttemptResult, Outcome
+
+
+class Leader:
+    """Records the reports; answers with the bars in `barred` unless it is unavailable."""
+
+    def __init__(self):
+        self.reports = []
+        self.barred = []
+        self.available = True
+
+    def call(self, name, report, timeout, try_timeout):
+        assert name == "report_prompts" and timeout <= 0.3
+        if not self.available:
+            raise ControlUnavailableError("no leader", False)
+        self.reports.append(report)
+        return messages.PromptReply(1, len(self.reports), len(self.reports), self.barred, [])
+
+    def crashes(self):
+        return [(crash.backend, crash.started_ms, crash.parts) for report in self.reports for crash in report.crashes]
+
+
+@pytest.fixture
+def clock():
+    return ManualClock(100.0)
+
+
+@pytest.fixture
+def view(clock):
+    return SiteView(clock)
+
+
+@pytest.fixture
+def leader():
+    return Leader()
+
+
+@pytest.fixture
+def guard(leader, view, clock):
+    return PromptGuard("vm", leader, view, clock)
+
+
+def request(*parts):
+    return CallerRequest("r", "POST", "h", "/x", [], b"", prompt_parts=parts)
+
+
+CANDIDATE = Candidate(messages.BackendRecord("e", 7), 0.0)
+ANSWERED = AttemptResult(Outcome.ANSWERED, ResponseHead(200, "r", False, True), b"", "", 0.2)
+CRASHED = AttemptResult(Outcome.BROKEN, None, b"", "", 0.2, connection_lost=True)
+
+
+def test_crash_is_reported_before_the_request_is_sent_again_which_a_new_bar_prevents(guard, leader):
+    # Half of the engines that ended had got the second attempt of a request that had ended one before.
+    leader.barred = [messages.BarredParts(["D"], 600_000, 3)]
+    guard.check(request("F", "D", "a"))
+    guard.record_attempt(request("F", "D", "a"), CANDIDATE, CRASHED, 0)
+    assert leader.crashes() == [("e", 7, ["F", "D", "a"])]
+    with pytest.raises(PromptBarredError) as caught:
+        guard.check(request("F", "D", "b"))
+    assert 599 < caught.value.retry_after_s <= 600
+    guard.check(request("F", "b"))
+    guard.check(request())
+
+
+@pytest.mark.parametrize(
+    "result, events",
+    [
+        (AttemptResult(Outcome.BROKEN, None, b"", "an answer for another request", 0.2), 0),
+        (AttemptResult(Outcome.TIMEOUT, None, b"", "", 0.2), 0),
+        (AttemptResult(Outcome.REJECTED, None, b"", "", 0.2), 0),
+        (AttemptResult(Outcome.UNREACHED, None, b"", "", 0.2), 0),
+        (CRASHED, 2),
+    ],
+)
+def test_other_failures_are_not_held_against_a_prompt(guard, leader, result, events):
+    guard.record_attempt(request("F", "a"), CANDIDATE, result, events)
+    guard.flush()
+    assert not leader.reports
+
+
+def test_parts_that_were_answered_lately_are_not_held_responsible(guard, leader, clock):
+    # A first part that most requests share is on every engine that crashes.
+    guard.record_events(request("F", "a"), 3, 1)
+    guard.record_attempt(request("G", "b"), CANDIDATE, ANSWERED, 1)
+    guard.record_attempt(request("F", "D", "c"), CANDIDATE, CRASHED, 1)
+    guard.record_attempt(request("G", "D", "d"), CANDIDATE, CRASHED, 1)
+    clock.advance(31)
+    guard.record_attempt(request("F", "D", "e"), CANDIDATE, CRASHED, 0)
+    assert [parts for _, _, parts in leader.crashes()] == [["D", "c"], ["D", "d"], ["F", "D", "e"]]
+
+
+def test_empty_answer_and_a_few_events_before_a_break_prove_nothing(guard, leader):
+    guard.record_attempt(request("F", "a"), CANDIDATE, ANSWERED, 0)
+    guard.record_events(request("F", "a"), 2, 2)
+    guard.record_attempt(request("F", "a"), CANDIDATE, CRASHED, 0)
+    assert leader.crashes() == [("e", 7, ["F", "a"])]
+
+
+def test_crash_is_reported_again_with_its_age_when_the_leader_did_not_answer(guard, leader, clock):
+    leader.available = False
+    guard.record_attempt(request("D", "a"), CANDIDATE, CRASHED, 0)
+    leader.available = True
+    guard.flush()
+    assert not leader.reports, "no call while the leader is presumed unavailable"
+    clock.advance(2.0)
+    guard.flush()
+    clock.advance(2.0)
+    guard.flush()
+    assert leader.crashes() == [("e", 7, ["D", "a"])]
+    crash = leader.reports[0].crashes[0]
+    assert (crash.began_ago_ms, crash.ended_ago_ms) == (2200, 2000)
+
+
+def test_only_suspected_parts_are_reported_as_answered_and_only_once_per_list(guard, leader, view):
+    guard.record_events(request("F", "G", "a"), 4, 4)
+    guard.flush()
+    assert not leader.reports
+    view.prompt_bars = PromptBars(1, 5, suspected=frozenset({"F", "D"}))
+    guard.flush()
+    guard.flush()
+    assert [report.sound for report in leader.reports] == [["F"]]
+    view.prompt_bars = PromptBars(1, 6, suspected=frozenset({"F"}))
+    guard.flush()
+    assert [report.sound for report in leader.reports] == [["F"], ["F"]]
+
+
+def test_bars_stay_known_without_a_leader_and_older_replies_do_not_replace_them(guard, view, clock):
+    view.prompt_bars = PromptBars(2, 5, barred=(BarredSet(frozenset({"D"}), clock.monotonic() + 600, 3),))
+    clock.advance(3600)
+    for term, revision in ((1, 9), (2, 4)):
+        view.apply_prompt_bars(messages.PromptReply(term, revision, 1, [], []))
+        with pytest.raises(PromptBarredError):
+            guard.check(request("D"))
+    view.apply_prompt_bars(messages.PromptReply(3, 1, 1, [], []))
+    guard.check(request("D"))
