--- a/libs/arbutusrill_site/_service.py
+++ b/libs/arbutusrill_site/_service.py
@@ -79,7 +79,12 @@
             lambda: self.backends.complete,
             lambda: self.backends.revision,
         )
-        self.prompts = PromptLedger(clock, changed, state.prompt_table, self._commit_prompt_suspects)
+        self.prompts = PromptLedger(
+            clock,
+            changed,
+            state.prompt_table,
+            lambda record: self._try_to_commit(record, "prompt_suspects_not_saved"),
+        )
         self.stage_balancer = make_stage_balancer(_SiteEngineRegistry(self), self.places.speeds)
         self._decoded_document: tuple[int, SiteConfiguration | None] = (0, None)
         self._term: int | None = None
@@ -264,14 +269,6 @@
         if self._log.is_leader() and self._term is not None:
             self.prompts.save()
 
-    def _commit_prompt_suspects(self, record: Any) -> bool:
-        try:
-            self._propose(record)
-        except messages.Refused as error:
-            _events.emit("prompt_suspects_not_saved", reason=error.message)
-            return False
-        return True
-
     def record_stage_order(self, backend: str, stage: str) -> bool:
         """Commits the stage that an engine was ordered to change to, empty for none; returns False when that fails."""
         self.backends.record_stage_order(backend, stage)
@@ -280,10 +277,13 @@
 
     def _save_records(self, backends: list[Any]) -> bool:
         self._saved_at = self._clock.monotonic()
+        return self._try_to_commit(messages.PutBackends(backends), "backends_not_saved")
+
+    def _try_to_commit(self, change: Any, failure_event: str) -> bool:
         try:
-            self._propose(messages.PutBackends(backends))
+            self._propose(change)
         except messages.Refused as error:
-            _events.emit("backends_not_saved", reason=error.message)
+            _events.emit(failure_event, reason=error.message)
             return False
         return True
 
