http: idle connections follow a change of the idle limit

Callers saw: beside a change of the configuration that raised the idle limit, a request on a kept connection got no response, although its caller had kept to the new limit.

Cause: the limit was read once, when a connection became idle. One that waited already was closed after the old limit.

Change: set_limits wakes the threads of idle connections, which compute the end of their wait anew.

Evidence: test_idle_connection_follows_a_change_of_the_idle_limit fails in both directions before.

--- a/libs/arbutusrill_http/_handler.py
+++ b/libs/arbutusrill_http/_handler.py
@@ -97,11 +97,11 @@
 
     def handle_one_request(self) -> None:
         """Reads and serves one request; rejects it if it is malformed, too large or too slow."""
-        limits = self.server.limits
-        header_s = min(limits.header_s, _RESERVED_HEADER_TIMEOUT_S) if self._is_reserved else limits.header_s
-        if not self._wait_for_request(header_s if self._is_reserved else limits.idle_s):
+        if not self._wait_for_request():
             self.close_connection = True
             return
+        limits = self.server.limits
+        header_s = min(limits.header_s, _RESERVED_HEADER_TIMEOUT_S) if self._is_reserved else limits.header_s
         self._socket_reader.deadline = time.monotonic() + header_s
         self.command, self.request_version = "", "HTTP/1.1"
         try:
@@ -123,26 +123,28 @@
         self.connection.settimeout(None)
         self._run_application(body)
 
-    def _wait_for_request(self, timeout_s: float) -> bool:
+    def _wait_for_request(self) -> bool:
         """Waits for the first byte of a request; returns False on end of input or when the server drains.
 
-        A request that has already been sent is served in any case.
+        A request that has already been sent is served in any case. The wait follows changes of the limits.
         """
         is_first, self._is_first_request = self._is_first_request, False
-        if is_first and self._has_input_within(min(timeout_s, _FIRST_REQUEST_WAIT_S)):
+        if is_first and self._has_input_within(min(self._max_idle_s(), _FIRST_REQUEST_WAIT_S)):
             return True
         if self._has_input_within(0):  # of a pipelined request
             return True
-        deadline = time.monotonic() + timeout_s
+        idle_since = time.monotonic()
         with self.server.idle_connection(self.connection) as wake_up:
             while (pipe := wake_up()) is not None:
-                readable = self._poll_with(pipe.receiver, deadline - time.monotonic())
-                if not readable:
-                    return False
-                if self.connection.fileno() in readable:
-                    return self._has_input_within(_PENDING_INPUT_WAIT_S)
+                readable = self._poll_with(pipe.receiver, idle_since + self._max_idle_s() - time.monotonic())
+                if not readable or self.connection.fileno() in readable:
+                    break
             return self._has_input_within(_PENDING_INPUT_WAIT_S)
 
+    def _max_idle_s(self) -> float:
+        limits = self.server.limits
+        return min(limits.header_s, _RESERVED_HEADER_TIMEOUT_S) if self._is_reserved else limits.idle_s
+
     def _poll_with(self, descriptor: int, timeout_s: float) -> list[int]:
         """Waits until the connection or `descriptor` is readable; returns those that are, none after a timeout."""
         poller = select.poll()
--- a/libs/arbutusrill_http/_server.py
+++ b/libs/arbutusrill_http/_server.py
@@ -132,7 +132,8 @@
             is_closing = self._draining.is_set() or connection in self._close_when_idle
             return None if is_closing else self._wake_up
 
-    def _wake_idle_connections(self) -> None:
+    def wake_idle_connections(self) -> None:
+        """Makes the threads of idle connections look again whether to close them, and when."""
         with self._lock:
             wake_up, self._wake_up = self._wake_up, _WakeUpPipe()
         wake_up.wake()
@@ -140,7 +141,7 @@
     def drain(self) -> None:
         """Closes idle connections; the others close after the response to their current request."""
         self._draining.set()
-        self._wake_idle_connections()
+        self.wake_idle_connections()
 
     def abort_connections(self) -> int:
         """Closes all connections immediately and returns how many had a request in progress."""
@@ -175,7 +176,7 @@
             # Excludes the connection from the next call, since its task removes the entry only later.
             self._idle_since[longest_idle] = float("inf")
             self._close_when_idle.add(longest_idle)
-        self._wake_idle_connections()
+        self.wake_idle_connections()
 
     def _reject_connection(self, connection: socket.socket) -> None:
         """Sends a 503 without blocking.
@@ -286,8 +287,14 @@
             self._server.server_close()
 
     def set_limits(self, limits: HttpLimits) -> None:
-        """Changes the limits for later requests; the number of threads and the send timeout stay unchanged."""
+        """Changes the limits for later requests and for idle connections.
+
+        The number of threads and the send timeout stay unchanged.
+        """
+        is_idle_limit_changed = limits.idle_s != self._server.limits.idle_s
         self._server.limits = limits
+        if is_idle_limit_changed:
+            self._server.wake_idle_connections()
 
     def active_connections(self) -> int:
         """Returns the number of connections with a request in progress."""
--- a/libs/arbutusrill_http/tests/test_server.py
+++ b/libs/arbutusrill_http/tests/test_server.py
@@ -336,3 +336,19 @@
         closed.set()
         assert connection.makefile("rb").read().endswith(b"whole")
     assert caller_looked_gone == [False] * 3
+
+
+@pytest.mark.parametrize("idle_s, is_open", [(5.0, True), (0.2, False)])
+def test_idle_connection_follows_a_change_of_the_idle_limit(app, idle_s, is_open):
+    # A raised limit reached only connections that became idle later: callers that used it got no response.
+    with HttpServer("127.0.0.1", 0, app, HttpLimits(idle_s=0.6)) as server, connect(server) as connection:
+        connection.sendall(b"GET /x HTTP/1.1\r\nHost: x\r\n\r\n")
+        assert connection.recv(1000).endswith(b"whole")
+        server.set_limits(HttpLimits(idle_s=idle_s))
+        time.sleep(0.4 if not is_open else 1.0)
+        if is_open:
+            connection.sendall(get("/x"))
+            assert connection.makefile("rb").read().endswith(b"whole")
+        else:
+            connection.settimeout(0)
+            assert connection.recv(1) == b""
