http: a request that has arrived is read although the deadline of the wait has passed

Callers saw: a request sent on a kept connection shortly before its VM drained got no response.

Cause: a connection that is about to be closed looks for a request for a millisecond. When its thread did not run for so long, the deadline had passed before the first look, and the connection was closed with the request unread.

Change: the reader always takes what has arrived and checks the deadline only for waiting.

Evidence: test_request_that_has_arrived_is_read_after_a_deadline_that_passed_while_the_thread_waited, which sets the wait to a time that has passed, fails before.

--- a/libs/arbutusrill_http/_handler.py
+++ b/libs/arbutusrill_http/_handler.py
@@ -64,11 +64,12 @@
         return True
 
     def readinto(self, buffer: Any) -> int:
-        remaining = self.deadline - time.monotonic()
-        if remaining <= 0:
-            raise TimeoutError("the request did not arrive in time")
-        self._connection.settimeout(remaining)
-        return self._connection.recv_into(buffer)
+        # Bytes that have arrived are read even after the deadline, which may have passed while the thread did not run.
+        self._connection.settimeout(max(0.0, self.deadline - time.monotonic()))
+        try:
+            return self._connection.recv_into(buffer)
+        except BlockingIOError:
+            raise TimeoutError("the request did not arrive in time") from None
 
 
 class Handler(WSGIRequestHandler):
--- a/libs/arbutusrill_http/tests/test_server.py
+++ b/libs/arbutusrill_http/tests/test_server.py
@@ -352,3 +352,12 @@
         else:
             connection.settimeout(0)
             assert connection.recv(1) == b""
+
+
+def test_request_that_has_arrived_is_read_after_a_deadline_that_passed_while_the_thread_waited(server, monkeypatch):
+    # A thread that did not run for a millisecond while its server drained closed a connection with an unread request.
+    monkeypatch.setattr("arbutusrill_http._handler._PENDING_INPUT_WAIT_S", -1.0)
+    monkeypatch.setattr("arbutusrill_http._handler._FIRST_REQUEST_WAIT_S", -1.0)
+    with connect(server) as connection:
+        connection.sendall(get("/x"))
+        assert connection.makefile("rb").read().endswith(b"whole")
