site: silence of a voter counts from the start of its leader's term

What could happen: right after an election, a sound voter that had not replied to the new leader yet was replaced by a spare that asked to join.

Cause: a voter without a reply counted as silent for ever.

Change: its silence is counted from the moment at which this VM began to lead.

Evidence: test_voter_that_has_not_replied_to_a_new_leader_is_not_replaced_at_once fails before (replaced at the first tick). Found by reading; no run has shown it between processes.

--- a/libs/arbutusrill_site/_membership.py
+++ b/libs/arbutusrill_site/_membership.py
@@ -32,6 +32,7 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._requested_at_by_member: dict[str, float] = {}
+        self._leading_since: float | None = None
 
     def record_join_request(self, member: str) -> None:
         """Records a request to join by the VM with the member ID `member`."""
@@ -46,8 +47,11 @@
     def tick(self) -> None:
         """Makes at most one membership change."""
         if not self._log.is_leader():
+            self._leading_since = None
             return
         now = self._clock.monotonic()
+        if self._leading_since is None:
+            self._leading_since = now
         with self._lock:
             recent = {
                 member: at for member, at in self._requested_at_by_member.items() if now - at < _JOIN_REQUEST_TTL_S
@@ -72,8 +76,9 @@
             return False  # a member that lost contact with the leader for a moment
         address = address_of(requesting)
         same_address = [member for member in voters if member.address == address]
-        # `silent_s` is -1 for a voter that has never replied to this leader.
-        silent = [member for member in voters if member.silent_s < 0 or member.silent_s > _VOTER_TIMEOUT_S]
+        # `silent_s` is -1 for a voter that has not replied to this leader, which may have been elected just now.
+        led_s = self._clock.monotonic() - self._leading_since
+        silent = [member for member in voters if (led_s if member.silent_s < 0 else member.silent_s) > _VOTER_TIMEOUT_S]
         if same_address:
             self._replace(same_address[0].id, address, "it has a new disk")
         elif len(voters) < self._size:
