http: only a failed send counts as a caller that has disconnected

What could happen: a request whose application raised a ConnectionError or TimeoutError of another connection, such as an RPC, got no response at all.

Cause: the type of the exception decided whether the caller was gone.

Change: the response records whether a send to the caller failed; any other exception gets a 500 if nothing was sent yet.

Evidence: test_application_error_has_verdict_may_have_run[/unreachable] fails before. No path was found on which such an error reaches the server today.

--- a/libs/arbutusrill_http/_handler.py
+++ b/libs/arbutusrill_http/_handler.py
@@ -263,17 +263,16 @@
                 if hasattr(chunks, "close"):
                     chunks.close()
             response.finish()
-        except (AbortStreamError, ConnectionError, TimeoutError):
+        except Exception as error:
             self.close_connection = True
+            # An error of another connection of the application says nothing about the caller, who gets a response.
+            if not (isinstance(error, AbortStreamError) or response.has_failed):
+                _log.exception("the application raised an exception")
+                if not response.head_sent:
+                    self._reject(_RequestError(500, "internal_error", "internal error"))
+                    return
             if response.ends_with_connection:
                 self.server.reset_on_close(self.connection)
-        except Exception:
-            _log.exception("the application raised an exception")
-            self.close_connection = True
-            if not response.head_sent:
-                self._reject(_RequestError(500, "internal_error", "internal error"))
-            elif response.ends_with_connection:
-                self.server.reset_on_close(self.connection)
 
     def log_request(self, code: int | str = "-", size: int | str = "-") -> None:
         """Logs nothing: the application logs requests with their request ID."""
--- a/libs/arbutusrill_http/_writer.py
+++ b/libs/arbutusrill_http/_writer.py
@@ -22,6 +22,7 @@
         self._chunked = False
         self._has_body = True
         self.head_sent = False
+        self.has_failed = False  # whether a send failed, that is, the caller is gone or does not read
         self.ends_with_connection = False  # whether only the end of the connection marks the end of the body
 
     def start(self, status: str, headers: list[tuple[str, str]], exc_info: Any = None) -> Callable[[bytes], None]:
@@ -75,5 +76,8 @@
     def _send(self, data: bytes) -> None:
         try:
             self._handler.connection.sendall(data)
-        except BlockingIOError:
-            raise TimeoutError("send timed out: the caller does not read the response") from None
+        except OSError as error:
+            self.has_failed = True
+            if isinstance(error, BlockingIOError):
+                raise TimeoutError("send timed out: the caller does not read the response") from None
+            raise
--- a/libs/arbutusrill_http/tests/test_server.py
+++ b/libs/arbutusrill_http/tests/test_server.py
@@ -40,6 +40,8 @@
             return [b"more"]
         if request.path == "/bug":
             raise RuntimeError("bug")
+        if request.path == "/unreachable":
+            raise ConnectionResetError("another connection of the application")
         return Response(b"whole")(environ, start)
 
 
@@ -225,8 +227,10 @@
     assert (b" 200 OK" if continues else b" 413 ") in response
 
 
-def test_application_error_has_verdict_may_have_run(server):
-    assert b'"verdict": "may_have_run"' in exchange(server, get("/bug"))
+@pytest.mark.parametrize("path", ["/bug", "/unreachable"])
+def test_application_error_has_verdict_may_have_run(server, path):
+    # An error of a connection to another server was taken for one of the caller's, who got no response.
+    assert b'"verdict": "may_have_run"' in exchange(server, get(path))
 
 
 def test_head_has_no_body_and_http_1_0_body_ends_with_the_connection(server):
