gateway: a server that says in an answer that it drains gets nothing new

Cause: the field was not decoded, and choices knew announcements only.

BackendAvailability holds what is known against each incarnation (drains, quiet, avoided), without a clock or socket; BackendPool uses it for pick, is_usable and avoided_ids, so that retries, resumptions, placements granted before, prefill engines and the leader's placements follow it. Repeated header fields are combined (RFC 9110, 5.3) instead of the last one replacing the others. A stage is not ordered from a server that leaves.

test_prefill.py: its stand-ins grew the two methods that run_prefill calls.

--- a/libs/arbutusrill_gateway/_attempt.py
+++ b/libs/arbutusrill_gateway/_attempt.py
@@ -5,6 +5,7 @@
 import abc
 import enum
 import time
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from arbutusrill_base import Verdict
@@ -78,10 +79,12 @@
     timeout_s: float,
     stall_s: float | None = None,
     receiver: BodyReceiver | None = None,
+    on_response: Callable[[ResponseHead], None] | None = None,
 ) -> AttemptResult:
     """Sends `request` to `candidate` and waits for the end of the response, whose body `receiver` gets.
 
     Without `receiver`, the body is collected, up to a limit. `stall_s` is the longest time without progress.
+    `on_response` gets each head as soon as it is complete, also of interim responses.
     """
     transfer = Transfer(
         request.method,
@@ -97,13 +100,24 @@
         omit_default_headers=True,
         caller_connection=request.connection,
     )
+    heads: list[ResponseHead] = []
+
+    def on_any_head(status: int, headers_by_name: dict[str, str]) -> None:
+        heads[:] = [protocol.decode_response(status, headers_by_name)]
+        if on_response is not None:
+            on_response(heads[0])
+
+    transfer.on_any_head = on_any_head
     if receiver is not None:
         transfer.on_head, transfer.on_data = receiver.on_head, receiver.on_data
         transfer.progress_at, transfer.should_stop = receiver.progress_at, lambda: bool(receiver.problem)
     started = time.monotonic()
     result = fetch(transfer)
     took_s = time.monotonic() - started
-    response = protocol.decode_response(result.status, result.headers_by_name) if result.status else None
+    if heads and heads[0].status == result.status:
+        response = heads[0]
+    else:  # none, or one that broke off
+        response = protocol.decode_response(result.status, result.headers_by_name) if result.status else None
     if result.error == "stopped":
         result.detail = receiver.problem
     outcome, detail = _outcome(request, backend_request, result, response)
--- a/libs/arbutusrill_gateway/_backends.py
+++ b/libs/arbutusrill_gateway/_backends.py
@@ -14,6 +14,9 @@
 from arbutusrill_site import Service, SiteView
 from arbutusrill_wire import messages
 
+from ._availability import BackendAvailability
+from ._protocol import ResponseHead
+
 __all__ = ["BackendPool", "Candidate"]
 
 _SMOOTHING_FACTOR = 0.2  # weight of a new observation in the exponential moving averages
@@ -59,7 +62,6 @@
     failure_rate: float = 0.0  # moving average between 0 and 1
     updated_at: float = 0.0
     failures: int = 0  # consecutive
-    avoid_until: float = float("-inf")
 
 
 class BackendPool:
@@ -74,6 +76,7 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._stats_by_id: dict[str, _BackendStats] = {}
+        self._availability = BackendAvailability()
         self._requests_by_id: dict[str, int] = {}
         self._tokens_by_id: dict[str, int] = {}
 
@@ -112,19 +115,24 @@
         """Returns the backend server of `service` with the lowest cost for a request of `tokens`, or None.
 
         The cost is the expected duration plus penalties for failures and for other data centres than `kv_data_centre`,
-        which holds the request's KV cache (by default this VM's data centre). Backend servers that are avoided after a
-        failure are chosen only if there is no other. Random jitter spreads requests over servers of similar cost.
+        which holds the request's KV cache (by default this VM's data centre). Backend servers that drain or are quiet
+        are not chosen; those that are avoided after a failure only if there is no other. Random jitter spreads requests
+        over servers of similar cost.
         """
         now = self._clock.monotonic()
         ranked = []
         with self._lock:
             listed = [record for record in self._view.backends_by_id.values() if record.service_name == service.name]
-            usable = [record for record in listed if _serves(record, stage, model) and record.id not in exclude]
+            usable = [
+                record
+                for record in listed
+                if _serves(record, stage, model) and record.id not in exclude and self._permits(record, now)
+            ]
             mean_s = self._mean_unit_s(listed, stage)
             for record in usable:
                 expected_s = self._expected_s(record, service, stage, tokens, mean_s, now)
                 stats = self._stats_of(record)
-                avoided = stats.avoid_until > now
+                avoided = self._availability.is_avoided(record, now)
                 fits = not stage or stage == "prefill" or self._fits(record, service, tokens)
                 cost = expected_s * random.uniform(1, 1 + _JITTER_FRACTION) + self._penalty_s(
                     record, stage, kv_data_centre, stats, now
@@ -149,19 +157,56 @@
         return has_backend()
 
     def avoided_ids(self) -> list[str]:
-        """Returns the ids of backend servers that are avoided after a recent failure or for their failure rate."""
+        """Returns the ids of backend servers that drain, are quiet, or failed recently or often."""
         now = self._clock.monotonic()
         with self._lock:
-            return [
-                id_
-                for id_, stats in self._stats_by_id.items()
-                if stats.avoid_until > now or self._failure_rate(stats, now) > _AVOID_FAILURE_RATE
-            ]
+            failing = (
+                id_ for id_, stats in self._stats_by_id.items() if self._failure_rate(stats, now) > _AVOID_FAILURE_RATE
+            )
+            return sorted(self._availability.restricted_ids(now).union(failing))
 
     def is_usable(self, record: Any) -> bool:
-        """Returns whether a backend server is still listed, has not restarted and is not draining."""
+        """Returns whether a backend server is still listed, has not restarted, is not draining and not quiet."""
         current = self._view.backends_by_id.get(record.id)
-        return current is not None and current.started_ms == record.started_ms and not current.draining
+        if current is None or current.started_ms != record.started_ms or current.draining:
+            return False
+        with self._lock:
+            return self._permits(record, self._clock.monotonic())
+
+    def _permits(self, record: Any, now: float) -> bool:
+        """Returns whether a backend server neither drains nor is quiet; reports the choices that this changes."""
+        if self._availability.is_permitted(record, now):
+            return True
+        skipped_count = self._availability.record_skip(record, now)
+        if skipped_count is not None:
+            quiet_end = self._availability.quiet_end(record, now)
+            state = "draining" if quiet_end is None else "quiet"
+            _events.emit("backend_skipped", backend=record.id, state=state, choices=skipped_count)
+        return False
+
+    def observe_response(self, record: Any, response: ResponseHead, request_id: str) -> None:
+        """Learns from a response to the request `request_id` whether its backend server drains or asks for quiet.
+
+        A response to any other request may be an old one, or one of another server, and teaches nothing.
+        """
+        if response.request_id != request_id or not (response.draining or response.quiet_s is not None):
+            return
+        now = self._clock.monotonic()
+        with self._lock:
+            is_new = response.draining and self._availability.set_draining(record, now)
+            until = None if response.quiet_s is None else self._availability.set_quiet(record, response.quiet_s, now)
+        told_by = {"backend": record.id, "address": record.address, "started_ms": record.started_ms}
+        if is_new:
+            _events.emit("backend_draining", request=request_id, until="the end of the incarnation", **told_by)
+        if until is not None:
+            quiet_ms = round((until - now) * 1000)
+            until_ms = self._clock.wall_ms() + quiet_ms
+            _events.emit("backend_quiet", request=request_id, quiet_ms=quiet_ms, until_ms=until_ms, **told_by)
+
+    def restricted_counts(self) -> tuple[int, int]:
+        """Returns the number of backend servers that said they drain, and of those that are quiet."""
+        with self._lock:
+            return self._availability.counts(self._clock.monotonic())
 
     @staticmethod
     def _failure_rate(stats: _BackendStats, now: float) -> float:
@@ -234,7 +279,7 @@
             stats.failure_rate *= 1 - _SMOOTHING_FACTOR
             stats.updated_at = now
             stats.failures = 0
-            stats.avoid_until = float("-inf")
+            self._availability.set_avoided(record, float("-inf"), now)
 
     def record_failure(self, record: Any, reason: str, avoid: bool = True) -> None:
         """Records a failed request; `avoid` also avoids the backend server, with exponential backoff."""
@@ -246,12 +291,13 @@
             stats.failures += 1
             if avoid:
                 avoid_s = min(_MAX_AVOID_S, _MIN_AVOID_S * 2 ** min(stats.failures - 1, 6))
-                stats.avoid_until = now + avoid_s
+                self._availability.set_avoided(record, now + avoid_s, now)
         _events.emit("backend_failed", backend=record.id, address=record.address, reason=reason, avoided=avoid)
 
     def prune(self) -> None:
-        """Drops the observations of backend servers that are no longer listed."""
+        """Drops the observations of backend servers that are no longer listed, and restrictions that are over."""
         with self._lock:
+            self._availability.prune(self._view.backends_by_id, self._clock.monotonic())
             for backend in [id_ for id_ in self._stats_by_id if id_ not in self._view.backends_by_id]:
                 del self._stats_by_id[backend]
 
--- a/libs/arbutusrill_gateway/_exchange.py
+++ b/libs/arbutusrill_gateway/_exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -12,7 +13,7 @@
 from ._attempt import AttemptResult
 from ._backends import BackendPool, Candidate
 from ._placement import PlacementClient
-from ._protocol import BackendProtocol, BackendRequest, CallerRequest
+from ._protocol import BackendProtocol, BackendRequest, CallerRequest, ResponseHead
 from ._reply import Refusal, Responder
 
 __all__ = ["Exchange"]
@@ -65,6 +66,10 @@
         workspace = self.workspace.name if self.workspace else ""
         return BackendRequest(candidate.record, max(0.001, self.remaining_s()), workspace, **fields)
 
+    def response_observer(self, candidate: Candidate) -> Callable[[ResponseHead], None]:
+        """Returns the function that learns from the response heads of an attempt at `candidate`."""
+        return lambda response: self.pool.observe_response(candidate.record, response, self.request.id)
+
     def record_attempt(self, candidate: Candidate, step: str, result: AttemptResult) -> None:
         """Records the result of an attempt that may have run the request."""
         self.verdict = self.verdict.combine(result.outcome.verdict)
--- a/libs/arbutusrill_gateway/_metrics.py
+++ b/libs/arbutusrill_gateway/_metrics.py
@@ -33,6 +33,16 @@
         )
         self.view_age = Gauge("arbutusrill_view_age_seconds", "Age of the confirmed view.", registry=self.registry)
         self.version = Gauge("arbutusrill_config_version", "Version in force on this VM.", registry=self.registry)
+        self.draining_backends = Gauge(
+            "arbutusrill_backends_draining",
+            "Backend servers that this VM sends nothing since they said in an answer that they drain.",
+            registry=self.registry,
+        )
+        self.quiet_backends = Gauge(
+            "arbutusrill_backends_quiet",
+            "Backend servers that this VM sends nothing for the time that they asked for.",
+            registry=self.registry,
+        )
 
     def record_request(self, route: str, status: int, took_s: float, first_event_s: float | None) -> None:
         """Counts a finished request; `status` 0 means that its connection was closed without a response."""
--- a/libs/arbutusrill_gateway/_plain.py
+++ b/libs/arbutusrill_gateway/_plain.py
@@ -116,7 +116,13 @@
     try:
         with exchange.pool.track_request(candidate.id, 0):
             result = send_attempt(
-                exchange.protocol, exchange.request, backend_request, candidate, timeout_s, receiver=relay
+                exchange.protocol,
+                exchange.request,
+                backend_request,
+                candidate,
+                timeout_s,
+                receiver=relay,
+                on_response=exchange.response_observer(candidate),
             )
     except OSError:  # from the connection of the caller, while a large response is forwarded
         exchange.verdict = exchange.verdict.combine(Verdict.MAY_HAVE_RUN)
--- a/libs/arbutusrill_gateway/_prefill.py
+++ b/libs/arbutusrill_gateway/_prefill.py
@@ -40,7 +40,12 @@
         with pool.track_request(candidate.id, tokens):
             limit_s = min(_MAX_PREFILL_S, max(0.001, exchange.remaining_s()))
             result = send_attempt(
-                exchange.protocol, request, exchange.backend_request(candidate, prefill=True), candidate, limit_s
+                exchange.protocol,
+                request,
+                exchange.backend_request(candidate, prefill=True),
+                candidate,
+                limit_s,
+                on_response=exchange.response_observer(candidate),
             )
         exchange.record_prefill_attempt(candidate, result)
         if result.outcome is Outcome.GONE:
@@ -63,9 +68,15 @@
 
 
 def _candidate(exchange: Exchange, placement: Placement | None, excluded: set[str]) -> Candidate | None:
-    """Returns the prefill engine to use, or None if the leader assigned the prompt to the decode engine."""
+    """Returns the prefill engine to use, or None if the leader assigned the prompt to the decode engine.
+
+    An engine that began to drain or to be quiet after the leader chose it is replaced from the local view.
+    """
     if placement is not None and not excluded:
-        return Candidate(placement.prefill, 0.0) if placement.prefill is not None else None
+        if placement.prefill is None:
+            return None
+        if exchange.pool.is_usable(placement.prefill):
+            return Candidate(placement.prefill, 0.0)
     request = exchange.request
     return exchange.pool.pick(exchange.service, "prefill", request.prompt_tokens or 0, request.model, excluded)
 
--- a/libs/arbutusrill_gateway/_protocol.py
+++ b/libs/arbutusrill_gateway/_protocol.py
@@ -113,7 +113,8 @@
 
     `not_run` is true if the backend server states that it has not run the request, `stamped` if the response carries
     the stamp by which the backend server proves that it served the request. `headers` are the fields to forward to the
-    caller.
+    caller. `draining` is true if the backend server states that it shuts down, and `quiet_s` is the time in seconds for
+    which it asks this VM to send nothing, None if it does not ask.
     """
 
     status: int
@@ -121,6 +122,8 @@
     not_run: bool
     stamped: bool
     headers: list[tuple[str, str]] = field(default_factory=list)
+    draining: bool = False
+    quiet_s: float | None = None
 
 
 class BackendProtocol(abc.ABC):
--- a/libs/arbutusrill_gateway/_stream.py
+++ b/libs/arbutusrill_gateway/_stream.py
@@ -327,6 +327,7 @@
             max(0.001, exchange.remaining_s()),
             stall_s,
             events,
+            exchange.response_observer(candidate),
         )
         if (
             result.outcome is Outcome.ANSWERED
--- a/libs/arbutusrill_gateway/tests/test_prefill.py
+++ b/libs/arbutusrill_gateway/tests/test_prefill.py
@@ -33,6 +33,9 @@
     def pick(self, *_):
         return None
 
+    def is_usable(self, record):
+        return True
+
 
 def closed_address():
     with socket.create_server(("127.0.0.1", 0)) as server:
@@ -55,6 +58,7 @@
         remaining_s=lambda: 1.0,
         backend_request=lambda candidate, **_: BackendRequest(candidate.record, 1.0),
         record_prefill_attempt=lambda candidate, result: None,
+        response_observer=lambda candidate: None,
     )
     placement = SimpleNamespace(prefill=unreachable)
     assert run_prefill(exchange, placement) is None
--- a/libs/arbutusrill_http/_transfer.py
+++ b/libs/arbutusrill_http/_transfer.py
@@ -31,10 +31,10 @@
     Connections are not reused: libcurl would resend a request by itself when a reused connection turns out to be
     closed, and a late or repeated response to an earlier request could be taken for the response to this one.
 
-    `on_head` gets the status and the headers. `on_data` gets each part of the body as it arrives; without it the body
-    is collected, and the transfer fails if it exceeds `max_body_bytes`. `should_stop` is polled and cancels the
-    transfer when it returns True. `caller_connection` is the connection of the caller; the transfer is cancelled when
-    the caller closes it.
+    `on_head` gets the status and the headers, `on_any_head` also those of interim responses. `on_data` gets each part
+    of the body as it arrives; without it the body is collected, and the transfer fails if it exceeds `max_body_bytes`.
+    `should_stop` is polled and cancels the transfer when it returns True. `caller_connection` is the connection of the
+    caller; the transfer is cancelled when the caller closes it.
     `timeout_s` limits the whole transfer, `connect_s` the time to connect and `stall_s` the time without progress.
     Progress is the complete head and any byte of the body, or, with `progress_at`, the time that it returns on the
     monotonic clock.
@@ -51,6 +51,7 @@
     omit_default_headers: bool = False
     caller_connection: socket.socket | None = None
     on_head: Callable[[int, dict[str, str]], None] | None = None
+    on_any_head: Callable[[int, dict[str, str]], None] | None = None
     on_data: Callable[[bytes], None] | None = None
     should_stop: Callable[[], bool] | None = None
     progress_at: Callable[[], float] | None = None
@@ -263,14 +264,30 @@
             self._result.status = int(text.split(None, 2)[1])
             self._result.headers_by_name.clear()
         elif ":" in text:
-            name, _, value = text.partition(":")
-            self._result.headers_by_name[name.strip().lower()] = value.strip()
-        elif not text and self._result.status >= 200:
+            self._add_header(*text.split(":", 1))
+        elif not text:
+            return self._end_head()
+        return None
+
+    def _add_header(self, name: str, value: str) -> None:
+        """Adds a header field; the values of a repeated field are combined (RFC 9110, 5.3), except for cookies."""
+        name, value = name.strip().lower(), value.strip()
+        earlier = self._result.headers_by_name.get(name)
+        if earlier is not None and name != "set-cookie":
+            value = f"{earlier}, {value}"
+        self._result.headers_by_name[name] = value
+
+    def _end_head(self) -> int | None:
+        status, headers_by_name = self._result.status, self._result.headers_by_name
+        outcome = None
+        if self._transfer.on_any_head is not None:
+            outcome = self._run_callback(self._transfer.on_any_head, status, headers_by_name)
+        if status >= 200:
             self._headers_done = True
             self._last_byte_at = time.monotonic()
-            if self._transfer.on_head is not None:
-                return self._run_callback(self._transfer.on_head, self._result.status, self._result.headers_by_name)
-        return None
+            if outcome is None and self._transfer.on_head is not None:
+                outcome = self._run_callback(self._transfer.on_head, status, headers_by_name)
+        return outcome
 
     def _on_data(self, data: bytes) -> int | None:
         self._last_byte_at = time.monotonic()
--- a/libs/arbutusrill_http/tests/test_transfer.py
+++ b/libs/arbutusrill_http/tests/test_transfer.py
@@ -50,6 +50,18 @@
     assert result.verdict is Verdict.MAY_HAVE_RUN
 
 
+def test_heads_are_reported_as_they_arrive_with_the_values_of_repeated_fields():
+    # With only the last value, a field that was sent twice looked like a valid one.
+    interim = b"HTTP/1.1 103 Early Hints\r\nHint: 1\r\n\r\n"
+    final = b"HTTP/1.1 200 OK\r\nTime: 1\r\ntime: 2\r\nSet-Cookie: a\r\nSet-Cookie: b\r\nContent-Length: 0\r\n\r\n"
+    url = serve_once(lambda connection: (connection.recv(9999), connection.sendall(interim + final)))
+    heads = []
+    fetch(Transfer("GET", url, on_any_head=lambda status, headers_by_name: heads.append((status, {**headers_by_name}))))
+    (first, first_headers), (second, second_headers) = heads
+    assert (first, first_headers, second) == (103, {"hint": "1"}, 200)
+    assert (second_headers["time"], second_headers["set-cookie"]) == ("1, 2", "b")
+
+
 def test_silent_server_fails_after_stall_s():
     started = time.monotonic()
     result = fetch(Transfer("POST", serve_once(lambda c: time.sleep(5)), body=b"x", stall_s=0.4))
