site: a late departure of an older start does not hide that of a newer one

What callers saw: an entry VM went on choosing a server that had departed, after it had come back under its id and the DELETE of its older start arrived late.

Cause: the removal of an unknown server replaced the newer removal that a follower had not read yet; the follower keeps a server whose start is later than the removed one.

Change: a removal that is covered by a recorded one is not recorded. Failed first: [100] == [200] in test_backends.py. Found by the tests of the servers that leave, whose stand-in restarts under its id.

--- a/libs/arbutusrill_site/_backends.py
+++ b/libs/arbutusrill_site/_backends.py
@@ -163,9 +163,16 @@
             known = self._record_by_id.get(backend)
             if known is not None and known.started_ms <= started_ms:
                 self._drop(backend, "it has departed")
-            elif known is None:  # followers may know it from an earlier term
+            elif known is None and not self._has_departed(
+                backend, started_ms
+            ):  # known to followers from an earlier term
                 self._record_removal(backend, messages.BackendRecord(backend, started_ms))
 
+    def _has_departed(self, backend: str, started_ms: int) -> bool:
+        """Whether followers are told already that this start, or a later one, of a server has departed."""
+        _, removed = self._removed_by_id.get(backend, (0, None))
+        return removed is not None and removed.started_ms >= started_ms
+
     def expire(self) -> None:
         """Drops the servers without an announcement within the timeout."""
         with self._changed:
--- a/libs/arbutusrill_site/tests/test_backends.py
+++ b/libs/arbutusrill_site/tests/test_backends.py
@@ -137,3 +137,12 @@
     registry.restore_roster()
     registry.announce(engine(2))
     assert registry.records()[0].ordered_stage == "decode"
+
+
+def test_late_departure_of_an_older_start_does_not_hide_the_departure_of_a_newer_one(registry):
+    # A follower that had not read the newer departure kept the server in its list until the end of the term.
+    registry.announce(record(started=200))
+    revision = registry.revision
+    registry.remove("a", 200)
+    registry.remove("a", 100)
+    assert [removed.started_ms for removed in registry.changes_since(revision).removed] == [200]
