gateway: nothing is sent to a server for the time that it asked for

Cause: the time was passed on to callers and read by nobody.

A placement whose engine became quiet or drains while the leader decided is given back at once and another taken, twice at most, then the local view is used; a prefill or decode engine that became quiet after the grant is replaced from the local view, and the place on it is released before the stream and not after it. While all servers of a service are quiet, a request that can wait does so in order of arrival (WaitingLine); others are refused at once with Retry-After after the first quiet time, spread at random.

--- a/libs/arbutusrill_gateway/_availability.py
+++ b/libs/arbutusrill_gateway/_availability.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+import math
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass
 from typing import Any
 
@@ -90,13 +91,34 @@
             return None
         return restriction.quiet_until
 
+    def retry_in_s(self, records: Collection[Any], now: float) -> float | None:
+        """Returns the seconds until one of `records` is neither quiet nor avoided, None if that is so now.
+
+        None also if none of them is quiet: a failed server alone says nothing about the time after which to retry.
+        """
+        restrictions = [self._restriction_of(record) for record in records]
+        if not any(each is not None and each.quiet_until > now for each in restrictions):
+            return None
+        ends = [
+            now if each is None else max(each.quiet_until, each.avoid_until)
+            for each in restrictions
+            if each is None or not each.draining
+        ]
+        return min(ends) - now if ends and min(ends) > now else None
+
     def restricted_ids(self, now: float) -> set[str]:
         """Returns the ids of servers that are barred, quiet or avoided."""
         return {id_ for (id_, _), restriction in self._restriction_by_incarnation.items() if restriction.in_force(now)}
 
-    def has_quiet(self, now: float) -> bool:
-        """Returns whether any server is quiet."""
-        return any(restriction.quiet_until > now for restriction in self._restriction_by_incarnation.values())
+    def permitted_in_s(self, records: Collection[Any], now: float) -> float | None:
+        """Returns the seconds until anything may be sent to one of `records`, None if that is so now.
+
+        Infinite if all of them drain, and None if there are none.
+        """
+        if not self._restriction_by_incarnation or any(self.is_permitted(record, now) for record in records):
+            return None
+        ends = [self.quiet_end(record, now) for record in records]
+        return min((math.inf if end is None else end - now for end in ends), default=None)
 
     def counts(self, now: float) -> tuple[int, int]:
         """Returns the number of servers that drain, and of those that are quiet."""
--- a/libs/arbutusrill_gateway/_backends.py
+++ b/libs/arbutusrill_gateway/_backends.py
@@ -16,6 +16,7 @@
 
 from ._availability import BackendAvailability
 from ._protocol import ResponseHead
+from ._waiting_line import WaitingLine
 
 __all__ = ["BackendPool", "Candidate"]
 
@@ -77,6 +78,7 @@
         self._lock = threading.Lock()
         self._stats_by_id: dict[str, _BackendStats] = {}
         self._availability = BackendAvailability()
+        self._line_by_service_and_stage: dict[tuple[str, str], WaitingLine] = {}
         self._requests_by_id: dict[str, int] = {}
         self._tokens_by_id: dict[str, int] = {}
 
@@ -156,6 +158,35 @@
         view.wait_for(lambda: view.backends_complete or has_backend(), timeout_s)
         return has_backend()
 
+    def waiting_line(self, service: Service, stage: str) -> WaitingLine:
+        """Returns the line of requests that wait until a backend server of a service may be used."""
+        key = (service.name, stage)
+        line = self._line_by_service_and_stage.get(key)
+        return self._line_by_service_and_stage.setdefault(key, WaitingLine()) if line is None else line
+
+    def permitted_in_s(
+        self, service: Service, stage: str, model: str, exclude: frozenset[str] | set[str] = frozenset()
+    ) -> float | None:
+        """Returns the seconds until a backend server may be used that is quiet now, infinite if all of them drain.
+
+        None if one may be used now, or if the service has none outside `exclude`.
+        """
+        records = [record for record in self._serving(service, stage, model) if record.id not in exclude]
+        with self._lock:
+            return self._availability.permitted_in_s(records, self._clock.monotonic())
+
+    def retry_in_s(self, service: Service, stage: str, model: str) -> float | None:
+        """Returns the seconds until a retry may succeed if backend servers are quiet, None if it may succeed now."""
+        with self._lock:
+            return self._availability.retry_in_s(self._serving(service, stage, model), self._clock.monotonic())
+
+    def _serving(self, service: Service, stage: str, model: str) -> list[Any]:
+        return [
+            record
+            for record in self._view.backends_by_id.values()
+            if record.service_name == service.name and _serves(record, stage, model)
+        ]
+
     def avoided_ids(self) -> list[str]:
         """Returns the ids of backend servers that drain, are quiet, or failed recently or often."""
         now = self._clock.monotonic()
--- a/libs/arbutusrill_gateway/_exchange.py
+++ b/libs/arbutusrill_gateway/_exchange.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -19,6 +20,9 @@
 __all__ = ["Exchange"]
 
 _MIN_SEND_S = 0.005  # with less time remaining, no further attempt is sent
+# Callers that were refused during a quiet time return within a part of it, or at least within this time, after its end.
+_RETURN_SPREAD_FRACTION = 0.5
+_MIN_RETURN_SPREAD_S = 0.2
 _events = EventLog("attempt")
 
 
@@ -66,6 +70,11 @@
         workspace = self.workspace.name if self.workspace else ""
         return BackendRequest(candidate.record, max(0.001, self.remaining_s()), workspace, **fields)
 
+    @property
+    def serving_stage(self) -> str:
+        """Stage of the backend servers that can run the request, empty for a plain service."""
+        return "" if self.service.engine is None else "decode"
+
     def response_observer(self, candidate: Candidate) -> Callable[[ResponseHead], None]:
         """Returns the function that learns from the response heads of an attempt at `candidate`."""
         return lambda response: self.pool.observe_response(candidate.record, response, self.request.id)
@@ -95,8 +104,15 @@
         return self.attempt_count < self.route.max_attempts and self.has_time() and self.budget.try_acquire()
 
     def refuse_not_run(self, code: str, message: str, retry_after: float) -> None:
-        """Refuses with 503 (not run), or as uncertain if an earlier attempt may have run the request."""
+        """Refuses with 503 (not run), or as uncertain if an earlier attempt may have run the request.
+
+        While all backend servers are quiet, or avoided after a failure, `retry_after` is replaced by a random time
+        after the first may be used again, so that callers do not all return at once.
+        """
         if self.verdict is Verdict.NOT_RUN:
+            quiet_s = self.pool.retry_in_s(self.service, self.serving_stage, self.request.model)
+            if quiet_s is not None:
+                retry_after = quiet_s + random.uniform(0, max(_MIN_RETURN_SPREAD_S, _RETURN_SPREAD_FRACTION * quiet_s))
             self.responder.refuse(Refusal(503, code, message, retry_after))
         else:
             self.refuse_uncertain(code, message)
--- a/libs/arbutusrill_gateway/_placement.py
+++ b/libs/arbutusrill_gateway/_placement.py
@@ -4,6 +4,7 @@
 
 import itertools
 import threading
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -24,6 +25,7 @@
 _NO_PLACEMENT = 0  # placement number in messages that only report an unresponsive engine
 _MAX_PREFILL_SPEEDS = 50  # measurements to keep while the leader is unavailable
 _LEADER_BACKOFF_S = 0.4  # after a failed call, engines are chosen from the local view for this time
+_MAX_DECLINED_GRANTS = 2  # then engines are chosen from the local view
 _events = EventLog("placement")
 
 
@@ -51,15 +53,17 @@
 
     `objective_remaining_s` is the time until the request exceeds its latency objective; the leader ignores it if it
     already knows the request from an earlier try. `needs_prefill` is true if the prompt is still to be processed, which
-    it is not if the request is resumed. `avoided_ids` are the engines not to use. `continued` is true if the request
-    had a placement before. `event_gap_s` is the longest gap between events that the caller accepts.
+    it is not if the request is resumed. `avoided_ids` returns the engines not to use at the time of the call, and
+    `is_usable` whether a granted one may be used. `continued` is true if the request had a placement before.
+    `event_gap_s` is the longest gap between events that the caller accepts.
     """
 
     service: Service
     request: CallerRequest
     objective_remaining_s: float
     needs_prefill: bool
-    avoided_ids: list[str]
+    avoided_ids: Callable[[], list[str]]
+    is_usable: Callable[[Any], bool]
     continued: bool
     event_gap_s: float = 0.0
 
@@ -104,15 +108,17 @@
         """Requests a placement and waits for it up to `max_wait_s` seconds.
 
         Returns the placement and None, or None and the seconds after which a retry is likely to succeed. Both are None
-        if the leader is unavailable or granted an engine that is not yet in this VM's view. Raises
-        `ConnectionResetError` if the caller disconnects while waiting.
+        if the leader is unavailable, granted an engine that is not yet in this VM's view, or repeatedly granted engines
+        that may not be used. Raises `ConnectionResetError` if the caller disconnects while waiting.
         """
         request = requirements.request
         started = self._clock.monotonic()
         deadline = started + max_wait_s
-        poll_s = _FIRST_POLL_S
+        poll_s, declined_count = _FIRST_POLL_S, 0
         while (now := self._clock.monotonic()) >= self._leader_unavailable_until:
-            message = self._wire_request(requirements, now - started, min(poll_s, deadline - now), deadline - now)
+            message = self._wire_request(
+                requirements, now - started, min(poll_s, deadline - now), deadline - now, bool(declined_count)
+            )
             try:
                 reply = self._client.call(
                     "place", message, timeout=poll_s + _CALL_MARGIN_S, try_timeout=poll_s + _CALL_MARGIN_S
@@ -121,8 +127,13 @@
                 self._leader_unavailable_until = self._clock.monotonic() + _LEADER_BACKOFF_S
                 _events.emit("places_unavailable", request=request.id, reason=str(error))
                 break
-            if reply.place:
+            if reply.place and not self._is_declined(reply, requirements):
                 return self._accept_reply(reply, requirements), None
+            if reply.place:
+                declined_count += 1
+                if declined_count > _MAX_DECLINED_GRANTS:
+                    break
+                continue
             if reply.refused or self._clock.monotonic() >= deadline:
                 return None, max(MIN_RETRY_AFTER_S, reply.wait_ms / 1000)
             if request.connection is not None and peer_closed(request.connection):
@@ -130,7 +141,18 @@
             poll_s = _POLL_S
         return None, None
 
-    def _wire_request(self, requirements: PlacementRequest, waited_s: float, poll_s: float, max_wait_s: float) -> Any:
+    def _is_declined(self, reply: Any, requirements: PlacementRequest) -> bool:
+        """Gives a place back if its engine began to drain or to be quiet while the leader decided."""
+        decode = self._view.backends_by_id.get(reply.decode)
+        if decode is None or requirements.is_usable(decode):
+            return False
+        _events.emit("place_declined", request=requirements.request.id, place=reply.place, decode=reply.decode)
+        self._send_free(reply.place, [], [])
+        return True
+
+    def _wire_request(
+        self, requirements: PlacementRequest, waited_s: float, poll_s: float, max_wait_s: float, declined: bool
+    ) -> Any:
         request = requirements.request
         return messages.PlaceRequest(
             self._vm,
@@ -143,11 +165,11 @@
             max(0, int(poll_s * 1000)),
             max(0, int((requirements.objective_remaining_s - waited_s) * 1000)),
             requirements.needs_prefill,
-            requirements.avoided_ids,
+            requirements.avoided_ids(),
             max(0, int(max_wait_s * 1000)),
             request.content_hash(),
             self._pop_prefill_speeds(),
-            requirements.continued,
+            requirements.continued or declined,
             int(requirements.event_gap_s * 1000),
         )
 
@@ -187,9 +209,10 @@
         return placement
 
     def release(self, placement: Placement) -> None:
-        """Releases a placement; if the call fails, the leader frees it once it is missing from this VM's reports."""
+        """Releases a placement once; if the call fails, the leader frees it once this VM's reports lack it."""
         with self._lock:
-            self._placement_by_number.pop(placement.number, None)
+            if self._placement_by_number.pop(placement.number, None) is None:
+                return
         if placement.number < 0 and self._clock.monotonic() < self._leader_unavailable_until:
             return
         self._send_free(placement.number, placement.speeds, [])
--- a/libs/arbutusrill_gateway/_plain.py
+++ b/libs/arbutusrill_gateway/_plain.py
@@ -12,6 +12,7 @@
 from ._backends import Candidate
 from ._exchange import Exchange
 from ._protocol import ResponseHead
+from ._quiet_wait import wait_for_permitted
 
 __all__ = ["relay_plain"]
 
@@ -19,8 +20,8 @@
 
 _MAX_UNREACHED = 4  # unreachable backend servers per request
 _RETRY_AFTER_S = 0.1
-# Fractions of the remaining time: for the wait while a new leader collects the backend servers, and for an attempt
-# that may be followed by another.
+# Fractions of the remaining time: for the wait while a new leader collects the backend servers or while all of them are
+# quiet, and for an attempt that may be followed by another.
 _BACKEND_WAIT_FRACTION = 0.4
 _FIRST_ATTEMPT_FRACTION = 0.5
 
@@ -83,6 +84,9 @@
         if not exchange.has_time():
             exchange.refuse_not_run("no_time", "the time limit has passed", _RETRY_AFTER_S)
             return
+        if not wait_for_permitted(exchange, _BACKEND_WAIT_FRACTION * exchange.remaining_s()):
+            exchange.refuse_not_run("backends_quiet", "all backend servers are quiet or drain", _RETRY_AFTER_S)
+            return
         candidate = exchange.pool.pick(exchange.service, exclude=exchange.tried)
         if candidate is None and not exchange.tried:
             exchange.pool.wait_for_backends(exchange.service, _BACKEND_WAIT_FRACTION * exchange.remaining_s())
--- a/libs/arbutusrill_gateway/_stream.py
+++ b/libs/arbutusrill_gateway/_stream.py
@@ -17,6 +17,7 @@
 from ._placement import Placement, PlacementRequest
 from ._prefill import RetryBudgetExhaustedError, release_kv_cache, run_prefill
 from ._protocol import KvCacheHandle, ResponseHead
+from ._quiet_wait import wait_for_permitted
 
 __all__ = ["relay_stream"]
 
@@ -159,6 +160,9 @@
         if not exchange.has_time():
             _refuse_or_abort(exchange, "no_time", "the time limit has passed", _RETRY_AFTER_S)
             return
+        if not wait_for_permitted(exchange, _max_placement_wait_s(exchange)):
+            _refuse_or_abort(exchange, "backends_quiet", "all engines are quiet or drain", _RETRY_AFTER_S)
+            return
         placement, retry_after_s = _acquire_placement(exchange, events)
         if retry_after_s is not None:
             _refuse_or_abort(exchange, "engines_full", "no engine had room in time", retry_after_s)
@@ -192,27 +196,30 @@
     """
     if exchange.service.engine is None:
         return None, None
-    avoid = [*exchange.pool.avoided_ids(), *exchange.tried]
     is_resumed = bool(_last_event_id(exchange, events))
-    max_wait_s = min(
-        _PLACEMENT_WAIT_FRACTION * exchange.remaining_s(),
-        _PLACEMENT_WAIT_OBJECTIVE_FACTOR * max(exchange.route.objective_s, _MIN_OBJECTIVE_S),
-    )
     placement_request = PlacementRequest(
         exchange.service,
         exchange.request,
         exchange.objective_remaining_s(),
         not is_resumed,
-        avoid,
+        lambda: [*exchange.pool.avoided_ids(), *exchange.tried],
+        exchange.pool.is_usable,
         bool(exchange.trail),
         exchange.route.event_gap_s,
     )
     try:
-        return exchange.placements.acquire(placement_request, max_wait_s)
+        return exchange.placements.acquire(placement_request, _max_placement_wait_s(exchange))
     except ConnectionResetError:
         raise exchange.caller_gone_error() from None
 
 
+def _max_placement_wait_s(exchange: Exchange) -> float:
+    return min(
+        _PLACEMENT_WAIT_FRACTION * exchange.remaining_s(),
+        _PLACEMENT_WAIT_OBJECTIVE_FACTOR * max(exchange.route.objective_s, _MIN_OBJECTIVE_S),
+    )
+
+
 def _last_event_id(exchange: Exchange, events: _EventRelay) -> str:
     """Returns the id of the last event that the caller received, empty if there is none."""
     return exchange.request.resume_after if events.last_id is None else str(events.last_id)
@@ -302,6 +309,8 @@
     with contextlib.ExitStack() as stack:
         stack.enter_context(exchange.pool.track_request(candidate.id, tokens))
         if exchange.service.engine is not None and (placement is None or placement.decode.id != candidate.id):
+            if placement is not None:
+                exchange.placements.release(placement)
             local_placement = exchange.placements.record_local(
                 candidate.record, exchange.request, exchange.route.event_gap_s
             )
