--- a/libs/arbutusrill_gateway/_attempt.py
+++ b/libs/arbutusrill_gateway/_attempt.py
@@ -84,11 +84,13 @@
     stall_s: float | None = None,
     receiver: BodyReceiver | None = None,
     on_stall: Callable[[], bool] | None = None,
+    on_response: Callable[[ResponseHead], None] | None = None,
 ) -> AttemptResult:
     """Sends `request` to `candidate` and waits for the end of the response, whose body `receiver` gets.
 
     Without `receiver`, the body is collected, up to a limit. `stall_s` is the longest time without progress,
-    after which `on_stall` decides whether the attempt ends.
+    after which `on_stall` decides whether the attempt ends. `on_response` gets each head as soon as it is complete,
+    also of interim responses.
     """
     transfer = Transfer(
         request.method,
@@ -105,13 +107,24 @@
         caller_connection=request.connection,
         on_stall=on_stall,
     )
+    heads: list[ResponseHead] = []
+
+    def on_any_head(status: int, headers_by_name: dict[str, str]) -> None:
+        heads[:] = [protocol.decode_response(status, headers_by_name)]
+        if on_response is not None:
+            on_response(heads[0])
+
+    transfer.on_any_head = on_any_head
     if receiver is not None:
         transfer.on_head, transfer.on_data = receiver.on_head, receiver.on_data
         transfer.progress_at, transfer.should_stop = receiver.progress_at, lambda: bool(receiver.problem)
     started = time.monotonic()
     result = fetch(transfer)
     took_s = time.monotonic() - started
-    response = protocol.decode_response(result.status, result.headers_by_name) if result.status else None
+    if heads and heads[0].status == result.status:
+        response = heads[0]
+    else:  # none, or one that broke off
+        response = protocol.decode_response(result.status, result.headers_by_name) if result.status else None
     if receiver is not None and receiver.problem and (result.is_complete or result.error == "stopped"):
         # The last bytes of a response can make it both invalid and complete.
         result.error, result.detail, result.verdict = "stopped", receiver.problem, Verdict.MAY_HAVE_RUN
--- a/libs/arbutusrill_gateway/_replacement.py
+++ b/libs/arbutusrill_gateway/_replacement.py
@@ -20,12 +20,12 @@
 
     Silence is no failure: a sound engine may pause for more than a second and go on. A stream that is given up without
     another engine to go on at ends without a complete answer, so the place comes first. `requirements` returns those of
-    the stream as it stands, given the ids of the engines to avoid.
+    the stream as it stands, given a function that returns the ids of the engines to avoid.
     """
 
     __slots__ = ("_exchange", "_is_reported", "_placement", "_requirements", "is_reserved")
 
-    def __init__(self, exchange: Exchange, requirements: Callable[[list[str]], PlacementRequest]):
+    def __init__(self, exchange: Exchange, requirements: Callable[[Callable[[], list[str]]], PlacementRequest]):
         self._exchange = exchange
         self._requirements = requirements
         self._placement: Placement | None = None
@@ -66,8 +66,8 @@
         exchange = self._exchange
         pool, service, request = exchange.pool, exchange.service, exchange.request
         if service.engine is not None:
-            avoided = [*pool.avoided_ids(), *excluded]
-            placement, retry_after_s = exchange.placements.acquire_now(self._requirements(avoided))
+            requirements = self._requirements(lambda: [*pool.avoided_ids(), *excluded])
+            placement, retry_after_s = exchange.placements.acquire_now(requirements)
             if placement is not None and placement.decode.id in excluded:  # the only one that is left
                 exchange.placements.release(placement)
                 return None, False
--- a/libs/arbutusrill_gateway/_stream.py
+++ b/libs/arbutusrill_gateway/_stream.py
@@ -5,7 +5,7 @@
 import contextlib
 import re
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 from arbutusrill_base import Verdict
 from arbutusrill_http import AbortStreamError
@@ -18,6 +18,7 @@
 from ._prefill import RetryBudgetExhaustedError, release_kv_cache, run_prefill
 from ._prompt_guard import PromptBarredError
 from ._protocol import KvCacheHandle, ResponseHead
+from ._quiet_wait import wait_for_permitted
 from ._replacement import Replacement
 
 __all__ = ["relay_stream"]
@@ -52,6 +53,15 @@
     """The caller's connection failed while an event was written to it."""
 
 
+class _NoPlacementError(Exception):
+    """No engine can take a request in time; `retry_after_s` is the time after which a retry may succeed."""
+
+    def __init__(self, code: str, message: str, retry_after_s: float):
+        super().__init__(message)
+        self.code = code
+        self.retry_after_s = retry_after_s
+
+
 class _EventRelay(BodyReceiver):
     """Forwards the events of a stream to the caller; incomplete events are buffered, up to `_MAX_EVENT_BYTES`.
 
@@ -194,6 +204,8 @@
             _relay_attempts(exchange, events, replacement)
     except PromptBarredError as error:
         _refuse_or_abort(exchange, "prompt_part_barred", str(error), error.retry_after_s)
+    except _NoPlacementError as error:
+        _refuse_or_abort(exchange, error.code, str(error), error.retry_after_s)
 
 
 def _relay_attempts(exchange: Exchange, events: _EventRelay, replacement: Replacement) -> None:
@@ -204,13 +216,7 @@
         if not exchange.has_time():
             _refuse_or_abort(exchange, "no_time", "the time limit has passed", _RETRY_AFTER_S)
             return
-        if replacement.is_reserved:
-            placement, retry_after_s = replacement.take(), None
-        else:
-            placement, retry_after_s = _acquire_placement(exchange, events)
-        if retry_after_s is not None:
-            _refuse_or_abort(exchange, "engines_full", "no engine had room in time", retry_after_s)
-            return
+        placement = replacement.take() if replacement.is_reserved else _acquire_placement(exchange, events)
         try:
             result = prefill_decode.run(placement)
         except RetryBudgetExhaustedError:
@@ -232,38 +238,48 @@
             return
 
 
-def _acquire_placement(exchange: Exchange, events: _EventRelay) -> tuple[Placement | None, float | None]:
-    """Returns a placement, or the seconds after which to retry.
+def _acquire_placement(exchange: Exchange, events: _EventRelay) -> Placement | None:
+    """Returns a placement; raises `_NoPlacementError` if no engine can take the request in time.
 
-    Both are None if the service has no engines, the leader is unavailable, or the leader granted an engine that this VM
-    does not know yet.
+    Returns None if the service has no engines, the leader is unavailable, or the leader granted engines that this VM
+    does not know yet or may not use.
     """
+    max_wait_s = _max_placement_wait_s(exchange)
+    if not wait_for_permitted(exchange, max_wait_s):
+        raise _NoPlacementError("backends_quiet", "all engines are quiet or drain", _RETRY_AFTER_S)
     if exchange.service.engine is None:
-        return None, None
-    max_wait_s = min(
-        _PLACEMENT_WAIT_FRACTION * exchange.remaining_s(),
-        _PLACEMENT_WAIT_OBJECTIVE_FACTOR * max(exchange.route.objective_s, _MIN_OBJECTIVE_S),
-    )
-    requirements = _requirements(exchange, events, [*exchange.pool.avoided_ids(), *exchange.tried])
+        return None
+    requirements = _requirements(exchange, events, lambda: [*exchange.pool.avoided_ids(), *exchange.tried])
     try:
-        return exchange.placements.acquire(requirements, max_wait_s)
+        placement, retry_after_s = exchange.placements.acquire(requirements, max_wait_s)
     except ConnectionResetError:
         raise exchange.caller_gone_error() from None
+    if retry_after_s is not None:
+        raise _NoPlacementError("engines_full", "no engine had room in time", retry_after_s)
+    return placement
 
 
-def _requirements(exchange: Exchange, events: _EventRelay, avoided: list[str]) -> PlacementRequest:
+def _requirements(exchange: Exchange, events: _EventRelay, avoided_ids: Callable[[], list[str]]) -> PlacementRequest:
     """Returns what the next attempt needs; a resumed stream needs no prefill."""
     return PlacementRequest(
         exchange.service,
         exchange.request,
         exchange.objective_remaining_s(),
         not _last_event_id(exchange, events),
-        avoided,
+        avoided_ids,
+        exchange.pool.is_usable,
         bool(exchange.trail),
         exchange.route.event_gap_s,
     )
 
 
+def _max_placement_wait_s(exchange: Exchange) -> float:
+    return min(
+        _PLACEMENT_WAIT_FRACTION * exchange.remaining_s(),
+        _PLACEMENT_WAIT_OBJECTIVE_FACTOR * max(exchange.route.objective_s, _MIN_OBJECTIVE_S),
+    )
+
+
 def _last_event_id(exchange: Exchange, events: _EventRelay) -> str:
     """Returns the id of the last event that the caller received, empty if there is none."""
     return exchange.request.resume_after if events.last_id is None else str(events.last_id)
@@ -366,6 +382,8 @@
     with contextlib.ExitStack() as stack:
         stack.enter_context(exchange.pool.track_request(candidate.id, tokens))
         if exchange.service.engine is not None and (placement is None or placement.decode.id != candidate.id):
+            if placement is not None:
+                exchange.placements.release(placement)
             local_placement = exchange.placements.record_local(
                 candidate.record, exchange.request, exchange.route.event_gap_s
             )
@@ -395,7 +413,8 @@
             max(0.001, exchange.remaining_s()),
             stall_s,
             events,
-            on_stall=lambda: replacement.reserve(candidate),
+            lambda: replacement.reserve(candidate),
+            exchange.response_observer(candidate),
         )
         if result.outcome is Outcome.ANSWERED and result.response.status == 200:
             reason = events.incompleteness(backend_request.resume_after)
--- a/libs/arbutusrill_gateway/tests/test_silent_engines.py
+++ b/libs/arbutusrill_gateway/tests/test_silent_engines.py
@@ -35,11 +35,11 @@
         return placement, None
 
     def acquire(self, requirements, max_wait_s):
-        return self._grant(self.records[0]) if "0" not in requirements.avoided_ids else (None, 0.5)
+        return self._grant(self.records[0]) if "0" not in requirements.avoided_ids() else (None, 0.5)
 
     def acquire_now(self, requirements):
         self.polls += 1
-        assert "0" in requirements.avoided_ids
+        assert "0" in requirements.avoided_ids()
         return self._grant(self.records[1]) if self.polls == self._granted_at else (None, 0.5)
 
     def release(self, placement):
