site: crashes of a part are compared by the attempts with that part alone

Callers saw: nothing; engines crashed one after the other without a bar.

Cause: the time of a crash was shared by all parts. One sound request that had waited at the engine for longer than the crashes were apart made them overlap, and so did an earlier break at the same start of an engine, for example of all connections at once, whose time was kept after its parts had been cleared. Crashes that overlap do not count. The times of cleared parts were also kept without a bound.

Change: each part holds the interval of its own attempts. The record in the log is unchanged in its form.

Evidence: both new tests failed before, with no bar after five crashes.

--- a/libs/arbutusrill_site/_prompt_suspects.py
+++ b/libs/arbutusrill_site/_prompt_suspects.py
@@ -33,7 +33,10 @@
 
 @dataclass(slots=True)
 class _Crash:
-    """Interval of the attempts that broke at a crash: the start of the earliest one and the first break."""
+    """Interval of the attempts with one part that broke at a crash: the earliest start and the first break.
+
+    Attempts without the part do not count: a request that had waited for long would make unrelated crashes overlap.
+    """
 
     began: float
     ended: float
@@ -43,7 +46,7 @@
 class _Part:
     """Evidence against one part since its last success. `bars` counts the times that it was barred."""
 
-    crashes: set[_CrashKey] = field(default_factory=set)
+    crashes: dict[_CrashKey, _Crash] = field(default_factory=dict)
     last_at: float = -math.inf
     bars: int = 0
     barred_until: float = -math.inf
@@ -73,7 +76,6 @@
 
     def __init__(self) -> None:
         self._part_by_id: dict[str, _Part] = {}
-        self._crash_by_key: dict[_CrashKey, _Crash] = {}
         self._bars: dict[frozenset[str], Bar] = {}
         self._expired_at = -math.inf
         self._listed: tuple[int, list[str]] = (-1, [])  # revision and result of `suspected`
@@ -97,14 +99,16 @@
     ) -> None:
         """Records that a request with these parts broke at an engine that crashed, in an attempt between two times."""
         key = (backend, started_ms)
-        crash = self._crash_by_key.setdefault(key, _Crash(began, ended))
-        crash.began, crash.ended = min(crash.began, began), min(crash.ended, ended)
         added = []
         for id_ in parts:
             part = self._part_by_id.setdefault(id_, _Part())
-            if key in part.crashes or len(part.crashes) >= _MAX_CRASHES_PER_PART:
+            crash = part.crashes.get(key)
+            if crash is not None:
+                crash.began, crash.ended = min(crash.began, began), min(crash.ended, ended)
                 continue
-            part.crashes.add(key)
+            if len(part.crashes) >= _MAX_CRASHES_PER_PART:
+                continue
+            part.crashes[key] = _Crash(began, ended)
             part.last_at = now
             added.append(id_)
         if not added:
@@ -154,21 +158,26 @@
     def record(self) -> Any:
         """Returns the table as a `PutPromptSuspects` message; times are in milliseconds."""
         kept = self._heaviest(_MAX_SAVED_PARTS)
-        keys = sorted({key for id_ in kept for key in self._part_by_id[id_].crashes})
-        position_by_key = {key: position for position, key in enumerate(keys)}
+        crashes_by_id = {
+            id_: [
+                (*key, int(crash.began * 1000), int(crash.ended * 1000))
+                for key, crash in self._part_by_id[id_].crashes.items()
+            ]
+            for id_ in kept
+        }
+        distinct = sorted({crash for crashes in crashes_by_id.values() for crash in crashes})
+        position_by_crash = {crash: position for position, crash in enumerate(distinct)}
         barred = {id_ for parts in self._bars for id_ in parts}
         return messages.PutPromptSuspects(
-            [
-                messages.EngineCrash(*key, int(crash.began * 1000), int(crash.ended * 1000))
-                for key in keys
-                for crash in (self._crash_by_key[key],)
-            ],
+            [messages.EngineCrash(*crash) for crash in distinct],
             [
                 messages.SuspectedPart(
-                    id_, sorted(position_by_key[key] for key in part.crashes), part.bars, id_ in barred
+                    id_,
+                    sorted(position_by_crash[crash] for crash in crashes),
+                    self._part_by_id[id_].bars,
+                    id_ in barred,
                 )
-                for id_ in kept
-                for part in (self._part_by_id[id_],)
+                for id_, crashes in crashes_by_id.items()
             ],
         )
 
@@ -177,16 +186,17 @@
         crashes = record.crashes or []
         # The times are of another VM's clock: only their order is kept.
         offset = now - max((crash.ended_ms for crash in crashes), default=0) / 1000
-        keys = [(crash.backend, crash.started_ms) for crash in crashes]
-        self._crash_by_key = {
-            key: _Crash(crash.began_ms / 1000 + offset, crash.ended_ms / 1000 + offset)
-            for key, crash in zip(keys, crashes, strict=True)
-        }
         self._part_by_id, self._bars = {}, {}
         for saved in record.parts or []:
             until = now + _bar_s(saved.bars) if saved.barred else -math.inf
-            crash_keys = {keys[position] for position in saved.crashes or []}
-            self._part_by_id[saved.id] = _Part(crash_keys, now, saved.bars, until)
+            crash_by_key = {
+                (crash.backend, crash.started_ms): _Crash(
+                    crash.began_ms / 1000 + offset, crash.ended_ms / 1000 + offset
+                )
+                for position in saved.crashes or []
+                for crash in (crashes[position],)
+            }
+            self._part_by_id[saved.id] = _Part(crash_by_key, now, saved.bars, until)
         self.revision += 1
         self.bars_revision += 1
         self._update_bars(now, ())
@@ -208,20 +218,18 @@
     def _drop(self, ids: list[str]) -> None:
         for id_ in ids:
             del self._part_by_id[id_]
-        used = {key for part in self._part_by_id.values() for key in part.crashes}
-        self._crash_by_key = {key: crash for key, crash in self._crash_by_key.items() if key in used}
         self.revision += 1
         self.save_revision += 1
 
-    def _suffices(self, crashes: Iterable[_CrashKey]) -> bool:
-        """Whether the crashes are evidence enough; only those count whose attempts did not overlap in time."""
-        intervals = sorted((self._crash_by_key[key] for key in crashes), key=lambda crash: crash.ended)
+    def _suffices(self, id_: str) -> bool:
+        """Whether the crashes of a part are evidence enough; only attempts that did not overlap in time count."""
+        crashes = sorted(self._part_by_id[id_].crashes.values(), key=lambda crash: crash.ended)
         consecutive, last_ended = 0, -math.inf
-        for crash in intervals:
+        for crash in crashes:
             if crash.began >= last_ended:
                 consecutive, last_ended = consecutive + 1, crash.ended
         return consecutive >= _MIN_CONSECUTIVE or (
-            len(intervals) >= _MANY_CRASHES and consecutive >= _MIN_CONSECUTIVE_OF_MANY
+            len(crashes) >= _MANY_CRASHES and consecutive >= _MIN_CONSECUTIVE_OF_MANY
         )
 
     def _classes(self) -> list[list[str]]:
@@ -230,7 +238,7 @@
         for id_, part in self._part_by_id.items():
             if len(part.crashes) >= _MIN_CONSECUTIVE:
                 ids_by_crashes.setdefault(frozenset(part.crashes), []).append(id_)
-        sufficient = [crashes for crashes in ids_by_crashes if self._suffices(crashes)]
+        sufficient = [crashes for crashes, ids in ids_by_crashes.items() if any(map(self._suffices, ids))]
         return [ids_by_crashes[crashes] for crashes in sufficient if not any(crashes < others for others in sufficient)]
 
     def _update_bars(self, now: float, crashed: Iterable[str]) -> None:
--- a/libs/arbutusrill_site/tests/test_prompt_suspects.py
+++ b/libs/arbutusrill_site/tests/test_prompt_suspects.py
@@ -244,3 +244,25 @@
             replay.answer(prompt, pause_s=0.2)
     assert 3 <= deadly_crashes <= 5
     assert replay.barred() == ["deadly"]
+
+
+def test_earlier_break_at_the_same_engines_does_not_hide_crashes(replay):
+    # Connections of all engines broke at the same time, and the engines lived on; a deadly part came later.
+    suspects = replay.suspects
+    for number in range(1, 9):
+        suspects.record_crash(f"engine-{number}", number, ["X"], 0.5, 1.0, 1.0)
+    suspects.record_success(["X"], 2.0)
+    for number in range(5):
+        replay.crash(f"F D {number}")
+    assert replay.barred() == ["DF"]
+
+
+def test_long_wait_of_another_request_at_the_engine_does_not_hide_its_crash(replay):
+    # A sound request had waited at each engine for longer than the crashes were apart.
+    suspects = replay.suspects
+    for number in range(5):
+        replay.crash(f"F D {number}", pause_s=0.3)
+        suspects.record_crash(
+            f"engine-{number + 1}", number + 1, [f"victim-{number}"], replay.now - 6.0, replay.now, replay.now
+        )
+    assert replay.barred() == ["DF"]
