plain: a large answer that has begun is not cut when its server falls silent

Callers saw: an answer of more than 1 MiB that ended in its middle, although its server would have gone on.

Cause: the check before a silent server is given up asked whether another server and a retry were there, and not whether the response can still be repeated. Once its beginning has been forwarded it cannot: it was aborted, with the retry unused.

Change: a response that has begun stays with its server until the time limit.

Evidence: the new test failed before, aborted with 2,097,152 of 2,097,153 bytes.

--- a/libs/arbutusrill_gateway/_plain.py
+++ b/libs/arbutusrill_gateway/_plain.py
@@ -112,6 +112,8 @@
     stall_s = _STALL_FRACTION * timeout_s if exchange.route.kind is RouteKind.IDEMPOTENT else None
 
     def reserve_other_backend() -> bool:
+        if relay.begun:  # the response cannot be repeated
+            return False
         other = exchange.pool.pick(exchange.service, exclude={*exchange.tried, candidate.id})
         return other is not None and exchange.reserve_retry()
 
--- a/libs/arbutusrill_gateway/tests/test_silent_engines.py
+++ b/libs/arbutusrill_gateway/tests/test_silent_engines.py
@@ -7,7 +7,7 @@
 import pytest
 from arbutusrill_site import RouteKind
 
-from .test_faulty_backends import REFUSAL_FIELDS, STREAM, WHOLE, Backend, event, head, relay, sends
+from .test_faulty_backends import MIB, REFUSAL_FIELDS, STREAM, WHOLE, Backend, event, head, relay, sends
 
 
 def silent_for(seconds):
@@ -118,3 +118,18 @@
     assert (caller.status, caller.body) == (200, b"whole")
     assert exchange.trail == ["send:0:timeout", "send:1:answered"]
     assert exchange.attempt_count == 2
+
+
+def test_large_answer_that_has_begun_is_not_cut_when_its_server_falls_silent():
+    # A retry was reserved after half of the time and the response aborted, since one that has begun is not repeated.
+    body = b"x" * (2 * MIB)
+
+    def script(connection):
+        connection.sendall(head(200, "Stamp: 1", f"Content-Length: {len(body) + 1}") + body)
+        time.sleep(1.4)
+        connection.sendall(b"y")
+
+    other = Backend(sends(WHOLE))
+    caller, _, aborted = relay(Backend(script), other, kind=RouteKind.IDEMPOTENT, deadline_s=2.0)
+    assert (caller.received_bytes, aborted) == (len(body) + 1, False)
+    assert not other.requests
