plain: a silent server is not given up for one that has just failed

Callers saw: 502 for a repeatable request whose server was silent for half of its time and would have answered, when the only other server was down.

Cause: any listed server counted as the one to go on at, also one that this VM avoids after a failure. Streams leave those out.

Change: plain requests do the same.

Evidence: the new test, whose other server refuses connections, failed before with 502.

--- a/libs/arbutusrill_gateway/_plain.py
+++ b/libs/arbutusrill_gateway/_plain.py
@@ -115,7 +115,8 @@
         if relay.begun:  # the response cannot be repeated
             return False
         other = exchange.pool.pick(exchange.service, exclude={*exchange.tried, candidate.id})
-        return other is not None and exchange.reserve_retry()
+        is_sound = other is not None and other.id not in exchange.pool.avoided_ids()
+        return is_sound and exchange.reserve_retry()
 
     relay = _ResponseRelay(exchange)
     backend_request = exchange.backend_request(candidate)
--- a/libs/arbutusrill_gateway/tests/test_silent_engines.py
+++ b/libs/arbutusrill_gateway/tests/test_silent_engines.py
@@ -1,12 +1,15 @@
 """Sound engines that fall silent for a while: their streams must not end without a complete answer."""
 
 import itertools
+import socket
 import time
 from types import SimpleNamespace
 
 import pytest
 from arbutusrill_site import RouteKind
 
+from arbutusrill_gateway import BackendPool
+
 from .test_faulty_backends import MIB, REFUSAL_FIELDS, STREAM, WHOLE, Backend, event, head, relay, sends
 
 
@@ -133,3 +136,22 @@
     caller, _, aborted = relay(Backend(script), other, kind=RouteKind.IDEMPOTENT, deadline_s=2.0)
     assert (caller.received_bytes, aborted) == (len(body) + 1, False)
     assert not other.requests
+
+
+def test_silent_server_is_not_given_up_for_one_that_has_just_failed(monkeypatch):
+    # The only other server refused connections, and the request ended with 502 although its server would have answered.
+    with socket.create_server(("127.0.0.1", 0)) as closed:
+        address = "{}:{}".format(*closed.getsockname())
+    pick = BackendPool.pick
+
+    def pick_after_failure(pool, *arguments, **options):
+        failed = pool._view.backends_by_id["1"]
+        if "1" not in pool.avoided_ids():
+            pool.record_failure(failed, "connection refused")
+        return pick(pool, *arguments, **options)
+
+    monkeypatch.setattr(BackendPool, "pick", pick_after_failure)
+    caller, _, _ = relay(
+        answers_after(1.4), SimpleNamespace(address=address), kind=RouteKind.IDEMPOTENT, deadline_s=2.0
+    )
+    assert (caller.status, caller.body) == (200, b"whole")
