stream: a silent engine is not given up for one that is to be avoided

Callers saw: a stream that broke off after a pause of its engine, when the engine that replaced it failed at once.

Cause: the leader grants an engine that a request asks to avoid when there is no other one. Only the engines that the stream had already used were left out of this, and not those that this VM avoids after a failure.

Change: the reservation takes none of the engines that it asked to avoid.

Evidence: the new test failed before, with one of two events and the response aborted.

--- a/libs/arbutusrill_gateway/_replacement.py
+++ b/libs/arbutusrill_gateway/_replacement.py
@@ -68,7 +68,7 @@
         if service.engine is not None:
             avoided = [*pool.avoided_ids(), *excluded]
             placement, retry_after_s = exchange.placements.acquire_now(self._requirements(avoided))
-            if placement is not None and placement.decode.id in excluded:  # the only one that is left
+            if placement is not None and placement.decode.id in avoided:  # there is no other one
                 exchange.placements.release(placement)
                 return None, False
             if placement is not None or retry_after_s is not None:
--- a/libs/arbutusrill_gateway/tests/test_silent_engines.py
+++ b/libs/arbutusrill_gateway/tests/test_silent_engines.py
@@ -155,3 +155,14 @@
         answers_after(1.4), SimpleNamespace(address=address), kind=RouteKind.IDEMPOTENT, deadline_s=2.0
     )
     assert (caller.status, caller.body) == (200, b"whole")
+
+
+def test_stream_of_a_silent_engine_is_not_given_up_for_one_that_has_just_failed(monkeypatch):
+    # The leader grants an engine that is to be avoided when it has no other one.
+    monkeypatch.setattr(BackendPool, "avoided_ids", lambda pool: ["1"])
+    placements = Placements(granted_at=1)
+    silent, failed = silent_for(3.2), Backend(sends(b""))
+    caller, _, aborted = relay(silent, failed, kind=RouteKind.STREAM, deadline_s=8, placements=placements)
+    assert (caller.body.count(b"id: "), aborted) == (2, False)
+    assert not failed.requests
+    assert not placements.held
