http: an error that is not from the caller's connection is answered

Callers saw: nothing known; a request would have got no response.

Cause: a ConnectionError or TimeoutError of the application closed the connection silently, as if the caller had left, wherever it came from.

Change: before the head has been sent, such an error is logged and answered with 500 like any other.

No path on which the gateway raises one is known.

--- a/libs/arbutusrill_http/_handler.py
+++ b/libs/arbutusrill_http/_handler.py
@@ -263,14 +263,13 @@
                 if hasattr(chunks, "close"):
                     chunks.close()
             response.finish()
-        except (AbortStreamError, ConnectionError, TimeoutError):
+        except Exception as error:
+            # An error of the caller's connection can only come from writing to it.
+            is_abort = isinstance(error, AbortStreamError)
+            if not (is_abort or (response.head_sent and isinstance(error, (ConnectionError, TimeoutError)))):
+                _log.exception("the application raised an exception")
             self.close_connection = True
-            if response.ends_with_connection:
-                self.server.reset_on_close(self.connection)
-        except Exception:
-            _log.exception("the application raised an exception")
-            self.close_connection = True
-            if not response.head_sent:
+            if not (is_abort or response.head_sent):
                 self._reject(_RequestError(500, "internal_error", "internal error"))
             elif response.ends_with_connection:
                 self.server.reset_on_close(self.connection)
--- a/libs/arbutusrill_http/tests/test_server.py
+++ b/libs/arbutusrill_http/tests/test_server.py
@@ -387,3 +387,13 @@
         time.sleep(0.2)
         assert server.open_connections() == 18
         assert len(polls) == 19
+
+
+@pytest.mark.parametrize("error", [TimeoutError, ConnectionResetError])
+def test_error_of_another_connection_does_not_end_a_request_without_a_response(error):
+    # An error that is not from the caller's connection looked like one, and its request got no response.
+    def app(environ, start):
+        raise error("of a connection to another server")
+
+    with HttpServer("127.0.0.1", 0, app, LIMITS) as server:
+        assert exchange(server, get("/x")).startswith(b"HTTP/1.1 500 ")
