gateway: tests of retries and engines that are reserved for a silent stream

With the mends taken out one at a time, no test failed for a reserved retry that is charged twice, one that stays reserved and so allows attempts beyond the route's maximum, and a reserved engine that is not released when the stream ends first.

--- a/libs/arbutusrill_gateway/tests/test_faulty_backends.py
+++ b/libs/arbutusrill_gateway/tests/test_faulty_backends.py
@@ -125,6 +125,7 @@
     event_s=0.0,
     method="POST",
     placements=None,
+    prompt_guard=None,
 ):
     """Relays one request to `backends`; returns the caller, the exchange and whether the response was aborted.
 
@@ -158,6 +159,7 @@
         RetryBudget(1.0, 10),
         time.monotonic() + deadline_s,
         time.monotonic(),
+        prompt_guard=prompt_guard,
     )
     aborted = False
     try:
--- a/libs/arbutusrill_gateway/tests/test_silent_engines.py
+++ b/libs/arbutusrill_gateway/tests/test_silent_engines.py
@@ -8,7 +8,7 @@
 import pytest
 from arbutusrill_site import RouteKind
 
-from arbutusrill_gateway import BackendPool
+from arbutusrill_gateway import BackendPool, PromptBarredError
 
 from .test_faulty_backends import MIB, REFUSAL_FIELDS, STREAM, WHOLE, Backend, event, head, relay, sends
 
@@ -166,3 +166,45 @@
     assert (caller.body.count(b"id: "), aborted) == (2, False)
     assert not failed.requests
     assert not placements.held
+
+
+class Budget:
+    """Retry budget that counts what is taken."""
+
+    def __init__(self):
+        self.taken = 0
+
+    def try_acquire(self):
+        self.taken += 1
+        return True
+
+
+def test_retry_that_was_reserved_is_charged_once_and_allows_one_attempt(monkeypatch):
+    # A third attempt would exceed the route's maximum, a second charge would leave other requests without retries.
+    budget = Budget()
+    monkeypatch.setattr("arbutusrill_base.RetryBudget.try_acquire", lambda _: budget.try_acquire())
+    silent, *crashing = silent_for(6.0), Backend(sends(b"")), Backend(sends(b""))
+    _, exchange, aborted = relay(silent, *crashing, kind=RouteKind.STREAM, deadline_s=8, event_s=0.01)
+    assert [step.split(":")[2] for step in exchange.trail] == ["timeout", "broken"]
+    assert (aborted, budget.taken) == (True, 1)
+
+
+def test_engine_reserved_for_a_stream_is_released_when_its_prompt_is_barred_meanwhile():
+    placements = Placements(granted_at=1)
+    silent, other = silent_for(6.0), Backend(sends(STREAM + event(2) + b"0\r\n\r\n"))
+
+    class Guard:
+        def check(self, request):
+            if placements.polls:
+                raise PromptBarredError(1.0)
+
+        def record_events(self, *arguments):
+            pass
+
+        record_attempt = record_events
+
+    _, _, aborted = relay(
+        silent, other, kind=RouteKind.STREAM, deadline_s=8, placements=placements, prompt_guard=Guard()
+    )
+    assert aborted and not other.requests
+    assert not placements.held
