http: a request after an empty line is answered

Callers saw: a connection closed without an answer or a refusal, although the request had been read whole, when an empty line came before it, as some clients send after a body.

Cause: the empty line was taken for a request without words, after which the connection is closed without a response.

Change: it is ignored, as RFC 9112 asks, and the wait for a request goes on.

Evidence: the new test failed before with an empty response.

--- a/libs/arbutusrill_http/_handler.py
+++ b/libs/arbutusrill_http/_handler.py
@@ -107,6 +107,9 @@
         self.command, self.request_version = "", "HTTP/1.1"
         try:
             self.raw_requestline = self.rfile.readline(limits.header_bytes + 1)
+            if self.raw_requestline in (b"\r\n", b"\n"):  # before a request line, an empty line is ignored (RFC 9112)
+                self.close_connection = False
+                return
             if not self.raw_requestline.endswith(b"\n"):
                 raise _RequestError(414, "request_line_too_long", "the request line is too long", "path")
             if not self.parse_request():
--- a/libs/arbutusrill_http/tests/test_server.py
+++ b/libs/arbutusrill_http/tests/test_server.py
@@ -397,3 +397,14 @@
 
     with HttpServer("127.0.0.1", 0, app, LIMITS) as server:
         assert exchange(server, get("/x")).startswith(b"HTTP/1.1 500 ")
+
+
+def test_request_after_an_empty_line_is_answered():
+    # Some clients send an empty line after a body. The next request was read whole and got no response.
+    with HttpServer("127.0.0.1", 0, Response(b"whole"), LIMITS) as server, connect(server) as connection:
+        connection.sendall(b"POST /x HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\na\r\n")
+        assert connection.recv(1000).endswith(b"whole")
+        time.sleep(0.6)  # the limit of a head is 0.5 s
+        connection.sendall(get("/x"))
+        assert connection.makefile("rb").read().endswith(b"whole")
+        assert exchange(server, b"\r\n" + get("/x")).endswith(b"whole")
