http: a target that begins with two slashes is passed on unchanged

Callers saw: the answer to a request for another path.

Cause: the standard library shortens several slashes at the start of a target to one; the gateway took its result.

Change: the target is taken from the request line.

Evidence: the new test failed before, with /x//y for //x//y.

--- a/libs/arbutusrill_http/_handler.py
+++ b/libs/arbutusrill_http/_handler.py
@@ -252,7 +252,7 @@
         self.environ["CONTENT_LENGTH"] = str(len(body))
         self.environ["wsgi.input_terminated"] = True
         self.environ["arbutusrill.headers"] = self.headers.items()
-        self.environ["arbutusrill.target"] = self.path
+        self.environ["arbutusrill.target"] = self.requestline.split()[1]  # `path` has one slash at its start at most
         self.environ.pop("HTTP_TRANSFER_ENCODING", None)
         if self._is_reserved:
             self.close_connection = True
--- a/libs/arbutusrill_http/tests/test_server.py
+++ b/libs/arbutusrill_http/tests/test_server.py
@@ -408,3 +408,17 @@
         connection.sendall(get("/x"))
         assert connection.makefile("rb").read().endswith(b"whole")
         assert exchange(server, b"\r\n" + get("/x")).endswith(b"whole")
+
+
+def test_target_with_two_slashes_is_passed_on_unchanged():
+    # The standard library shortens it, so that a server ran a request for another path.
+    targets = []
+
+    def app(environ, start):
+        targets.append(environ["arbutusrill.target"])
+        return Response(b"whole")(environ, start)
+
+    with HttpServer("127.0.0.1", 0, app, LIMITS) as server:
+        exchange(server, get("//x//y?a=//b"))
+        exchange(server, get("/x"))
+    assert targets == ["//x//y?a=//b", "/x"]
