site: tests of the ways by which bars reach the entry VMs

With the mends taken out one at a time, only the end-to-end test could fail for a follower that applies no bars, or applies them after the first document, and for long polls that a new bar does not end. Each now fails a unit test; the code is unchanged.

--- a/libs/arbutusrill_site/tests/test_follower.py
+++ b/libs/arbutusrill_site/tests/test_follower.py
@@ -90,3 +90,20 @@
     assert SiteService._configuration(service) == SiteService._configuration(service) == b"first"
     held[:] = [3, zlib.compress(b"third")]
     assert SiteService._configuration(service) == b"third"
+
+
+def test_bars_are_in_force_before_the_first_document(monkeypatch):
+    # Requests that wait for the first document were sent to engines that their prompts crash.
+    sets, apply_document = [], SiteFollower._apply_document
+
+    def record(follower, received):
+        sets.append(len(follower.view.prompt_bars.barred))
+        apply_document(follower, received)
+
+    monkeypatch.setattr(SiteFollower, "_apply_document", record)
+    first = reply(1, b"first")
+    first.barred, first.suspected = [messages.BarredParts(["D"], 1000, 3)], ["D"]
+    first.suspects_revision, first.bars_revision = 5, 2
+    _, leader = follow(first, reply(2, b"second"))
+    assert sets == [1, 1]
+    assert [(poll.suspects_revision, poll.bars_revision) for poll in leader.requests] == [(0, 0), (5, 2)]
--- a/libs/arbutusrill_site/tests/test_prompt_ledger.py
+++ b/libs/arbutusrill_site/tests/test_prompt_ledger.py
@@ -1,6 +1,7 @@
 """Guards against bars that are lost with their leader or that do not reach the entry VMs."""
 
 import threading
+from types import SimpleNamespace
 
 import pytest
 from arbutusrill_base import ManualClock
@@ -8,6 +9,7 @@
 from arbutusrill_wire import messages
 
 from arbutusrill_site._prompt_ledger import PromptLedger
+from arbutusrill_site._service import SiteService
 
 
 class Group:
@@ -99,3 +101,22 @@
     ledger.report(messages.PromptReport("vm", [], ["F"]))
     assert [barred.parts for barred in reply(ledger).barred] == [["D"]]
     assert [barred.parts for barred in reply(group.leader()).barred] == [["D"]]
+
+
+def test_poll_of_an_entry_vm_ends_with_a_new_bar(group):
+    # A VM that learned of the bar with its next poll sent on requests meanwhile.
+    ledger = group.leader()
+    service = SimpleNamespace(
+        _term=1,
+        _changed=ledger._changed,
+        _state=SimpleNamespace(document=SimpleNamespace(version=1)),
+        backends=SimpleNamespace(revision=1),
+        prompts=ledger,
+    )
+    poll = SimpleNamespace(document_version=1, backends_revision=1, bars_revision=ledger.bars_revision, wait_ms=50)
+    assert not SiteService._wait_for_change(service, poll, 1)
+    poll.wait_ms = 2000
+    reporter = threading.Timer(0.05, crash_three_engines, [ledger])
+    reporter.start()
+    assert SiteService._wait_for_change(service, poll, 1)
+    reporter.join()
