--- a/review/2/play.py
+++ b/review/2/play.py
@@ -1,56 +1,103 @@
-"""Case 2: sends requests with percent-encoded paths and compares them with what the runner ran."""
+"""Case 2: a control VM freezes while another one rejoins with an empty disk; later a single one loses its disk."""
 
 from __future__ import annotations
 
+import random
 import re
+import shutil
+import signal
 import sys
+import threading
+import time
 from pathlib import Path
 
 HERE = Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent))
 
-from harness import KEY, CannotRunError, Record, Runner, Site, document, http_call, main  # noqa: E402
+from harness import (  # noqa: E402
+    ACK_TIMEOUT_S,
+    CATCH_UP_S,
+    CONTACT_S,
+    RECOVERY_S,
+    CannotRunError,
+    Record,
+    Site,
+    document,
+    http_call,
+    main,
+)
 
-# The same paths twice: as clients may write them (RFC 3986, 2.1: the digits A to F may be of either case), and with the
-# upper-case digits that RFC 3986 recommends to those who produce them.
-PATHS = ["caf%c3%a9", "brief%2f2026%2f7", "x%3ay", "na%c3%afve/p%2fq"]
+CHANGES = 80
+ROUTES = 350  # in each desired state, the largest dose of `big_config`
+FREEZE_S = 3.0
+READ_S = 20.0  # the operator reads for so long at the end, far above `contactMs`
+DOWN_S = 1.0
+
+
+def large_document(version: int) -> dict:
+    """Returns a desired state with `ROUTES` more routes."""
+    value = document(version)
+    route = value["routes"][0]
+    for _ in range(ROUTES):
+        name = f"{random.getrandbits(96):024x}"
+        value["routes"].append({**route, "name": name, "pathPrefix": f"/{name}/"})
+    return value
+
+
+def metric(site: Site, ip: str, name: str) -> float | None:
+    """Returns a metric of a control VM, as the platform fetches them; None without an answer."""
+    status, body = http_call("GET", f"{ip}:9103", "/metrics", timeout_s=0.3)
+    match = re.search(rf"^arbutusrill_control_{name} (\S+)$", body.decode(), re.MULTILINE) if status == 200 else None
+    return float(match.group(1)) if match else None
+
+
+def wipe(site: Site, ip: str) -> None:
+    """Takes the disk of a control VM; the VM is back at its old address with an empty one."""
+    site.signal(ip, signal.SIGKILL)
+    shutil.rmtree(site.disk(ip))
+    site.record.write(f"the disk of {ip} is lost")
+    time.sleep(DOWN_S)
+    site.start(ip, bootstrap=False)
+
+
+def voters(site: Site) -> dict[str, float | None]:
+    """Returns the number of voters that each control VM shows."""
+    return {ip: metric(site, ip, "voters") for ip in site.controls}
 
 
 def play(record: Record, trouble: bool) -> bool:
-    """Returns whether a request ran with another path than its client sent."""
-    paths = PATHS if trouble else [re.sub("%..", lambda match: match.group().upper(), path) for path in PATHS]
-    changed = 0
-    with Site(record) as site, Runner(site, "i-desk1") as runner:
-        site.set_up(document(1))
-        entry = site.front(site.entries[0])
-
-        def send(request_id: str, path: str) -> int:
-            record.write(f"client: {request_id} GET {path}")
-            status, _ = http_call(
-                "GET",
-                entry,
-                path,
-                timeout_s=5.0,
-                Host="site.example",
-                Request_Id=request_id,
-                Deadline_Ms="4000",
-                Authorization=f"Bearer {KEY}",
+    """Returns whether the acknowledged desired state can't be read back at the end."""
+    with Site(record) as site:
+        site.set_up(large_document(1))
+        for version in range(2, 2 + CHANGES):
+            if site.put(large_document(version)) != 200:
+                raise CannotRunError("a desired state is not acknowledged")
+        site.wait_until(lambda: any(metric(site, ip, "leader") for ip in site.controls), "no leader")
+        leader = next(ip for ip in site.controls if metric(site, ip, "leader"))
+        wiped, frozen = (ip for ip in site.controls if ip != leader)
+        record.write(f"leader {leader}")
+        if trouble:
+            wipe(site, wiped)
+            # The freeze begins once the new member has heard from the leader, that is, while it catches up.
+            site.wait_until(
+                lambda: (metric(site, wiped, "term") or 0) > 0, "the wiped VM does not rejoin", interval_s=0.001
             )
-            record.write(f"client: {request_id} got {status}")
-            return status
-
-        site.wait_until(lambda: send("warm-up", "/look/ready") == 200, "no request is served")
-        for number, path in enumerate(paths):
-            for prefix in ("/look/", "/book/"):
-                request_id, target = f"r{number}{prefix[1]}", f"{prefix}{path}"
-                if send(request_id, target) != 200:
-                    raise CannotRunError(f"{request_id} is not served")
-                _, ran_target, _ = runner.ran[request_id]
-                if ran_target != target:
-                    changed += 1
-                    record.write(f"CHANGED: {request_id} was sent as {target} and ran as {ran_target}")
-    record.write(f"{changed} of {2 * len(paths)} requests ran with a changed path")
-    return changed > 0
+            site.signal(frozen, signal.SIGSTOP)
+            timer = threading.Timer(FREEZE_S, site.signal, (frozen, signal.SIGCONT))
+            timer.start()
+            timer.join()
+        time.sleep(RECOVERY_S + CATCH_UP_S)
+        record.write(f"all are back for {RECOVERY_S + CATCH_UP_S} s; voters: {voters(site)}")
+        last = CHANGES + 2
+        if site.put(document(last), ACK_TIMEOUT_S) != 200 or site.read_version(CONTACT_S) != last:
+            raise CannotRunError("the group has not recovered")
+        if trouble:
+            wipe(site, frozen)
+        else:
+            time.sleep(DOWN_S)
+        version = site.read_version(READ_S)
+        record.write(f"voters: {voters(site)}")
+        return version != last
 
 
 main(HERE, play)
--- a/review/harness.py
+++ b/review/harness.py
@@ -234,13 +234,15 @@
         self.record.write(f"operator: GET /config: status {status}, version {version}")
         return version
 
-    def wait_until(self, condition: Callable[[], bool], what: str, limit_s: float = 20.0) -> None:
+    def wait_until(
+        self, condition: Callable[[], bool], what: str, limit_s: float = 20.0, interval_s: float = 0.05
+    ) -> None:
         """Waits for a condition of the set-up."""
         deadline = time.monotonic() + limit_s
         while not condition():
             if time.monotonic() >= deadline:
                 raise CannotRunError(what)
-            time.sleep(0.05)
+            time.sleep(interval_s)
 
     def set_up(self, value: dict) -> None:
         """Sends the first desired state and waits until all entry machines are ready."""
