raft: a replica goes on after its disk has refused a write

Ruled out: changes of the leader without end (no leadership_began after +40 s).

Change: a refused write counts as not written and is repeated; the log file is cut back to its last synced byte first. Until a write succeeds the replica acknowledges no new entry, grants no vote that needs a write and starts no election. Lines and a metric for it.

--- a/libs/arbutusrill_control/_metrics.py
+++ b/libs/arbutusrill_control/_metrics.py
@@ -27,6 +27,7 @@
             "commit_index": (status.commit_index, "highest committed entry"),
             "applied_index": (status.applied_index, "highest applied entry"),
             "fault": (float(bool(status.fault)), "1 when the replica has stopped for a fault"),
+            "disk_failing": (float(bool(status.disk_error)), "1 while the replica's disk refuses writes"),
             "revision": (state.config.revision, "revision of the configuration"),
             "feature_level": (state.config.feature_level, "feature level of the group"),
             "workspaces": (len(state.config.workspaces_by_name), "workspaces"),
--- a/libs/arbutusrill_raft/_elections.py
+++ b/libs/arbutusrill_raft/_elections.py
@@ -4,7 +4,7 @@
 
 import random
 
-from arbutusrill_base import PartLog, new_request_id
+from arbutusrill_base import EventLog, PartLog, new_request_id
 from arbutusrill_wire import messages
 
 from ._core import Core, Role
@@ -16,6 +16,7 @@
 
 _FORMATION_RETRY_S = 0.3
 _log = PartLog("raft")
+_events = EventLog("raft")
 
 
 class Elections:
@@ -53,15 +54,20 @@
         try:
             if core.role is Role.LEADER:
                 self._check_quorum(now)
-            elif core.is_voter and now >= core.election_due_at:
+            elif core.is_voter and now >= self._election_due_at():
                 self._start_vote_round(Role.PRE_CANDIDATE)
         except messages.Refused:
-            return  # the disk has failed; `save_term_and_vote` has stopped the replica
+            core.reset_election_timer()  # the disk has refused the new term
         wait_s = core.timing.heartbeat_s
         if core.role is not Role.LEADER and core.is_voter:
-            wait_s = max(0.001, core.election_due_at - core.clock.monotonic())
+            wait_s = max(0.001, self._election_due_at() - core.clock.monotonic())
         core.elections_wakeup.wait(wait_s)
 
+    def _election_due_at(self) -> float:
+        """Returns when this replica may start an election: not before its disk, if it is failing, is tried again."""
+        core = self._core
+        return max(core.election_due_at, core.disk_retry_at) if core.disk_error else core.election_due_at
+
     def _check_quorum(self, now: float) -> None:
         core = self._core
         last_quorum_contact_at = max(core.quorum_acked_sent_at(), core.elected_at)
@@ -72,6 +78,8 @@
         core = self._core
         if role is Role.CANDIDATE:
             core.save_term_and_vote(core.term + 1, core.own_id)
+        if role is Role.PRE_CANDIDATE and core.leader:
+            _events.emit("leader_silent", replica=core.own_id, term=core.term, leader=core.leader)
         core.role = role
         core.leader = ""
         core.vote_round += 1
@@ -118,6 +126,7 @@
             try:
                 core.save_term_and_vote(core.term + 1, core.own_id)
             except messages.Refused:
+                core.elections_wakeup.wait(core.timing.heartbeat_s)
                 return
             membership = Membership(new_request_id("group")[:16], tuple(sorted(member_ids)))
             _log.info("%s forms group %s with voters %s", core.own_id, membership.group, ", ".join(membership.voters))
--- a/libs/arbutusrill_raft/_log.py
+++ b/libs/arbutusrill_raft/_log.py
@@ -57,6 +57,7 @@
     voters: list[str] = field(default_factory=list)
     learners: list[str] = field(default_factory=list)
     fault: str = ""
+    disk_error: str = ""
 
 
 class ReplicatedLog(abc.ABC):
--- a/libs/arbutusrill_raft/_replica.py
+++ b/libs/arbutusrill_raft/_replica.py
@@ -229,6 +229,7 @@
                 list(members.voters) if members else [],
                 list(members.learners) if members else [],
                 core.fault,
+                core.disk_error,
             )
 
     def members(self) -> list[MemberStatus]:
--- a/libs/arbutusrill_raft/_storage.py
+++ b/libs/arbutusrill_raft/_storage.py
@@ -44,7 +44,9 @@
     def __init__(self, folder: Folder, address: str):
         self._folder = folder
         self._segments: list[str] = []
-        self._segment_size = 0
+        self._segment_size = 0  # durable bytes of the last segment
+        self._is_tail_uncertain = False  # a failed write may have left bytes after `_segment_size`
+        self._are_segments_obsolete = False  # a removal of all segments has failed halfway
         self.term = 0
         self.vote = ""
         self.disk_id = self._load_or_create_identity(address)
@@ -147,30 +149,51 @@
         return conflicts_with_snapshot
 
     def append(self, entries: list[Entry]) -> None:
-        """Writes `entries` as one frame. They replace entries written earlier from the first one's index on."""
+        """Writes `entries` as one frame. They replace entries written earlier from the first one's index on.
+
+        After an error, none of them counts as written: the next call removes what the failed one may have left, so
+        that no sync is trusted for bytes whose first sync has failed.
+        """
+        self._remove_remains_of_failed_changes()
         first = entries[0].index
         name = f"log-{first:020d}"
         if not self._segments or (self._segment_size >= _MIN_SEGMENT_BYTES and name > self._segments[-1]):
             self._segments.append(name)
             self._segment_size = 0
         data = pack_entries(entries)
+        self._is_tail_uncertain = True
         self._folder.append(self._segments[-1], data)
         self._folder.sync(self._segments[-1])
         if self._segment_size == 0:
             self._folder.sync_directory()
+        self._is_tail_uncertain = False
         self._segment_size += len(data)
 
+    def _remove_remains_of_failed_changes(self) -> None:
+        if self._are_segments_obsolete:
+            self.remove_all_segments()
+        if self._is_tail_uncertain:
+            self._folder.truncate(self._segments[-1], self._segment_size)
+            self._is_tail_uncertain = False
+
     def remove_segments_before(self, index: int) -> None:
         """Removes the segments that contain only entries before `index`."""
         while len(self._segments) > 1 and int(self._segments[1].removeprefix("log-")) <= index:
-            self._folder.remove(self._segments.pop(0))
+            self._folder.remove(self._segments[0])
+            del self._segments[0]
         self._folder.sync_directory()
 
     def remove_all_segments(self) -> None:
-        """Removes all segments, newest first, so that a crash in between leaves no gap in the log."""
+        """Removes all segments, newest first, so that a crash in between leaves no gap in the log.
+
+        After an error, the next `append` continues the removal before it writes.
+        """
+        self._are_segments_obsolete = True
         while self._segments:
-            self._folder.remove(self._segments.pop())
+            self._folder.remove(self._segments[-1])
             self._folder.sync_directory()
+            self._segments.pop()
+        self._are_segments_obsolete = self._is_tail_uncertain = False
         self._segment_size = 0
 
     def _snapshot_names(self) -> list[str]:
--- a/libs/arbutusrill_raft/tests/test_storage.py
+++ b/libs/arbutusrill_raft/tests/test_storage.py
@@ -67,6 +67,23 @@
     assert reload_log(after).last_index == last + 1
 
 
+@pytest.mark.parametrize("kind", ["write_error", "sync_error"])
+@pytest.mark.parametrize("seed", range(20))
+def test_write_after_a_failed_one_leaves_a_log_that_can_be_read(kind, seed):
+    # The remains of the failed write would be damage in the middle of a file, or count as synced by the next sync.
+    disk = MemoryDisk()
+    storage = write_batches(disk, [[entry(1)], [entry(2)]])
+    setattr(disk, kind, OSError("refused"))
+    for _ in range(3):
+        with pytest.raises(OSError, match="refused"):
+            storage.append([entry(3, size=600), entry(4)])
+    setattr(disk, kind, None)
+    storage.append([entry(3), entry(4)])
+    storage.append([entry(5)])
+    log = reload_log(disk.crash(random.Random(seed)))
+    assert entry_tuples(log) == [(index, 1, entry(index).data) for index in range(1, 6)]
+
+
 @pytest.mark.parametrize("position", range(0, 300, 7))
 def test_damage_to_synced_bytes_is_refused(position):
     # Truncating the log here would lose acknowledged entries.
--- a/libs/arbutusrill_site/_metrics.py
+++ b/libs/arbutusrill_site/_metrics.py
@@ -50,6 +50,7 @@
             "applied_index": (status.applied_index, "highest applied entry"),
             "voters": (len(status.voters), "voters of the control group"),
             "fault": (float(bool(status.fault)), "1 when the replica has stopped for a fault"),
+            "disk_failing": (float(bool(status.disk_error)), "1 while the replica's disk refuses writes"),
             "config_version": (service.document_version, "version of the latest configuration"),
             "backends": (len(service.backends.records()), "backend servers that the leader knows"),
             "entries": (len(service.entries.records()), "entry VMs that the leader knows"),
