raft: a replacement of a member is finished by whoever leads

Cause: a replacement is three membership changes, and the last one, the removal of the old voter, was known only to the call on the leader that began it. After a change of the leader the dead disk stayed a voter; of four voters, three are needed. Ruled out: a lost promotion (the new replica would be a learner and ask again).

Change: the entry that makes a replica a voter names the members that it replaces; each leader removes these next. All other members at its address are among them, as an address has one disk at a time.

--- a/libs/arbutusrill_raft/_elections.py
+++ b/libs/arbutusrill_raft/_elections.py
@@ -54,6 +54,7 @@
         try:
             if core.role is Role.LEADER:
                 self._check_quorum(now)
+                self._remove_leaving_member()
             elif core.is_voter and now >= self._election_due_at():
                 self._start_vote_round(Role.PRE_CANDIDATE)
         except messages.Refused:
@@ -74,6 +75,19 @@
         if now - last_quorum_contact_at > core.timing.election_max_s:
             core.step_down(core.term, f"no quorum has answered for {now - last_quorum_contact_at:.1f} s")
 
+    def _remove_leaving_member(self) -> None:
+        """On the leader, finishes a replacement that may have been begun by an earlier leader."""
+        core = self._core
+        members = core.membership
+        is_previous_change_committed = core.log.membership_index <= core.commit_index
+        if not (members.leaving and core.is_ready_leader and is_previous_change_committed):
+            return
+        after = members.without(members.leaving[0])
+        _log.info("%s removes %s, which was replaced", core.own_id, members.leaving[0])
+        _events.emit("replaced_member_removed", member=members.leaving[0], voters=len(after.voters), term=core.term)
+        core.append_as_leader(MEMBERSHIP, after.encode())
+        core.advance_commit()
+
     def _start_vote_round(self, role: Role) -> None:
         core = self._core
         if role is Role.CANDIDATE:
--- a/libs/arbutusrill_raft/_membership.py
+++ b/libs/arbutusrill_raft/_membership.py
@@ -32,11 +32,16 @@
 
 @dataclass(slots=True, frozen=True)
 class Membership:
-    """Member IDs of a group's voters and learners; learners receive the log and have no vote."""
+    """Member IDs of a group's voters and learners; learners receive the log and have no vote.
+
+    `leaving` names members that a new voter replaces. Whoever leads removes them next, so that a replacement is
+    finished also when the leader that has begun it is lost.
+    """
 
     group: str
     voters: tuple[str, ...]
     learners: tuple[str, ...] = ()
+    leaving: tuple[str, ...] = ()
 
     @property
     def members(self) -> tuple[str, ...]:
@@ -61,17 +66,24 @@
         """Returns the membership with `member` as a learner; unchanged when it is a member already."""
         return self if member in self.members else replace(self, learners=(*self.learners, member))
 
-    def with_voter(self, member: str) -> Membership:
+    def with_voter(self, member: str, replaced: str | None = None) -> Membership:
         """Returns the membership with a learner made a voter; unchanged when it is a voter already.
 
-        Raises `MembershipError` when it is no member.
+        `replaced` and all other members at the address of `member` become `leaving`: an address has one disk at a time,
+        and the others were those of lost disks. Raises `MembershipError` when `member` is no member.
         """
         if member in self.voters:
             return self
         if member not in self.learners:
             raise MembershipError(f"{member} is no learner")
         learners = tuple(other for other in self.learners if other != member)
-        return replace(self, voters=(*self.voters, member), learners=learners)
+        leaving = tuple(
+            other
+            for other in self.members
+            if other != member
+            and (other == replaced or other in self.leaving or address_of(other) == address_of(member))
+        )
+        return replace(self, voters=(*self.voters, member), learners=learners, leaving=leaving)
 
     def without(self, member: str) -> Membership:
         """Returns the membership without `member`; unchanged when it is no member.
@@ -84,18 +96,21 @@
             self,
             voters=tuple(other for other in self.voters if other != member),
             learners=tuple(other for other in self.learners if other != member),
+            leaving=tuple(other for other in self.leaving if other != member),
         )
 
     def encode(self) -> bytes:
         """Returns the JSON that log entries and snapshots hold."""
-        return json.dumps({"group": self.group, "voters": self.voters, "learners": self.learners}).encode()
+        value = {"group": self.group, "voters": self.voters, "learners": self.learners, "leaving": self.leaving}
+        return json.dumps(value).encode()
 
     @classmethod
     def decode(cls, data: bytes) -> Membership:
         """Parses the output of `encode`.
 
         >>> Membership.decode(Membership("g", ("a/1",)).encode())
-        Membership(group='g', voters=('a/1',), learners=())
+        Membership(group='g', voters=('a/1',), learners=(), leaving=())
         """
         value = json.loads(data)
-        return cls(value["group"], tuple(value["voters"]), tuple(value["learners"]))
+        # Entries of earlier versions have no `leaving`.
+        return cls(value["group"], *(tuple(value.get(name, ())) for name in ("voters", "learners", "leaving")))
--- a/libs/arbutusrill_raft/_membership_changes.py
+++ b/libs/arbutusrill_raft/_membership_changes.py
@@ -41,8 +41,10 @@
 
     def promote(self, member: str, timeout: float) -> None:
         """Makes a learner a voter once it holds all entries that are committed at the time of the call."""
+        self._promote(member, None, self._core.clock.monotonic() + timeout)
+
+    def _promote(self, member: str, replaced: str | None, deadline: float) -> None:
         core = self._core
-        deadline = core.clock.monotonic() + timeout
         with core.lock:
             self._wait_as_leader(lambda: True, deadline, "")
             member = core.membership.find(member)
@@ -52,7 +54,7 @@
             self._wait_as_leader(
                 lambda: self._has_caught_up(member, target_index), deadline, f"{member} has not caught up"
             )
-        self._commit_change(lambda members: members.with_voter(member), deadline)
+        self._commit_change(lambda members: members.with_voter(member, replaced), deadline)
 
     def remove(self, member: str, timeout: float) -> None:
         """Removes a member, given by ID or RPC address."""
@@ -65,7 +67,8 @@
     def replace(self, old: str, new: str, timeout: float) -> str:
         """Adds the replica at RPC address `new`, makes it a voter, then removes member `old`; returns the new ID.
 
-        A repeated call continues an interrupted replacement.
+        Once `new` is a voter, the membership says that `old` leaves, and each later leader removes it. Until then, a
+        repeated call continues an interrupted replacement.
         """
         core = self._core
         deadline = core.clock.monotonic() + timeout
@@ -78,7 +81,7 @@
         if removed is None and member not in core.membership.members:
             raise MembershipError(f"{old!r} is no member; the members are {', '.join(core.membership.members)}")
         self._commit_change(lambda members: members.with_learner(member), deadline)
-        self.promote(member, deadline - core.clock.monotonic())
+        self._promote(member, removed, deadline)
         if removed is not None:
             self._commit_change(lambda members: members.without(removed), deadline)
         return member
--- a/libs/arbutusrill_raft/tests/test_replica.py
+++ b/libs/arbutusrill_raft/tests/test_replica.py
@@ -504,6 +504,50 @@
         assert (len(status.voters), status.learners) == (3, [])
 
 
+def test_interrupted_replacement_is_finished_by_the_next_leader():
+    # The lost disk stayed a voter for good, so that the loss of one more VM ended the group.
+    with Group() as group:
+        propose_all(group, entries(5))
+        leader = group.leader()
+        lost, frozen = group.followers()
+        old = group.replicas[lost].status().replica
+        group.lose_disk(lost)
+        replica = group.start(lost)
+        group.call_on_leader("add_learner", lost)
+        wait_until(lambda: replica.status().learners, "the new replica is a learner")
+        group.cut(frozen)
+        with pytest.raises((LogUnavailableError, NotLeaderError)):  # the promotion needs three of four voters
+            group.replicas[leader].replace(old, lost, WAIT_TIMEOUT_S)
+        wait_until(lambda: len(replica.status().voters) == 4, "the promotion reaches the new replica")
+        group.heal()
+        member = replica.status().replica
+
+        def voters():
+            return group.replicas[group.leader()].status().voters
+
+        wait_until(lambda: len(voters()) == 3, "the old member is removed")
+        assert member in voters() and old not in voters()
+        group.wait_equal(entries(5))
+        group.lose_disk(frozen)
+        group.propose(b"later")
+        assert group.machines[group.leader()].items == [*entries(5), b"later"]
+
+
+def test_disk_that_is_lost_again_during_its_replacement_leaves_no_dead_voter():
+    with Group() as group:
+        propose_all(group, entries(5))
+        lost = group.followers()[0]
+        for _ in range(2):
+            group.lose_disk(lost)
+            group.start(lost)
+            group.call_on_leader("add_learner", lost)
+        replica = group.replicas[lost].status().replica
+        group.call_on_leader("promote", replica)
+        status = group.replicas[group.leader()].status
+        wait_until(lambda: len(status().voters) == 3 and not status().learners, "the members of lost disks are removed")
+        assert replica in status().voters
+
+
 def test_learner_is_not_promoted_before_it_has_caught_up():
     with Group() as group:
         group.propose(b"a")
