prompts: a crash counts after any number of events of the answer

Cause: a crash was left out once more than one event had been forwarded, and three events of all attempts of a request together counted as an answer that clears its parts. An answer of the last 30 s outweighed each crash after it. Ruled out: bars that do not reach the entry VMs (there were none).

Change: each lost connection counts unless the part was answered since the attempt began. Answers are complete streams, or 2 s and three events of one attempt; they are reported with their age and clear only crashes before them. A part answered in the 30 s before needs five crashes, as one that many share.

Tests: the case "(CRASHED, 2)" of test_other_failures_are_not_held_against_a_prompt demanded the fault; test_crash_counts_however_many_events_came_before_it replaces it.

--- a/libs/arbutusrill_gateway/_exchange.py
+++ b/libs/arbutusrill_gateway/_exchange.py
@@ -92,10 +92,12 @@
         if self.prompt_guard is not None:
             self.prompt_guard.check(self.request)
 
-    def record_prompt_events(self, count: int, new_count: int) -> None:
-        """Records that `count` events of the answer have been forwarded, `new_count` of them just now."""
-        if self.prompt_guard is not None:
-            self.prompt_guard.record_events(self.request, count, new_count)
+    def record_prompt_events(self, count: int, streamed_s: float) -> bool:
+        """Records that an attempt has forwarded `count` events, the first one `streamed_s` seconds ago.
+
+        Returns whether nothing more is to be learned from further events of the attempt.
+        """
+        return self.prompt_guard is None or self.prompt_guard.record_events(self.request, count, streamed_s)
 
     def record_prompt_attempt(self, candidate: Candidate, result: AttemptResult, event_count: int) -> None:
         """Records what an attempt that forwarded `event_count` events tells about the parts of the prompt."""
--- a/libs/arbutusrill_gateway/_prompt_guard.py
+++ b/libs/arbutusrill_gateway/_prompt_guard.py
@@ -19,9 +19,10 @@
 
 __all__ = ["PromptBarredError", "PromptGuard"]
 
-_ANSWERED_EVENTS = 3  # a stream with so many events shows that its prompt crashes no engine
-_MAX_EVENTS_BEFORE_CRASH = 1
-_ANSWERED_S = 30.0  # for so long after an answer, a crash is not held against its parts
+# A stream that has gone on for so long shows that its prompt crashes no engine, like one that is complete.
+_SOUND_EVENTS = 3
+_SOUND_STREAM_S = 2.0
+_ANSWERED_S = 30.0  # for so long after an answer, a part counts as answered lately
 _MAX_ANSWERED_PARTS = 8192
 _MAX_QUEUED_CRASHES = 64
 _REPORT_TIMEOUT_S = 0.3
@@ -40,11 +41,12 @@
 
 @dataclass(slots=True, frozen=True)
 class _Crash:
-    """An attempt that broke before its answer had begun; times are on the guard's clock."""
+    """An attempt that broke in the beginning of its answer or before; times are on the guard's clock."""
 
     request_id: str
     backend: Any
     parts: tuple[str, ...]
+    answered_parts: tuple[str, ...]  # those of the prompt that were answered lately, but not since `began`
     began: float
     ended: float
 
@@ -53,7 +55,8 @@
     """Refuses requests by the leader's bars, and reports crashes and answers of prompts to the leader.
 
     A crash is reported in the thread of its request, before that is sent again; while the leader does not answer, it is
-    queued. Answers are reported by `flush`, and only for parts that the leader suspects.
+    queued. Answers are reported by `flush` with their age, and only for parts that the leader suspects: an answer says
+    nothing about a crash that comes after it.
     """
 
     def __init__(self, vm: str, client: ControlClient, view: SiteView, clock: Clock):
@@ -64,7 +67,7 @@
         self._lock = threading.Lock()
         self._answered_at_by_part: OrderedDict[str, float] = OrderedDict()
         self._queued_crashes: deque[_Crash] = deque(maxlen=_MAX_QUEUED_CRASHES)
-        self._reported_parts: tuple[int, set[str]] = (0, set())  # revision of the bars, parts reported as answered
+        self._reported_at_by_part: dict[str, float] = {}  # time of the latest answer that was reported
         self._leader_unavailable_until = float("-inf")
 
     def check(self, request: CallerRequest) -> None:
@@ -85,10 +88,15 @@
         )
         raise PromptBarredError(max(MIN_RETRY_AFTER_S, barred.until - now))
 
-    def record_events(self, request: CallerRequest, count: int, new_count: int) -> None:
-        """Records that `count` events of an answer have been forwarded, `new_count` of them just now."""
-        if count - new_count < _ANSWERED_EVENTS <= count:
-            self._record_answer(request.prompt_parts)
+    def record_events(self, request: CallerRequest, count: int, streamed_s: float) -> bool:
+        """Records that an attempt has forwarded `count` events, the first one `streamed_s` seconds ago.
+
+        Returns whether they show that the prompt crashes no engine.
+        """
+        if count < _SOUND_EVENTS or streamed_s < _SOUND_STREAM_S:
+            return False
+        self._record_answer(request.prompt_parts)
+        return True
 
     def record_attempt(
         self, request: CallerRequest, candidate: Candidate, result: AttemptResult, event_count: int
@@ -96,14 +104,20 @@
         """Records the end of an attempt that forwarded `event_count` events; reports a crash to the leader."""
         if result.outcome is Outcome.ANSWERED and result.response.status == 200 and event_count:
             self._record_answer(request.prompt_parts)
-        if not result.connection_lost or event_count > _MAX_EVENTS_BEFORE_CRASH:
-            return
-        parts = self._without_answered(request.prompt_parts)
-        if not parts:
+        if not result.connection_lost:
             return
         now = self._clock.monotonic()
-        crash = _Crash(request.id, candidate.record, parts, now - result.took_s, now)
-        if now < self._leader_unavailable_until or not self._report([crash], []):
+        began = now - result.took_s
+        with self._lock:
+            answered_at_by_part = {
+                part: self._answered_at_by_part.get(part, float("-inf")) for part in request.prompt_parts
+            }
+        parts = tuple(part for part, at in answered_at_by_part.items() if at < min(began, now - _ANSWERED_S))
+        answered_parts = tuple(part for part, at in answered_at_by_part.items() if now - _ANSWERED_S <= at < began)
+        if not (parts or answered_parts):
+            return
+        crash = _Crash(request.id, candidate.record, parts, answered_parts, began, now)
+        if now < self._leader_unavailable_until or not self._report([crash], {}):
             with self._lock:
                 self._queued_crashes.append(crash)
 
@@ -113,31 +127,27 @@
             return
         with self._lock:
             crashes = list(self._queued_crashes)
-        revision, answered = self._unreported_answers()
-        if not (crashes or answered) or not self._report(crashes, answered):
+        answered_at_by_part = self._unreported_answers()
+        if not (crashes or answered_at_by_part) or not self._report(crashes, answered_at_by_part):
             return
         with self._lock:
             for crash in crashes:
                 if crash in self._queued_crashes:
                     self._queued_crashes.remove(crash)
-        if self._reported_parts[0] != revision:
-            self._reported_parts = (revision, set())
-        self._reported_parts[1].update(answered)
+        self._reported_at_by_part.update(answered_at_by_part)
 
-    def _unreported_answers(self) -> tuple[int, list[str]]:
-        """Returns the revision of the bars, and the parts suspected in it whose answers have not been reported."""
-        bars = self._view.prompt_bars
-        if not bars.suspected:
-            return bars.revision, []
-        reported = self._reported_parts[1] if self._reported_parts[0] == bars.revision else set()
+    def _unreported_answers(self) -> dict[str, float]:
+        """Returns the times of the latest answers of suspected parts, as far as they have not been reported."""
+        suspected = self._view.prompt_bars.suspected
+        self._reported_at_by_part = {part: at for part, at in self._reported_at_by_part.items() if part in suspected}
         oldest = self._clock.monotonic() - _ANSWERED_S
         with self._lock:
-            answered_at_by_part = self._answered_at_by_part
-            return bars.revision, [
-                part
-                for part in bars.suspected
-                if part not in reported and answered_at_by_part.get(part, float("-inf")) >= oldest
-            ]
+            return {
+                part: at
+                for part in suspected
+                if (at := self._answered_at_by_part.get(part, float("-inf"))) >= oldest
+                and at > self._reported_at_by_part.get(part, float("-inf"))
+            }
 
     def _record_answer(self, parts: Iterable[str]) -> None:
         now = self._clock.monotonic()
@@ -148,12 +158,7 @@
             while len(self._answered_at_by_part) > _MAX_ANSWERED_PARTS:
                 self._answered_at_by_part.popitem(last=False)
 
-    def _without_answered(self, parts: Iterable[str]) -> tuple[str, ...]:
-        oldest = self._clock.monotonic() - _ANSWERED_S
-        with self._lock:
-            return tuple(part for part in parts if self._answered_at_by_part.get(part, float("-inf")) < oldest)
-
-    def _report(self, crashes: list[_Crash], answered: list[str]) -> bool:
+    def _report(self, crashes: list[_Crash], answered_at_by_part: dict[str, float]) -> bool:
         """Sends a report to the leader; returns whether it was accepted."""
         now = self._clock.monotonic()
         wire_crashes = [
@@ -164,17 +169,20 @@
                 int((now - crash.began) * 1000),
                 int((now - crash.ended) * 1000),
                 crash.request_id,
+                list(crash.answered_parts),
             )
             for crash in crashes
         ]
-        report = messages.PromptReport(self._vm, wire_crashes, answered)
+        ages_ms = [int((now - at) * 1000) for at in answered_at_by_part.values()]
+        report = messages.PromptReport(self._vm, wire_crashes, list(answered_at_by_part), ages_ms)
         try:
             reply = self._client.call(
                 "report_prompts", report, timeout=_REPORT_TIMEOUT_S, try_timeout=_REPORT_TIMEOUT_S
             )
         except (ControlUnavailableError, messages.Refused) as error:
             self._leader_unavailable_until = self._clock.monotonic() + _LEADER_BACKOFF_S
-            _events.emit("prompts_not_reported", crashes=len(crashes), answered=len(answered), reason=str(error))
+            answered = len(answered_at_by_part)
+            _events.emit("prompts_not_reported", crashes=len(crashes), answered=answered, reason=str(error))
             return False
         self._view.apply_prompt_bars(reply)
         return True
--- a/libs/arbutusrill_gateway/_stream.py
+++ b/libs/arbutusrill_gateway/_stream.py
@@ -77,6 +77,9 @@
         self._progress_at = time.monotonic()
         self._non_stream_bytes = 0
         self._has_event = False  # whether this attempt received a complete event, possibly a repeated one
+        self._attempt_event_count = 0
+        self._first_event_at = self._progress_at  # of this attempt
+        self._is_prompt_sound = False
         self.last_id: int | None = None
         self.forwarded_count = 0
         self.non_stream_body: list[bytes] = []  # chunks of a response that is not a stream, such as an error
@@ -101,6 +104,8 @@
         self.non_stream_body.clear()
         self._non_stream_bytes = 0
         self._has_event = False
+        self._attempt_event_count = 0
+        self._is_prompt_sound = False
         self._progress_at = time.monotonic()
 
     def on_data(self, data: bytes) -> None:
@@ -114,11 +119,22 @@
         events = self._take_events()
         if events:
             self._forward(b"".join(events))
-            self._exchange.record_prompt_events(self.forwarded_count, len(events))
+            self._record_prompt_events(len(events))
         if len(self._buffer) > _MAX_EVENT_BYTES:
             self.problem = f"an event exceeds {_MAX_EVENT_BYTES} bytes"
             self._buffer = b""
 
+    def _record_prompt_events(self, new_count: int) -> None:
+        """Records the progress of this attempt until it shows that the prompt is sound."""
+        now = time.monotonic()
+        if not self._attempt_event_count:
+            self._first_event_at = now
+        self._attempt_event_count += new_count
+        if not self._is_prompt_sound:
+            self._is_prompt_sound = self._exchange.record_prompt_events(
+                self._attempt_event_count, now - self._first_event_at
+            )
+
     def _collect_non_stream(self, data: bytes) -> None:
         self._non_stream_bytes += len(data)
         if self._non_stream_bytes > _MAX_EVENT_BYTES:
--- a/libs/arbutusrill_gateway/tests/test_prompt_guard.py
+++ b/libs/arbutusrill_gateway/tests/test_prompt_guard.py
@@ -78,7 +78,6 @@
         (AttemptResult(Outcome.TIMEOUT, None, b"", "", 0.2), 0),
         (AttemptResult(Outcome.REJECTED, None, b"", "", 0.2), 0),
         (AttemptResult(Outcome.UNREACHED, None, b"", "", 0.2), 0),
-        (CRASHED, 2),
     ],
 )
 def test_other_failures_are_not_held_against_a_prompt(guard, leader, result, events):
@@ -87,20 +86,33 @@
     assert not leader.reports
 
 
-def test_parts_that_were_answered_lately_are_not_held_responsible(guard, leader, clock):
+@pytest.mark.parametrize("events", [0, 1, 2, 3, 10, 1000])
+def test_crash_counts_however_many_events_came_before_it(guard, leader, events):
+    # A part that crashed each engine after two events was never barred: its crashes did not count.
+    guard.record_events(request("F", "a"), events, 1.9)
+    guard.record_attempt(request("F", "a"), CANDIDATE, CRASHED, events)
+    assert leader.crashes() == [("e", 7, ["F", "a"])]
+
+
+def test_parts_that_were_answered_since_the_attempt_began_are_not_held_responsible(guard, leader, clock):
     # A first part that most requests share is on every engine that crashes.
-    guard.record_events(request("F", "a"), 3, 1)
+    assert guard.record_events(request("F", "a"), 3, 2.0)
     guard.record_attempt(request("G", "b"), CANDIDATE, ANSWERED, 1)
     guard.record_attempt(request("F", "D", "c"), CANDIDATE, CRASHED, 1)
     guard.record_attempt(request("G", "D", "d"), CANDIDATE, CRASHED, 1)
-    clock.advance(31)
+    clock.advance(0.5)
     guard.record_attempt(request("F", "D", "e"), CANDIDATE, CRASHED, 0)
-    assert [parts for _, _, parts in leader.crashes()] == [["D", "c"], ["D", "d"], ["F", "D", "e"]]
+    clock.advance(31)
+    guard.record_attempt(request("F", "D", "f"), CANDIDATE, CRASHED, 0)
+    assert [parts for _, _, parts in leader.crashes()] == [["D", "c"], ["D", "d"], ["D", "e"], ["F", "D", "f"]]
+    answered = [crash.answered_parts for report in leader.reports for crash in report.crashes]
+    assert answered == [[], [], ["F"], []]
 
 
-def test_empty_answer_and_a_few_events_before_a_break_prove_nothing(guard, leader):
+def test_empty_answer_and_the_beginning_of_one_prove_nothing(guard, leader):
     guard.record_attempt(request("F", "a"), CANDIDATE, ANSWERED, 0)
-    guard.record_events(request("F", "a"), 2, 2)
+    assert not guard.record_events(request("F", "a"), 2, 60.0)
+    assert not guard.record_events(request("F", "a"), 60, 1.0)
     guard.record_attempt(request("F", "a"), CANDIDATE, CRASHED, 0)
     assert leader.crashes() == [("e", 7, ["F", "a"])]
 
@@ -120,17 +132,24 @@
     assert (crash.began_ago_ms, crash.ended_ago_ms) == (2200, 2000)
 
 
-def test_only_suspected_parts_are_reported_as_answered_and_only_once_per_list(guard, leader, view):
-    guard.record_events(request("F", "G", "a"), 4, 4)
+def test_only_suspected_parts_are_reported_as_answered_and_each_answer_once(guard, leader, view, clock):
+    def sounds():
+        return [(report.sound, report.sound_ago_ms) for report in leader.reports]
+
+    guard.record_events(request("F", "G", "a"), 4, 4.0)
     guard.flush()
     assert not leader.reports
     view.prompt_bars = PromptBars(1, 5, suspected=frozenset({"F", "D"}))
+    clock.advance(1.0)
     guard.flush()
     guard.flush()
-    assert [report.sound for report in leader.reports] == [["F"]]
+    assert sounds() == [(["F"], [1000])]
     view.prompt_bars = PromptBars(1, 6, suspected=frozenset({"F"}))
     guard.flush()
-    assert [report.sound for report in leader.reports] == [["F"], ["F"]]
+    assert sounds() == [(["F"], [1000])]
+    guard.record_events(request("F", "b"), 4, 4.0)
+    guard.flush()
+    assert sounds() == [(["F"], [1000]), (["F"], [0])]
 
 
 def test_bars_stay_known_without_a_leader_and_older_replies_do_not_replace_them(guard, view, clock):
--- a/libs/arbutusrill_site/_prompt_ledger.py
+++ b/libs/arbutusrill_site/_prompt_ledger.py
@@ -63,10 +63,17 @@
             for crash in report.crashes or []:
                 began, ended = now - crash.began_ago_ms / 1000, now - crash.ended_ago_ms / 1000
                 self._suspects.record_crash(
-                    crash.backend, crash.started_ms, crash.parts or [], began, max(began, ended), now
+                    crash.backend,
+                    crash.started_ms,
+                    crash.parts or [],
+                    began,
+                    max(began, ended),
+                    now,
+                    crash.answered_parts or [],
                 )
-            if report.sound:
-                self._suspects.record_success(report.sound, now)
+            ages_ms = report.sound_ago_ms or [0] * len(report.sound or [])
+            for part, age_ms in zip(report.sound or [], ages_ms, strict=False):
+                self._suspects.record_success([part], now - age_ms / 1000, now)
         if self._notify() and not self.save():
             raise messages.Refused("unavailable", "the bar is not in the log yet", messages.Verdict.MAY_HAVE_RUN)
 
--- a/libs/arbutusrill_site/_prompt_suspects.py
+++ b/libs/arbutusrill_site/_prompt_suspects.py
@@ -44,12 +44,16 @@
 
 @dataclass(slots=True)
 class _Part:
-    """Evidence against one part since its last success. `bars` counts the times that it was barred."""
+    """Evidence against one part since its last success. `bars` counts the times that it was barred.
+
+    `answered_lately` is true if a VM had seen answers to the part not long before it crashed an engine.
+    """
 
     crashes: dict[_CrashKey, _Crash] = field(default_factory=dict)
     last_at: float = -math.inf
     bars: int = 0
     barred_until: float = -math.inf
+    answered_lately: bool = False
 
 
 @dataclass(slots=True, frozen=True)
@@ -64,11 +68,12 @@
 class PromptSuspects:
     """Evidence against parts of prompts, and the sets of parts that are barred.
 
-    A crash implicates all parts of the prompts whose requests broke at it before their answer had begun; an answer that
-    has begun clears all parts of its prompt. Parts that were implicated by the same crashes cannot be told apart and
-    are barred together, as a set, so that each of them stays usable without the others. A part whose crashes are all
-    crashes of another part that has more of them is explained by that one and is not barred. Only consecutive crashes
-    count, so that a failure of many engines at the same time bars nothing.
+    A crash implicates all parts of the prompts whose requests broke at it in the beginning of their answer; an answer
+    that is complete, or has gone on for long, clears all parts of its prompt from the crashes before it. Parts that
+    were implicated by the same crashes cannot be told apart and are barred together, as a set, so that each of them
+    stays usable without the others. A part whose crashes are all crashes of another part that has more of them is
+    explained by that one and is not barred. Only consecutive crashes count, so that a failure of many engines at the
+    same time bars nothing.
 
     All times are passed in, in seconds of one clock. `revision` changes with the table, `bars_revision` with the bars,
     `save_revision` when the table should be saved.
@@ -95,13 +100,25 @@
         return self._listed[1]
 
     def record_crash(
-        self, backend: str, started_ms: int, parts: Iterable[str], began: float, ended: float, now: float
+        self,
+        backend: str,
+        started_ms: int,
+        parts: Iterable[str],
+        began: float,
+        ended: float,
+        now: float,
+        answered_parts: Iterable[str] = (),
     ) -> None:
-        """Records that a request with these parts broke at an engine that crashed, in an attempt between two times."""
+        """Records that a request broke at an engine that crashed, in an attempt between two times.
+
+        `answered_parts` are those parts of its prompt that were answered lately, `parts` the others.
+        """
         key = (backend, started_ms)
         added = []
-        for id_ in parts:
+        answered_parts = set(answered_parts)
+        for id_ in (*parts, *answered_parts):
             part = self._part_by_id.setdefault(id_, _Part())
+            part.answered_lately = part.answered_lately or id_ in answered_parts
             crash = part.crashes.get(key)
             if crash is not None:
                 crash.began, crash.ended = min(crash.began, began), min(crash.ended, ended)
@@ -128,9 +145,22 @@
         self._evict()
         self._update_bars(now, added)
 
-    def record_success(self, parts: Iterable[str], now: float) -> None:
-        """Records that a request with these parts was answered, at least in its beginning."""
-        cleared = {id_: part for id_ in parts if (part := self._part_by_id.pop(id_, None)) is not None}
+    def record_success(self, parts: Iterable[str], answered_at: float, now: float) -> None:
+        """Records that a request with these parts was answered, at least in its beginning, at the time `answered_at`.
+
+        Crashes that came later still count.
+        """
+        cleared = {}
+        for id_ in parts:
+            part = self._part_by_id.get(id_)
+            if part is None:
+                continue
+            later = {key: crash for key, crash in part.crashes.items() if crash.ended > answered_at}
+            if len(later) == len(part.crashes):
+                continue
+            cleared[id_] = self._part_by_id.pop(id_)
+            if later:
+                self._part_by_id[id_] = _Part(later, part.last_at, answered_lately=True)
         if not cleared:
             return
         self.revision += 1
@@ -176,6 +206,7 @@
                     sorted(position_by_crash[crash] for crash in crashes),
                     self._part_by_id[id_].bars,
                     id_ in barred,
+                    self._part_by_id[id_].answered_lately,
                 )
                 for id_, crashes in crashes_by_id.items()
             ],
@@ -196,7 +227,7 @@
                 for position in saved.crashes or []
                 for crash in (crashes[position],)
             }
-            self._part_by_id[saved.id] = _Part(crash_by_key, now, saved.bars, until)
+            self._part_by_id[saved.id] = _Part(crash_by_key, now, saved.bars, until, saved.answered_lately)
         self.revision += 1
         self.bars_revision += 1
         self._update_bars(now, ())
@@ -222,12 +253,18 @@
         self.save_revision += 1
 
     def _suffices(self, id_: str) -> bool:
-        """Whether the crashes of a part are evidence enough; only attempts that did not overlap in time count."""
-        crashes = sorted(self._part_by_id[id_].crashes.values(), key=lambda crash: crash.ended)
+        """Whether the crashes of a part are evidence enough; only attempts that did not overlap in time count.
+
+        Those of a part that was answered lately may be chance: more of them are needed.
+        """
+        part = self._part_by_id[id_]
+        crashes = sorted(part.crashes.values(), key=lambda crash: crash.ended)
         consecutive, last_ended = 0, -math.inf
         for crash in crashes:
             if crash.began >= last_ended:
                 consecutive, last_ended = consecutive + 1, crash.ended
+        if part.answered_lately:
+            return len(crashes) >= _MANY_CRASHES and consecutive >= _MIN_CONSECUTIVE
         return consecutive >= _MIN_CONSECUTIVE or (
             len(crashes) >= _MANY_CRASHES and consecutive >= _MIN_CONSECUTIVE_OF_MANY
         )
@@ -239,7 +276,15 @@
             if len(part.crashes) >= _MIN_CONSECUTIVE:
                 ids_by_crashes.setdefault(frozenset(part.crashes), []).append(id_)
         sufficient = [crashes for crashes, ids in ids_by_crashes.items() if any(map(self._suffices, ids))]
-        return [ids_by_crashes[crashes] for crashes in sufficient if not any(crashes < others for others in sufficient)]
+        return [
+            self._most_suspect(ids_by_crashes[crashes])
+            for crashes in sufficient
+            if not any(crashes < others for others in sufficient)
+        ]
+
+    def _most_suspect(self, ids: list[str]) -> list[str]:
+        """Returns the parts that were not answered lately, or all if there is none."""
+        return [id_ for id_ in ids if not self._part_by_id[id_].answered_lately] or ids
 
     def _update_bars(self, now: float, crashed: Iterable[str]) -> None:
         """Computes the bars; parts in `crashed` have just been implicated, which renews a bar that has ended."""
--- a/libs/arbutusrill_site/tests/test_prompt_suspects.py
+++ b/libs/arbutusrill_site/tests/test_prompt_suspects.py
@@ -17,24 +17,26 @@
         self.suspects = PromptSuspects()
         self.now = 1000.0
         self.crash_count = 0
-        self.memory_s = 0.0  # for so long the VMs leave parts that were answered out of their reports
+        self.memory_s = 0.0  # for so long the VMs know that a part was answered
         self.answered_at_by_part = {}
 
     def crash(self, *prompts, took_s=0.1, pause_s=1.0):
         """One engine crashes while requests with these prompts wait for their first event."""
         self.crash_count += 1
         self.now += pause_s
-        oldest = self.now - self.memory_s
+        began, oldest = self.now - took_s, self.now - self.memory_s
         for prompt in prompts:
-            parts = [part for part in prompt.split() if self.answered_at_by_part.get(part, -1.0) < oldest]
+            at_by_part = {part: self.answered_at_by_part.get(part, -1.0) for part in prompt.split()}
+            parts = [part for part, at in at_by_part.items() if at < min(began, oldest)]
+            answered = [part for part, at in at_by_part.items() if oldest <= at < began]
             self.suspects.record_crash(
-                f"engine-{self.crash_count}", self.crash_count, parts, self.now - took_s, self.now, self.now
+                f"engine-{self.crash_count}", self.crash_count, parts, began, self.now, self.now, answered
             )
 
     def answer(self, prompt, pause_s=0.01):
         self.now += pause_s
         self.answered_at_by_part.update(dict.fromkeys(prompt.split(), self.now))
-        self.suspects.record_success(prompt.split(), self.now)
+        self.suspects.record_success(prompt.split(), self.now, self.now)
 
     def is_refused(self, prompt):
         return any(bar.parts.issubset(prompt.split()) for bar in self.suspects.bars())
@@ -144,6 +146,18 @@
     assert replay.barred() == ["DF"]
 
 
+def test_answer_before_a_crash_does_not_outweigh_it(replay):
+    # A part that engines had answered until lately crashed them for half a minute before it was barred.
+    replay.memory_s = 30.0
+    replay.answer("F D sound")
+    answered_at = replay.now
+    for number in range(5):
+        assert not replay.is_refused("F D own-9")
+        replay.crash(f"F D own-{number}")
+        replay.suspects.record_success(["F", "D"], answered_at, replay.now)
+    assert replay.is_refused("F D own-9")
+
+
 def test_answer_of_a_barred_part_ends_its_bar(replay):
     for number in range(3):
         replay.crash(f"D {number}")
@@ -251,7 +265,7 @@
     suspects = replay.suspects
     for number in range(1, 9):
         suspects.record_crash(f"engine-{number}", number, ["X"], 0.5, 1.0, 1.0)
-    suspects.record_success(["X"], 2.0)
+    suspects.record_success(["X"], 2.0, 2.0)
     for number in range(5):
         replay.crash(f"F D {number}")
     assert replay.barred() == ["DF"]
--- a/libs/arbutusrill_wire/arbutusrill.thrift
+++ b/libs/arbutusrill_wire/arbutusrill.thrift
@@ -160,7 +160,8 @@
   1: string id,
   2: list<i32> crashes,          // positions in the list of crashes
   3: i32 bars = 0,               // number of times that the part was barred
-  4: bool barred = false
+  4: bool barred = false,
+  5: bool answered_lately = false
 }
 
 // Suspected parts of prompts as the leader last recorded them; replaces the earlier record.
@@ -533,18 +534,21 @@
 // Tokens that an entry VM asks to charge before it admits a request.
 struct TokenCharge { 1: string vm, 2: i64 incarnation, 3: string workspace, 4: double tokens }
 
-// Request that broke at an engine that crashed, before its answer had begun. The times are before the report.
+// Request that broke at an engine that crashed, in the beginning of its answer. The times are before the report.
 struct PromptCrash {
   1: string backend,
   2: i64 started_ms,
   3: list<string> parts,               // of the prompt, without those that were answered lately
   4: i64 began_ago_ms = 0,
   5: i64 ended_ago_ms = 0,
-  6: string request_id = ""
+  6: string request_id = "",
+  7: list<string> answered_parts       // those that were answered lately, but not since the request was sent
 }
 
 // Parts of prompts that were involved in crashes of engines, and suspected parts of which an answer has begun.
-struct PromptReport { 1: string vm, 2: list<PromptCrash> crashes, 3: list<string> sound }
+// Crashes of engines, and parts of prompts that were answered: `sound_ago_ms` has the time since the latest answer of each
+// part in `sound`; earlier versions do not send it.
+struct PromptReport { 1: string vm, 2: list<PromptCrash> crashes, 3: list<string> sound, 4: list<i32> sound_ago_ms }
 
 // Bars after a report, as in `SiteFollowReply`.
 struct PromptReply {
