site: a change of the configuration costs as much as what has changed

Cause: each version was decoded, compressed, replicated and sent as a whole on every VM; decoding of 5,000 routes takes 124 ms of a whole core, on the VM that sends heartbeats every 60 ms. Ruled out: the size of the log entries (followers cost the same).

Change: documents consist of parts; the log, the followers and the entry VMs get patches; decoding keeps the values of equal parts; a route is found by its prefix in an index. A group with a member that does not know patches goes on with whole documents.

--- a/libs/arbutusrill_base/_json.py
+++ b/libs/arbutusrill_base/_json.py
@@ -12,9 +12,11 @@
 _MAX_DEPTH = 32
 
 
-def load_json(body: bytes) -> Any:
+def load_json(body: bytes, depth: int = 0) -> Any:
     """Decodes JSON in UTF-8; raises `ValueError` if it is invalid, not UTF-8 or nested too deeply.
 
+    `depth` is the number of levels around `body` in the text that it is a part of.
+
     The limit of the interpreter depends on the stack of the calling thread: a value that one VM accepts might not be
     decoded by another.
     """
@@ -26,7 +28,7 @@
     except RecursionError:
         raise ValueError("it is nested too deeply") from None
     level = [value]
-    for _ in range(_MAX_DEPTH):
+    for _ in range(_MAX_DEPTH - depth):
         level = [child for item in level for child in _children(item) if isinstance(child, dict | list)]
         if not level:
             return value
--- a/libs/arbutusrill_raft/_entries.py
+++ b/libs/arbutusrill_raft/_entries.py
@@ -9,9 +9,10 @@
 
 from ._membership import Membership
 
-__all__ = ["COMMAND", "MEMBERSHIP", "NO_OP", "Entry", "EntryLog", "chain_hash"]
+__all__ = ["COMMAND", "LOG_FORMAT", "MEMBERSHIP", "NO_OP", "Entry", "EntryLog", "chain_hash"]
 
 COMMAND, NO_OP, MEMBERSHIP = 0, 1, 2  # kinds of entries
+LOG_FORMAT = 1  # 1: entries may change the document by patches
 _HASHED_FIELDS = struct.Struct("!qqqB")
 _ENTRY_OVERHEAD_BYTES = 64  # memory that an entry takes in addition to its data
 
--- a/libs/arbutusrill_raft/_membership_changes.py
+++ b/libs/arbutusrill_raft/_membership_changes.py
@@ -9,7 +9,7 @@
 from arbutusrill_wire import messages
 
 from ._core import Core, Role
-from ._entries import MEMBERSHIP
+from ._entries import LOG_FORMAT, MEMBERSHIP
 from ._log import LogUnavailableError
 from ._membership import Membership, MembershipError, address_of
 from ._transport import Transport
@@ -30,6 +30,24 @@
     def __init__(self, core: Core, transport: Transport):
         self._core = core
         self._transport = transport
+        self._log_format_by_member: dict[str, int] = {}
+
+    def log_format(self) -> int:
+        """Returns the highest format of log entries that all members are known to read; asks those not asked before."""
+        core = self._core
+        with core.lock:
+            others = [member for member in core.membership.members if member != core.own_id] if core.membership else []
+        known = {member: at for member, at in self._log_format_by_member.items() if member in others}
+        for member in others:
+            if member not in known:
+                try:
+                    reply = self._transport.call(address_of(member), "hello", core.own_id, core.timing.call_timeout_s)
+                except (OSError, messages.Refused):
+                    return 0
+                if reply.member == member:
+                    known[member] = reply.log_format
+        self._log_format_by_member = known
+        return min((known.get(member, 0) for member in others), default=LOG_FORMAT)
 
     def add_learner(self, address: str, timeout: float) -> str:
         """Adds the replica at an RPC address as a learner and returns its member ID."""
--- a/libs/arbutusrill_raft/_receiver.py
+++ b/libs/arbutusrill_raft/_receiver.py
@@ -8,7 +8,7 @@
 from arbutusrill_wire import messages
 
 from ._core import Core, InvariantError, Role
-from ._entries import Entry
+from ._entries import LOG_FORMAT, Entry
 from ._frames import CorruptError, Snapshot
 
 __all__ = ["Receiver"]
@@ -29,7 +29,7 @@
         core = self._core
         with core.lock:
             members = core.membership
-            return messages.HelloReply(core.own_id, members.group if members else "", core.fault)
+            return messages.HelloReply(core.own_id, members.group if members else "", core.fault, LOG_FORMAT)
 
     def vote(self, request: Any) -> Any:
         """Grants or refuses a vote or pre-vote; a vote is made durable before the reply."""
--- a/libs/arbutusrill_raft/_replica.py
+++ b/libs/arbutusrill_raft/_replica.py
@@ -250,6 +250,13 @@
                 )
             return statuses
 
+    def log_format(self) -> int:
+        """Returns the highest format of log entries that all members are known to read, 0 if one does not answer.
+
+        Blocks for at most `Timing.call_timeout_s` for a member that has not answered before.
+        """
+        return self._membership_changes.log_format()
+
     def add_learner(self, address: str, timeout: float) -> str:
         """Adds the replica at an RPC address as a learner and returns its member ID.
 
--- a/libs/arbutusrill_site/__init__.py
+++ b/libs/arbutusrill_site/__init__.py
@@ -12,6 +12,7 @@
     ClientLimits,
     ConfigurationError,
     Engine,
+    HostRoutes,
     Route,
     RouteKind,
     Service,
@@ -19,6 +20,7 @@
     Target,
     Workspace,
 )
+from ._configuration_decoder import ConfigurationDecoder, ConfigurationFormat
 from ._directory import EntryDirectory
 from ._entries import EntryRegistry
 from ._follower import SiteFollower, SiteView
@@ -35,13 +37,16 @@
     "BackendRegistry",
     "BarredSet",
     "ClientLimits",
+    "ConfigurationDecoder",
     "ConfigurationError",
+    "ConfigurationFormat",
     "Engine",
     "EngineRegistry",
     "EngineStatistics",
     "EntryDirectory",
     "EntryRegistry",
     "GroupJoinClient",
+    "HostRoutes",
     "LeaderRateAuthority",
     "MembershipManager",
     "OrderAnswer",
--- a/libs/arbutusrill_site/_configuration.py
+++ b/libs/arbutusrill_site/_configuration.py
@@ -4,6 +4,7 @@
 
 import enum
 import random
+from collections import Counter
 from dataclasses import dataclass, field
 
 from arbutusrill_limits import Limits
@@ -12,6 +13,7 @@
     "ClientLimits",
     "ConfigurationError",
     "Engine",
+    "HostRoutes",
     "Route",
     "RouteKind",
     "Service",
@@ -118,10 +120,62 @@
     idle_s: float = 15.0
 
 
+class HostRoutes:
+    """Routes of one host by their prefix.
+
+    >>> route = Route("r", "a.example", "/x/", RouteKind.IDEMPOTENT, 1.0, 0.1, (Target("s", 1.0),))
+    >>> HostRoutes({"/x/": route}).find("/x/y").name
+    'r'
+    """
+
+    __slots__ = ("_count_by_length", "_lengths", "by_prefix")
+
+    def __init__(self, by_prefix: dict[str, Route]):
+        self.by_prefix = dict(by_prefix)
+        self._count_by_length = Counter(map(len, by_prefix))
+        self._lengths = sorted(self._count_by_length, reverse=True)
+
+    def copy(self) -> HostRoutes:
+        """Returns a copy, whose `add` and `remove` do not change this one."""
+        copied = HostRoutes.__new__(HostRoutes)
+        copied.by_prefix, copied._lengths = dict(self.by_prefix), self._lengths
+        copied._count_by_length = Counter(self._count_by_length)
+        return copied
+
+    def add(self, route: Route) -> bool:
+        """Adds a route; returns False if there is one with its prefix."""
+        if route.prefix in self.by_prefix:
+            return False
+        self.by_prefix[route.prefix] = route
+        self._count(len(route.prefix), 1)
+        return True
+
+    def remove(self, route: Route) -> None:
+        """Removes a route."""
+        del self.by_prefix[route.prefix]
+        self._count(len(route.prefix), -1)
+
+    def _count(self, length: int, change: int) -> None:
+        self._count_by_length[length] += change
+        if self._count_by_length[length] in (0, change):  # the first or the last of this length
+            self._count_by_length = +self._count_by_length
+            self._lengths = sorted(self._count_by_length, reverse=True)
+
+    def find(self, path: str) -> Route | None:
+        """Returns the route with the longest prefix of `path`."""
+        for length in self._lengths:
+            route = self.by_prefix.get(path[:length])
+            if route is not None:
+                return route
+        return None
+
+
 @dataclass(slots=True, frozen=True)
 class SiteConfiguration:
     """One version of the configuration of a site. Without workspaces, requests need no API key.
 
+    Values are shared between versions and never changed.
+
     >>> route = Route("r", "a.example", "/x/", RouteKind.IDEMPOTENT, 1.0, 0.1, (Target("s", 1.0),))
     >>> configuration = SiteConfiguration.build(1, [route], [Service("s")], {}, [])
     >>> configuration.route_of("A.example:80", "/x/y").name
@@ -131,7 +185,7 @@
     """
 
     version: int
-    routes_by_host: dict[str, list[Route]]
+    routes_by_host: dict[str, HostRoutes]
     services_by_name: dict[str, Service]
     workspace_by_key: dict[str, Workspace]
     workspaces_by_name: dict[str, Workspace] = field(default_factory=dict)
@@ -148,29 +202,68 @@
         client_limits: ClientLimits | None = None,
     ) -> SiteConfiguration:
         """Validates the parts and builds the indexes; raises `ConfigurationError` when they are inconsistent."""
-        services_by_name = {service.name: service for service in services}
-        routes_by_host: dict[str, list[Route]] = {}
-        host_prefixes = set()
-        for route in routes:
+        empty = cls(version, {}, {}, {}, {}, client_limits or ClientLimits())
+        return empty.with_changes(version, [], routes, services, workspace_by_key, workspaces, empty.client_limits)
+
+    def with_changes(
+        self,
+        version: int,
+        removed: list[Route],
+        added: list[Route],
+        services: list[Service] | None,
+        workspace_by_key: dict[str, Workspace] | None,
+        workspaces: list[Workspace] | None,
+        client_limits: ClientLimits,
+    ) -> SiteConfiguration:
+        """Returns a later version; None keeps services or workspaces. Raises `ConfigurationError` as `build` does.
+
+        The cost grows with the routes that change, apart from copies of the indexes of their hosts.
+        """
+        services_by_name = self.services_by_name
+        if services is not None:
+            services_by_name = {service.name: service for service in services}
+        routes_by_host = self._with_changed_routes(removed, added, services_by_name)
+        if not self.services_by_name.keys() <= services_by_name.keys():
+            for host_routes in routes_by_host.values():
+                for route in host_routes.by_prefix.values():
+                    _check_route(route, services_by_name)
+        return SiteConfiguration(
+            version,
+            routes_by_host,
+            services_by_name,
+            self.workspace_by_key if workspace_by_key is None else workspace_by_key,
+            self.workspaces_by_name if workspaces is None else {workspace.name: workspace for workspace in workspaces},
+            client_limits,
+        )
+
+    def _with_changed_routes(
+        self, removed: list[Route], added: list[Route], services_by_name: dict[str, Service]
+    ) -> dict[str, HostRoutes]:
+        changed_by_host: dict[str, HostRoutes] = {}
+
+        def changed(host: str) -> HostRoutes:
+            if host not in changed_by_host:
+                current = self.routes_by_host.get(host)
+                changed_by_host[host] = current.copy() if current else HostRoutes({})
+            return changed_by_host[host]
+
+        for route in removed:
+            changed(route.host).remove(route)
+        for route in added:
             _check_route(route, services_by_name)
-            if (route.host, route.prefix) in host_prefixes:
+            if not changed(route.host).add(route):
                 raise ConfigurationError(f"route {route.name!r}: another route has host {route.host} and its prefix")
-            host_prefixes.add((route.host, route.prefix))
-            routes_by_host.setdefault(route.host, []).append(route)
-        for routes_of_host in routes_by_host.values():
-            routes_of_host.sort(key=lambda route: -len(route.prefix))
-        by_name = {workspace.name: workspace for workspace in workspaces}
-        return cls(
-            version, routes_by_host, services_by_name, workspace_by_key, by_name, client_limits or ClientLimits()
-        )
+        routes_by_host = {**self.routes_by_host, **changed_by_host}
+        for host, host_routes in changed_by_host.items():
+            if not host_routes.by_prefix:
+                del routes_by_host[host]
+        return routes_by_host
 
     def route_of(self, host: str, path: str) -> Route | None:
         """Returns the route with the longest prefix of `path` among those of `host`."""
         hostname = host.partition(":")[0].lower()
-        for route in self.routes_by_host.get(hostname, ()):
-            if path.startswith(route.prefix):
-                return route
-        return None
+        routes = self.routes_by_host.get(hostname)
+        return None if routes is None else routes.find(path)
 
 
 def _check_route(route: Route, services_by_name: dict[str, Service]) -> None:
--- a/libs/arbutusrill_site/_follower.py
+++ b/libs/arbutusrill_site/_follower.py
@@ -4,13 +4,12 @@
 
 import threading
 import time
-import zlib
 from collections.abc import Callable
 from typing import Any
 
 from arbutusrill_base import Clock, EventLog, TaskGroup
 from arbutusrill_limits import FleetLevels, FleetRateLimiter
-from arbutusrill_state import ControlClient, ControlUnavailableError
+from arbutusrill_state import ControlClient, ControlUnavailableError, PatchError, apply_patch, unpack_parts
 from arbutusrill_wire import messages
 
 from ._backends import is_newer
@@ -73,7 +72,7 @@
 class SiteFollower:
     """Polls the leader and updates a `SiteView`.
 
-    `entry` is the record of this entry VM. `decode` decodes the body of a configuration document. `backend_loads`
+    `entry` is the record of this entry VM. `decode` decodes the parts of a configuration document. `backend_loads`
     returns the load of this VM on backend servers, `places` the places that it holds, `seeds` the configured addresses
     of control VMs. The document never reverts to an older version, and one that cannot be decoded leaves the previous
     one in force. Lists that a new leader marks as incomplete are merged with the known ones.
@@ -87,7 +86,7 @@
         client: ControlClient,
         clock: Clock,
         rate_limiter: FleetRateLimiter,
-        decode: Callable[[bytes], Any],
+        decode: Callable[[tuple[bytes, ...]], Any],
         backend_loads: Callable[[], list[Any]],
         places: Callable[[], list[Any]],
         seeds: Callable[[], list[str]],
@@ -104,7 +103,9 @@
         self._places = places
         self._seeds = seeds
         self._term = 0
-        self._received_version = 0  # of the latest document, also if it could not be decoded
+        # The latest document, also if it could not be decoded; version 0 asks for a whole one.
+        self._received_version = 0
+        self._received_parts: tuple[bytes, ...] = ()
         self._backends_revision = 0
         self._entries_revision = 0
         self._connected = True
@@ -172,6 +173,7 @@
             report.levels_age_s,
             report.uncounted,
             accepts_deltas=True,
+            accepts_patches=True,
             suspects_revision=self.view.prompt_bars.revision,
             bars_revision=self.view.prompt_bars.bars_revision,
         )
@@ -189,9 +191,9 @@
             return
         if reply.barred is not None:  # before the document: requests may wait for the first one
             view.apply_prompt_bars(reply)
-        if reply.document is not None and reply.document_version > self._received_version:
-            self._received_version = reply.document_version
-            self._apply_document(reply)
+        has_document = self._receive_document(reply)
+        if has_document:
+            self._apply_document(reply.term)
         if reply.backends is not None:
             view.backends_by_id = self._updated_backends(view.backends_by_id, reply)
         if reply.entries is not None:
@@ -207,21 +209,43 @@
         self._entries_revision = reply.entries_revision
         view.other_vms_requests_by_backend = {use.id: use.requests for use in reply.uses or []}
         view.other_vms_tokens_by_backend = {use.id: use.tokens for use in reply.uses or []}
-        if reply.document is not None or reply.backends is not None:
+        if has_document or reply.backends is not None:
             self.on_change()
             view.notify()
 
-    def _apply_document(self, reply: Any) -> None:
-        """Puts a document into force; one that cannot be decoded must not keep the lists from being updated."""
+    def _receive_document(self, reply: Any) -> bool:
+        """Stores the document of a reply, whole or as patches; returns whether it is newer than the one before.
+
+        After a patch that does not fit, the next poll asks for the whole document.
+        """
+        version, parts = self._received_version, self._received_parts
+        try:
+            if reply.document is not None and reply.document_version > version:
+                version, parts = reply.document_version, unpack_parts(reply.document, reply.document_layout or b"")
+            for patch in reply.document_patches or []:
+                if patch.base_version != version:
+                    raise PatchError(f"it changes version {patch.base_version}, not {version}")
+                version, parts = patch.version, apply_patch(parts, patch.patch or b"")
+        except PatchError as error:
+            _events.emit("document_patch_failed", version=reply.document_version, held=version, reason=str(error))
+            self._received_version, self._received_parts = 0, ()
+            return False
+        is_newer = version > max(self._received_version, self.view.version)
+        self._received_version, self._received_parts = version, parts
+        return is_newer
+
+    def _apply_document(self, term: int) -> None:
+        """Puts the document into force; one that cannot be decoded must not keep the lists from being updated."""
         started = time.monotonic()
+        version = self._received_version
         try:
-            document = self._decode(zlib.decompress(reply.document))
+            document = self._decode(self._received_parts)
         except Exception as error:
-            _events.emit("document_not_decoded", version=reply.document_version, reason=repr(error))
+            _events.emit("document_not_decoded", version=version, reason=repr(error))
             return
-        self.view.document, self.view.version = document, reply.document_version
+        self.view.document, self.view.version = document, version
         took_ms = round((time.monotonic() - started) * 1000, 1)
-        _events.emit("document_applied", version=self.view.version, term=reply.term, took_ms=took_ms)
+        _events.emit("document_applied", version=version, term=term, took_ms=took_ms)
 
     def _updated_backends(self, known: dict[str, Any], reply: Any) -> dict[str, Any]:
         """Returns the backend servers after a reply with a whole list or with changes."""
--- a/libs/arbutusrill_site/_service.py
+++ b/libs/arbutusrill_site/_service.py
@@ -4,7 +4,6 @@
 
 import threading
 import time
-import zlib
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
@@ -29,6 +28,7 @@
 _COMMIT_TIMEOUT_S = 2.0
 _CONFIRM_TIMEOUT_S = 1.0
 _MAX_LONG_POLL_S = 2.0
+_PATCHES_LOG_FORMAT = 1  # format of the replicated log from which on entries may be patches of the document
 _MAX_SEQUENCE = 2**62  # a departure with this number outdates all announcements that a server makes after one start
 _SAVE_INTERVAL_S_PER_BACKEND = 0.05  # the interval grows with the list, which bounds the write rate of the log
 _COALESCING_DELAY_S = 0.005  # wait after a change, so that one reply carries the changes that come together
@@ -46,7 +46,7 @@
 class SiteService:
     """Implements the IDL's `Site` service. Only the leader serves calls; other control VMs refuse them and name it.
 
-    `decode_document` decodes the body of a configuration document. `make_stage_balancer` builds the balancer from the
+    `decode_document` decodes the parts of a configuration document. `make_stage_balancer` builds the balancer from the
     registry of engines and the statistics of their work. `rate_slack` is the number of tokens by which a workspace may
     briefly exceed its bucket.
     """
@@ -58,7 +58,7 @@
         changed: threading.Condition,
         clock: Clock,
         timeouts: SilenceTimeouts,
-        decode_document: Callable[[bytes], SiteConfiguration],
+        decode_document: Callable[[tuple[bytes, ...]], SiteConfiguration],
         membership_manager: MembershipManager,
         make_stage_balancer: Callable[[EngineRegistry, EngineStatistics], StageBalancer],
         rate_slack: float,
@@ -108,7 +108,6 @@
         # The term may have changed during the wait: this resets the registries for the new one before they are read.
         self._require_leadership()
         same_term = request.term == self._term
-        version, body = self._state.document.held()
         backends = self.backends.changes_since(request.backends_revision if same_term else None)
         entries = self.entries.changes_since(request.entries_revision if same_term else None)
         if not request.accepts_deltas:
@@ -117,8 +116,8 @@
         levels = self._buckets.report(request.entry.id, request.incarnation, _spend_report(request))
         reply = messages.SiteFollowReply(
             self._term,
-            version,
-            body if version > request.document_version else None,
+            request.document_version,
+            None,
             request.backends_revision,
             None,
             request.entries_revision,
@@ -131,10 +130,25 @@
             None,
             levels.is_reporter_known,
         )
+        self._add_document(reply, request)
         self._add_lists(reply, backends, entries)
         self.prompts.add_to_reply(reply, request.suspects_revision if same_term else min(request.suspects_revision, 0))
         return reply
 
+    def _add_document(self, reply: Any, request: Any) -> None:
+        """Adds to a reply how the document has changed, or the whole one if the entry VM lags too far behind."""
+        document = self._state.document
+        reply.document_version, patches = document.patches_since(request.document_version)
+        if reply.document_version <= request.document_version:
+            return
+        if patches is not None and request.accepts_patches:
+            reply.document_patches = [
+                messages.PatchDocument(patch.base_version, patch.version, patch.data) for patch in patches
+            ]
+            return
+        packed = document.packed()
+        reply.document_version, reply.document, reply.document_layout = packed.version, packed.body, packed.layout
+
     def _add_lists(self, reply: Any, backends: RegistryChanges | None, entries: RegistryChanges | None) -> None:
         """Adds to a reply what has changed in the lists of backend servers and entry VMs."""
         if backends is not None:
@@ -215,14 +229,42 @@
     def put_document(self, document: Any) -> int:
         """Commits a document if its version is higher than the current one; returns the version in force afterwards."""
         self._confirm_leadership()
+        layout = document.layout if self._log.log_format() >= _PATCHES_LOG_FORMAT else None
+        change = messages.PutDocument(document.version, document.body, layout)
+        return self._commit_document(change, len(document.body), False)
+
+    def patch_document(self, patch: Any) -> int:
+        """Like `put_document`, for a change of the document in force.
+
+        Refuses with `stale_base` a change of another version, which must then be sent as a whole document.
+        """
+        self._confirm_leadership()
+        document = self._state.document
+        if patch.version > document.version and not (
+            document.accepts_patches and patch.base_version == document.version
+        ):
+            raise messages.Refused("stale_base", f"the version in force is {document.version}")
+        in_force = self._commit_document(patch, len(patch.patch), True)
+        if in_force < patch.version:
+            raise messages.Refused("stale_base", f"the version in force is {in_force}")
+        return in_force
+
+    def _commit_document(self, change: Any, size: int, is_patch: bool) -> int:
         current_version = self._state.document.version
-        if document.version <= current_version:
-            _events.emit("document_not_higher", version=document.version, held=current_version)
+        if change.version <= current_version:
+            _events.emit("document_not_higher", version=change.version, held=current_version)
             return current_version
         started = self._clock.monotonic()
-        outcome = self._propose(messages.PutDocument(document.version, document.body))
+        outcome = self._propose(change)
         took_ms = round((self._clock.monotonic() - started) * 1000, 1)
-        _events.emit("document_committed", version=document.version, in_force=outcome.revision, took_ms=took_ms)
+        _events.emit(
+            "document_committed",
+            version=change.version,
+            in_force=outcome.revision,
+            took_ms=took_ms,
+            bytes=size,
+            is_patch=is_patch,
+        )
         return outcome.revision
 
     def _propose(self, change: Any) -> Any:
@@ -238,7 +280,8 @@
     def read_document(self) -> Any:
         """Returns the document in force as a linearizable read: a quorum confirms the leadership after the call."""
         self._confirm_leadership()
-        return messages.SiteDocument(*self._state.document.held())
+        packed = self._state.document.packed()
+        return messages.SiteDocument(packed.version, packed.body, packed.layout)
 
     def join(self, member: str) -> list[str]:
         """Records that the control VM with the ID `member` wants to join the group; returns the members' addresses."""
@@ -313,11 +356,11 @@
 
         A document that this version cannot decode leaves the previous one in force, as it does on the entry VMs.
         """
-        version, body = self._state.document.held()
+        version, parts = self._state.document.held()
         decoded_version, configuration = self._decoded_document
         if version != decoded_version:
             try:
-                configuration = self._decode_document(zlib.decompress(body))
+                configuration = self._decode_document(parts)
             except Exception as error:
                 _events.emit("document_not_decoded", version=version, reason=repr(error))
             self._decoded_document = (version, configuration)
--- a/libs/arbutusrill_site/tests/test_follower.py
+++ b/libs/arbutusrill_site/tests/test_follower.py
@@ -4,6 +4,7 @@
 from types import SimpleNamespace
 
 from arbutusrill_base import ManualClock, TaskGroup
+from arbutusrill_state import join_parts
 from arbutusrill_wire import messages
 
 from arbutusrill_site import SiteFollower, SiteView
@@ -35,7 +36,8 @@
     return messages.SiteFollowReply(term, version, zlib.compress(document), 1, records, 1, [], True, True)
 
 
-def decode(body):
+def decode(parts):
+    body = join_parts(parts)
     if body == b"odd":
         raise RecursionError("nested too deeply")
     return body
@@ -79,16 +81,16 @@
 
 def test_leader_uses_the_previous_document_if_the_latest_cannot_be_decoded():
     # Each poll of every entry VM failed, since the leader needs the document for the token levels.
-    held = [1, zlib.compress(b"first")]
+    held = [1, (b"wfirst",)]
     service = SimpleNamespace(
         _state=SimpleNamespace(document=SimpleNamespace(held=lambda: tuple(held))),
         _decode_document=decode,
         _decoded_document=(0, None),
     )
     assert SiteService._configuration(service) == b"first"
-    held[:] = [2, zlib.compress(b"odd")]
+    held[:] = [2, (b"wodd",)]
     assert SiteService._configuration(service) == SiteService._configuration(service) == b"first"
-    held[:] = [3, zlib.compress(b"third")]
+    held[:] = [3, (b"wthird",)]
     assert SiteService._configuration(service) == b"third"
 
 
--- a/libs/arbutusrill_state/__init__.py
+++ b/libs/arbutusrill_state/__init__.py
@@ -6,7 +6,17 @@
 from ._config import ConfigState
 from ._defaults import DEFAULT_SPEC_BY_NAME, SCOPE_KINDS, DefaultSpec, parse_value
 from ._departures import Departures
-from ._document import Document
+from ._document import Document, DocumentPatch
+from ._document_parts import (
+    UNDIVIDED,
+    PatchError,
+    apply_patch,
+    changed_blocks,
+    join_parts,
+    make_patch,
+    pack_layout,
+    unpack_parts,
+)
 from ._follower import Follower, VmIdentity
 from ._journal import Journal
 from ._journal_client import Attempt, JournalClient
@@ -18,6 +28,7 @@
     "DEFAULT_SPEC_BY_NAME",
     "FEATURE_LEVEL",
     "SCOPE_KINDS",
+    "UNDIVIDED",
     "Attempt",
     "BackendRoster",
     "ConfigState",
@@ -26,14 +37,22 @@
     "DefaultSpec",
     "Departures",
     "Document",
+    "DocumentPatch",
     "Follower",
     "Journal",
     "JournalClient",
+    "PatchError",
     "PromptTable",
     "SharedState",
     "UnsupportedLevelError",
     "VmIdentity",
+    "apply_patch",
     "change_of",
+    "changed_blocks",
+    "join_parts",
     "make_command",
+    "make_patch",
+    "pack_layout",
     "parse_value",
+    "unpack_parts",
 ]
--- a/libs/arbutusrill_state/_machine.py
+++ b/libs/arbutusrill_state/_machine.py
@@ -11,7 +11,7 @@
 from ._commands import change_of
 from ._config import ConfigState
 from ._departures import Departures
-from ._document import Document
+from ._document import Document, DocumentPatch
 from ._journal import Journal
 from ._prompt_table import PromptTable
 from ._roster import BackendRoster
@@ -51,7 +51,10 @@
         if kind.startswith("journal_"):
             return encode(self.journal.apply(kind, change, command))
         if kind == "put_document":
-            held_version = self.document.put(change.version, change.body)
+            held_version = self.document.put_packed(change.version, change.body or b"", change.layout or b"")
+            return encode(messages.Outcome(held_version == change.version, held_version))
+        if kind == "patch_document":
+            held_version = self.document.patch(DocumentPatch(change.base_version, change.version, change.patch or b""))
             return encode(messages.Outcome(held_version == change.version, held_version))
         if kind in ("put_departure", "put_backends", "put_prompt_suspects"):
             if kind == "put_departure":
@@ -87,7 +90,8 @@
     def snapshot(self) -> bytes:
         """Returns the serialised state."""
         state = self.config.snapshot()
-        state.document = messages.PutDocument(*self.document.held())
+        packed = self.document.packed()
+        state.document = messages.PutDocument(packed.version, packed.body, packed.layout)
         state.departures = self.departures.records()
         state.backends = self.roster.records()
         state.prompt_suspects = self.prompt_table.record()
@@ -100,7 +104,8 @@
         state = decode(messages.ConfigSnapshot, data[8 : 8 + config_bytes])
         self.config.restore(state)
         if state.document is not None:
-            self.document.put(state.document.version, state.document.body or b"")
+            document = state.document
+            self.document.put_packed(document.version, document.body or b"", document.layout or b"")
         for record in state.departures or []:
             self.departures.put(record)
         self.roster.put(state.backends or [])
--- a/libs/arbutusrill_wire/arbutusrill.thrift
+++ b/libs/arbutusrill_wire/arbutusrill.thrift
@@ -79,7 +79,8 @@
 struct HelloReply {
   1: string member,         // member ID of the replying replica
   2: string group = "",     // group of the replica, empty before it has joined one
-  3: string fault = ""      // why the replica does not participate, empty if it does
+  3: string fault = "",     // why the replica does not participate, empty if it does
+  4: i32 log_format = 0     // 1: knows entries that change the document by patches
 }
 
 service Raft {
@@ -123,8 +124,12 @@
 struct SetFeatureLevel { 1: i32 level }
 struct ForgetVm { 1: string id, 2: i64 incarnation }      // feature level 2
 
-// Complete configuration as one document; the highest version applies. `body` is compressed with zlib.
-struct PutDocument { 1: i64 version, 2: binary body }
+// Complete configuration as one document; the highest version applies. `body` is compressed with zlib. `layout` divides
+// it into parts, which patches refer to; it is empty while a replica may not know patches.
+struct PutDocument { 1: i64 version, 2: binary body, 3: binary layout }
+
+// Change of the document from one version to a higher one. It applies only to exactly that version.
+struct PatchDocument { 1: i64 base_version, 2: i64 version, 3: binary patch }
 
 // Model that an engine has loaded.
 struct LoadedModel { 1: string name, 2: i64 version }
@@ -204,6 +209,7 @@
   31: PutDeparture put_departure, // does not change the revision
   32: PutBackends put_backends,   // does not change the revision
   33: PutPromptSuspects put_prompt_suspects, // does not change the revision
+  34: PatchDocument patch_document, // does not change the revision
   40: JournalBegin journal_begin,
   41: JournalFinish journal_finish,
   42: JournalSweep journal_sweep
@@ -463,6 +469,7 @@
   13: double levels_age_s = 0,
   14: map<string, double> uncounted,   // spent or granted since `levels`, sent if `spent_whole`
   15: bool accepts_deltas = false,     // lists may be sent as changes since the revisions above
+  16: bool accepts_patches = false,    // the document may be sent as patches of `document_version`
   20: i64 suspects_revision = -1,      // -1: the follower does not know barred parts of prompts
   21: i64 bars_revision = -1
 }
@@ -490,6 +497,8 @@
   16: list<PutDeparture> removed_backends,  // a server that started later than `started_ms` stays
   17: bool entries_delta = false,
   18: list<string> removed_entries,
+  19: binary document_layout,          // of the parts of `document`
+  24: list<PatchDocument> document_patches,  // sent instead of `document`, in order
   20: i64 suspects_revision = 0,       // changes with `barred` and `suspected`
   21: i64 bars_revision = 0,           // changes with `barred`
   22: list<BarredParts> barred,        // omitted, like `suspected`, if the follower has their revision
@@ -529,7 +538,7 @@
   1: string vm, 2: i64 incarnation, 3: i64 place, 4: list<EngineSpeed> speeds, 5: list<string> unresponsive
 }
 
-struct SiteDocument { 1: i64 version, 2: binary body }
+struct SiteDocument { 1: i64 version, 2: binary body, 3: binary layout }
 
 // Tokens that an entry VM asks to charge before it admits a request.
 struct TokenCharge { 1: string vm, 2: i64 incarnation, 3: string workspace, 4: double tokens }
@@ -545,7 +554,6 @@
   7: list<string> answered_parts       // those that were answered lately, but not since the request was sent
 }
 
-// Parts of prompts that were involved in crashes of engines, and suspected parts of which an answer has begun.
 // Crashes of engines, and parts of prompts that were answered: `sound_ago_ms` has the time since the latest answer of each
 // part in `sound`; earlier versions do not send it.
 struct PromptReport { 1: string vm, 2: list<PromptCrash> crashes, 3: list<string> sound, 4: list<i32> sound_ago_ms }
@@ -560,6 +568,7 @@
   void announce_backend(1: BackendRecord record) throws (1: Refused refused),
   void remove_backend(1: string id, 2: i64 started_ms) throws (1: Refused refused),
   i64 put_document(1: SiteDocument document) throws (1: Refused refused),     // returns the version that applies
+  i64 patch_document(1: PatchDocument patch) throws (1: Refused refused),     // refused with `stale_base` for another version
   SiteDocument read_document() throws (1: Refused refused),
   PlaceReply place(1: PlaceRequest request) throws (1: Refused refused),
   void free_place(1: FreePlace freed) throws (1: Refused refused),
