http: bodies of requests share a budget of memory

Cause: each of 512 connections could hold a body of 4 MiB, and the allocator kept freed blocks for each arena of threads.

Change: a body is reserved before it is read, waits unread for at most 0.8 s and is refused then, as not run. Small bodies have a share of their own; a workspace gets three quarters at most. The planned stop moves to the product (arbutusrill_gateway.stop_in_time), unchanged.

Not covered: answers that wait for slow readers.

--- a/libs/arbutusrill_daemon/_roles.py
+++ b/libs/arbutusrill_daemon/_roles.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import hashlib
 import threading
 from typing import Any
 
@@ -20,7 +21,7 @@
     PoolClients,
     report_burn,
 )
-from arbutusrill_http import HttpLimits, HttpServer
+from arbutusrill_http import BodyBudget, HttpLimits, HttpServer
 from arbutusrill_limits import Limits, TokenLeases
 from arbutusrill_pool import PoolDirectory
 from arbutusrill_raft import Replica
@@ -78,6 +79,11 @@
             yield
 
 
+def _body_owner(authorization: str) -> str:
+    """Returns what tells callers apart when bodies share the memory: a hash, since a key must not reach the log."""
+    return hashlib.sha256(authorization.encode("latin-1", "replace")).hexdigest()[:12]
+
+
 def _workspace_limits(follower: Follower, workspace: str) -> Limits | None:
     limits = follower.config.limits_of(workspace)
     return None if limits is None else Limits(*limits)
@@ -108,7 +114,9 @@
         limits = HttpLimits(connections=role.connections, reserve=_RESERVED_CONNECTIONS, reserved_paths=RESERVED_PATHS)
         with (
             RpcServer(*split_address(role.rpc), {messages.Pool: directory}),
-            HttpServer(*split_address(role.http), application, limits) as server,
+            HttpServer(
+                *split_address(role.http), application, limits, BodyBudget.of_process(role.memory_mb), _body_owner
+            ) as server,
         ):
             _add_gauges(context, server)
             follower.start(tasks)
--- a/libs/arbutusrill_daemon/_settings.py
+++ b/libs/arbutusrill_daemon/_settings.py
@@ -29,6 +29,7 @@
     """Settings of the entry role: `http` is the address for callers, `rpc` the address for other VMs.
 
     After the first SIGTERM, running requests have at most `drain_limit_s` seconds to finish before they are aborted.
+    Bodies of requests share a part of `memory_mb`, the memory that the process may use; without it, that of a small VM.
     """
 
     http: str
@@ -36,6 +37,7 @@
     announce_token_sha256: Sha256Hex
     connections: Annotated[int, Meta(ge=8, le=4096)] = 512
     drain_limit_s: Annotated[float, Meta(ge=0, le=86_400)] = 3600.0
+    memory_mb: Annotated[float, Meta(ge=64)] | None = None
 
     def __post_init__(self) -> None:
         _check_address("http", self.http)
--- a/libs/arbutusrill_gateway/__init__.py
+++ b/libs/arbutusrill_gateway/__init__.py
@@ -4,6 +4,7 @@
 from ._gateway import Gateway
 from ._metrics import GatewayMetrics
 from ._placement import PlacementClient
+from ._planned_stop import stop_in_time
 from ._prompt_guard import PromptBarredError, PromptGuard
 from ._protocol import BackendProtocol, BackendRequest, CallerRequest, KvCacheHandle, ResponseHead
 from ._reply import Refusal, Responder
@@ -23,4 +24,5 @@
     "Refusal",
     "Responder",
     "ResponseHead",
+    "stop_in_time",
 ]
--- a/libs/arbutusrill_gateway/_gateway.py
+++ b/libs/arbutusrill_gateway/_gateway.py
@@ -76,6 +76,12 @@
         now = time.monotonic()
         self._shutdown_at, self._accepts_all_until = now + shutdown_s, now + accept_all_s
 
+    def workspace_name(self, key: str) -> str:
+        """Returns the name of the workspace that holds an API key, empty for an unknown one."""
+        configuration = self._view.document
+        workspace = configuration.workspace_by_key.get(key) if configuration is not None else None
+        return workspace.name if workspace else ""
+
     def serve(self, request: CallerRequest, responder: Responder) -> None:
         """Serves one request; raises `AbortStreamError` if the caller's connection must be closed mid-response."""
         started = time.monotonic()
--- a/libs/arbutusrill_gateway/_metrics.py
+++ b/libs/arbutusrill_gateway/_metrics.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from arbutusrill_http import BodyBudget
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
 __all__ = ["GatewayMetrics"]
@@ -44,12 +45,27 @@
             "Backend servers that this VM sends nothing since they said in an answer that they drain.",
             registry=self.registry,
         )
+        self._body_bytes = Gauge(
+            "arbutusrill_body_bytes", "Memory reserved for bodies of requests.", registry=self.registry
+        )
+        self._body_budget_bytes = Gauge(
+            "arbutusrill_body_budget_bytes", "Memory that bodies may take.", registry=self.registry
+        )
+        self._bodies_refused = Gauge(
+            "arbutusrill_bodies_refused", "Requests refused for want of memory since the start.", registry=self.registry
+        )
         self.quiet_backends = Gauge(
             "arbutusrill_backends_quiet",
             "Backend servers that this VM sends nothing for the time that they asked for.",
             registry=self.registry,
         )
 
+    def record_bodies(self, budget: BodyBudget) -> None:
+        """Sets the gauges of the memory for bodies of requests."""
+        self._body_bytes.set(budget.held_bytes)
+        self._body_budget_bytes.set(budget.total_bytes or 0)
+        self._bodies_refused.set(budget.refused_count)
+
     def record_request(self, route: str, status: int, took_s: float, first_event_s: float | None) -> None:
         """Counts a finished request; `status` 0 means that its connection was closed without a response."""
         self._requests.labels(route, str(status)).inc()
--- /dev/null
+++ b/libs/arbutusrill_gateway/_planned_stop.py
@@ -0,0 +1,43 @@
+"""Planned stop of an entry VM within the time that the platform grants."""
+
+from __future__ import annotations
+
+import time
+
+from arbutusrill_base import EventLog
+from arbutusrill_http import HttpServer
+from arbutusrill_site import SiteFollower
+
+from ._gateway import Gateway
+
+__all__ = ["stop_in_time"]
+
+# After the signal; later requests are served only if their time limit ends before the shutdown.
+_ACCEPT_ALL_S, _ACCEPT_ALL_FRACTION = 2.8, 0.35  # at most, and of the time until the process is killed
+_DIRECTORY_TTL_FACTOR = 3  # some callers cache directory responses for three times their TTL
+_DIRECTORY_MARGIN_S = 0.5
+_LISTEN_FRACTION = 0.45  # of the time until the process is killed, at most
+_EXIT_RESERVE_S, _EXIT_RESERVE_FRACTION = 0.8, 0.1  # time to exit: at most, and of the time until the process is killed
+_POLL_INTERVAL_S = 0.02
+_events = EventLog("process")
+
+
+def stop_in_time(
+    gateway: Gateway, follower: SiteFollower, server: HttpServer, grace_s: float, directory_ttl_s: float
+) -> None:
+    """Takes a VM out of the directory, serves what it has accepted, and returns before `grace_s` seconds are over.
+
+    Connections are accepted until no caller should know this VM any more; then open requests are waited for.
+    """
+    started = time.monotonic()
+    shutdown_s = grace_s - min(_EXIT_RESERVE_S, _EXIT_RESERVE_FRACTION * grace_s)
+    gateway.drain(min(_ACCEPT_ALL_S, _ACCEPT_ALL_FRACTION * grace_s), shutdown_s)
+    _events.emit("draining", busy=server.active_connections())
+    follower.drain()
+    listen_s = min(_DIRECTORY_TTL_FACTOR * directory_ttl_s + _DIRECTORY_MARGIN_S, _LISTEN_FRACTION * grace_s)
+    time.sleep(max(0.0, started + listen_s - time.monotonic()))
+    server.stop_listening()
+    while server.open_connections() and time.monotonic() < started + shutdown_s:
+        time.sleep(_POLL_INTERVAL_S)
+    aborted_count = server.abort_connections()
+    _events.emit("drained", cut=aborted_count, took_s=round(time.monotonic() - started, 2))
--- a/libs/arbutusrill_http/__init__.py
+++ b/libs/arbutusrill_http/__init__.py
@@ -7,6 +7,7 @@
 
 from typing import Any
 
+from ._body_budget import BodyBudget
 from ._handler import AbortStreamError
 from ._json import error_body, failure_response, json_response
 from ._server import HttpLimits, HttpServer
@@ -14,6 +15,7 @@
 
 __all__ = [  # noqa: F822
     "AbortStreamError",
+    "BodyBudget",
     "HttpLimits",
     "HttpServer",
     "Transfer",
--- /dev/null
+++ b/libs/arbutusrill_http/_body_budget.py
@@ -0,0 +1,179 @@
+"""Memory budget for the bodies of requests that a server holds at the same time."""
+
+from __future__ import annotations
+
+import ctypes
+import itertools
+import threading
+import time
+from collections import deque
+
+from arbutusrill_base import EventLog
+
+__all__ = ["BodyBudget", "BodyReservation", "bound_allocator"]
+
+_SMALL_BYTES = 64 * 1024  # bodies up to this size have a share of their own, so that large ones cannot delay them
+_SMALL_FRACTION = 0.125
+_OWNER_FRACTION = 0.75  # largest share of one owner, such as a workspace
+_COPIES = 2  # a body is assembled from its pieces, so that it takes its size twice for a moment
+_MEMORY_FRACTION = 0.3  # of the memory of a process
+_MIN_MEMORY_MB = 150  # of the smallest VM, where no limit is known
+_MMAP_THRESHOLD_BYTES = 256 * 1024
+_M_MMAP_THRESHOLD, _M_ARENA_MAX = -3, -8
+_MAX_ARENAS = 2
+_events = EventLog("http")
+
+
+def bound_allocator() -> None:
+    """Makes the C library return the memory of large bodies when they are freed.
+
+    By default, glibc keeps freed blocks of several megabytes for each arena of threads, which adds up to more than the
+    bodies themselves. Does nothing with other C libraries.
+    """
+    try:
+        mallopt = ctypes.CDLL(None).mallopt
+    except (OSError, AttributeError):
+        return
+    mallopt(_M_MMAP_THRESHOLD, _MMAP_THRESHOLD_BYTES)
+    mallopt(_M_ARENA_MAX, _MAX_ARENAS)
+
+
+class BodyReservation:
+    """Part of a `BodyBudget`, held until the context ends. `size` and `wanted` are bytes of a body."""
+
+    __slots__ = ("_budget", "owner", "size", "wanted")
+
+    def __init__(self, budget: BodyBudget, owner: str):
+        self._budget = budget
+        self.owner = owner
+        self.size = self.wanted = 0
+
+    def __enter__(self) -> BodyReservation:
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self._budget.release(self)
+
+    def grow(self, size: int, wait_s: float) -> bool:
+        """Raises the reservation to a body of `size` bytes, waiting at most `wait_s` seconds; returns False in vain."""
+        return size <= self.size or self._budget.acquire(self, size, wait_s)
+
+    def shrink(self, size: int) -> None:
+        """Lowers the reservation to the actual size of the body."""
+        if size < self.size:
+            self._budget.release(self, size)
+
+
+class BodyBudget:
+    """Bytes of memory for bodies, shared by all requests of a server; `None` for no limit.
+
+    A body that finds no room waits unread, in order of arrival; those of an owner that holds its largest share are
+    passed by those of others. Small bodies have a share that large ones cannot use.
+
+    >>> budget = BodyBudget(1024 * 1024)
+    >>> with budget.open("clinic") as reservation:
+    ...     reservation.grow(300_000, 0.0), reservation.grow(600_000, 0.0)
+    (True, False)
+    """
+
+    def __init__(self, total_bytes: int | None):
+        self.total_bytes = total_bytes
+        self._changed = threading.Condition()
+        self._waiting: deque[BodyReservation] = deque()
+        self._held_by_owner: dict[str, int] = {}
+        self._large_bytes = self._small_bytes = 0
+        self.refused_count = 0
+
+    @classmethod
+    def of_process(cls, memory_mb: float | None) -> BodyBudget:
+        """Returns the budget of a process that may use `memory_mb` megabytes, None if that is not known.
+
+        Also makes the allocator return what bodies have used, see `bound_allocator`.
+        """
+        bound_allocator()
+        return cls(int(_MEMORY_FRACTION * (memory_mb or _MIN_MEMORY_MB) * 2**20))
+
+    @property
+    def held_bytes(self) -> int:
+        """Reserved bytes, all copies of the bodies included."""
+        return self._large_bytes + self._small_bytes
+
+    def open(self, owner: str) -> BodyReservation:
+        """Returns an empty reservation."""
+        return BodyReservation(self, owner)
+
+    def acquire(self, reservation: BodyReservation, size: int, wait_s: float) -> bool:
+        """Raises a reservation to `size` bytes of a body; see `BodyReservation.grow`."""
+        if self.total_bytes is None:
+            return True
+        deadline = time.monotonic() + wait_s
+        with self._changed:
+            reservation.wanted = size
+            self._waiting.append(reservation)
+            try:
+                while not self._has_room(reservation):
+                    remaining_s = deadline - time.monotonic()
+                    if remaining_s <= 0 or size * _COPIES > self._large_limit():
+                        self._record_refusal(reservation)
+                        return False
+                    self._changed.wait(remaining_s)
+                self._account(reservation, size)
+                return True
+            finally:
+                self._waiting.remove(reservation)
+                self._changed.notify_all()
+
+    def release(self, reservation: BodyReservation, kept: int = 0) -> None:
+        """Gives back what a reservation holds beyond `kept` bytes of a body."""
+        if not reservation.size:
+            return
+        with self._changed:
+            self._account(reservation, kept)
+            self._changed.notify_all()
+
+    def _large_limit(self) -> float:
+        return (1 - _SMALL_FRACTION) * self.total_bytes
+
+    def _has_room(self, reservation: BodyReservation) -> bool:
+        added = (reservation.wanted - reservation.size) * _COPIES
+        if reservation.wanted <= _SMALL_BYTES:
+            small_limit = _SMALL_FRACTION * self.total_bytes
+            return self._small_bytes + added <= max(small_limit, self.total_bytes - self._large_bytes)
+        is_first = not any(
+            self._is_within_share(other)
+            for other in itertools.takewhile(lambda other: other is not reservation, self._waiting)
+            if other.wanted > _SMALL_BYTES
+        )
+        used = self._large_bytes + max(self._small_bytes, _SMALL_FRACTION * self.total_bytes)
+        return is_first and self._is_within_share(reservation) and used + added <= self.total_bytes
+
+    def _is_within_share(self, reservation: BodyReservation) -> bool:
+        """Returns whether the owner may hold what the reservation wants, beside its others."""
+        added = (reservation.wanted - reservation.size) * _COPIES
+        held = self._held_by_owner.get(reservation.owner, 0)
+        return not held or held + added <= _OWNER_FRACTION * self.total_bytes
+
+    def _account(self, reservation: BodyReservation, size: int) -> None:
+        for sign, body_bytes in ((-1, reservation.size), (1, size)):
+            if body_bytes <= _SMALL_BYTES:
+                self._small_bytes += sign * body_bytes * _COPIES
+            else:
+                self._large_bytes += sign * body_bytes * _COPIES
+        held = self._held_by_owner.get(reservation.owner, 0) + (size - reservation.size) * _COPIES
+        if held:
+            self._held_by_owner[reservation.owner] = held
+        else:
+            self._held_by_owner.pop(reservation.owner, None)
+        reservation.size = size
+
+    def _record_refusal(self, reservation: BodyReservation) -> None:
+        self.refused_count += 1
+        _events.emit(
+            "body_refused",
+            bytes=reservation.wanted,
+            held_bytes=self.held_bytes,
+            budget_bytes=self.total_bytes,
+            workspace=reservation.owner,
+            workspace_bytes=self._held_by_owner.get(reservation.owner, 0),
+            waiting=len(self._waiting) - 1,
+        )
--- a/libs/arbutusrill_http/_handler.py
+++ b/libs/arbutusrill_http/_handler.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import io
 import json
 import re
@@ -14,12 +15,14 @@
 from arbutusrill_base import PartLog
 from werkzeug.serving import DechunkedInput, WSGIRequestHandler
 
+from ._body_budget import BodyReservation
 from ._writer import ResponseWriter
 
 __all__ = ["AbortStreamError", "Handler", "error_response"]
 
 _RESERVED_HEADER_TIMEOUT_S = 2.0
 _FIRST_REQUEST_WAIT_S = 0.5  # for the first request of a connection, which is served even if the server drains
+_CHUNKED_RESERVE_BYTES = 64 * 1024  # at first, for a body without a stated length
 _HEADER_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 _PENDING_INPUT_WAIT_S = 0.001  # for bytes that are already in the receive buffer
 _log = PartLog("http")
@@ -105,27 +108,36 @@
         header_s = min(limits.header_s, _RESERVED_HEADER_TIMEOUT_S) if self._is_reserved else limits.header_s
         self._socket_reader.deadline = time.monotonic() + header_s
         self.command, self.request_version = "", "HTTP/1.1"
-        try:
-            self.raw_requestline = self.rfile.readline(limits.header_bytes + 1)
-            if self.raw_requestline in (b"\r\n", b"\n"):  # before a request line, an empty line is ignored (RFC 9112)
-                self.close_connection = False
+        with contextlib.ExitStack() as stack:
+            try:
+                if not self._read_head():
+                    return
+                owner = self.server.body_owner(self.headers.get("Authorization", ""))
+                body = self._read_body(stack.enter_context(self.server.body_budget.open(owner)))
+            except _RequestError as error:
+                self._reject(error)
                 return
-            if not self.raw_requestline.endswith(b"\n"):
-                raise _RequestError(414, "request_line_too_long", "the request line is too long", "path")
-            if not self.parse_request():
+            except TimeoutError:
+                self._reject(_RequestError(408, "request_timeout", "the request did not arrive in time"))
                 return
-            self._check_headers()
-            if self._is_reserved and not self.path.startswith(limits.reserved_paths):
-                raise _RequestError(503, "too_many_connections", "too many connections")
-            body = self._read_body()
-        except _RequestError as error:
-            self._reject(error)
-            return
-        except TimeoutError:
-            self._reject(_RequestError(408, "request_timeout", "the request did not arrive in time"))
-            return
-        self.connection.settimeout(None)
-        self._run_application(body)
+            self.connection.settimeout(None)
+            self._run_application(body)
+
+    def _read_head(self) -> bool:
+        """Reads request line and headers; returns False if there is nothing to serve."""
+        limits = self.server.limits
+        self.raw_requestline = self.rfile.readline(limits.header_bytes + 1)
+        if self.raw_requestline in (b"\r\n", b"\n"):  # before a request line, an empty line is ignored (RFC 9112)
+            self.close_connection = False
+            return False
+        if not self.raw_requestline.endswith(b"\n"):
+            raise _RequestError(414, "request_line_too_long", "the request line is too long", "path")
+        if not self.parse_request():
+            return False
+        self._check_headers()
+        if self._is_reserved and not self.path.startswith(limits.reserved_paths):
+            raise _RequestError(503, "too_many_connections", "too many connections")
+        return True
 
     def _wait_for_request(self) -> bool:
         """Waits for the first byte of a request; returns False on end of input or when the server drains.
@@ -183,7 +195,7 @@
         if self.headers.defects:
             raise _RequestError(400, "bad_header", "the headers are malformed", "headers")
 
-    def _read_body(self) -> bytes:
+    def _read_body(self, reservation: BodyReservation) -> bytes:
         limits = self.server.limits
         lengths = self.headers.get_all("Content-Length", [])
         encodings = self.headers.get_all("Transfer-Encoding", [])
@@ -196,7 +208,7 @@
                 message = "only the transfer encoding chunked is supported"
                 raise _RequestError(501, "unknown_encoding", message, "Transfer-Encoding")
             self._send_continue()
-            return self._read_chunked(limits.body_bytes)
+            return self._read_chunked(limits.body_bytes, reservation)
         if not lengths:
             return b""
         if not (lengths[0].isascii() and lengths[0].isdigit()) or len(lengths[0]) > 18:
@@ -205,28 +217,42 @@
         length = int(lengths[0])
         if length > limits.body_bytes:
             raise _RequestError(413, "body_too_large", f"the body exceeds {limits.body_bytes} bytes", "body")
+        self._reserve(reservation, length)
         self._send_continue()
         body = self.rfile.read(length)
         if len(body) < length:
             raise ConnectionResetError("the caller closed the connection before the end of the request body")
         return body
 
+    def _reserve(self, reservation: BodyReservation, size: int) -> None:
+        """Waits for memory for a body, which stays unread meanwhile."""
+        started = time.monotonic()
+        if not reservation.grow(size, self.server.limits.body_wait_s):
+            raise _RequestError(503, "body_memory", "too many large requests at the moment")
+        self._socket_reader.deadline += time.monotonic() - started
+
     def _send_continue(self) -> None:
         if "100-continue" in self.headers.get("Expect", "").lower():
             self.connection.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
 
-    def _read_chunked(self, limit: int) -> bytes:
+    def _read_chunked(self, limit: int, reservation: BodyReservation) -> bytes:
         body = bytearray()
         reader = DechunkedInput(self.rfile)
         try:
             while chunk := reader.read(65_536):
-                body += chunk
-                if len(body) > limit:
+                if len(body) + len(chunk) > limit:
                     raise _RequestError(413, "body_too_large", f"the body exceeds {limit} bytes", "body")
+                if len(body) + len(chunk) > reservation.size:
+                    # Once beyond a small size, the largest possible: bodies that hold a part and wait for more would
+                    # block each other.
+                    is_small = len(body) + len(chunk) <= _CHUNKED_RESERVE_BYTES
+                    self._reserve(reservation, min(limit, _CHUNKED_RESERVE_BYTES) if is_small else limit)
+                body += chunk
         except TimeoutError:
             raise
         except (OSError, ValueError) as error:
             raise _RequestError(400, "bad_chunk", f"the chunked body is malformed: {error}", "body") from None
+        reservation.shrink(len(body))
         return bytes(body)
 
     def _reject(self, error: _RequestError) -> None:
--- a/libs/arbutusrill_http/_server.py
+++ b/libs/arbutusrill_http/_server.py
@@ -16,6 +16,7 @@
 from arbutusrill_base import PartLog, TaskGroup
 from werkzeug.serving import BaseWSGIServer
 
+from ._body_budget import BodyBudget
 from ._handler import Handler, error_response
 from ._sockets import set_dead_peer_timeouts, set_send_timeout
 
@@ -48,14 +49,25 @@
     write_s: float = 10.0
     reserve: int = 16
     reserved_paths: tuple[str, ...] = ()
+    body_wait_s: float = 0.8  # for memory; callers give a request up that is not read within a second
 
 
 class _Server(BaseWSGIServer):
     request_queue_size = 512
     multithread = True
 
-    def __init__(self, host: str, port: int, app: Any, limits: HttpLimits):
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        app: Any,
+        limits: HttpLimits,
+        body_budget: BodyBudget,
+        body_owner: Callable[[str], str],
+    ):
         self.limits = limits
+        self.body_budget = body_budget
+        self.body_owner = body_owner
         self.tasks = TaskGroup("http", limits.connections + limits.reserve + 1)
         self._lock = threading.Lock()
         self._idle_since: dict[socket.socket, float] = {}
@@ -241,8 +253,9 @@
     """Serves a WSGI application on one address until the context ends.
 
     The application gets the whole request body in memory and the caller's socket as
-    ``environ["werkzeug.socket"]``. It may raise `AbortStreamError` after the response has begun. On exit from the
-    context, requests in progress finish, unless `abort_connections` is called.
+    ``environ["werkzeug.socket"]``. Bodies take memory from `body_budget`; `body_owner` returns the owner of a request,
+    such as its workspace, from its field ``Authorization``. The application may raise `AbortStreamError` after the
+    response has begun. On exit from the context, requests in progress finish, unless `abort_connections` is called.
     """
 
     def __init__(
@@ -251,8 +264,10 @@
         port: int,
         app: Callable[[dict, Callable], Iterable[bytes]],
         limits: HttpLimits | None = None,
+        body_budget: BodyBudget | None = None,
+        body_owner: Callable[[str], str] = lambda authorization: "",
     ):
-        self._server = _Server(host, port, app, limits or HttpLimits())
+        self._server = _Server(host, port, app, limits or HttpLimits(), body_budget or BodyBudget(None), body_owner)
         self.address = "{}:{}".format(*self._server.server_address[:2])
 
     def __enter__(self) -> HttpServer:
--- /dev/null
+++ b/libs/arbutusrill_http/tests/test_body_budget.py
@@ -0,0 +1,92 @@
+"""Guards against bodies that take more memory than the budget, and against bodies that others keep waiting."""
+
+import threading
+import time
+
+import pytest
+
+from arbutusrill_http import BodyBudget
+
+MB = 2**20
+
+
+@pytest.fixture
+def budget():
+    return BodyBudget(16 * MB)
+
+
+def test_bodies_that_do_not_fit_wait_until_others_end(budget):
+    order = []
+    with budget.open("a") as first:
+        assert first.grow(3 * MB, 0)
+
+        def wait():
+            with budget.open("b") as second:
+                order.append((second.grow(5 * MB, 5.0), "second"))
+
+        thread = threading.Thread(target=wait)
+        thread.start()
+        time.sleep(0.1)
+        order.append("first ends")
+    thread.join()
+    assert order == ["first ends", (True, "second")]
+    assert budget.held_bytes == 0
+
+
+def test_body_that_finds_no_room_in_time_is_refused(budget):
+    with budget.open("a") as first, budget.open("b") as second:
+        assert first.grow(3 * MB, 0) and first.grow(3 * MB, 0)
+        started = time.monotonic()
+        assert not second.grow(5 * MB, 0.1)
+        assert 0.1 <= time.monotonic() - started < 1.0
+    assert budget.refused_count == 1 and budget.held_bytes == 0
+
+
+def test_body_that_can_never_fit_is_refused_at_once(budget):
+    with budget.open("a") as body:
+        started = time.monotonic()
+        assert not body.grow(9 * MB, 60.0)
+        assert time.monotonic() - started < 1.0
+
+
+def test_small_bodies_do_not_wait_for_large_ones(budget):
+    with budget.open("a") as first, budget.open("b") as second:
+        assert first.grow(4 * MB, 0) and second.grow(3 * MB, 0)
+        waiting = [threading.Thread(target=lambda: budget.open("c").grow(2 * MB, 0.5)) for _ in range(3)]
+        for thread in waiting:
+            thread.start()
+        time.sleep(0.05)
+        for _ in range(8):
+            small = budget.open("a")
+            assert small.grow(50_000, 0)
+        for thread in waiting:
+            thread.join()
+
+
+def test_one_owner_cannot_take_the_whole_budget(budget):
+    with budget.open("a") as first, budget.open("a") as second, budget.open("b") as other:
+        assert first.grow(5 * MB, 0)
+        assert not second.grow(MB + 1, 0)
+        refused = []
+        waiting = threading.Thread(target=lambda: refused.append(budget.open("a").grow(MB + 1, 0.5)))
+        waiting.start()
+        time.sleep(0.05)
+        started = time.monotonic()
+        assert other.grow(MB, 0.4), "an owner at its share keeps another one waiting"
+        assert time.monotonic() - started < 0.2
+        waiting.join()
+        assert refused == [False]
+
+
+def test_reservation_grows_and_shrinks_with_the_body(budget):
+    with budget.open("a") as body:
+        assert body.grow(50_000, 0) and body.grow(4 * MB, 0)
+        assert budget.held_bytes == 8 * MB
+        body.shrink(MB)
+        assert budget.held_bytes == 2 * MB
+    assert budget.held_bytes == 0
+
+
+def test_without_a_limit_nothing_waits():
+    with BodyBudget(None).open("a") as body:
+        assert body.grow(10**12, 0)
