state: a failed call closes all connections to its control VM

Cause: only the connection of the failed call was closed. RpcTransport of the raft library closes all.

--- a/libs/arbutusrill_state/_client.py
+++ b/libs/arbutusrill_state/_client.py
@@ -72,6 +72,7 @@
             except RpcError as error:
                 sent = sent or not isinstance(error, NotSentError)
                 cause = str(error)
+                self._replace_client(address, client)
                 self._demote(address, "")
             time.sleep(min(backoff_s(attempt, _MIN_BACKOFF_S, _MAX_BACKOFF_S), max(0.0, deadline - time.monotonic())))
         raise ControlUnavailableError(f"the control group does not answer ({cause})", sent)
@@ -96,6 +97,14 @@
             address = self._addresses[0]
             return address, self._client_by_address[address]
 
+    def _replace_client(self, address: str, client: RpcClient) -> None:
+        """Drops all open connections to a VM after a failed call: the others may be silent, too."""
+        with self._lock:
+            if self._client_by_address.get(address) is not client:
+                return
+            self._client_by_address[address] = RpcClient(address)
+        client.close()
+
     def _demote(self, address: str, leader: str) -> None:
         with self._lock:
             if self._addresses[0] == address:
