--- a/libs/arbutusrill_raft/_replica.py
+++ b/libs/arbutusrill_raft/_replica.py
@@ -214,6 +214,11 @@
         with self._core.lock:
             return self._core.is_ready_leader
 
+    def leading_term(self) -> int | None:
+        """Returns the term that this replica leads with all earlier entries applied, None if it does not lead."""
+        with self._core.lock:
+            return self._core.term if self._core.is_ready_leader else None
+
     def status(self) -> LogStatus:
         """Returns this replica's view of the group; `leader` is an RPC address, the others are member IDs."""
         core = self._core
--- a/libs/arbutusrill_site/_service.py
+++ b/libs/arbutusrill_site/_service.py
@@ -336,7 +336,7 @@
 
     def _update_term(self) -> bool:
         """Resets the soft state at the start of a term as leader; returns whether this VM leads."""
-        term = self._log.status().term if self._log.is_leader() else None
+        term = self._log.leading_term()
         with self._term_lock:
             if term is not None and term != self._term:
                 self.backends.begin_term()
