raft: a loaded log counts as durable only after a sync

Change: the writer syncs what was loaded before it counts, and repeats that after disk errors. Test: test_log_that_was_not_synced_before_a_restart_is_durable_before_it_counts.

--- a/libs/arbutusrill_raft/_core.py
+++ b/libs/arbutusrill_raft/_core.py
@@ -88,7 +88,10 @@
         self.snapshot_index = self.log.base_index
         self.commit_index = self.log.base_index
         self.applied_index = 0
-        self.durable_index = self.log.last_index
+        self.durable_index = self.log.base_index  # until the writer has synced what was loaded
+        self.loaded_entry = (
+            self.log.entry_at(self.log.last_index) if self.log.last_index > self.log.base_index else None
+        )
         self.unwritten_entries: list[Entry] = []  # in the log, not yet handed to the disk
         self.role = Role.FOLLOWER
         self.leader = ""  # member ID, empty when unknown
--- a/libs/arbutusrill_raft/_log_threads.py
+++ b/libs/arbutusrill_raft/_log_threads.py
@@ -27,6 +27,7 @@
     def run(self) -> None:
         """Runs until the replica stops."""
         core = self._core
+        self._sync_loaded()
         while True:
             with core.lock:
                 while not (core.unwritten_entries or core.stopping or core.fault):
@@ -45,6 +46,23 @@
                 else:
                     self._wait_for_disk()
 
+    def _sync_loaded(self) -> None:
+        """Syncs the log that was loaded, which counts as durable from then on; repeats it after disk errors."""
+        core = self._core
+        while core.loaded_entry is not None and not (core.stopping or core.fault):
+            try:
+                with core.log_files_lock:
+                    core.storage.sync_loaded()
+            except OSError as error:
+                core.record_disk_error("syncing the loaded log", error)
+                with core.lock:
+                    self._wait_for_disk()
+                continue
+            with core.lock:
+                core.record_durable(core.loaded_entry)
+                core.loaded_entry = None
+                core.record_disk_success()
+
     def _write(self, batch: list[Entry]) -> bool:
         """Writes `batch`; after a disk error, queues it again and returns False. `log_files_lock` must be held."""
         core = self._core
--- a/libs/arbutusrill_raft/_storage.py
+++ b/libs/arbutusrill_raft/_storage.py
@@ -148,6 +148,12 @@
         log.append(entry)
         return conflicts_with_snapshot
 
+    def sync_loaded(self) -> None:
+        """Makes durable what `load` has read: it may have been written but not synced when the process was killed."""
+        if self._segments:
+            self._folder.sync(self._segments[-1])
+        self._folder.sync_directory()
+
     def append(self, entries: list[Entry]) -> None:
         """Writes `entries` as one frame. They replace entries written earlier from the first one's index on.
 
--- a/libs/arbutusrill_raft/tests/test_replica.py
+++ b/libs/arbutusrill_raft/tests/test_replica.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import errno
+import random
 import threading
 import time
 
@@ -9,10 +10,23 @@
 from arbutusrill_base import BootClock
 from arbutusrill_wire import messages
 
-from arbutusrill_raft import Bounds, LogUnavailableError, MembershipError, NotLeaderError
+from arbutusrill_raft import Bounds, LogUnavailableError, MembershipError, NotLeaderError, Replica
+from arbutusrill_raft._entries import COMMAND, Entry
+from arbutusrill_raft._frames import pack_entries
 from arbutusrill_raft._peer import Peer, _Call
+from arbutusrill_raft._storage import Storage
 
-from .group import QUICK_TIMING, SMALL_BOUNDS, WAIT_TIMEOUT_S, Group, refusal_code, wait_until
+from .group import (
+    QUICK_TIMING,
+    SMALL_BOUNDS,
+    WAIT_TIMEOUT_S,
+    FaultyTransport,
+    Group,
+    ListMachine,
+    MemoryDisk,
+    refusal_code,
+    wait_until,
+)
 
 
 def entries(count, first=0):
@@ -418,6 +432,48 @@
         wait_until(lambda: core.snapshot_index > 100 or group.propose(b"more") is None, "a snapshot is saved")
 
 
+def test_snapshot_that_is_replaced_while_it_is_sent_does_not_stop_the_leader():
+    # The file that had just been looked up was gone when its size was read.
+    with Group(bounds=SMALL_BOUNDS) as group:
+        follower = group.followers()[0]
+        group.kill(follower)
+        propose_all(group, entries(100))
+        storage = group.replicas[group.leader()]._core.storage
+        size, missing = storage.snapshot_size, [1, 1]
+
+        def replaced(name):
+            if missing:
+                missing.pop()
+                raise FileNotFoundError(name)
+            return size(name)
+
+        storage.snapshot_size = replaced
+        group.start(follower)
+        group.wait_equal(entries(100))
+        assert not missing
+        assert not any(replica.status().fault for replica in group.replicas.values())
+
+
+def test_log_that_was_not_synced_before_a_restart_is_durable_before_it_counts():
+    # A replica that was killed during a sync acknowledged the entries after its restart, and power loss took them.
+    disk, address = MemoryDisk(), "10.0.0.1:7400"
+    storage = Storage(disk, address)
+    storage.load()
+    storage.save_term_and_vote(3, "")
+    storage.append([Entry(1, 1, COMMAND, b"synced")])
+    segment = next(name for name in disk.names() if name.startswith("log-"))
+    disk.append(segment, pack_entries([Entry(2, 1, COMMAND, b"written")]))
+    disk.sync_error = OSError(errno.EIO, "input/output error")
+    with Replica(address, [], disk, ListMachine(), FaultyTransport(Group(), address)) as replica:
+        wait_until(lambda: replica.status().disk_error, "the disk error is reported")
+        assert replica._core.durable_index < 2
+        disk.sync_error = None
+        wait_until(lambda: replica._core.durable_index == 2, "the log is synced")
+        disk = disk.crash(random.Random(1))
+    log = Storage(disk, address).load().log
+    assert log.last_index == 2
+
+
 @pytest.mark.parametrize("kind", ["write_error", "sync_error"])
 def test_snapshot_of_the_leader_is_received_again_after_a_disk_error(kind):
     with Group(bounds=SMALL_BOUNDS) as group:
