--- a/libs/arbutusrill_raft/_storage.py
+++ b/libs/arbutusrill_raft/_storage.py
@@ -46,6 +46,7 @@
         self._segments: list[str] = []
         self._segment_size = 0  # durable bytes of the last segment
         self._is_tail_uncertain = False  # a failed write may have left bytes after `_segment_size`
+        self._has_loaded_sync_failed = False
         self._are_segments_obsolete = False  # a removal of all segments has failed halfway
         self.term = 0
         self.vote = ""
@@ -149,10 +150,19 @@
         return conflicts_with_snapshot
 
     def sync_loaded(self) -> None:
-        """Makes durable what `load` has read: it may have been written but not synced when the process was killed."""
+        """Makes durable what `load` has read: it may have been written but not synced when the process was killed.
+
+        After an error, a repeated call writes the last segment anew, since no sync is trusted for bytes whose first
+        sync has failed.
+        """
         if self._segments:
-            self._folder.sync(self._segments[-1])
+            name = self._segments[-1]
+            if self._has_loaded_sync_failed:
+                self._folder.replace(name, self._folder.read(name))
+            self._has_loaded_sync_failed = True
+            self._folder.sync(name)
         self._folder.sync_directory()
+        self._has_loaded_sync_failed = False
 
     def append(self, entries: list[Entry]) -> None:
         """Writes `entries` as one frame. They replace entries written earlier from the first one's index on.
--- a/libs/arbutusrill_raft/tests/test_replica.py
+++ b/libs/arbutusrill_raft/tests/test_replica.py
@@ -438,16 +438,19 @@
         follower = group.followers()[0]
         group.kill(follower)
         propose_all(group, entries(100))
-        storage = group.replicas[group.leader()]._core.storage
-        size, missing = storage.snapshot_size, [1, 1]
+        missing = [1, 1]
 
-        def replaced(name):
-            if missing:
-                missing.pop()
-                raise FileNotFoundError(name)
-            return size(name)
+        def fail_at_first(size):
+            def replaced(name):
+                if missing:
+                    missing.pop()
+                    raise FileNotFoundError(name)
+                return size(name)
 
-        storage.snapshot_size = replaced
+            return replaced
+
+        for replica in group.replicas.values():
+            replica._core.storage.snapshot_size = fail_at_first(replica._core.storage.snapshot_size)
         group.start(follower)
         group.wait_equal(entries(100))
         assert not missing
