http: the target of a request is sent to the backend server unchanged

Cause: libcurl parses the URL and writes percent-encoded octets in upper case. Change: the target is passed as REQUEST_TARGET.

--- a/libs/arbutusrill_http/_transfer.py
+++ b/libs/arbutusrill_http/_transfer.py
@@ -6,6 +6,7 @@
 import socket
 import threading
 import time
+import urllib.parse
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -17,6 +18,7 @@
 _CONNECT_TIMEOUT_S = 2.0
 _KEEPALIVE_IDLE_S = 10
 _KEEPALIVE_INTERVAL_S = 5
+_ASCII = bytes(range(128))
 _MAX_COLLECTED_BYTES = 1_048_576  # of a body that is kept in memory; larger ones need `on_data`
 _TCP_USER_TIMEOUT_MS = 2000
 _MAX_POLL_MS = 250  # interval at which `should_stop`, `stall_s` and `timeout_s` are checked at the latest
@@ -252,7 +254,9 @@
     def _make_easy_handle(self) -> pycurl.Curl:
         transfer = self._transfer
         easy = pycurl.Curl()
-        easy.setopt(pycurl.URL, _encoded(transfer.url))
+        origin, target = _split_url(transfer.url)
+        easy.setopt(pycurl.URL, _encoded(origin))
+        easy.setopt(pycurl.REQUEST_TARGET, target)  # libcurl would change percent-encoded octets
         easy.setopt(pycurl.CUSTOMREQUEST, transfer.method)
         easy.setopt(pycurl.NOSIGNAL, 1)
         easy.setopt(pycurl.PROXY, "")
@@ -341,6 +345,17 @@
         return None
 
 
+def _split_url(url: str) -> tuple[str, str]:
+    """Returns the URL of the server and the target on it; only bytes beyond ASCII are percent-encoded in the target.
+
+    >>> _split_url("http://10.0.0.1:80/a%c3/../b?c")
+    ('http://10.0.0.1:80/', '/a%c3/../b?c')
+    """
+    scheme, _, rest = url.partition("://")
+    authority, _, target = rest.partition("/")
+    return f"{scheme}://{authority}/", "/" + urllib.parse.quote(_encoded(target), safe=_ASCII)
+
+
 def _encoded(text: str) -> bytes:
     """Encodes text of a request; text that came from a request is in Latin-1 and returns to the same bytes."""
     try:
--- a/libs/arbutusrill_http/tests/test_transfer.py
+++ b/libs/arbutusrill_http/tests/test_transfer.py
@@ -274,6 +274,19 @@
     assert (result.error, result.verdict) == ("broken", Verdict.MAY_HAVE_RUN)
 
 
+@pytest.mark.parametrize("target", ["caf%c3%a9", "a%2fb/../c//d?x=%7e&y=%7E", "a;b,c=(d)'!*$@:[]|{}^`\"<>\\"])
+def test_target_is_sent_unchanged(target):
+    # The digits of percent-encoded octets were sent in upper case, so that a runner got another path.
+    received = []
+
+    def script(connection):
+        received.append(connection.recv(9999))
+        connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+
+    assert fetch(Transfer("GET", serve_once(script) + target)).is_complete
+    assert received[0].startswith(f"GET /{target} HTTP/1.1\r\n".encode())
+
+
 def test_bytes_beyond_ascii_in_a_header_or_target_are_sent_unchanged():
     # Callers with such a header got 500: libcurl's binding accepts texts only in ASCII.
     received = []
