--- a/libs/arbutusrill_http/_body_budget.py
+++ b/libs/arbutusrill_http/_body_budget.py
@@ -12,6 +12,7 @@
 
 __all__ = ["BodyBudget", "BodyReservation", "bound_allocator"]
 
+_FREE_BYTES = 8 * 1024  # bodies up to this size need no room: the number of connections bounds them
 _SMALL_BYTES = 64 * 1024  # bodies up to this size have a share of their own, so that large ones cannot delay them
 _SMALL_FRACTION = 0.125
 _OWNER_FRACTION = 0.75  # largest share of one owner, such as a workspace
@@ -39,14 +40,19 @@
 
 
 class BodyReservation:
-    """Part of a `BodyBudget`, held until the context ends. `size` and `wanted` are bytes of a body."""
+    """Part of a `BodyBudget`, held until the context ends.
 
-    __slots__ = ("_budget", "owner", "size", "wanted")
+    `size` and `wanted` are bytes of a body. What is held `is_large` once more than a small body is wanted: bodies that
+    wait for more must not keep the share of the small ones.
+    """
+
+    __slots__ = ("_budget", "is_large", "owner", "size", "wanted")
 
     def __init__(self, budget: BodyBudget, owner: str):
         self._budget = budget
         self.owner = owner
         self.size = self.wanted = 0
+        self.is_large = False
 
     def __enter__(self) -> BodyReservation:
         return self
@@ -56,7 +62,7 @@
 
     def grow(self, size: int, wait_s: float) -> bool:
         """Raises the reservation to a body of `size` bytes, waiting at most `wait_s` seconds; returns False in vain."""
-        return size <= self.size or self._budget.acquire(self, size, wait_s)
+        return size <= max(self.size, _FREE_BYTES) or self._budget.acquire(self, size, wait_s)
 
     def shrink(self, size: int) -> None:
         """Lowers the reservation to the actual size of the body."""
@@ -68,7 +74,7 @@
     """Bytes of memory for bodies, shared by all requests of a server; `None` for no limit.
 
     A body that finds no room waits unread, in order of arrival; those of an owner that holds its largest share are
-    passed by those of others. Small bodies have a share that large ones cannot use.
+    passed by those of others. Small bodies have a share that large ones cannot use, and very small ones need no room.
 
     >>> budget = BodyBudget(1024 * 1024)
     >>> with budget.open("clinic") as reservation:
@@ -109,6 +115,8 @@
         deadline = time.monotonic() + wait_s
         with self._changed:
             reservation.wanted = size
+            if size > _SMALL_BYTES:
+                self._make_large(reservation)
             self._waiting.append(reservation)
             try:
                 while not self._has_room(reservation):
@@ -153,13 +161,21 @@
         held = self._held_by_owner.get(reservation.owner, 0)
         return not held or held + added <= _OWNER_FRACTION * self.total_bytes
 
+    def _make_large(self, reservation: BodyReservation) -> None:
+        """Moves what a reservation holds out of the share of small bodies."""
+        held = reservation.size
+        self._account(reservation, 0)
+        reservation.is_large = True
+        self._account(reservation, held)
+        self._changed.notify_all()
+
     def _account(self, reservation: BodyReservation, size: int) -> None:
-        for sign, body_bytes in ((-1, reservation.size), (1, size)):
-            if body_bytes <= _SMALL_BYTES:
-                self._small_bytes += sign * body_bytes * _COPIES
-            else:
-                self._large_bytes += sign * body_bytes * _COPIES
-        held = self._held_by_owner.get(reservation.owner, 0) + (size - reservation.size) * _COPIES
+        added = (size - reservation.size) * _COPIES
+        if reservation.is_large:
+            self._large_bytes += added
+        else:
+            self._small_bytes += added
+        held = self._held_by_owner.get(reservation.owner, 0) + added
         if held:
             self._held_by_owner[reservation.owner] = held
         else:
--- a/libs/arbutusrill_http/_handler.py
+++ b/libs/arbutusrill_http/_handler.py
@@ -22,7 +22,7 @@
 
 _RESERVED_HEADER_TIMEOUT_S = 2.0
 _FIRST_REQUEST_WAIT_S = 0.5  # for the first request of a connection, which is served even if the server drains
-_CHUNKED_RESERVE_BYTES = 64 * 1024  # at first, for a body without a stated length
+_CHUNKED_RESERVE_BYTES = 64 * 1024  # for a small body without a stated length
 _HEADER_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 _PENDING_INPUT_WAIT_S = 0.001  # for bytes that are already in the receive buffer
 _log = PartLog("http")
@@ -231,6 +231,16 @@
             raise _RequestError(503, "body_memory", "too many large requests at the moment")
         self._socket_reader.deadline += time.monotonic() - started
 
+    def _reserve_chunk(self, reservation: BodyReservation, size: int, limit: int) -> None:
+        """Reserves memory for a body that has grown to `size` bytes and may grow on to `limit`.
+
+        Once it is not small any more, the largest size is reserved: bodies that hold a part and wait for more would
+        block each other.
+        """
+        if size > reservation.size:
+            small = min(limit, _CHUNKED_RESERVE_BYTES)
+            self._reserve(reservation, size if size <= small // 8 else small if size <= small else limit)
+
     def _send_continue(self) -> None:
         if "100-continue" in self.headers.get("Expect", "").lower():
             self.connection.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -242,11 +252,7 @@
             while chunk := reader.read(65_536):
                 if len(body) + len(chunk) > limit:
                     raise _RequestError(413, "body_too_large", f"the body exceeds {limit} bytes", "body")
-                if len(body) + len(chunk) > reservation.size:
-                    # Once beyond a small size, the largest possible: bodies that hold a part and wait for more would
-                    # block each other.
-                    is_small = len(body) + len(chunk) <= _CHUNKED_RESERVE_BYTES
-                    self._reserve(reservation, min(limit, _CHUNKED_RESERVE_BYTES) if is_small else limit)
+                self._reserve_chunk(reservation, len(body) + len(chunk), limit)
                 body += chunk
         except TimeoutError:
             raise
--- a/libs/arbutusrill_http/tests/test_body_budget.py
+++ b/libs/arbutusrill_http/tests/test_body_budget.py
@@ -63,6 +63,23 @@
             thread.join()
 
 
+def test_bodies_that_wait_for_more_leave_the_share_of_small_ones(budget):
+    # Uploads without a stated length held small parts while they waited, and small requests were refused.
+    with budget.open("a") as first:
+        assert first.grow(6 * MB, 0)
+        growing = [budget.open("b") for _ in range(32)]
+        for body in growing:
+            assert body.grow(64 * 1024, 0)
+        assert not budget.open("c").grow(50_000, 0), "the share of small bodies is used up"
+        threads = [threading.Thread(target=body.grow, args=(4 * MB, 0.5)) for body in growing]
+        for thread in threads:
+            thread.start()
+        time.sleep(0.1)
+        assert budget.open("c").grow(50_000, 0)
+        for thread in threads:
+            thread.join()
+
+
 def test_one_owner_cannot_take_the_whole_budget(budget):
     with budget.open("a") as first, budget.open("a") as second, budget.open("b") as other:
         assert first.grow(5 * MB, 0)
@@ -87,6 +104,14 @@
     assert budget.held_bytes == 0
 
 
+def test_very_small_bodies_never_wait(budget):
+    with budget.open("a") as large, budget.open("b") as small:
+        assert large.grow(6 * MB, 0)
+        growing = [budget.open("b") for _ in range(32)]
+        assert all(body.grow(64 * 1024, 0) for body in growing)
+        assert small.grow(8 * 1024, 0)
+
+
 def test_without_a_limit_nothing_waits():
     with BodyBudget(None).open("a") as body:
         assert body.grow(10**12, 0)
