--- a/libs/arbutusrill_gateway/_stream.py
+++ b/libs/arbutusrill_gateway/_stream.py
@@ -104,8 +104,7 @@
         self.non_stream_body.clear()
         self._non_stream_bytes = 0
         self._has_event = False
-        self._attempt_event_count = 0
-        self._is_prompt_sound = False
+        self._attempt_event_count, self._is_prompt_sound = 0, False
         self._progress_at = time.monotonic()
 
     def on_data(self, data: bytes) -> None:
@@ -131,9 +130,8 @@
             self._first_event_at = now
         self._attempt_event_count += new_count
         if not self._is_prompt_sound:
-            self._is_prompt_sound = self._exchange.record_prompt_events(
-                self._attempt_event_count, now - self._first_event_at
-            )
+            streamed_s = now - self._first_event_at
+            self._is_prompt_sound = self._exchange.record_prompt_events(self._attempt_event_count, streamed_s)
 
     def _collect_non_stream(self, data: bytes) -> None:
         self._non_stream_bytes += len(data)
--- a/libs/arbutusrill_raft/tests/group.py
+++ b/libs/arbutusrill_raft/tests/group.py
@@ -334,3 +334,12 @@
     except messages.Refused as error:
         return error.code
     return ""
+
+
+def entries(count, first=0):
+    return [f"entry {number}".encode() for number in range(first, first + count)]
+
+
+def propose_all(group, items):
+    for item in items:
+        group.propose(item)
