--- a/libs/arbutusrill_raft/tests/test_disk_errors.py
+++ b/libs/arbutusrill_raft/tests/test_disk_errors.py
@@ -96,7 +96,6 @@
     with Group(bounds=SMALL_BOUNDS) as group:
         follower = group.followers()[0]
         group.kill(follower)
-        propose_all(group, entries(100))
         missing = [1, 1]
 
         def fail_at_first(size):
@@ -110,6 +109,7 @@
 
         for replica in group.replicas.values():
             replica._core.storage.snapshot_size = fail_at_first(replica._core.storage.snapshot_size)
+        propose_all(group, entries(100))
         group.start(follower)
         group.wait_equal(entries(100))
         assert not missing
