http: bound what a transfer keeps of heads, trailers and bodies

Cause: each response has a limit, 300 kB a head in libcurl and 1 MiB a body here, trailers only one of 5000 fields; nothing bounds their sum.

Change: a transfer ends with `too_large` once its heads and trailers exceed 32 KiB, and with `no_memory` once its body finds no room in a reservation of the budget that bodies of requests use.

Evidence: test_head_without_end_is_not_kept (four forms) and test_body_that_finds_no_room_ends_the_transfer failed on the code before, and pass with it.

--- a/libs/arbutusrill_http/_body_budget.py
+++ b/libs/arbutusrill_http/_body_budget.py
@@ -1,4 +1,4 @@
-"""Memory budget for the bodies of requests that a server holds at the same time."""
+"""Memory budget for the bodies of requests and responses that a process holds at the same time."""
 
 from __future__ import annotations
 
@@ -42,15 +42,16 @@
 class BodyReservation:
     """Part of a `BodyBudget`, held until the context ends.
 
-    `size` and `wanted` are bytes of a body. What is held `is_large` once more than a small body is wanted: bodies that
-    wait for more must not keep the share of the small ones.
+    `size` and `wanted` are bytes of a body, of a response if `is_response` is true. What is held `is_large` once more
+    than a small body is wanted: bodies that wait for more must not keep the share of the small ones.
     """
 
-    __slots__ = ("_budget", "is_large", "owner", "size", "wanted")
+    __slots__ = ("_budget", "is_large", "is_response", "owner", "size", "wanted")
 
-    def __init__(self, budget: BodyBudget, owner: str):
+    def __init__(self, budget: BodyBudget, owner: str, is_response: bool = False):
         self._budget = budget
         self.owner = owner
+        self.is_response = is_response
         self.size = self.wanted = 0
         self.is_large = False
 
@@ -71,7 +72,7 @@
 
 
 class BodyBudget:
-    """Bytes of memory for bodies, shared by all requests of a server; `None` for no limit.
+    """Bytes of memory for bodies, shared by all requests and responses of a process; `None` for no limit.
 
     A body that finds no room waits unread, in order of arrival; those of an owner that holds its largest share are
     passed by those of others. Small bodies have a share that large ones cannot use, and very small ones need no room.
@@ -88,7 +89,7 @@
         self._waiting: deque[BodyReservation] = deque()
         self._held_by_owner: dict[str, int] = {}
         self._large_bytes = self._small_bytes = 0
-        self.refused_count = 0
+        self.refused_count = self.refused_response_count = 0
 
     @classmethod
     def of_process(cls, memory_mb: float | None) -> BodyBudget:
@@ -104,9 +105,9 @@
         """Reserved bytes, all copies of the bodies included."""
         return self._large_bytes + self._small_bytes
 
-    def open(self, owner: str) -> BodyReservation:
-        """Returns an empty reservation."""
-        return BodyReservation(self, owner)
+    def open(self, owner: str, is_response: bool = False) -> BodyReservation:
+        """Returns an empty reservation for the body of a request, or of a response of a backend server."""
+        return BodyReservation(self, owner, is_response)
 
     def acquire(self, reservation: BodyReservation, size: int, wait_s: float) -> bool:
         """Raises a reservation to `size` bytes of a body; see `BodyReservation.grow`."""
@@ -183,9 +184,12 @@
         reservation.size = size
 
     def _record_refusal(self, reservation: BodyReservation) -> None:
-        self.refused_count += 1
+        if reservation.is_response:
+            self.refused_response_count += 1
+        else:
+            self.refused_count += 1
         _events.emit(
-            "body_refused",
+            "response_without_memory" if reservation.is_response else "body_refused",
             bytes=reservation.wanted,
             held_bytes=self.held_bytes,
             budget_bytes=self.total_bytes,
--- a/libs/arbutusrill_http/_transfer.py
+++ b/libs/arbutusrill_http/_transfer.py
@@ -13,6 +13,8 @@
 import pycurl
 from arbutusrill_base import Verdict
 
+from ._body_budget import BodyReservation
+
 __all__ = ["Transfer", "TransferResult", "fetch"]
 
 _CONNECT_TIMEOUT_S = 2.0
@@ -20,9 +22,11 @@
 _KEEPALIVE_INTERVAL_S = 5
 _ASCII = bytes(range(128))
 _MAX_COLLECTED_BYTES = 1_048_576  # of a body that is kept in memory; larger ones need `on_data`
+_MAX_HEAD_BYTES = 32 * 1024  # of all heads and trailers of a response, interim responses included
 _TCP_USER_TIMEOUT_MS = 2000
 _MAX_POLL_MS = 250  # interval at which `should_stop`, `stall_s` and `timeout_s` are checked at the latest
 _STALL_RECHECK_S = 0.25
+_CURLE_TOO_LARGE = 100  # a line beyond libcurl's own limit of 100 kB; pycurl has no name for this code
 _LIBCURL_HEADERS = ("Accept", "Content-Type", "User-Agent")
 _thread_local = threading.local()
 
@@ -35,7 +39,8 @@
     closed, and a late or repeated response to an earlier request could be taken for the response to this one.
 
     `on_head` gets the status and the headers, `on_any_head` also those of interim responses. `on_data` gets each part
-    of the body as it arrives; without it the body is collected, and the transfer fails if it exceeds `max_body_bytes`.
+    of the body as it arrives; without it the body is collected, and the transfer fails if it exceeds `max_body_bytes`
+    or finds no room in `memory`, which its owner releases. It also fails if the heads exceed 32 KiB.
     `should_stop` is polled and cancels the transfer when it returns True. `caller_connection` is the connection of the
     caller; the transfer is cancelled when the caller closes it.
     `timeout_s` limits the whole transfer, `connect_s` the time to connect and `stall_s` the time without progress.
@@ -61,6 +66,7 @@
     progress_at: Callable[[], float] | None = None
     on_stall: Callable[[], bool] | None = None
     max_body_bytes: int = _MAX_COLLECTED_BYTES
+    memory: BodyReservation | None = None
 
 
 @dataclass(slots=True)
@@ -68,8 +74,9 @@
     """Outcome of a transfer.
 
     `error` is empty for a complete response, else ``connect``, ``timeout``, ``stall``, ``gone`` (the caller closed
-    its connection), ``stopped`` (by `should_stop`), ``too_large`` (the body exceeds `max_body_bytes`), ``callback`` or
-    ``broken`` (any other error); `detail` describes it. `verdict` says whether the server may have run the request.
+    its connection), ``stopped`` (by `should_stop`), ``too_large`` (a head or the body exceeds its limit), ``no_memory``
+    (the body finds no room), ``callback`` or ``broken`` (any other error); `detail` describes it. `verdict` says
+    whether the server may have run the request.
     """
 
     status: int = 0
@@ -163,6 +170,8 @@
         self._next_stall_check = float("-inf")
         self._in_head = False  # whether the status line of the current head has been read
         self._received_bytes = 0
+        self._head_bytes = 0
+        self._refusal: tuple[str, str] | None = None  # error and detail of a response that is not read any further
 
     def run(self) -> TransferResult:
         loop = _current_loop()
@@ -194,10 +203,8 @@
                 self._end(easy)
                 return
             if failed:
-                if self._body_bytes > self._transfer.max_body_bytes:
-                    self._fail(easy, "too_large", f"the body exceeds {self._transfer.max_body_bytes} bytes")
-                else:
-                    self._fail(easy, _error_from_code(failed[0][1]), failed[0][2])
+                error, detail = self._refusal or (_error_from_code(failed[0][1]), failed[0][2])
+                self._fail(easy, error, detail)
                 return
             if loop.run_once(caller_descriptor):
                 self._fail(easy, "gone", "the caller closed its connection")
@@ -286,7 +293,15 @@
         easy.setopt(pycurl.HTTPHEADER, [_encoded(line) for line in headers])
         return easy
 
+    def _refuse(self, error: str, detail: str) -> int:
+        """Ends the transfer within a callback of libcurl."""
+        self._refusal = error, detail
+        return -1
+
     def _on_header(self, line: bytes) -> int | None:
+        self._head_bytes += len(line)
+        if self._head_bytes > _MAX_HEAD_BYTES:
+            return self._refuse("too_large", f"the heads exceed {_MAX_HEAD_BYTES} bytes")
         if self._headers_done:
             # Trailer fields: merged into the head, they could turn a response into a refusal after it was delivered.
             return None
@@ -332,7 +347,9 @@
             return self._run_callback(self._transfer.on_data, data)
         self._body_bytes += len(data)
         if self._body_bytes > self._transfer.max_body_bytes:
-            return -1
+            return self._refuse("too_large", f"the body exceeds {self._transfer.max_body_bytes} bytes")
+        if self._transfer.memory is not None and not self._transfer.memory.grow(self._body_bytes, 0.0):
+            return self._refuse("no_memory", f"no memory for a body of {self._body_bytes} bytes")
         self._body_parts.append(data)
         return None
 
@@ -383,4 +400,6 @@
         return "timeout"
     if code == pycurl.E_WRITE_ERROR:
         return "callback"
+    if code == _CURLE_TOO_LARGE:
+        return "too_large"
     return "broken"
--- a/libs/arbutusrill_http/tests/test_transfer.py
+++ b/libs/arbutusrill_http/tests/test_transfer.py
@@ -1,5 +1,6 @@
 """Tests the verdicts of failed transfers and the timeouts of unresponsive connections."""
 
+import contextlib
 import resource
 import socket
 import threading
@@ -9,7 +10,7 @@
 from arbutusrill_base import Verdict
 from werkzeug.wrappers import Response
 
-from arbutusrill_http import HttpServer, Transfer, _transfer, fetch
+from arbutusrill_http import BodyBudget, HttpServer, Transfer, _transfer, fetch
 
 
 def serve_once(script):
@@ -299,3 +300,47 @@
     assert fetch(Transfer("GET", url + "caf\xe9", ["X-Name: caf\xe9", "X-Other: \u20ac"])).is_complete
     assert b"/caf%E9 " in received[0] and b"X-Name: caf\xe9\r\n" in received[0]
     assert "X-Other: \u20ac\r\n".encode() in received[0]
+
+
+def repeat(prefix, part):
+    """Returns a script that sends `part` until the client closes the connection."""
+
+    def script(connection):
+        connection.recv(9999)
+        with contextlib.suppress(OSError):
+            connection.sendall(prefix)
+            for _ in range(5000):
+                connection.sendall(part)
+
+    return script
+
+
+@pytest.mark.parametrize(
+    ("prefix", "part"),
+    [
+        (b"HTTP/1.1 200 OK\r\n", b"Part: " + bytes(range(97, 123)) * 100 + b"\r\n"),
+        (b"HTTP/1.1 200 OK\r\nPart: ", b"x" * 1024),
+        (b"", b"HTTP/1.1 103 Early Hints\r\nHint: 1\r\n\r\n"),
+        (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n", b"Part: " + b"x" * 1024 + b"\r\n"),
+    ],
+    ids=["fields", "line", "interim heads", "trailers"],
+)
+def test_head_without_end_is_not_kept(prefix, part):
+    # Up to 300 kB of a head were kept for each response, and trailers without a limit on their number.
+    heads = []
+    transfer = Transfer("GET", serve_once(repeat(prefix, part)), on_any_head=lambda *head: heads.append(head))
+    result = fetch(transfer)
+    assert (result.error, result.verdict) == ("too_large", Verdict.MAY_HAVE_RUN), result
+    assert sum(len(name) + len(value) for name, value in result.headers_by_name.items()) <= 32 * 1024
+    assert len(heads) < 2000
+
+
+def test_body_that_finds_no_room_ends_the_transfer():
+    # Each response was limited, but not the sum of all that a process keeps.
+    budget = BodyBudget(1024 * 1024)
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: 900000\r\n\r\n"
+    with budget.open("clinic", is_response=True) as memory:
+        result = fetch(Transfer("GET", serve_once(repeat(head, bytes(1024))), memory=memory))
+        assert (result.error, result.verdict) == ("no_memory", Verdict.MAY_HAVE_RUN), result
+        assert 0 < budget.held_bytes <= budget.total_bytes
+    assert budget.held_bytes == 0 and (budget.refused_response_count, budget.refused_count) == (1, 0)
