http: a target that is no URL gets a response

Callers saw: the connection of a request whose absolute target has an invalid authority (`GET http://[a/`) was closed without a response, although the request had been read whole.

Cause: the environment of the application is made outside the part of the handler that rejects requests; the error of the URL parser ended the connection's thread. Any other error before the application was called did the same.

Change: the environment is made where a request can be rejected (400, not run); other errors there get 500.

Found by sending odd requests to a server; that it is what the users saw is not claimed.

--- a/libs/arbutusrill_http/_handler.py
+++ b/libs/arbutusrill_http/_handler.py
@@ -112,6 +112,7 @@
             try:
                 if not self._read_head():
                     return
+                self._prepare_environ()
                 owner = self.server.body_owner(self.headers.get("Authorization", ""))
                 body = self._read_body(stack.enter_context(self.server.body_budget.open(owner)))
             except _RequestError as error:
@@ -120,6 +121,12 @@
             except TimeoutError:
                 self._reject(_RequestError(408, "request_timeout", "the request did not arrive in time"))
                 return
+            except OSError:
+                raise
+            except Exception:
+                _log.exception("the request could not be read")
+                self._reject(_RequestError(500, "internal_error", "internal error"))
+                return
             self.connection.settimeout(None)
             self._run_application(body)
 
@@ -278,14 +285,19 @@
         except OSError:
             pass
 
+    def _prepare_environ(self) -> None:
+        try:
+            self.environ = self.make_environ()
+        except ValueError as error:
+            raise _RequestError(400, "bad_target", f"the target is no valid URL: {error}", "path") from None
+        self.environ["arbutusrill.headers"] = self.headers.items()
+        self.environ["arbutusrill.target"] = self.requestline.split()[1]  # `path` has one slash at its start at most
+        self.environ.pop("HTTP_TRANSFER_ENCODING", None)
+
     def _run_application(self, body: bytes) -> None:
-        self.environ = self.make_environ()
         self.environ["wsgi.input"] = io.BytesIO(body)
         self.environ["CONTENT_LENGTH"] = str(len(body))
         self.environ["wsgi.input_terminated"] = True
-        self.environ["arbutusrill.headers"] = self.headers.items()
-        self.environ["arbutusrill.target"] = self.requestline.split()[1]  # `path` has one slash at its start at most
-        self.environ.pop("HTTP_TRANSFER_ENCODING", None)
         if self._is_reserved:
             self.close_connection = True
         response = ResponseWriter(self)
--- a/libs/arbutusrill_http/tests/test_server.py
+++ b/libs/arbutusrill_http/tests/test_server.py
@@ -426,3 +426,18 @@
         exchange(server, get("//x//y?a=//b"))
         exchange(server, get("/x"))
     assert targets == ["//x//y?a=//b", "/x"]
+
+
+@pytest.mark.parametrize("target", ["http://[a/", "http://a]/x", "http://[::g]/"])
+def test_target_that_is_no_url_gets_a_response(server, target):
+    # The request was read whole, and its connection was closed without a response.
+    response = exchange(server, get(target))
+    assert response.startswith(b"HTTP/1.1 400 ") and b'"verdict": "not_run"' in response
+
+
+def test_error_while_a_request_is_read_does_not_end_it_without_a_response(app):
+    def body_owner(_):
+        raise KeyError("workspace")
+
+    with HttpServer("127.0.0.1", 0, app, LIMITS, body_owner=body_owner) as server:
+        assert exchange(server, get("/x")).startswith(b"HTTP/1.1 500 ")
