http: idle connections stay open for the time that their callers were told

Callers saw: beside a change of the configuration that lowers the idle limit, a request on a kept connection met the close of its connection and got no response, although its caller had kept to the limit that it knew.

Cause: callers were told no idle time, and a lower limit closed connections at once that their callers could still use. The class: state that a change of the configuration replaces while a request still uses the old one.

Change: responses state the idle time in Keep-Alive, one second less than the limit, and the connection stays open for it whatever the limit becomes. A higher limit still reaches idle connections at once, as before.

Evidence: test_idle_connection_stays_open_for_the_time_that_the_caller_was_told failed before (no field, and the connection was closed at once). Servers with an idle limit below 2 s state none and behave as before. Not covered: eviction near the connection limit, and drains.

--- a/libs/arbutusrill_http/_handler.py
+++ b/libs/arbutusrill_http/_handler.py
@@ -24,6 +24,7 @@
 _FIRST_REQUEST_WAIT_S = 0.5  # for the first request of a connection, which is served even if the server drains
 _CHUNKED_RESERVE_BYTES = 64 * 1024  # for a small body without a stated length
 _HEADER_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+_IDLE_MARGIN_S = 1.0  # between the idle time that responses state and the limit, for requests on their way
 _PENDING_INPUT_WAIT_S = 0.001  # for bytes that are already in the receive buffer
 _log = PartLog("http")
 
@@ -88,6 +89,7 @@
         self.rfile = io.BufferedReader(self._socket_reader, 65_536)
         self._is_reserved = self.server.is_reserved(self.connection)
         self._is_first_request = True
+        self._stated_idle_s = 0
 
     def handle(self) -> None:
         """Serves requests until either side closes the connection or the server drains."""
@@ -166,7 +168,19 @@
 
     def _max_idle_s(self) -> float:
         limits = self.server.limits
-        return min(limits.header_s, _RESERVED_HEADER_TIMEOUT_S) if self._is_reserved else limits.idle_s
+        if self._is_reserved:
+            return min(limits.header_s, _RESERVED_HEADER_TIMEOUT_S)
+        # A lower limit does not shorten the time that the caller was told.
+        stated_s = self._stated_idle_s + _IDLE_MARGIN_S if self._stated_idle_s else 0.0
+        return max(limits.idle_s, stated_s)
+
+    def state_idle_time(self) -> int:
+        """Returns the whole seconds for which the caller may use the idle connection again, 0 if none can be stated.
+
+        The connection stays open for that time, unless the server drains or needs it for another caller.
+        """
+        self._stated_idle_s = max(0, int(self.server.limits.idle_s - _IDLE_MARGIN_S))
+        return self._stated_idle_s
 
     def _poll_with(self, descriptor: int, timeout_s: float) -> list[int]:
         """Waits until the connection or `descriptor` is readable; returns those that are, none after a timeout."""
--- a/libs/arbutusrill_http/_writer.py
+++ b/libs/arbutusrill_http/_writer.py
@@ -51,8 +51,11 @@
             handler.close_connection = True
         if handler.close_connection:
             lines.append("Connection: close")
-        elif handler.request_version < "HTTP/1.1":
-            lines.append("Connection: keep-alive")
+        else:
+            if handler.request_version < "HTTP/1.1":
+                lines.append("Connection: keep-alive")
+            if idle_s := handler.state_idle_time():
+                lines.append(f"Keep-Alive: timeout={idle_s}")
         self.head_sent = True
         return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1", "replace")
 
--- a/libs/arbutusrill_http/tests/test_server.py
+++ b/libs/arbutusrill_http/tests/test_server.py
@@ -359,6 +359,18 @@
             assert connection.recv(1) == b""
 
 
+def test_idle_connection_stays_open_for_the_time_that_the_caller_was_told(app):
+    # A lower limit closed connections that their callers could still use: a request that met the close got no response.
+    with HttpServer("127.0.0.1", 0, app, HttpLimits(idle_s=2.5)) as server, connect(server) as connection:
+        connection.sendall(b"GET /x HTTP/1.1\r\nHost: x\r\n\r\n")
+        assert b"\r\nKeep-Alive: timeout=1\r\n" in connection.recv(1000)
+        server.set_limits(HttpLimits(idle_s=0.2))
+        time.sleep(0.9)
+        connection.sendall(get("/x"))
+        response = connection.makefile("rb").read()
+        assert response.endswith(b"whole") and b"Keep-Alive" not in response
+
+
 def test_request_that_has_arrived_is_read_after_a_deadline_that_passed_while_the_thread_waited(server, monkeypatch):
     # A thread that did not run for a millisecond while its server drained closed a connection with an unread request.
     monkeypatch.setattr("arbutusrill_http._handler._PENDING_INPUT_WAIT_S", -1.0)
