gateway: a response does not wait for the release of its place

Callers saw: without a leader, the end of a stream came 0.3 s after its last event, and a stream that was refused or had failed was answered as late. With the caller's deadline or the end of a planned stop in that time, it ended without a complete answer.

Cause: the place of a stream was released by a call to the leader before the response was finished. The class: a step that a response does not need, on the thread that responds.

Change: releases and reports of unresponsive engines are sent by a thread of their own, in order; a further attempt of the same request waits for them, so that the leader knows that its old place is free.

--- a/libs/arbutusrill_gateway/_placement.py
+++ b/libs/arbutusrill_gateway/_placement.py
@@ -5,6 +5,7 @@
 import itertools
 import threading
 from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -73,7 +74,8 @@
     """Requests placements from the leader and tracks those that this VM holds.
 
     While the leader is unavailable, `acquire` returns no placement and the gateway chooses engines from its local view,
-    so that requests are served during a change of leader.
+    so that requests are served during a change of leader. Releases are sent in the background, in order: a response
+    must not wait for the leader. On exit from the context, those that are queued are sent.
     """
 
     def __init__(self, vm: str, incarnation: int, client: ControlClient, view: SiteView, clock: Clock):
@@ -87,6 +89,13 @@
         self._local_numbers = itertools.count(-1, -1)  # for placements that the leader did not grant
         self._unreported_prefill_speeds: list[Any] = []
         self._leader_unavailable_until = float("-inf")
+        self._sender = ThreadPoolExecutor(1, thread_name_prefix="releases")
+
+    def __enter__(self) -> PlacementClient:
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self._sender.shutdown()
 
     def held_places(self) -> list[Any]:
         """Returns the placements that this VM holds as `HeldPlace` messages."""
@@ -124,6 +133,8 @@
         request = requirements.request
         started = self._clock.monotonic()
         deadline = started + max_wait_s
+        if requirements.continued:  # the leader must learn first that the request has left its previous place
+            self._wait_for_releases()
         poll_s, declined_count = _FIRST_POLL_S, 0
         while (now := self._clock.monotonic()) >= self._leader_unavailable_until:
             wait_s = deadline - now
@@ -224,22 +235,31 @@
         return placement
 
     def release(self, placement: Placement) -> None:
-        """Releases a placement once; if the call fails, the leader frees it once this VM's reports lack it."""
+        """Releases a placement once, without waiting for the leader.
+
+        If the call fails, the leader frees the place once this VM's reports lack it.
+        """
         with self._lock:
             if self._placement_by_number.pop(placement.number, None) is None:
                 return
         if placement.number < 0 and self._clock.monotonic() < self._leader_unavailable_until:
             return
-        self._send_free(placement.number, placement.speeds, [])
+        self._sender.submit(self._send_free, placement.number, placement.speeds, [])
+
+    def _wait_for_releases(self) -> None:
+        try:
+            self._sender.submit(int).result(_FREE_TIMEOUT_S)
+        except TimeoutError:
+            pass
 
     def report_unresponsive(self, backend: str) -> None:
         """Reports an unresponsive engine to the leader at once, without releasing a placement."""
         if self._clock.monotonic() >= self._leader_unavailable_until:
-            self._send_free(_NO_PLACEMENT, [], [backend])
+            self._sender.submit(self._send_free, _NO_PLACEMENT, [], [backend])
 
     def _send_free(self, number: int, speeds: list[Any], unresponsive: list[str]) -> None:
         message = messages.FreePlace(self._vm, self._incarnation, number, speeds, unresponsive)
         try:
             self._client.call("free_place", message, timeout=_FREE_TIMEOUT_S, try_timeout=_FREE_TIMEOUT_S)
-        except (ControlUnavailableError, messages.Refused) as error:
+        except Exception as error:  # the thread that sends releases has nobody else to tell
             _events.emit("place_not_freed", place=number, reason=str(error))
--- a/libs/arbutusrill_gateway/tests/test_declined_places.py
+++ b/libs/arbutusrill_gateway/tests/test_declined_places.py
@@ -65,6 +65,7 @@
 
 def test_place_is_freed_once():
     leader, placements, (placement, _) = acquire()
-    placements.release(placement)
-    placements.release(placement)
+    with placements:
+        placements.release(placement)
+        placements.release(placement)
     assert leader.freed == [1, placement.number]
--- a/libs/arbutusrill_gateway/tests/test_prefill.py
+++ b/libs/arbutusrill_gateway/tests/test_prefill.py
@@ -61,6 +61,7 @@
         response_observer=lambda candidate: None,
     )
     placement = SimpleNamespace(prefill=unreachable)
-    assert run_prefill(exchange, placement) is None
+    with placements:
+        assert run_prefill(exchange, placement) is None
     (name, message), *rest = leader.calls
     assert (name, message.place, message.unresponsive, rest) == ("free_place", 0, ["p"], [])
