http: a response that has arrived counts after a limit that passed meanwhile

Callers saw: 504, or a stream that was cut, although the backend server had answered in time, on a VM that was short of processor time (as while a large configuration is decoded).

Cause: the client looked at its limits between the input that it had just processed and the outcome that libcurl had for it, so a transfer that had just been completed was reported as timed out, stalled or stopped. The class, known from docs/incidents/2026-12-05-requests-without-an-answer.md, cause 4: a wait that has run out before the thread ran is taken for silence. There it was the caller's side, here it is the backend server's.

Change: the outcome is looked up before the limits.

Evidence: test_response_that_has_arrived_counts_after_a_limit_that_passed_while_the_thread_waited failed before, for the time limit and for the stall limit.

--- a/libs/arbutusrill_http/_transfer.py
+++ b/libs/arbutusrill_http/_transfer.py
@@ -197,29 +197,37 @@
 
     def _wait_for_end(self, loop: _EventLoop, easy: pycurl.Curl, caller_descriptor: int) -> None:
         deadline = time.monotonic() + self._transfer.timeout_s
-        while True:
-            _, done, failed = loop.multi.info_read()
-            if done:
-                self._end(easy)
+        while not self._has_ended(loop, easy):
+            is_caller_gone = loop.run_once(caller_descriptor)
+            # A response that has arrived counts, even if a limit has passed while this thread did not run.
+            if self._has_ended(loop, easy):
                 return
-            if failed:
-                error, detail = self._refusal or (_error_from_code(failed[0][1]), failed[0][2])
-                self._fail(easy, error, detail)
-                return
-            if loop.run_once(caller_descriptor):
-                self._fail(easy, "gone", "the caller closed its connection")
-                return
-            now = time.monotonic()
-            if now >= deadline:
-                self._fail(easy, "timeout", f"no whole answer in {self._transfer.timeout_s:.3g} s")
-                return
-            if self._has_stalled(now):
-                self._fail(easy, "stall", f"no progress for {now - self._progress_at():.3g} s")
-                return
-            if self._transfer.should_stop is not None and self._transfer.should_stop():
-                self._fail(easy, "stopped", "stopped by this process")
+            failure = ("gone", "the caller closed its connection") if is_caller_gone else self._exceeded_limit(deadline)
+            if failure is not None:
+                self._fail(easy, *failure)
                 return
 
+    def _has_ended(self, loop: _EventLoop, easy: pycurl.Curl) -> bool:
+        """Stores the outcome of a transfer that libcurl has ended; returns whether it has."""
+        _, done, failed = loop.multi.info_read()
+        if done:
+            self._end(easy)
+        elif failed:
+            error, detail = self._refusal or (_error_from_code(failed[0][1]), failed[0][2])
+            self._fail(easy, error, detail)
+        return bool(done or failed)
+
+    def _exceeded_limit(self, deadline: float) -> tuple[str, str] | None:
+        """Returns error and detail if the transfer has to end before its response is complete."""
+        now = time.monotonic()
+        if now >= deadline:
+            return "timeout", f"no whole answer in {self._transfer.timeout_s:.3g} s"
+        if self._has_stalled(now):
+            return "stall", f"no progress for {now - self._progress_at():.3g} s"
+        if self._transfer.should_stop is not None and self._transfer.should_stop():
+            return "stopped", "stopped by this process"
+        return None
+
     def _has_stalled(self, now: float) -> bool:
         stall_s, on_stall = self._transfer.stall_s, self._transfer.on_stall
         if stall_s is None or now < max(self._progress_at() + stall_s, self._next_stall_check):
--- a/libs/arbutusrill_http/tests/test_transfer.py
+++ b/libs/arbutusrill_http/tests/test_transfer.py
@@ -344,3 +344,14 @@
         assert (result.error, result.verdict) == ("no_memory", Verdict.MAY_HAVE_RUN), result
         assert 0 < budget.held_bytes <= budget.total_bytes
     assert budget.held_bytes == 0 and (budget.refused_response_count, budget.refused_count) == (1, 0)
+
+
+@pytest.mark.parametrize("limit", ["timeout_s", "stall_s"])
+def test_response_that_has_arrived_counts_after_a_limit_that_passed_while_the_thread_waited(limit):
+    # A thread that got no processor time reported a timeout, although the whole response was in its socket.
+    url = serve_once(lambda c: (c.recv(9999), c.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab"), c.recv(1)))
+    transfer = Transfer("GET", url, on_any_head=lambda *_: time.sleep(0.4), progress_at=lambda: started)
+    setattr(transfer, limit, 0.3)
+    started = time.monotonic()
+    result = fetch(transfer)
+    assert (result.error, result.body) == ("", b"ab")
