site: a control VM that stops is replaced before it stops

Operators saw, in a test: after a planned replacement of a control VM, the loss of one disk left the control group without a quorum for good. What had been acknowledged could be read on no VM, and no new configuration was acknowledged.

Cause: a VM that got SIGTERM ended at once and stayed a voter until it had been silent for 3 s, although its replacement had been asking to join for seconds. A planned stop thus used up one of the losses that the group tolerates: with five voters, two lost disks in those 3 s leave two voters.

Change: on SIGTERM a voter asks the leader for its replacement (call `leave`) and goes on voting until a VM that asks to join has replaced it, for at most 3 s. It ends at once if no VM asks to join, as when it only restarts, and the group does not shrink. An older leader refuses the call, and the VM ends at once. `left` in the log tells what came of it.

That this is what the users saw is not claimed.

--- a/libs/arbutusrill_site/_membership.py
+++ b/libs/arbutusrill_site/_membership.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import threading
+import time
 from collections.abc import Callable
 
 from arbutusrill_base import Clock, EventLog
@@ -16,14 +17,16 @@
 _JOIN_REQUEST_TTL_S = 3.0  # validity of a request to join
 _CHANGE_TIMEOUT_S = 3.0  # of one membership change
 _JOIN_TIMEOUT_S = 1.0
+_LEAVE_REQUEST_TTL_S = 1.0  # a voter that stops repeats its request more often than that
+_LEAVE_INTERVAL_S = 0.1
 _events = EventLog("group")
 
 
 class MembershipManager:
     """On the leader, fills the group up to `size` voters from the VMs that ask to join, one change at a time.
 
-    A VM that asks from the address of a member but has a new disk replaces that member. A silent voter is replaced only
-    when another VM asks to join, so that the group never shrinks on its own.
+    A VM that asks from the address of a member but has a new disk replaces that member. A voter that is silent, or has
+    announced that it stops, is replaced only when another VM asks to join, so that the group never shrinks on its own.
     """
 
     def __init__(self, log: Replica, size: int, clock: Clock):
@@ -32,6 +35,7 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._requested_at_by_member: dict[str, float] = {}
+        self._leave_requested_at_by_member: dict[str, float] = {}
         self._leading_since: float | None = None
 
     def record_join_request(self, member: str) -> None:
@@ -39,6 +43,18 @@
         with self._lock:
             self._requested_at_by_member[member] = self._clock.monotonic()
 
+    def record_leave_request(self, member: str) -> bool:
+        """Records that the voter with the ID `member` stops; returns whether a VM asks to join that may replace it."""
+        with self._lock:
+            self._requested_at_by_member.pop(member, None)
+            self._leave_requested_at_by_member[member] = self._clock.monotonic()
+            is_requested = any(self._recent(self._requested_at_by_member, _JOIN_REQUEST_TTL_S))
+        return is_requested and member in self._log.status().voters
+
+    def _recent(self, requested_at_by_member: dict[str, float], ttl_s: float) -> dict[str, float]:
+        now = self._clock.monotonic()
+        return {member: at for member, at in requested_at_by_member.items() if now - at < ttl_s}
+
     def addresses(self) -> list[str]:
         """Returns the RPC addresses of the voters and learners."""
         status = self._log.status()
@@ -53,11 +69,9 @@
         if self._leading_since is None:
             self._leading_since = now
         with self._lock:
-            recent = {
-                member: at for member, at in self._requested_at_by_member.items() if now - at < _JOIN_REQUEST_TTL_S
-            }
-            self._requested_at_by_member = recent
-            requesting = sorted(recent)
+            self._requested_at_by_member = self._recent(self._requested_at_by_member, _JOIN_REQUEST_TTL_S)
+            self._leave_requested_at_by_member = self._recent(self._leave_requested_at_by_member, _LEAVE_REQUEST_TTL_S)
+            requesting = sorted(self._requested_at_by_member)
         try:
             for member in requesting:
                 if self._admit(member):
@@ -79,6 +93,7 @@
         # `silent_s` is -1 for a voter that has not replied to this leader, which may have been elected just now.
         led_s = self._clock.monotonic() - self._leading_since
         silent = [member for member in voters if (led_s if member.silent_s < 0 else member.silent_s) > _VOTER_TIMEOUT_S]
+        stopping = [member for member in voters if member.id in self._leave_requested_at_by_member]
         if same_address:
             self._replace(same_address[0].id, address, "it has a new disk")
         elif len(voters) < self._size:
@@ -87,6 +102,8 @@
             _events.emit("voter_added", member=new_member, voters=len(voters) + 1)
         elif silent:
             self._replace(silent[0].id, address, f"it was silent for {silent[0].silent_s:.1f} s")
+        elif stopping:
+            self._replace(stopping[0].id, address, "it stops")
         else:
             return False
         with self._lock:
@@ -106,9 +123,38 @@
         self._address = address
         self._client = client
         self._seeds = seeds
+        self._is_stopping = False
+
+    def leave(self, timeout: float) -> None:
+        """Lets another VM that asks to join replace this one if it is a voter; asks to join no more.
+
+        Returns once this VM is replaced, or at once if no other VM asks to join: the group does not shrink. Until then
+        it votes and stores entries as before, so that a planned stop takes nothing from what the group tolerates.
+        """
+        self._is_stopping = True
+        started = time.monotonic()
+        is_voter = waits = self._is_voter()
+        reason = ""
+        while waits and (remaining := started + timeout - time.monotonic()) > 0:
+            try:
+                waits = self._client.call("leave", self._log.status().replica, timeout=remaining, try_timeout=0.5)
+            except (ControlUnavailableError, messages.Refused) as error:
+                reason = str(error)
+                break
+            if waits:
+                time.sleep(_LEAVE_INTERVAL_S)
+                waits = self._is_voter()
+        took_ms = round((time.monotonic() - started) * 1000, 1)
+        _events.emit("left", was_voter=is_voter, waits=waits, reason=reason, took_ms=took_ms)
+
+    def _is_voter(self) -> bool:
+        status = self._log.status()
+        return status.replica in status.voters
 
     def tick(self) -> None:
         """Asks once if this VM is not a voter or knows no leader."""
+        if self._is_stopping:
+            return
         status = self._log.status()
         if status.replica in status.voters and status.leader:
             self._client.set_addresses([address_of(member) for member in [*status.voters, *status.learners]])
--- a/libs/arbutusrill_site/_service.py
+++ b/libs/arbutusrill_site/_service.py
@@ -289,6 +289,11 @@
         self._membership_manager.record_join_request(member)
         return self._membership_manager.addresses()
 
+    def leave(self, member: str) -> bool:
+        """Records that the control VM with the ID `member` stops; returns whether it is about to be replaced."""
+        self._require_leadership()
+        return self._membership_manager.record_leave_request(member)
+
     def tick(self) -> None:
         """Updates the term from the log; on the leader drops backend servers and entry VMs that time out."""
         if not self._update_term():
--- a/libs/arbutusrill_site/tests/test_membership.py
+++ b/libs/arbutusrill_site/tests/test_membership.py
@@ -1,9 +1,9 @@
 """Tests of the replacement of voters."""
 
 from arbutusrill_base import ManualClock
-from arbutusrill_raft import MemberStatus
+from arbutusrill_raft import LogStatus, MemberStatus
 
-from arbutusrill_site import MembershipManager
+from arbutusrill_site import GroupJoinClient, MembershipManager
 
 
 class Log:
@@ -12,6 +12,7 @@
     def __init__(self):
         self.leads = True
         self.replaced = []
+        self.voters = ["a/disk", "b/disk", "c/disk"]
 
     def is_leader(self):
         return self.leads
@@ -23,11 +24,26 @@
             for id_, silent_s in silent_s_by_id.items()
         ]
 
+    def status(self):
+        return LogStatus("b/disk", "follower", 2, "a", 1, 1, self.voters, [], "", "")
+
     def replace(self, old, new, timeout):
         self.replaced.append(old)
         return f"{new}/disk"
 
 
+class Client:
+    """Client of a leader whose answers to `leave` are `answers`, one a call."""
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.calls = []
+
+    def call(self, name, *arguments, **_):
+        self.calls.append((name, *arguments))
+        return self.answers.pop(0)
+
+
 def test_voter_that_has_not_replied_to_a_new_leader_is_not_replaced_at_once():
     # Right after an election a sound voter was replaced by a spare, since silence was counted from before the election.
     clock, log = ManualClock(), Log()
@@ -47,3 +63,52 @@
     assert tick_after(2.0) == []
     assert tick_after(2.0) == []
     assert tick_after(2.0) == ["c/disk"]
+
+
+def test_voter_that_stops_is_replaced_at_once_by_a_vm_that_asks_to_join():
+    # It stayed a voter until it had been silent for 3 s: one more loss than tolerated meanwhile left no quorum.
+    clock, log = ManualClock(), Log()
+    manager = MembershipManager(log, 3, clock)
+    manager.record_join_request("d/disk")
+    manager.tick()
+    assert log.replaced == []
+    assert manager.record_leave_request("b/disk")
+    manager.tick()
+    assert log.replaced == ["b/disk"]
+
+
+def test_voter_that_stops_does_not_wait_if_no_other_vm_asks_to_join():
+    clock, log = ManualClock(), Log()
+    manager = MembershipManager(log, 3, clock)
+    assert not manager.record_leave_request("b/disk")
+    manager.record_join_request("b/disk")
+    assert not manager.record_leave_request("b/disk"), "a VM that stops is not to be admitted"
+    manager.tick()
+    assert log.replaced == []
+
+
+def test_voter_that_has_started_again_is_not_replaced():
+    clock, log = ManualClock(), Log()
+    manager = MembershipManager(log, 3, clock)
+    manager.record_leave_request("b/disk")
+    clock.advance(1.5)
+    manager.record_join_request("d/disk")
+    manager.tick()
+    assert log.replaced == []
+
+
+def test_stopping_vm_asks_until_it_is_replaced_and_joins_no_more():
+    client, log = Client(True, True, False), Log()
+    joining = GroupJoinClient(log, "b", client, lambda: ["a"])
+    joining.leave(3.0)
+    assert client.calls == [("leave", "b/disk")] * 3
+    log.voters = ["a/disk", "c/disk", "d/disk"]
+    joining.tick()
+    assert len(client.calls) == 3
+
+
+def test_stopping_vm_that_is_no_voter_does_not_wait():
+    client, log = Client(), Log()
+    log.voters = ["a/disk", "c/disk", "d/disk"]
+    GroupJoinClient(log, "b", client, lambda: ["a"]).leave(3.0)
+    assert client.calls == []
--- a/libs/arbutusrill_wire/arbutusrill.thrift
+++ b/libs/arbutusrill_wire/arbutusrill.thrift
@@ -574,5 +574,6 @@
   void free_place(1: FreePlace freed) throws (1: Refused refused),
   double charge_tokens(1: TokenCharge charge) throws (1: Refused refused),    // 0, or seconds until the tokens are available
   list<string> join(1: string member) throws (1: Refused refused),            // returns the RPC addresses of the group
-  PromptReply report_prompts(1: PromptReport report) throws (1: Refused refused)
+  PromptReply report_prompts(1: PromptReport report) throws (1: Refused refused),
+  bool leave(1: string member) throws (1: Refused refused)                    // whether the voter is to be replaced now
 }
