site: a VM that cannot be admitted does not hold up the others

Operators saw nothing of it yet; it was found by reading. A voter that has lost its disk may stay out of the control group for seconds, so that the next loss is one too many.

Cause: the leader tries the VMs that ask to join in the order of their IDs, and the first one that could not be reached or did not catch up ended the round. Such a VM counts as asking for 3 s after its last request, or as long as its requests arrive.

Change: the leader goes on with the next VM. `membership_change_failed` names the VM.

Evidence: test_vm_that_cannot_be_admitted_does_not_hold_up_the_others failed before and passes now.

--- a/libs/arbutusrill_site/_membership.py
+++ b/libs/arbutusrill_site/_membership.py
@@ -72,12 +72,12 @@
             self._requested_at_by_member = self._recent(self._requested_at_by_member, _JOIN_REQUEST_TTL_S)
             self._leave_requested_at_by_member = self._recent(self._leave_requested_at_by_member, _LEAVE_REQUEST_TTL_S)
             requesting = sorted(self._requested_at_by_member)
-        try:
-            for member in requesting:
+        for member in requesting:
+            try:
                 if self._admit(member):
-                    break
-        except (NotLeaderError, LogUnavailableError, MembershipError) as error:
-            _events.emit("membership_change_failed", reason=str(error))
+                    return
+            except (NotLeaderError, LogUnavailableError, MembershipError) as error:
+                _events.emit("membership_change_failed", member=member, reason=str(error))
 
     def _admit(self, requesting: str) -> bool:
         """Makes the VM with the ID `requesting` a voter if there is room or a voter to replace.
--- a/libs/arbutusrill_site/tests/test_membership.py
+++ b/libs/arbutusrill_site/tests/test_membership.py
@@ -1,7 +1,7 @@
 """Tests of the replacement of voters."""
 
 from arbutusrill_base import ManualClock
-from arbutusrill_raft import LogStatus, MemberStatus
+from arbutusrill_raft import LogStatus, MembershipError, MemberStatus
 
 from arbutusrill_site import GroupJoinClient, MembershipManager
 
@@ -13,6 +13,7 @@
         self.leads = True
         self.replaced = []
         self.voters = ["a/disk", "b/disk", "c/disk"]
+        self.unreachable = set()
 
     def is_leader(self):
         return self.leads
@@ -28,6 +29,8 @@
         return LogStatus("b/disk", "follower", 2, "a", 1, 1, self.voters, [], "", "")
 
     def replace(self, old, new, timeout):
+        if new in self.unreachable:
+            raise MembershipError(f"the replica at {new} does not answer")
         self.replaced.append(old)
         return f"{new}/disk"
 
@@ -112,3 +115,15 @@
     log.voters = ["a/disk", "c/disk", "d/disk"]
     GroupJoinClient(log, "b", client, lambda: ["a"]).leave(3.0)
     assert client.calls == []
+
+
+def test_vm_that_cannot_be_admitted_does_not_hold_up_the_others():
+    # A VM that asked to join and was lost then kept a voter with a new disk out of the group for 3 s and more.
+    clock, log = ManualClock(), Log()
+    manager = MembershipManager(log, 3, clock)
+    log.unreachable = {"a0"}
+    manager.record_leave_request("b/disk")
+    manager.record_join_request("a0/disk")
+    manager.record_join_request("c/new-disk")
+    manager.tick()
+    assert log.replaced == ["c/disk"]
