site: an entry VM goes on asking the members that it knows

Callers saw, in a test: an entry VM whose seeds were all lost served an old configuration for good after the control group had been without a leader for a second, although the group was whole again on other VMs.

Cause: after a failed poll the follower replaced the addresses of the members that it knew by the seeds of its settings. Those may have been replaced or be down, and the settings change only when the platform writes them anew. Control VMs that ask to join already used both.

Change: after a failed poll the seeds are asked beside the members of the last successful poll.

--- a/libs/arbutusrill_site/_follower.py
+++ b/libs/arbutusrill_site/_follower.py
@@ -108,6 +108,7 @@
         self._received_parts: tuple[bytes, ...] = ()
         self._backends_revision = 0
         self._entries_revision = 0
+        self._members: list[str] = []  # addresses of the control group at the last successful poll
         self._connected = True
         self._failures = 0
         self._state_lock = threading.Lock()
@@ -141,8 +142,8 @@
             except (ControlUnavailableError, messages.Refused) as error:
                 self._failures += 1
                 self._set_connected(False, str(error))
-                # All known members may have been replaced during a partition: start again from the seeds.
-                self._client.set_addresses(self._seeds())
+                # All known members may have been replaced during a partition, and all seeds may be lost.
+                self._client.set_addresses([*self._seeds(), *self._members])
                 stopping.wait(_RETRY_DELAY_S)
             except Exception as error:  # the task must go on
                 _events.emit("view_not_updated", reason=repr(error))
@@ -183,7 +184,8 @@
             self._apply_reply(reply)
         self._rate_limiter.apply_levels(report, FleetLevels(reply.available or {}, reply.counted))
         self.view.last_poll_sent_at = sent_at
-        self._client.set_addresses(reply.control or [])
+        self._members = reply.control or self._members
+        self._client.set_addresses(self._members)
 
     def _apply_reply(self, reply: Any) -> None:
         view = self.view
--- a/libs/arbutusrill_site/tests/test_follower.py
+++ b/libs/arbutusrill_site/tests/test_follower.py
@@ -12,10 +12,14 @@
 
 
 class Leader:
-    """Gives the scripted replies in order, then stops the follower; `requests` holds what it was sent."""
+    """Gives the scripted replies in order, then stops the follower.
+
+    `requests` holds what it was sent, `addresses` where it is looked for.
+    """
 
     def __init__(self, tasks, *replies):
         self.requests = []
+        self.addresses = []
         self._tasks, self._replies = tasks, list(replies)
 
     def call(self, name, request, **_):
@@ -28,7 +32,7 @@
         return reply
 
     def set_addresses(self, addresses):
-        pass
+        self.addresses = addresses
 
 
 def reply(version, document, *backends, term=1):
@@ -54,7 +58,7 @@
     with TaskGroup("follower", 2) as tasks:
         leader = Leader(tasks, *replies)
         entry = messages.EntryRecord("vm", "10.0.0.9:80", "z1", "starting")
-        follower = SiteFollower(view, entry, 1, leader, clock, rates, decode, list, list, list)
+        follower = SiteFollower(view, entry, 1, leader, clock, rates, decode, list, list, lambda: ["s:1", "a:1"])
         follower._run(tasks.stopping)
     return view, leader
 
@@ -109,3 +113,11 @@
     _, leader = follow(first, reply(2, b"second"))
     assert sets == [1, 1]
     assert [(poll.suspects_revision, poll.bars_revision) for poll in leader.requests] == [(0, 0), (5, 2)]
+
+
+def test_known_members_are_asked_beside_the_seeds_after_a_failed_poll():
+    # With the seeds alone, an entry VM whose seeds were all lost never found the group again.
+    first = reply(1, b"first")
+    first.control = ["a:1", "b:1"]
+    _, leader = follow(first, messages.Refused("x"))
+    assert set(leader.addresses) == {"a:1", "b:1", "s:1"}
