site: a patch that is in force already does not drop the document

Callers saw nothing of it yet: an entry VM that begins to drain beside a change of the configuration asked for the whole document again and decoded it, beside the requests that it still had.

Cause: the poll that announces the drain runs beside the long poll. Both bring the same patch, and the second one did not fit the version that the first one had made, so that the VM dropped the parts that it held.

Change: patches up to the version that is held are skipped.

Evidence: test_patch_that_is_in_force_already_does_not_drop_the_document failed before and passes now.

--- a/libs/arbutusrill_site/_follower.py
+++ b/libs/arbutusrill_site/_follower.py
@@ -225,6 +225,8 @@
             if reply.document is not None and reply.document_version > version:
                 version, parts = reply.document_version, unpack_parts(reply.document, reply.document_layout or b"")
             for patch in reply.document_patches or []:
+                if patch.version <= version:
+                    continue  # another poll was faster
                 if patch.base_version != version:
                     raise PatchError(f"it changes version {patch.base_version}, not {version}")
                 version, parts = patch.version, apply_patch(parts, patch.patch or b"")
--- a/libs/arbutusrill_site/tests/test_follower.py
+++ b/libs/arbutusrill_site/tests/test_follower.py
@@ -4,7 +4,7 @@
 from types import SimpleNamespace
 
 from arbutusrill_base import ManualClock, TaskGroup
-from arbutusrill_state import join_parts
+from arbutusrill_state import join_parts, make_patch
 from arbutusrill_wire import messages
 
 from arbutusrill_site import SiteFollower, SiteView
@@ -121,3 +121,17 @@
     first.control = ["a:1", "b:1"]
     _, leader = follow(first, messages.Refused("x"))
     assert set(leader.addresses) == {"a:1", "b:1", "s:1"}
+
+
+def test_patch_that_is_in_force_already_does_not_drop_the_document():
+    # The poll that announces a drain may run beside a long poll. Both then bring the same patch, and after the second
+    # one the VM asked for the whole document.
+    def patched():
+        changed = reply(2, b"")
+        changed.document = None
+        changed.document_patches = [messages.PatchDocument(1, 2, make_patch((b"wfirst",), (b"wsecond",)))]
+        return changed
+
+    view, leader = follow(reply(1, b"first"), patched(), patched(), reply(2, b""))
+    assert (view.document, view.version) == (b"second", 2)
+    assert [request.document_version for request in leader.requests] == [0, 1, 2, 2]
