--- a/libs/arbutusrill_site/_follower.py
+++ b/libs/arbutusrill_site/_follower.py
@@ -108,6 +108,7 @@
         self._received_parts: tuple[bytes, ...] = ()
         self._backends_revision = 0
         self._entries_revision = 0
+        self._members: list[str] = []  # addresses of the control group at the last successful poll
         self._connected = True
         self._failures = 0
         self._state_lock = threading.Lock()
@@ -141,8 +142,8 @@
             except (ControlUnavailableError, messages.Refused) as error:
                 self._failures += 1
                 self._set_connected(False, str(error))
-                # All known members may have been replaced during a partition: start again from the seeds.
-                self._client.set_addresses(self._seeds())
+                # All known members may have been replaced during a partition, and all seeds may be lost.
+                self._client.set_addresses([*self._seeds(), *self._members])
                 stopping.wait(_RETRY_DELAY_S)
             except Exception as error:  # the task must go on
                 _events.emit("view_not_updated", reason=repr(error))
@@ -183,7 +184,8 @@
             self._apply_reply(reply)
         self._rate_limiter.apply_levels(report, FleetLevels(reply.available or {}, reply.counted))
         self.view.last_poll_sent_at = sent_at
-        self._client.set_addresses(reply.control or [])
+        self._members = reply.control or self._members
+        self._client.set_addresses(self._members)
 
     def _apply_reply(self, reply: Any) -> None:
         view = self.view
@@ -223,6 +225,8 @@
             if reply.document is not None and reply.document_version > version:
                 version, parts = reply.document_version, unpack_parts(reply.document, reply.document_layout or b"")
             for patch in reply.document_patches or []:
+                if patch.version <= version:
+                    continue  # another poll was faster
                 if patch.base_version != version:
                     raise PatchError(f"it changes version {patch.base_version}, not {version}")
                 version, parts = patch.version, apply_patch(parts, patch.patch or b"")
