gateway: refuse requests that wait when a planned stop ends

Callers saw connections closed without an answer when an entry VM reached the end of its grace period, although their requests had been read whole; one of them had not been passed on to any engine (503 was due). Cause: the stop ended with abort_connections(), which shuts both directions of every connection. The cancelled transfers and waits then raised FailureError, which the gateway turned into a closed connection. A caller that had closed only its sending side met the same silence, on both interfaces. Change: waits for backend servers end shortly before the stop; then the reading sides are shut, which cancels transfers while responses can still be sent; connections are aborted last. A request that is cancelled before its response begins is refused with 503 (not run) or 502. The drain of arbutusrill_entry uses the same calls. Remains: on arbutusrill_entry, a call that must not be repeated is not cancelled and is cut at the end of the drain.

--- a/libs/arbutusrill_entry/_drain.py
+++ b/libs/arbutusrill_entry/_drain.py
@@ -18,6 +18,7 @@
 _ENTRIES_MARGIN_S = 1.0  # beyond the time for which callers may cache the list of entry VMs
 _POOL_RELEASE_TIMEOUT_S = 4.0
 _RELEASE_CALL_TIMEOUT_S = 1.0
+_REFUSE_S = 0.4  # to refuse requests without a response before the connections are closed
 _POLL_INTERVAL_S = 0.1
 _log = PartLog("drain")
 
@@ -53,9 +54,18 @@
         margin_s = float(follower.config.value("entries.max_age_s")) + _ENTRIES_MARGIN_S
         self._wait(lambda: False, min(deadline, time.monotonic() + margin_s))
         self._server.stop_listening()
-        if not self._wait(lambda: not self._server.open_connections(), deadline):
+        if not self._wait(lambda: not self._server.open_connections(), deadline - _REFUSE_S):
             reason = "a second signal" if self._skip_waits.is_set() else f"the limit of {limit_s:g} s"
-            _log.warning("drain ended early by %s, %d requests aborted", reason, self._server.abort_connections())
+            _log.warning("drain ended early by %s, %d requests aborted", reason, self._abort())
+
+    def _abort(self) -> int:
+        """Ends the requests in progress; those without a response get one that says so."""
+        count = self._server.cancel_requests()
+        deadline = time.monotonic() + _REFUSE_S
+        while self._server.open_connections() and time.monotonic() < deadline:
+            time.sleep(_POLL_INTERVAL_S)
+        self._server.abort_connections()
+        return count
 
     def _is_drain_confirmed(self) -> bool:
         identity = self._context.follower.identity
--- a/libs/arbutusrill_entry/tests/test_services.py
+++ b/libs/arbutusrill_entry/tests/test_services.py
@@ -287,6 +287,21 @@
     service.wait.set()
 
 
+@pytest.mark.parametrize("is_stopped", [False, True])
+def test_call_that_is_cancelled_before_its_answer_is_refused(rig, service, is_stopped):
+    # A caller that had closed its sending side, and one whose VM reached the end of its drain, got no answer.
+    service.wait.clear()
+    with rig.send("GET", BOOK) as connection:
+        eventually(lambda: service.seen)
+        if is_stopped:
+            rig.server.cancel_requests()
+        else:
+            connection.shutdown(socket.SHUT_WR)
+        answer = connection.makefile("rb").read()
+    service.wait.set()
+    assert b" 502 " in answer and b"may_have_run" in answer
+
+
 def test_queued_call_of_a_disconnected_caller_is_recorded_as_not_run(rig):
     rig.pools.acquire_reply = messages.AcquireReply("pending")
     connection = rig.send("POST", BOOK, b"{}", IDEMPOTENT)
--- a/libs/arbutusrill_gateway/_backends.py
+++ b/libs/arbutusrill_gateway/_backends.py
@@ -81,6 +81,7 @@
         self._line_by_service_and_stage: dict[tuple[str, str], WaitingLine] = {}
         self._requests_by_id: dict[str, int] = {}
         self._tokens_by_id: dict[str, int] = {}
+        self._is_stopping = False
 
     def current_load(self) -> list[Any]:
         """Returns this VM's load on each backend server as `BackendUse` messages."""
@@ -155,9 +156,14 @@
         def has_backend() -> bool:
             return any(record.service_name == service.name for record in view.backends_by_id.values())
 
-        view.wait_for(lambda: view.backends_complete or has_backend(), timeout_s)
+        view.wait_for(lambda: self._is_stopping or view.backends_complete or has_backend(), timeout_s)
         return has_backend()
 
+    def stop_waiting(self) -> None:
+        """Ends the waits of `wait_for_backends`."""
+        self._is_stopping = True
+        self._view.notify()
+
     def waiting_line(self, service: Service, stage: str) -> WaitingLine:
         """Returns the line of requests that wait until a backend server of a service may be used."""
         key = (service.name, stage)
--- a/libs/arbutusrill_gateway/_gateway.py
+++ b/libs/arbutusrill_gateway/_gateway.py
@@ -76,6 +76,11 @@
         now = time.monotonic()
         self._shutdown_at, self._accepts_all_until = now + shutdown_s, now + accept_all_s
 
+    def stop_waiting(self) -> None:
+        """Refuses the requests that wait for a backend server, since the VM stops before they could be answered."""
+        self._placements.stop_waiting()
+        self._pool.stop_waiting()
+
     def workspace_name(self, key: str) -> str:
         """Returns the name of the workspace that holds an API key, empty for an unknown one."""
         configuration = self._view.document
@@ -183,9 +188,12 @@
         ending = ""
         try:
             (relay_stream if route.kind is RouteKind.STREAM else relay_plain)(exchange)
-        except FailureError as error:
-            ending = error.failure.code
-            raise AbortStreamError(str(error)) from None
+        except FailureError as error:  # the caller has left, or the VM stops
+            ending = "leaving" if time.monotonic() >= self._shutdown_at else error.failure.code
+            if responder.status:
+                raise AbortStreamError(str(error)) from None
+            # The caller may have closed its sending side only.
+            exchange.refuse_not_run(ending, "the request was ended before its response", _RETRY_AFTER_S)
         except (AbortStreamError, OSError) as error:
             ending = f"cut: {error}"
             raise
@@ -227,12 +235,14 @@
     ) -> None:
         took_s = time.monotonic() - started
         name = route.name if route else ""
-        self._metrics.record_request(name, responder.status, took_s, exchange.first_event_s if exchange else None)
+        is_unread = ending == "caller_gone" and responder.refusal_code  # most likely
+        status = 0 if is_unread else responder.status
+        self._metrics.record_request(name, status, took_s, exchange.first_event_s if exchange else None)
         fields: dict[str, Any] = {
             "request": request.id,
             "route": name,
             "workspace": workspace.name if workspace else "",
-            "status": responder.status,
+            "status": status,
             "ending": ending or (responder.refusal_code or "answered"),
             "took_ms": round(took_s * 1000, 1),
             "config": self._view.version,
--- a/libs/arbutusrill_gateway/_placement.py
+++ b/libs/arbutusrill_gateway/_placement.py
@@ -87,6 +87,7 @@
         self._local_numbers = itertools.count(-1, -1)  # for placements that the leader did not grant
         self._unreported_prefill_speeds: list[Any] = []
         self._leader_unavailable_until = float("-inf")
+        self._is_stopping = False
 
     def held_places(self) -> list[Any]:
         """Returns the placements that this VM holds as `HeldPlace` messages."""
@@ -105,6 +106,10 @@
                 for number, placement in self._placement_by_number.items()
             ]
 
+    def stop_waiting(self) -> None:
+        """Ends the waits for placements without one."""
+        self._is_stopping = True
+
     def acquire_now(self, requirements: PlacementRequest) -> tuple[Placement | None, float | None]:
         """Requests a placement on an engine that has room now; returns what `acquire` returns."""
         return self.acquire(requirements, 0.0, _UNLIMITED_PATIENCE_S)
@@ -149,7 +154,7 @@
                 if declined_count > _MAX_DECLINED_GRANTS:
                     break
                 continue
-            if reply.refused or self._clock.monotonic() >= deadline:
+            if reply.refused or self._is_stopping or self._clock.monotonic() >= deadline:
                 return None, max(MIN_RETRY_AFTER_S, reply.wait_ms / 1000)
             if request.connection is not None and peer_closed(request.connection):
                 raise ConnectionResetError("caller disconnected while waiting for an engine")
--- a/libs/arbutusrill_http/_handler.py
+++ b/libs/arbutusrill_http/_handler.py
@@ -30,7 +30,10 @@
 
 
 class AbortStreamError(Exception):
-    """Raised by an application to abort a response, so that the caller sees that it is incomplete."""
+    """Raised by an application to abort a response, so that the caller sees that it is incomplete.
+
+    A caller whose response has not begun gets one with status 502: it may have closed only its sending side.
+    """
 
 
 class _RequestError(Exception):
@@ -44,9 +47,9 @@
 
 
 def error_response(status: int, code: str, message: str, param: str | None = None) -> bytes:
-    """Returns an encoded error response; its verdict is ``may_have_run`` for status 500, else ``not_run``."""
+    """Returns an encoded error response; its verdict is ``may_have_run`` for status 500 and 502, else ``not_run``."""
     kind = "invalid_request_error" if status < 500 else "server_error"
-    verdict = "may_have_run" if status == 500 else "not_run"
+    verdict = "may_have_run" if status in (500, 502) else "not_run"
     error = {"message": message, "type": kind, "param": param, "code": code, "verdict": verdict}
     body = json.dumps({"error": error}).encode()
     retry_header = "Retry-After: 1\r\n" if status == 503 else ""
@@ -332,6 +335,9 @@
                 if not response.head_sent:
                     self._reject(_RequestError(500, "internal_error", "internal error"))
                     return
+            elif not response.head_sent:
+                self._reject(_RequestError(502, "aborted", "the request was ended before its response"))
+                return
             if response.ends_with_connection:
                 self.server.reset_on_close(self.connection)
 
--- a/libs/arbutusrill_http/_server.py
+++ b/libs/arbutusrill_http/_server.py
@@ -139,6 +139,18 @@
         self._draining.set()
         self.wake_idle_connections()
 
+    def cancel_requests(self) -> int:
+        """Ends requests in progress as if their callers had left; their responses can still be sent.
+
+        Returns the number of connections with a request in progress.
+        """
+        with self._lock:
+            active = [connection for connection in self._reserved_by_connection if connection not in self._idle_since]
+        for connection in active:
+            with contextlib.suppress(OSError):
+                connection.shutdown(socket.SHUT_RD)
+        return len(active)
+
     def abort_connections(self) -> int:
         """Closes all connections immediately and returns how many had a request in progress."""
         with self._lock:
@@ -307,6 +319,13 @@
         """
         return self._server.open_connections()
 
+    def cancel_requests(self) -> int:
+        """Makes requests in progress end as if their callers had left, and returns how many there were.
+
+        What waits for a backend server is cancelled; a request whose response has not begun still gets one.
+        """
+        return self._server.cancel_requests()
+
     def abort_connections(self) -> int:
         """Closes all connections immediately and returns how many had a request in progress."""
         return self._server.abort_connections()
--- a/libs/arbutusrill_http/tests/test_server.py
+++ b/libs/arbutusrill_http/tests/test_server.py
@@ -453,3 +453,37 @@
 
     with HttpServer("127.0.0.1", 0, app, LIMITS, body_owner=body_owner) as server:
         assert exchange(server, get("/x")).startswith(b"HTTP/1.1 500 ")
+
+
+def wait_for_caller(environ, start):
+    """Waits like a request at a backend server, which is cancelled once its caller looks gone."""
+    deadline = time.monotonic() + 5
+    while not peer_closed(environ["werkzeug.socket"]):
+        assert time.monotonic() < deadline
+        time.sleep(0.01)
+    if environ["PATH_INFO"] == "/begun":
+        start("200 OK", [])(b"some")
+    raise AbortStreamError
+
+
+@pytest.mark.parametrize("is_stopped", [False, True])
+def test_request_that_is_cancelled_before_its_response_gets_one(is_stopped):
+    # Its connection was closed without a response, at the end of a VM's grace period or for a half-closed connection.
+    with (
+        HttpServer("127.0.0.1", 0, wait_for_caller, LIMITS) as server,
+        connect(server) as connection,
+        connect(server) as begun,
+    ):
+        connection.sendall(get("/"))
+        begun.sendall(get("/begun"))
+        if is_stopped:
+            while server.active_connections() < 2:
+                time.sleep(0.01)
+            time.sleep(0.05)
+            assert server.cancel_requests() == 2
+        else:
+            connection.shutdown(socket.SHUT_WR)
+            begun.shutdown(socket.SHUT_WR)
+        response = connection.makefile("rb").read()
+        assert response.startswith(b"HTTP/1.1 502 ") and b"may_have_run" in response
+        assert not begun.makefile("rb").read().endswith(b"0\r\n\r\n")
