http: bound the head of a request while it is read

Callers of an entry VM lose all their requests when its process exceeds its memory limit and is killed. Cause: http.server reads up to 100 header fields of 64 KB each before the limit for headers was checked, on each of up to 512 connections, control VMs included. Evidence: test_heads_of_many_clients_keep_the_process_below_its_limit, 60 connections with 95 fields of 60 KB whose end never comes, on a VM of 150 MB: peak 373 MB before, 44 MB now; all get 431. Change: the lines of the headers are read through a reader that ends at twice the limit (whitespace is not counted).

--- a/libs/arbutusrill_http/_handler.py
+++ b/libs/arbutusrill_http/_handler.py
@@ -16,6 +16,7 @@
 from werkzeug.serving import DechunkedInput, WSGIRequestHandler
 
 from ._body_budget import BodyReservation
+from ._request_reader import HeadReader, HeadTooLargeError
 from ._writer import ResponseWriter
 
 __all__ = ["AbortStreamError", "Handler", "error_response"]
@@ -24,6 +25,7 @@
 _FIRST_REQUEST_WAIT_S = 0.5  # for the first request of a connection, which is served even if the server drains
 _CHUNKED_RESERVE_BYTES = 64 * 1024  # for a small body without a stated length
 _HEADER_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+_RAW_HEADER_FACTOR = 2  # optional whitespace does not count towards the limit of the headers
 _IDLE_MARGIN_S = 1.0  # between the idle time that responses state and the limit, for requests on their way
 _PENDING_INPUT_WAIT_S = 0.001  # for bytes that are already in the receive buffer
 _log = PartLog("http")
@@ -144,13 +146,26 @@
             return False
         if not self.raw_requestline.endswith(b"\n"):
             raise _RequestError(414, "request_line_too_long", "the request line is too long", "path")
-        if not self.parse_request():
+        if not self._parse_head():
             return False
         self._check_headers()
         if self._is_reserved and not self.path.startswith(limits.reserved_paths):
             raise _RequestError(503, "too_many_connections", "too many connections")
         return True
 
+    def _parse_head(self) -> bool:
+        """Parses the request line and reads the headers; returns False if the request has been rejected."""
+        limits, stream = self.server.limits, self.rfile
+        self.rfile = HeadReader(stream, _RAW_HEADER_FACTOR * limits.header_bytes)
+        try:
+            return self.parse_request()
+        except HeadTooLargeError:
+            raise _RequestError(
+                431, "headers_too_large", f"headers exceed {limits.header_bytes} bytes", "headers"
+            ) from None
+        finally:
+            self.rfile = stream
+
     def _wait_for_request(self) -> bool:
         """Waits for the first byte of a request; returns False on end of input or when the server drains.
 
