http: accept chunk extensions and trailer fields in requests

Callers that sent a chunked body with trailer fields or chunk extensions got 400, although both are valid and may be ignored (RFC 9112, 7.1). Cause: werkzeug's decoder for its development server knows neither; it also takes sizes such as 0x3, +3 and 1_0. Evidence: test_chunked_body_is_decoded, which failed for extensions and for trailer fields. Change: a decoder of our own with bounds for the lines and the trailer; extensions and trailer fields are dropped.

--- a/libs/arbutusrill_http/_handler.py
+++ b/libs/arbutusrill_http/_handler.py
@@ -13,10 +13,10 @@
 from typing import Any
 
 from arbutusrill_base import PartLog
-from werkzeug.serving import DechunkedInput, WSGIRequestHandler
+from werkzeug.serving import WSGIRequestHandler
 
 from ._body_budget import BodyReservation
-from ._request_reader import HeadReader, HeadTooLargeError
+from ._request_reader import ChunkedReader, HeadReader, HeadTooLargeError
 from ._writer import ResponseWriter
 
 __all__ = ["AbortStreamError", "Handler", "error_response"]
@@ -286,7 +286,7 @@
 
     def _read_chunked(self, limit: int, reservation: BodyReservation) -> bytes:
         body = bytearray()
-        reader = DechunkedInput(self.rfile)
+        reader = ChunkedReader(self.rfile, _RAW_HEADER_FACTOR * self.server.limits.header_bytes)
         try:
             while chunk := reader.read(65_536):
                 if len(body) + len(chunk) > limit:
--- a/libs/arbutusrill_http/_request_reader.py
+++ b/libs/arbutusrill_http/_request_reader.py
@@ -1,10 +1,15 @@
-"""Reader for the head of a request, which bounds what it reads."""
+"""Readers for the head and the chunked body of a request, which bound what they read."""
 
 from __future__ import annotations
 
+import re
 from typing import BinaryIO
 
-__all__ = ["HeadReader", "HeadTooLargeError"]
+__all__ = ["ChunkedReader", "HeadReader", "HeadTooLargeError"]
+
+_MAX_CHUNK_LINE_BYTES = 4096  # size and extensions of a chunk
+_CHUNK_SIZE = re.compile(rb"([0-9A-Fa-f]{1,15})[ \t]*(?:;.*)?\r?\n", re.DOTALL)
+_EMPTY_LINES = (b"\r\n", b"\n")
 
 
 class HeadTooLargeError(Exception):
@@ -36,3 +41,52 @@
         if self._remaining_bytes < 0:
             raise HeadTooLargeError(f"the headers exceed {self._limit_bytes} bytes")
         return line
+
+
+class ChunkedReader:
+    r"""Decodes a body with the transfer coding ``chunked`` (RFC 9112, 7.1).
+
+    Chunk extensions and trailer fields are ignored; the latter may take `max_trailer_bytes`.
+
+    >>> import io
+    >>> ChunkedReader(io.BytesIO(b"3;a=b\r\nabc\r\n0\r\nX-Sum: 1\r\n\r\n"), 100).read(10)
+    b'abc'
+    """
+
+    def __init__(self, stream: BinaryIO, max_trailer_bytes: int):
+        self._stream = stream
+        self._max_trailer_bytes = max_trailer_bytes
+        self._remaining_bytes = 0  # of the current chunk
+        self._is_at_end = False
+
+    def read(self, size: int) -> bytes:
+        """Returns at most `size` bytes of the body, none at its end; raises `ValueError` if it is malformed."""
+        if not self._remaining_bytes and not self._is_at_end:
+            self._remaining_bytes = self._read_size()
+            if not self._remaining_bytes:
+                self._is_at_end = True
+                self._skip_trailer()
+        if self._is_at_end:
+            return b""
+        data = self._stream.read(min(size, self._remaining_bytes))
+        if not data:
+            raise ValueError("it ends within a chunk")
+        self._remaining_bytes -= len(data)
+        if not self._remaining_bytes and self._stream.readline(2) not in _EMPTY_LINES:
+            raise ValueError("a chunk is longer than stated")
+        return data
+
+    def _read_size(self) -> int:
+        match = _CHUNK_SIZE.fullmatch(self._stream.readline(_MAX_CHUNK_LINE_BYTES))
+        if match is None:
+            raise ValueError("the size of a chunk is invalid")
+        return int(match[1], 16)
+
+    def _skip_trailer(self) -> None:
+        reader = HeadReader(self._stream, self._max_trailer_bytes)
+        try:
+            while (line := reader.readline()) not in _EMPTY_LINES:
+                if not line:
+                    raise ValueError("it ends within the trailer")
+        except HeadTooLargeError:
+            raise ValueError("the trailer is too long") from None
--- a/libs/arbutusrill_http/tests/test_server.py
+++ b/libs/arbutusrill_http/tests/test_server.py
@@ -175,12 +175,19 @@
     assert not app.bodies
 
 
-def test_chunked_body_is_decoded(server, app):
-    exchange(
-        server,
-        b"POST / HTTP/1.1\r\nHost: x\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
-    )
-    assert app.bodies == [b"abc"]
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"3\r\nabc\r\n0\r\n\r\n",
+        b"1;a=b\r\na\r\n002 ; c\r\nbc\r\n0;d\r\n\r\n",
+        b"3\r\nabc\r\n0\r\nX-Checksum: 1\r\nX-More: 2\r\n\r\n",
+    ],
+)
+def test_chunked_body_is_decoded(server, app, body):
+    # Bodies with chunk extensions or trailer fields were refused, although they are valid.
+    head = b"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+    assert exchange(server, head + body + get("/")).count(b"HTTP/1.1 200 ") == 2
+    assert app.bodies == [b"abc", b""]
 
 
 def test_request_with_incomplete_body_is_not_served(server, app):
