http: log rejected requests and cut responses, count how connections end

Callers that met a refusal or a closed connection before their request was routed left no trace on the VM, so that a report of a request without an answer could not be told from one that was rejected or never read.

--- a/libs/arbutusrill_gateway/_metrics.py
+++ b/libs/arbutusrill_gateway/_metrics.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from arbutusrill_http import BodyBudget
+from arbutusrill_http import BodyBudget, ConnectionEndings
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
 __all__ = ["GatewayMetrics"]
@@ -54,6 +54,18 @@
         self._bodies_refused = Gauge(
             "arbutusrill_bodies_refused", "Requests refused for want of memory since the start.", registry=self.registry
         )
+        self._connections_ended = Gauge(
+            "arbutusrill_connections_ended",
+            "Connections of callers that have ended since the start, by reason.",
+            ["reason"],
+            registry=self.registry,
+        )
+        self._requests_rejected = Gauge(
+            "arbutusrill_requests_rejected",
+            "Requests rejected since the start before they were routed, by code.",
+            ["code"],
+            registry=self.registry,
+        )
         self.quiet_backends = Gauge(
             "arbutusrill_backends_quiet",
             "Backend servers that this VM sends nothing for the time that they asked for.",
@@ -66,6 +78,13 @@
         self._body_budget_bytes.set(budget.total_bytes or 0)
         self._bodies_refused.set(budget.refused_count)
 
+    def record_endings(self, endings: ConnectionEndings) -> None:
+        """Sets the gauges of callers' connections that have ended and of requests rejected before they were routed."""
+        for reason, count in endings.by_reason().items():
+            self._connections_ended.labels(reason).set(count)
+        for code, count in endings.by_code().items():
+            self._requests_rejected.labels(code).set(count)
+
     def record_request(self, route: str, status: int, took_s: float, first_event_s: float | None) -> None:
         """Counts a finished request; `status` 0 means that its connection was closed without a response."""
         self._requests.labels(route, str(status)).inc()
--- a/libs/arbutusrill_http/__init__.py
+++ b/libs/arbutusrill_http/__init__.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from ._body_budget import BodyBudget
+from ._endings import ConnectionEndings
 from ._handler import AbortStreamError
 from ._json import error_body, failure_response, json_response
 from ._server import HttpLimits, HttpServer
@@ -16,6 +17,7 @@
 __all__ = [  # noqa: F822
     "AbortStreamError",
     "BodyBudget",
+    "ConnectionEndings",
     "HttpLimits",
     "HttpServer",
     "Transfer",
--- a/libs/arbutusrill_http/_handler.py
+++ b/libs/arbutusrill_http/_handler.py
@@ -95,6 +95,7 @@
         self._is_reserved = self.server.is_reserved(self.connection)
         self._is_first_request = True
         self._stated_idle_s = 0
+        self._ending = "caller"  # reason for the end of the connection, see `ConnectionEndings`
 
     def handle(self) -> None:
         """Serves requests until either side closes the connection or the server drains."""
@@ -105,6 +106,8 @@
                 self.handle_one_request()
         except (ConnectionError, TimeoutError, OSError):
             pass
+        finally:
+            self.server.endings.record(self._ending)
 
     def handle_one_request(self) -> None:
         """Reads and serves one request; rejects it if it is malformed, too large or too slow."""
@@ -114,7 +117,7 @@
         limits = self.server.limits
         header_s = min(limits.header_s, _RESERVED_HEADER_TIMEOUT_S) if self._is_reserved else limits.header_s
         self._socket_reader.deadline = time.monotonic() + header_s
-        self.command, self.request_version = "", "HTTP/1.1"
+        self.command, self.request_version, self.requestline = "", "HTTP/1.1", ""
         with contextlib.ExitStack() as stack:
             try:
                 if not self._read_head():
@@ -181,7 +184,10 @@
             while (descriptor := wake_up()) is not None:
                 readable = self._poll_with(descriptor, idle_since + self._max_idle_s() - time.monotonic())
                 if not readable or self.connection.fileno() in readable:
+                    self._ending = "caller" if readable else "idle"
                     break
+            else:
+                self._ending = "draining" if self.server.draining() else "evicted"
             return self._has_input_within(_PENDING_INPUT_WAIT_S)
 
     def _max_idle_s(self) -> float:
@@ -302,6 +308,8 @@
 
     def _reject(self, error: _RequestError) -> None:
         self.close_connection = True
+        self._ending = "rejected"
+        self.server.endings.record_rejection(error.status, error.code, *self._origin())
         self.connection.settimeout(self.server.limits.write_s)
         self.connection.sendall(error_response(error.status, error.code, str(error), error.param))
         self._socket_reader.deadline = time.monotonic() + 1.0
@@ -317,6 +325,10 @@
         except OSError:
             pass
 
+    def _origin(self) -> tuple[str, str]:
+        """Returns the address of the caller and the request line without its query, for the log."""
+        return "{}:{}".format(*self.client_address[:2]), self.requestline.partition("?")[0]
+
     def _prepare_environ(self) -> None:
         try:
             self.environ = self.make_environ()
@@ -332,6 +344,7 @@
         self.environ["wsgi.input_terminated"] = True
         if self._is_reserved:
             self.close_connection = True
+        self._ending = "response"
         response = ResponseWriter(self)
         try:
             chunks = self.server.app(self.environ, response.start)
@@ -353,6 +366,8 @@
             elif not response.head_sent:
                 self._reject(_RequestError(502, "aborted", "the request was ended before its response"))
                 return
+            self._ending = "cut"
+            self.server.endings.record_cut(response.head_sent, repr(error), *self._origin())
             if response.ends_with_connection:
                 self.server.reset_on_close(self.connection)
 
--- a/libs/arbutusrill_http/_server.py
+++ b/libs/arbutusrill_http/_server.py
@@ -17,6 +17,7 @@
 from werkzeug.serving import BaseWSGIServer
 
 from ._body_budget import BodyBudget
+from ._endings import ConnectionEndings
 from ._handler import Handler, error_response
 from ._sockets import set_dead_peer_timeouts, set_send_timeout
 
@@ -64,10 +65,12 @@
         limits: HttpLimits,
         body_budget: BodyBudget,
         body_owner: Callable[[str], str],
+        endings: ConnectionEndings,
     ):
         self.limits = limits
         self.body_budget = body_budget
         self.body_owner = body_owner
+        self.endings = endings
         self.tasks = TaskGroup("http", limits.connections + limits.reserve + 1)
         self._lock = threading.Lock()
         self._idle_since: dict[socket.socket, float] = {}
@@ -191,6 +194,8 @@
 
         The close is delayed, since an immediate one could reset the connection before the caller reads the response.
         """
+        self.endings.record("rejected")
+        self.endings.record_rejection(503, "too_many_connections", "", "")
         try:
             connection.setblocking(False)
             connection.send(error_response(503, "too_many_connections", "too many connections"))
@@ -266,8 +271,9 @@
 
     The application gets the whole request body in memory and the caller's socket as
     ``environ["werkzeug.socket"]``. Bodies take memory from `body_budget`; `body_owner` returns the owner of a request,
-    such as its workspace, from its field ``Authorization``. The application may raise `AbortStreamError` after the
-    response has begun. On exit from the context, requests in progress finish, unless `abort_connections` is called.
+    such as its workspace, from its field ``Authorization``. `endings` counts how its connections
+    end. The application may raise `AbortStreamError` after the response has begun. On exit from the context, requests
+    in progress finish, unless `abort_connections` is called.
     """
 
     def __init__(
@@ -278,8 +284,17 @@
         limits: HttpLimits | None = None,
         body_budget: BodyBudget | None = None,
         body_owner: Callable[[str], str] = lambda authorization: "",
+        endings: ConnectionEndings | None = None,
     ):
-        self._server = _Server(host, port, app, limits or HttpLimits(), body_budget or BodyBudget(None), body_owner)
+        self._server = _Server(
+            host,
+            port,
+            app,
+            limits or HttpLimits(),
+            body_budget or BodyBudget(None),
+            body_owner,
+            endings or ConnectionEndings(),
+        )
         self.address = "{}:{}".format(*self._server.server_address[:2])
 
     def __enter__(self) -> HttpServer:
