--- a/libs/arbutusrill_http/_handler.py
+++ b/libs/arbutusrill_http/_handler.py
@@ -13,9 +13,10 @@
 from typing import Any
 
 from arbutusrill_base import PartLog
-from werkzeug.serving import DechunkedInput, WSGIRequestHandler
+from werkzeug.serving import WSGIRequestHandler
 
 from ._body_budget import BodyReservation
+from ._request_reader import ChunkedReader, HeadReader, HeadTooLargeError
 from ._writer import ResponseWriter
 
 __all__ = ["AbortStreamError", "Handler", "error_response"]
@@ -24,13 +25,17 @@
 _FIRST_REQUEST_WAIT_S = 0.5  # for the first request of a connection, which is served even if the server drains
 _CHUNKED_RESERVE_BYTES = 64 * 1024  # for a small body without a stated length
 _HEADER_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+_RAW_HEADER_FACTOR = 2  # optional whitespace does not count towards the limit of the headers
 _IDLE_MARGIN_S = 1.0  # between the idle time that responses state and the limit, for requests on their way
 _PENDING_INPUT_WAIT_S = 0.001  # for bytes that are already in the receive buffer
 _log = PartLog("http")
 
 
 class AbortStreamError(Exception):
-    """Raised by an application to abort a response, so that the caller sees that it is incomplete."""
+    """Raised by an application to abort a response, so that the caller sees that it is incomplete.
+
+    A caller whose response has not begun gets one with status 502: it may have closed only its sending side.
+    """
 
 
 class _RequestError(Exception):
@@ -44,9 +49,9 @@
 
 
 def error_response(status: int, code: str, message: str, param: str | None = None) -> bytes:
-    """Returns an encoded error response; its verdict is ``may_have_run`` for status 500, else ``not_run``."""
+    """Returns an encoded error response; its verdict is ``may_have_run`` for status 500 and 502, else ``not_run``."""
     kind = "invalid_request_error" if status < 500 else "server_error"
-    verdict = "may_have_run" if status == 500 else "not_run"
+    verdict = "may_have_run" if status in (500, 502) else "not_run"
     error = {"message": message, "type": kind, "param": param, "code": code, "verdict": verdict}
     body = json.dumps({"error": error}).encode()
     retry_header = "Retry-After: 1\r\n" if status == 503 else ""
@@ -90,6 +95,7 @@
         self._is_reserved = self.server.is_reserved(self.connection)
         self._is_first_request = True
         self._stated_idle_s = 0
+        self._ending = "caller"  # reason for the end of the connection, see `ConnectionEndings`
 
     def handle(self) -> None:
         """Serves requests until either side closes the connection or the server drains."""
@@ -100,6 +106,8 @@
                 self.handle_one_request()
         except (ConnectionError, TimeoutError, OSError):
             pass
+        finally:
+            self.server.endings.record(self._ending)
 
     def handle_one_request(self) -> None:
         """Reads and serves one request; rejects it if it is malformed, too large or too slow."""
@@ -109,7 +117,7 @@
         limits = self.server.limits
         header_s = min(limits.header_s, _RESERVED_HEADER_TIMEOUT_S) if self._is_reserved else limits.header_s
         self._socket_reader.deadline = time.monotonic() + header_s
-        self.command, self.request_version = "", "HTTP/1.1"
+        self.command, self.request_version, self.requestline = "", "HTTP/1.1", ""
         with contextlib.ExitStack() as stack:
             try:
                 if not self._read_head():
@@ -141,13 +149,26 @@
             return False
         if not self.raw_requestline.endswith(b"\n"):
             raise _RequestError(414, "request_line_too_long", "the request line is too long", "path")
-        if not self.parse_request():
+        if not self._parse_head():
             return False
         self._check_headers()
         if self._is_reserved and not self.path.startswith(limits.reserved_paths):
             raise _RequestError(503, "too_many_connections", "too many connections")
         return True
 
+    def _parse_head(self) -> bool:
+        """Parses the request line and reads the headers; returns False if the request has been rejected."""
+        limits, stream = self.server.limits, self.rfile
+        self.rfile = HeadReader(stream, _RAW_HEADER_FACTOR * limits.header_bytes)
+        try:
+            return self.parse_request()
+        except HeadTooLargeError:
+            raise _RequestError(
+                431, "headers_too_large", f"headers exceed {limits.header_bytes} bytes", "headers"
+            ) from None
+        finally:
+            self.rfile = stream
+
     def _wait_for_request(self) -> bool:
         """Waits for the first byte of a request; returns False on end of input or when the server drains.
 
@@ -163,7 +184,10 @@
             while (descriptor := wake_up()) is not None:
                 readable = self._poll_with(descriptor, idle_since + self._max_idle_s() - time.monotonic())
                 if not readable or self.connection.fileno() in readable:
+                    self._ending = "caller" if readable else "idle"
                     break
+            else:
+                self._ending = "draining" if self.server.draining() else "evicted"
             return self._has_input_within(_PENDING_INPUT_WAIT_S)
 
     def _max_idle_s(self) -> float:
@@ -268,7 +292,7 @@
 
     def _read_chunked(self, limit: int, reservation: BodyReservation) -> bytes:
         body = bytearray()
-        reader = DechunkedInput(self.rfile)
+        reader = ChunkedReader(self.rfile, _RAW_HEADER_FACTOR * self.server.limits.header_bytes)
         try:
             while chunk := reader.read(65_536):
                 if len(body) + len(chunk) > limit:
@@ -284,6 +308,8 @@
 
     def _reject(self, error: _RequestError) -> None:
         self.close_connection = True
+        self._ending = "rejected"
+        self.server.endings.record_rejection(error.status, error.code, *self._origin())
         self.connection.settimeout(self.server.limits.write_s)
         self.connection.sendall(error_response(error.status, error.code, str(error), error.param))
         self._socket_reader.deadline = time.monotonic() + 1.0
@@ -299,6 +325,10 @@
         except OSError:
             pass
 
+    def _origin(self) -> tuple[str, str]:
+        """Returns the address of the caller and the request line without its query, for the log."""
+        return "{}:{}".format(*self.client_address[:2]), self.requestline.partition("?")[0]
+
     def _prepare_environ(self) -> None:
         try:
             self.environ = self.make_environ()
@@ -314,6 +344,7 @@
         self.environ["wsgi.input_terminated"] = True
         if self._is_reserved:
             self.close_connection = True
+        self._ending = "response"
         response = ResponseWriter(self)
         try:
             chunks = self.server.app(self.environ, response.start)
@@ -332,6 +363,11 @@
                 if not response.head_sent:
                     self._reject(_RequestError(500, "internal_error", "internal error"))
                     return
+            elif not response.head_sent:
+                self._reject(_RequestError(502, "aborted", "the request was ended before its response"))
+                return
+            self._ending = "cut"
+            self.server.endings.record_cut(response.head_sent, repr(error), *self._origin())
             if response.ends_with_connection:
                 self.server.reset_on_close(self.connection)
 
--- a/libs/arbutusrill_http/tests/test_server.py
+++ b/libs/arbutusrill_http/tests/test_server.py
@@ -175,12 +175,19 @@
     assert not app.bodies
 
 
-def test_chunked_body_is_decoded(server, app):
-    exchange(
-        server,
-        b"POST / HTTP/1.1\r\nHost: x\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
-    )
-    assert app.bodies == [b"abc"]
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"3\r\nabc\r\n0\r\n\r\n",
+        b"1;a=b\r\na\r\n002 ; c\r\nbc\r\n0;d\r\n\r\n",
+        b"3\r\nabc\r\n0\r\nX-Checksum: 1\r\nX-More: 2\r\n\r\n",
+    ],
+)
+def test_chunked_body_is_decoded(server, app, body):
+    # Bodies with chunk extensions or trailer fields were refused, although they are valid.
+    head = b"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+    assert exchange(server, head + body + get("/")).count(b"HTTP/1.1 200 ") == 2
+    assert app.bodies == [b"abc", b""]
 
 
 def test_request_with_incomplete_body_is_not_served(server, app):
@@ -453,3 +460,37 @@
 
     with HttpServer("127.0.0.1", 0, app, LIMITS, body_owner=body_owner) as server:
         assert exchange(server, get("/x")).startswith(b"HTTP/1.1 500 ")
+
+
+def wait_for_caller(environ, start):
+    """Waits like a request at a backend server, which is cancelled once its caller looks gone."""
+    deadline = time.monotonic() + 5
+    while not peer_closed(environ["werkzeug.socket"]):
+        assert time.monotonic() < deadline
+        time.sleep(0.01)
+    if environ["PATH_INFO"] == "/begun":
+        start("200 OK", [])(b"some")
+    raise AbortStreamError
+
+
+@pytest.mark.parametrize("is_stopped", [False, True])
+def test_request_that_is_cancelled_before_its_response_gets_one(is_stopped):
+    # Its connection was closed without a response, at the end of a VM's grace period or for a half-closed connection.
+    with (
+        HttpServer("127.0.0.1", 0, wait_for_caller, LIMITS) as server,
+        connect(server) as connection,
+        connect(server) as begun,
+    ):
+        connection.sendall(get("/"))
+        begun.sendall(get("/begun"))
+        if is_stopped:
+            while server.active_connections() < 2:
+                time.sleep(0.01)
+            time.sleep(0.05)
+            assert server.cancel_requests() == 2
+        else:
+            connection.shutdown(socket.SHUT_WR)
+            begun.shutdown(socket.SHUT_WR)
+        response = connection.makefile("rb").read()
+        assert response.startswith(b"HTTP/1.1 502 ") and b"may_have_run" in response
+        assert not begun.makefile("rb").read().endswith(b"0\r\n\r\n")
