--- a/libs/arbutusrill_base/__init__.py
+++ b/libs/arbutusrill_base/__init__.py
@@ -4,6 +4,7 @@
 from ._blocks import BLOCK_BYTES, prefix_blocks
 from ._budget import RetryBudget, backoff_s
 from ._clock import BootClock, Clock, ManualClock, SystemClock
+from ._decoding_gate import BodyTooLargeError, DecodingGate
 from ._events import EventLog, EventWriter, write_events
 from ._ids import hash_key, new_incarnation, new_key, new_request_id
 from ._json import MAX_INTEGER, load_json, whole_number
@@ -14,6 +15,8 @@
 from ._verdict import Failure, FailureError, Verdict
 
 __all__ = [
+    "BodyTooLargeError",
+    "DecodingGate",
     "CLOCK_DRIFT_S",
     "VM_LEASE_S",
     "BLOCK_BYTES",
