--- a/libs/arbutusrill_gateway/_stream.py
+++ b/libs/arbutusrill_gateway/_stream.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import contextlib
-import re
 import time
 from collections.abc import Callable, Iterator
 
@@ -11,13 +10,14 @@
 from arbutusrill_http import AbortStreamError
 from arbutusrill_wire import messages
 
-from ._attempt import AttemptResult, BodyReceiver, Outcome, send_attempt
+from ._attempt import AttemptResult, Outcome, send_attempt
 from ._backends import Candidate
+from ._event_relay import CallerDisconnectedError, EventRelay
 from ._exchange import Exchange
 from ._placement import Placement, PlacementRequest
 from ._prefill import RetryBudgetExhaustedError, release_kv_cache, run_prefill
 from ._prompt_guard import PromptBarredError
-from ._protocol import KvCacheHandle, ResponseHead
+from ._protocol import KvCacheHandle
 from ._quiet_wait import wait_for_permitted
 from ._replacement import Replacement
 
@@ -42,15 +42,6 @@
 _PATIENCE_OBJECTIVE_FACTOR = 4.0
 _PATIENCE_GAP_FACTOR = 8.0
 _LOCAL_PREFILL_S_PER_TOKEN = 0.0002
-_MAX_EVENT_BYTES = 1_048_576  # also of a response that is not a stream
-_END_OF_EVENT = re.compile(rb"\r?\n\r?\n")
-_EVENT_STREAM = "text/event-stream"
-_EVENT = re.compile(rb"(?:(?:[\w-]*:[^\n]*|data)?\r?\n)*")  # lines with a field or a comment
-_OUTSIDE_EVENT = re.compile(rb"(?:(?::[^\n]*)?\r?\n)*(?::[^\n]*|[ \t\r]*)")  # comments and empty lines
-
-
-class _CallerDisconnectedError(Exception):
-    """The caller's connection failed while an event was written to it."""
 
 
 class _NoPlacementError(Exception):
@@ -62,157 +53,9 @@
         self.retry_after_s = retry_after_s
 
 
-class _EventRelay(BodyReceiver):
-    """Forwards the events of a stream to the caller; incomplete events are buffered, up to `_MAX_EVENT_BYTES`.
-
-    `last_id` is the id of the last event forwarded. Events up to it are dropped if a resumed stream repeats them, and
-    do not count as progress.
-    """
-
-    def __init__(self, exchange: Exchange):
-        self._exchange = exchange
-        self._buffer = b""
-        self._scanned_bytes = 0  # prefix of the buffer that holds no end of an event
-        self._response_head: ResponseHead | None = None
-        self._progress_at = time.monotonic()
-        self._non_stream_bytes = 0
-        self._has_event = False  # whether this attempt received a complete event, possibly a repeated one
-        self._attempt_event_count = 0
-        self._first_event_at = self._progress_at  # of this attempt
-        self._is_prompt_sound = False
-        self.last_id: int | None = None
-        self.forwarded_count = 0
-        self.non_stream_body: list[bytes] = []  # chunks of a response that is not a stream, such as an error
-
-    def on_head(self, status: int, headers_by_name: dict[str, str]) -> None:
-        """Decides whether the body is a valid stream for this request.
-
-        Drops the incomplete event of the previous attempt.
-        """
-        response = self._exchange.protocol.decode_response(status, headers_by_name)
-        matches = response.request_id == self._exchange.request.id
-        is_stream = headers_by_name.get("content-type", _EVENT_STREAM).lower().startswith(_EVENT_STREAM)
-        self._buffer, self._scanned_bytes = b"", 0
-        self._progress_at = time.monotonic()
-        self._response_head = (
-            response if matches and is_stream and response.stamped and status == 200 and not response.not_run else None
-        )
-
-    def begin_attempt(self) -> None:
-        """Forgets what an earlier attempt received, except for the events that were forwarded."""
-        self.problem = ""
-        self.non_stream_body.clear()
-        self._non_stream_bytes = 0
-        self._has_event = False
-        self._attempt_event_count, self._is_prompt_sound = 0, False
-        self._progress_at = time.monotonic()
-
-    def on_data(self, data: bytes) -> None:
-        """Processes a chunk of the body."""
-        if self.problem:
-            return
-        if self._response_head is None:
-            self._collect_non_stream(data)
-            return
-        self._buffer += data
-        events = self._take_events()
-        if events:
-            self._forward(b"".join(events))
-            self._record_prompt_events(len(events))
-        if len(self._buffer) > _MAX_EVENT_BYTES:
-            self.problem = f"an event exceeds {_MAX_EVENT_BYTES} bytes"
-            self._buffer = b""
-
-    def _record_prompt_events(self, new_count: int) -> None:
-        """Records the progress of this attempt until it shows that the prompt is sound."""
-        now = time.monotonic()
-        if not self._attempt_event_count:
-            self._first_event_at = now
-        self._attempt_event_count += new_count
-        if not self._is_prompt_sound:
-            streamed_s = now - self._first_event_at
-            self._is_prompt_sound = self._exchange.record_prompt_events(self._attempt_event_count, streamed_s)
-
-    def _collect_non_stream(self, data: bytes) -> None:
-        self._non_stream_bytes += len(data)
-        if self._non_stream_bytes > _MAX_EVENT_BYTES:
-            self.problem = f"a response that is not a stream exceeds {_MAX_EVENT_BYTES} bytes"
-            self.non_stream_body.clear()
-            return
-        self.non_stream_body.append(data)
-
-    def _take_events(self) -> list[bytes]:
-        """Removes the complete events from the buffer and returns the new ones."""
-        events, start = [], 0
-        search_from = max(0, self._scanned_bytes - len(b"\r\n\r"))
-        while separator := _END_OF_EVENT.search(self._buffer, search_from):
-            event, start = self._buffer[start : separator.end()], separator.end()
-            search_from = start
-            if not _EVENT.fullmatch(event):
-                self.problem = "a line of an event is no field"
-                break
-            if _OUTSIDE_EVENT.fullmatch(event):
-                events.append(event)
-                continue
-            self._has_event = True
-            event_id = self._exchange.protocol.event_id(event)
-            if event_id is not None:
-                if self.last_id is not None and event_id <= self.last_id:
-                    continue
-                self.last_id = event_id
-            events.append(event)
-            self.forwarded_count += 1
-            self._progress_at = time.monotonic()
-        self._buffer = self._buffer[start:]
-        self._scanned_bytes = len(self._buffer)
-        return events
-
-    def progress_at(self) -> float:
-        """Returns when the last new event was complete, or when the head arrived."""
-        return self._progress_at
-
-    def incompleteness(self, resume_after: str) -> str:
-        """Returns why a complete response with status 200 is no complete stream, or an empty text.
-
-        A caller's own resumption may be answered without an event. A response that is no event stream is complete if
-        nothing was forwarded before it.
-        """
-        begun = bool(self._exchange.responder.status)
-        if begun and self._response_head is None:
-            return "the response is no event stream"
-        if not _OUTSIDE_EVENT.fullmatch(self._buffer):
-            return "the stream ended inside an event"
-        if not (self._has_event or self.non_stream_body) and (begun or not resume_after):
-            return "a success without an event"
-        return ""
-
-    def finish(self) -> bool:
-        """Forwards what follows the last event of a complete stream; returns whether the response is a stream.
-
-        The response to a resumed stream may be empty, in which case only its head is forwarded.
-        """
-        if self._response_head is None:
-            return False
-        if self._buffer or not self._exchange.responder.status:
-            self._forward(self._buffer)
-            self._buffer = b""
-        return True
-
-    def _forward(self, data: bytes) -> None:
-        exchange = self._exchange
-        try:
-            if not exchange.responder.status:
-                exchange.first_event_s = time.monotonic() - exchange.started
-                headers = [header for header in self._response_head.headers if header[0].lower() != "content-length"]
-                exchange.responder.send_head(200, headers)
-            exchange.responder.write(data)
-        except OSError as error:
-            raise _CallerDisconnectedError(str(error)) from error
-
-
 def relay_stream(exchange: Exchange) -> None:
     """Serves one stream: prefill if a prefill engine is available, then decode, with resumption on other engines."""
-    events = _EventRelay(exchange)
+    events = EventRelay(exchange)
     try:
         with Replacement(exchange, lambda avoided: _requirements(exchange, events, avoided)) as replacement:
             _relay_attempts(exchange, events, replacement)
@@ -222,7 +65,7 @@
         _refuse_or_abort(exchange, error.code, str(error), error.retry_after_s)
 
 
-def _relay_attempts(exchange: Exchange, events: _EventRelay, replacement: Replacement) -> None:
+def _relay_attempts(exchange: Exchange, events: EventRelay, replacement: Replacement) -> None:
     prefill_decode = _PrefillDecode(exchange, events, replacement)
     unreached_count = 0
     while True:
@@ -252,7 +95,7 @@
             return
 
 
-def _acquire_placement(exchange: Exchange, events: _EventRelay) -> Placement | None:
+def _acquire_placement(exchange: Exchange, events: EventRelay) -> Placement | None:
     """Returns a placement; raises `_NoPlacementError` if no engine can take the request in time.
 
     Returns None if the service has no engines, the leader is unavailable, or the leader granted engines that this VM
@@ -273,7 +116,7 @@
     return placement
 
 
-def _requirements(exchange: Exchange, events: _EventRelay, avoided_ids: Callable[[], list[str]]) -> PlacementRequest:
+def _requirements(exchange: Exchange, events: EventRelay, avoided_ids: Callable[[], list[str]]) -> PlacementRequest:
     """Returns what the next attempt needs; a resumed stream needs no prefill."""
     return PlacementRequest(
         exchange.service,
@@ -294,7 +137,7 @@
     )
 
 
-def _last_event_id(exchange: Exchange, events: _EventRelay) -> str:
+def _last_event_id(exchange: Exchange, events: EventRelay) -> str:
     """Returns the id of the last event that the caller received, empty if there is none."""
     return exchange.request.resume_after if events.last_id is None else str(events.last_id)
 
@@ -306,7 +149,7 @@
     charged to the retry budget; once it is exhausted, the decode engine processes the prompt itself.
     """
 
-    def __init__(self, exchange: Exchange, events: _EventRelay, replacement: Replacement):
+    def __init__(self, exchange: Exchange, events: EventRelay, replacement: Replacement):
         self._exchange = exchange
         self._events = events
         self._replacement = replacement
@@ -409,7 +252,7 @@
     exchange: Exchange,
     candidate: Candidate,
     kv_cache: KvCacheHandle | None,
-    events: _EventRelay,
+    events: EventRelay,
     replacement: Replacement,
 ) -> AttemptResult:
     backend_request = exchange.backend_request(
@@ -435,7 +278,7 @@
             if reason:
                 result.outcome, result.detail = Outcome.BROKEN, reason
         return result
-    except _CallerDisconnectedError:
+    except CallerDisconnectedError:
         exchange.verdict = exchange.verdict.combine(Verdict.MAY_HAVE_RUN)
         raise exchange.caller_gone_error() from None
 
@@ -454,7 +297,7 @@
     return max(_MIN_STALL_S, _STALL_PATIENCE_FRACTION * patience_s, _STALL_FACTOR * event_s) + prefill_s
 
 
-def _finish_or_retry(exchange: Exchange, result: AttemptResult, events: _EventRelay) -> bool:
+def _finish_or_retry(exchange: Exchange, result: AttemptResult, events: EventRelay) -> bool:
     """Ends the exchange, or takes a retry from the budget; returns whether the exchange has ended."""
     is_success = result.outcome is Outcome.ANSWERED and result.response.status == 200
     if is_success and events.finish():
