gateway: bound the memory of all responses that are kept at a time

Callers saw: a faulty runner sent bytes that were no answer, without end; the entry VM that had called it ran out of memory, and the requests of others on it ended with it.

Cause: every response had its own limit (1 MiB a body or event), and nothing bounded the sum. The class: a limit for each and none for all, as with the bodies of requests.

Change: a response opens a reservation in the budget of the process until it is written to its caller; responses hold half of the budget at most. Without room, a plain answer is forwarded while it arrives; an error, an incomplete event or a body that is no stream ends its attempt, which may have run (502 or a retry, never "not run"). A response whose head belongs to no answer to this request (another or no Request-Id, a success without proof, 503 without its statement) is not read any further. Bodies of refusals are not kept, answers of prefills and releases have 8 KiB. Servers that exceed a limit are avoided for a while; a want of room alone is no fault of theirs. Large parts of a body are sent without another copy.

Found on the way: the bytes that arrive together with the head of no answer were passed on before the attempt ended; now they are dropped.

--- a/libs/arbutusrill_gateway/_attempt.py
+++ b/libs/arbutusrill_gateway/_attempt.py
@@ -24,10 +24,12 @@
 class BodyReceiver(abc.ABC):
     """Receives the response of one attempt while it arrives.
 
-    `problem` is empty, or says why the response is invalid, which ends the attempt.
+    `problem` is empty, or says why the response is not read any further, which ends the attempt; `lacks_memory` is true
+    if it is too large for this process at the moment, and not for any answer.
     """
 
     problem: str = ""
+    lacks_memory: bool = False
 
     @abc.abstractmethod
     def on_head(self, status: int, headers_by_name: dict[str, str]) -> None:
@@ -64,7 +66,8 @@
 class AttemptResult:
     """Result of a finished attempt. `response` is None if no response head was received.
 
-    `connection_lost` is true if the backend server closed or reset the connection before its response was complete.
+    `connection_lost` is true if the backend server closed or reset the connection before its response was complete,
+    `is_oversized` if it sent more than any answer has, and `lacks_memory` if this process had no room for its response.
     """
 
     outcome: Outcome
@@ -73,6 +76,68 @@
     detail: str
     took_s: float
     connection_lost: bool = False
+    is_oversized: bool = False
+    lacks_memory: bool = False
+
+
+class _HeadCheck:
+    """Decodes the heads of a response; `problem` says why the final one is the head of no answer, or is empty.
+
+    `receiver` gets only what belongs to an answer or to a statement that the request has not run.
+    """
+
+    def __init__(
+        self,
+        protocol: BackendProtocol,
+        request: CallerRequest,
+        backend_request: BackendRequest,
+        on_response: Callable[[ResponseHead], None] | None,
+        receiver: BodyReceiver | None,
+    ):
+        self._protocol = protocol
+        self.request = request
+        self._is_prefill = backend_request.prefill
+        self._on_response = on_response
+        self._receiver = receiver
+        self.response: ResponseHead | None = None
+        self.problem = ""
+
+    def on_any_head(self, status: int, headers_by_name: dict[str, str]) -> None:
+        """Decodes a head, which may be that of an interim response."""
+        self.response = self._protocol.decode_response(status, headers_by_name)
+        if self._on_response is not None:
+            self._on_response(self.response)
+        if status >= 200:
+            self.problem = _head_problem(self.response, self.request, self._is_prefill)
+
+    def on_head(self, status: int, headers_by_name: dict[str, str]) -> None:
+        """Passes the final head on, unless it has a problem."""
+        if not self.problem:
+            self._receiver.on_head(status, headers_by_name)
+
+    def on_data(self, data: bytes) -> None:
+        """Passes a part of the body on, unless the head has a problem: the rest of it may arrive with the head."""
+        if not self.problem:
+            self._receiver.on_data(data)
+
+    def decode(self, result: TransferResult) -> ResponseHead:
+        """Decodes what arrived of a head that broke off."""
+        return self._protocol.decode_response(result.status, result.headers_by_name)
+
+
+def _head_problem(response: ResponseHead, request: CallerRequest, is_prefill: bool) -> str:
+    """Returns why a response answers nothing, whatever its body is, or an empty text."""
+    if response.request_id not in ("", request.id):
+        return f"the answer is for request {response.request_id}"
+    if response.request_id != request.id:
+        return "the answer names no request"
+    if response.not_run:
+        return ""
+    if response.status < 300 and not response.stamped and not is_prefill:
+        return "a success without the server's proof"
+    if response.status in _NOT_RUN_STATUSES:
+        return f"status {response.status} without the statement that it has not run"
+    return ""
 
 
 def send_attempt(
@@ -85,13 +150,15 @@
     receiver: BodyReceiver | None = None,
     on_stall: Callable[[], bool] | None = None,
     on_response: Callable[[ResponseHead], None] | None = None,
+    max_body_bytes: int = 0,
 ) -> AttemptResult:
     """Sends `request` to `candidate` and waits for the end of the response, whose body `receiver` gets.
 
-    Without `receiver`, the body is collected, up to a limit. `stall_s` is the longest time without progress,
+    Without `receiver`, the body is collected, up to `max_body_bytes`. `stall_s` is the longest time without progress,
     after which `on_stall` decides whether the attempt ends. `on_response` gets each head as soon as it is complete,
-    also of interim responses.
+    also of interim responses. A response whose head is that of no answer is not read any further.
     """
+    head_check = _HeadCheck(protocol, request, backend_request, on_response, receiver)
     transfer = Transfer(
         request.method,
         f"http://{candidate.address}{request.target}",
@@ -106,51 +173,55 @@
         omit_default_headers=True,
         caller_connection=request.connection,
         on_stall=on_stall,
+        on_any_head=head_check.on_any_head,
+        should_stop=lambda: bool(head_check.problem or (receiver is not None and receiver.problem)),
+        max_body_bytes=max_body_bytes,
     )
-    heads: list[ResponseHead] = []
-
-    def on_any_head(status: int, headers_by_name: dict[str, str]) -> None:
-        heads[:] = [protocol.decode_response(status, headers_by_name)]
-        if on_response is not None:
-            on_response(heads[0])
-
-    transfer.on_any_head = on_any_head
     if receiver is not None:
-        transfer.on_head, transfer.on_data = receiver.on_head, receiver.on_data
-        transfer.progress_at, transfer.should_stop = receiver.progress_at, lambda: bool(receiver.problem)
+        transfer.on_head, transfer.on_data = head_check.on_head, head_check.on_data
+        transfer.progress_at = receiver.progress_at
     started = time.monotonic()
     result = fetch(transfer)
-    took_s = time.monotonic() - started
-    if heads and heads[0].status == result.status:
-        response = heads[0]
-    else:  # none, or one that broke off
-        response = protocol.decode_response(result.status, result.headers_by_name) if result.status else None
-    if receiver is not None and receiver.problem and (result.is_complete or result.error == "stopped"):
+    return _attempt_result(head_check, receiver, result, time.monotonic() - started)
+
+
+def _attempt_result(
+    head_check: _HeadCheck, receiver: BodyReceiver | None, result: TransferResult, took_s: float
+) -> AttemptResult:
+    response = head_check.response
+    if response is None or response.status != result.status:  # none, or one that broke off
+        response = head_check.decode(result) if result.status else None
+    problem = head_check.problem or (receiver.problem if receiver is not None else "")
+    if problem and (result.is_complete or result.error == "stopped"):
         # The last bytes of a response can make it both invalid and complete.
-        result.error, result.detail, result.verdict = "stopped", receiver.problem, Verdict.MAY_HAVE_RUN
-    outcome, detail = _outcome(request, backend_request, result, response)
-    is_other = response is not None and response.request_id not in ("", request.id)
-    connection_lost = outcome is Outcome.BROKEN and result.error == "broken" and not is_other
-    return AttemptResult(outcome, response, result.body, detail, took_s, connection_lost)
+        result.error, result.detail, result.verdict = "stopped", problem, Verdict.MAY_HAVE_RUN
+    outcome, detail = _outcome(head_check, result, response)
+    is_other = response is not None and response.request_id not in ("", head_check.request.id)
+    lacks_memory = receiver is not None and receiver.lacks_memory
+    return AttemptResult(
+        outcome,
+        response,
+        result.body,
+        detail,
+        took_s,
+        connection_lost=outcome is Outcome.BROKEN and result.error == "broken" and not is_other,
+        is_oversized=result.error == "too_large"
+        or (receiver is not None and bool(receiver.problem) and not lacks_memory),
+        lacks_memory=lacks_memory,
+    )
 
 
-def _outcome(
-    request: CallerRequest, backend_request: BackendRequest, result: TransferResult, response: ResponseHead | None
-) -> tuple[Outcome, str]:
+def _outcome(head_check: _HeadCheck, result: TransferResult, response: ResponseHead | None) -> tuple[Outcome, str]:
     if result.error == "gone":
         return Outcome.GONE, result.detail
-    if response is not None and response.request_id not in ("", request.id):
+    if response is not None and response.request_id not in ("", head_check.request.id):
         return Outcome.BROKEN, f"the answer is for request {response.request_id}"
     if result.is_complete:
-        if response is None or response.request_id != request.id:
+        if response is None:
             return Outcome.BROKEN, "the answer names no request"
         # Believed only in a complete answer to this very request: any other may repeat an earlier refusal.
         if response.not_run:
             return Outcome.REJECTED, f"status {response.status}, not run"
-        if response.status < 300 and not response.stamped and not backend_request.prefill:
-            return Outcome.BROKEN, "a success without the server's proof"
-        if response.status in _NOT_RUN_STATUSES:
-            return Outcome.BROKEN, f"status {response.status} without the statement that it has not run"
         return Outcome.ANSWERED, f"status {response.status}"
     if result.verdict is Verdict.NOT_RUN:
         return Outcome.UNREACHED, result.detail
--- a/libs/arbutusrill_gateway/_event_relay.py
+++ b/libs/arbutusrill_gateway/_event_relay.py
@@ -25,13 +25,14 @@
 class EventRelay(BodyReceiver):
     """Forwards the events of a stream to the caller; incomplete events are buffered, up to `_MAX_EVENT_BYTES`.
 
+    What is buffered has its room in the memory of the exchange; the attempt ends if there is none.
     `last_id` is the id of the last event forwarded. Events up to it are dropped if a resumed stream repeats them, and
     do not count as progress.
     """
 
     def __init__(self, exchange: Exchange):
         self._exchange = exchange
-        self._buffer = b""
+        self._buffer = bytearray()
         self._scanned_bytes = 0  # prefix of the buffer that holds no end of an event
         self._response_head: ResponseHead | None = None
         self._progress_at = time.monotonic()
@@ -52,7 +53,7 @@
         response = self._exchange.protocol.decode_response(status, headers_by_name)
         matches = response.request_id == self._exchange.request.id
         is_stream = headers_by_name.get("content-type", _EVENT_STREAM).lower().startswith(_EVENT_STREAM)
-        self._buffer, self._scanned_bytes = b"", 0
+        self._drop_buffer()
         self._progress_at = time.monotonic()
         self._response_head = (
             response if matches and is_stream and response.stamped and status == 200 and not response.not_run else None
@@ -60,8 +61,9 @@
 
     def begin_attempt(self) -> None:
         """Forgets what an earlier attempt received, except for the events that were forwarded."""
-        self.problem = ""
+        self.problem, self.lacks_memory = "", False
         self.non_stream_body.clear()
+        self._drop_buffer()
         self._non_stream_bytes = 0
         self._has_event = False
         self._attempt_event_count, self._is_prompt_sound = 0, False
@@ -79,9 +81,23 @@
         if events:
             self._forward(b"".join(events))
             self._record_prompt_events(len(events))
-        if len(self._buffer) > _MAX_EVENT_BYTES:
-            self.problem = f"an event exceeds {_MAX_EVENT_BYTES} bytes"
-            self._buffer = b""
+        self._exchange.memory.shrink(len(self._buffer))
+        self._check_size(len(self._buffer), "an event")
+
+    def _check_size(self, size: int, part: str) -> None:
+        """Ends the attempt if what is kept of its response exceeds its limit or the memory."""
+        if size > _MAX_EVENT_BYTES:
+            self.problem = f"{part} exceeds {_MAX_EVENT_BYTES} bytes"
+        elif not self._exchange.has_room_for(size):
+            self.problem, self.lacks_memory = f"no memory for {part} of {size} bytes", True
+        if self.problem:
+            self.non_stream_body.clear()
+            self._drop_buffer()
+
+    def _drop_buffer(self) -> None:
+        self._buffer.clear()
+        self._scanned_bytes = 0
+        self._exchange.memory.shrink(0)
 
     def _record_prompt_events(self, new_count: int) -> None:
         """Records the progress of this attempt until it shows that the prompt is sound."""
@@ -95,18 +111,15 @@
 
     def _collect_non_stream(self, data: bytes) -> None:
         self._non_stream_bytes += len(data)
-        if self._non_stream_bytes > _MAX_EVENT_BYTES:
-            self.problem = f"a response that is not a stream exceeds {_MAX_EVENT_BYTES} bytes"
-            self.non_stream_body.clear()
-            return
         self.non_stream_body.append(data)
+        self._check_size(self._non_stream_bytes, "a response that is not a stream")
 
     def _take_events(self) -> list[bytes]:
         """Removes the complete events from the buffer and returns the new ones."""
         events, start = [], 0
         search_from = max(0, self._scanned_bytes - len(b"\r\n\r"))
         while separator := _END_OF_EVENT.search(self._buffer, search_from):
-            event, start = self._buffer[start : separator.end()], separator.end()
+            event, start = bytes(self._buffer[start : separator.end()]), separator.end()
             search_from = start
             if not _EVENT.fullmatch(event):
                 self.problem = "a line of an event is no field"
@@ -123,7 +136,7 @@
             events.append(event)
             self.forwarded_count += 1
             self._progress_at = time.monotonic()
-        self._buffer = self._buffer[start:]
+        del self._buffer[:start]
         self._scanned_bytes = len(self._buffer)
         return events
 
@@ -154,8 +167,8 @@
         if self._response_head is None:
             return False
         if self._buffer or not self._exchange.responder.status:
-            self._forward(self._buffer)
-            self._buffer = b""
+            self._forward(bytes(self._buffer))
+            self._drop_buffer()
         return True
 
     def _forward(self, data: bytes) -> None:
--- a/libs/arbutusrill_gateway/_exchange.py
+++ b/libs/arbutusrill_gateway/_exchange.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from arbutusrill_base import EventLog, Failure, FailureError, RetryBudget, Verdict
+from arbutusrill_http import BodyBudget, BodyReservation
 from arbutusrill_site import Route, Service, Workspace
 
 from ._attempt import AttemptResult
@@ -34,7 +35,7 @@
     `deadline` and `started` are on the monotonic clock. `attempt_count` is the number of attempts that count towards
     the route's maximum; prefills and connection failures that are retried at once do not. `verdict` combines the
     verdicts of all attempts, `tried` holds the ids of backend servers to exclude, and `trail` lists every attempt for
-    the request log.
+    the request log. `memory` holds what is reserved for the body of the response.
     """
 
     request: CallerRequest
@@ -55,6 +56,11 @@
     first_event_s: float | None = None
     is_retry_reserved: bool = False
     prompt_guard: PromptGuard | None = None
+    memory: BodyReservation = field(default_factory=lambda: BodyBudget(None).open("", is_response=True))
+
+    def has_room_for(self, size: int) -> bool:
+        """Reserves memory for a body of `size` bytes, in steps that double; returns False if there is none."""
+        return size <= self.memory.size or self.memory.grow(1 << (size - 1).bit_length(), 0.0)
 
     def remaining_s(self) -> float:
         """Seconds until the caller's deadline or the route's time limit, whichever comes first."""
--- a/libs/arbutusrill_gateway/_gateway.py
+++ b/libs/arbutusrill_gateway/_gateway.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from arbutusrill_base import EventLog, FailureError, RetryBudget, Verdict
-from arbutusrill_http import AbortStreamError
+from arbutusrill_http import AbortStreamError, BodyBudget, BodyReservation
 from arbutusrill_limits import FleetRateLimiter
 from arbutusrill_site import Route, RouteKind, SiteConfiguration, SiteView, Workspace
 
@@ -38,7 +38,8 @@
     `retry_fraction` and `retry_reserve` are the parameters of this VM's retry budget for each service. The reserve is
     a function because the number of VMs that share the deployment's reserve changes. If `max_view_age_s` is set,
     requests that need a key are refused while the view is older, since revoked keys could still be accepted.
-    `prompt_guard` refuses streams whose prompts crash engines.
+    `prompt_guard` refuses streams whose prompts crash engines. `body_budget` bounds the memory of responses that are
+    kept, until they are written to their callers.
     """
 
     def __init__(
@@ -53,6 +54,7 @@
         retry_reserve: Callable[[], float],
         max_view_age_s: float | None = None,
         prompt_guard: PromptGuard | None = None,
+        body_budget: BodyBudget | None = None,
     ):
         self._view = view
         self._pool = pool
@@ -64,6 +66,7 @@
         self._retry_reserve = retry_reserve
         self._max_view_age_s = max_view_age_s
         self._prompt_guard = prompt_guard
+        self._body_budget = body_budget or BodyBudget(None)
         self._lock = threading.Lock()
         self._budget_by_service: dict[str, RetryBudget] = {}
         self._accepts_all_until = self._shutdown_at = math.inf  # finite once `drain` was called
@@ -107,7 +110,8 @@
         if refusal is not None:
             self._refuse(request, responder, refusal, started, route, workspace)
             return
-        self._relay(configuration, route, workspace, request, responder, started)
+        with self._body_budget.open(workspace.name if workspace else "", is_response=True) as memory:
+            self._relay(configuration, route, workspace, request, responder, started, memory)
 
     def _wait_for_configuration(self, request: CallerRequest) -> SiteConfiguration | None:
         """Returns the configuration, or None if none arrives in time; after a start, waits for the first one."""
@@ -161,6 +165,7 @@
         request: CallerRequest,
         responder: Responder,
         started: float,
+        memory: BodyReservation,
     ) -> None:
         service = configuration.services_by_name[route.pick_service()]
         limit_s = _time_limit_s(route, request)
@@ -179,6 +184,7 @@
             started + limit_s,
             started,
             prompt_guard=self._prompt_guard,
+            memory=memory,
         )
         ending = ""
         try:
--- a/libs/arbutusrill_gateway/_metrics.py
+++ b/libs/arbutusrill_gateway/_metrics.py
@@ -46,7 +46,7 @@
             registry=self.registry,
         )
         self._body_bytes = Gauge(
-            "arbutusrill_body_bytes", "Memory reserved for bodies of requests.", registry=self.registry
+            "arbutusrill_body_bytes", "Memory reserved for bodies of requests and responses.", registry=self.registry
         )
         self._body_budget_bytes = Gauge(
             "arbutusrill_body_budget_bytes", "Memory that bodies may take.", registry=self.registry
@@ -54,6 +54,11 @@
         self._bodies_refused = Gauge(
             "arbutusrill_bodies_refused", "Requests refused for want of memory since the start.", registry=self.registry
         )
+        self._responses_without_memory = Gauge(
+            "arbutusrill_responses_without_memory",
+            "Responses that were not kept for want of memory since the start.",
+            registry=self.registry,
+        )
         self.quiet_backends = Gauge(
             "arbutusrill_backends_quiet",
             "Backend servers that this VM sends nothing for the time that they asked for.",
@@ -61,10 +66,11 @@
         )
 
     def record_bodies(self, budget: BodyBudget) -> None:
-        """Sets the gauges of the memory for bodies of requests."""
+        """Sets the gauges of the memory for bodies of requests and responses."""
         self._body_bytes.set(budget.held_bytes)
         self._body_budget_bytes.set(budget.total_bytes or 0)
         self._bodies_refused.set(budget.refused_count)
+        self._responses_without_memory.set(budget.refused_response_count)
 
     def record_request(self, route: str, status: int, took_s: float, first_event_s: float | None) -> None:
         """Counts a finished request; `status` 0 means that its connection was closed without a response."""
--- a/libs/arbutusrill_gateway/_plain.py
+++ b/libs/arbutusrill_gateway/_plain.py
@@ -1,4 +1,4 @@
-"""Relay of requests whose response is buffered and delivered as a whole, unless it is large."""
+"""Relay of requests whose response is buffered and delivered as a whole, unless it is large or memory is short."""
 
 from __future__ import annotations
 
@@ -17,7 +17,7 @@
 __all__ = ["relay_plain"]
 
 _MAX_BUFFERED_BYTES = 1_048_576  # a larger response is forwarded while it arrives and cannot be retried
-
+_MAX_REFUSAL_BYTES = 64 * 1024  # of the body of a statement that the request has not run, which is not kept
 _MAX_UNREACHED = 4  # unreachable backend servers per request
 _RETRY_AFTER_S = 0.1
 # Fractions of the remaining time: for the wait while a new leader collects the backend servers or while all of them are
@@ -27,7 +27,7 @@
 
 
 class _ResponseRelay(BodyReceiver):
-    """Buffers a response; forwards it once it exceeds `_MAX_BUFFERED_BYTES`, if it is a valid answer."""
+    """Buffers a response; forwards it once it exceeds `_MAX_BUFFERED_BYTES` or the memory, if it is a valid answer."""
 
     def __init__(self, exchange: Exchange):
         self._exchange = exchange
@@ -41,10 +41,12 @@
         """Whether the response to the caller has begun."""
         return bool(self._exchange.responder.status)
 
-    @property
-    def body(self) -> bytes:
-        """The buffered body; empty once the response to the caller has begun."""
-        return b"".join(self._chunks)
+    def take_body(self) -> bytes:
+        """Returns the buffered body and drops its parts; empty once the response to the caller has begun."""
+        self._exchange.memory.shrink(self._size_bytes)
+        body = b"".join(self._chunks)
+        self._chunks.clear()
+        return body
 
     def on_head(self, status: int, headers_by_name: dict[str, str]) -> None:
         """Stores the head."""
@@ -57,20 +59,30 @@
         if self.begun:
             self._exchange.responder.write(data)
             return
-        self._chunks.append(data)
+        if self.problem:
+            return
         self._size_bytes += len(data)
-        if self._size_bytes > _MAX_BUFFERED_BYTES and not self.problem:
-            self._begin_forwarding()
-
-    def _begin_forwarding(self) -> None:
-        response = self._response
-        is_answer = response.request_id == self._exchange.request.id and not response.not_run and response.status < 500
-        if is_answer and (response.stamped or response.status >= 300):
-            self._exchange.responder.send_head(response.status, response.headers)
-            self._exchange.responder.write(self.body)
+        if self._response.not_run:
+            if self._size_bytes > _MAX_REFUSAL_BYTES:
+                self.problem = f"a refusal with a body of more than {_MAX_REFUSAL_BYTES} bytes"
+            return
+        self._chunks.append(data)
+        if self._size_bytes > _MAX_BUFFERED_BYTES:
+            self._end_buffering(f"status {self._response.status} with a body of more than {_MAX_BUFFERED_BYTES} bytes")
+        elif not self._exchange.has_room_for(self._size_bytes):
+            self.lacks_memory = self._response.status >= 500
+            self._end_buffering(f"no memory for a body of {self._size_bytes} bytes with status {self._response.status}")
+
+    def _end_buffering(self, reason: str) -> None:
+        """Forwards an answer while it arrives from now on; an error, which may be followed by a retry, ends."""
+        if self._response.status < 500:
+            self._exchange.responder.send_head(self._response.status, self._response.headers)
+            for chunk in self._chunks:
+                self._exchange.responder.write(chunk)
         else:
-            self.problem = f"status {response.status} with a body of more than {_MAX_BUFFERED_BYTES} bytes"
+            self.problem = reason
         self._chunks.clear()
+        self._exchange.memory.shrink(0)
 
     def progress_at(self) -> float:
         """Returns when the last part of the response arrived."""
@@ -122,6 +134,7 @@
         is_sound = other is not None and other.id not in exchange.pool.avoided_ids()
         return is_sound and exchange.reserve_retry()
 
+    exchange.memory.shrink(0)
     relay = _ResponseRelay(exchange)
     backend_request = exchange.backend_request(candidate)
     try:
@@ -140,7 +153,7 @@
     except OSError:  # from the connection of the caller, while a large response is forwarded
         exchange.verdict = exchange.verdict.combine(Verdict.MAY_HAVE_RUN)
         raise exchange.caller_gone_error() from None
-    result.body = relay.body
+    result.body = relay.take_body()
     return result
 
 
@@ -157,7 +170,8 @@
         pool.record_success(candidate.record, result.took_s)
         exchange.responder.send_response(response.status, response.headers, result.body)
         return True
-    pool.record_failure(candidate.record, result.detail, avoid=result.outcome is Outcome.TIMEOUT)
+    is_avoided = result.outcome is Outcome.TIMEOUT or result.is_oversized
+    pool.record_failure(candidate.record, result.detail, avoid=is_avoided)
     may_repeat = result.outcome is Outcome.REJECTED or exchange.route.kind is RouteKind.IDEMPOTENT
     if may_repeat and exchange.acquire_retry():
         return False
--- a/libs/arbutusrill_gateway/_prefill.py
+++ b/libs/arbutusrill_gateway/_prefill.py
@@ -16,6 +16,7 @@
 _MAX_TRIES = 2  # a further prefill engine is tried only if the one before was unreachable
 _MAX_PREFILL_S = 1.5  # after this time the decode engine processes the prompt itself
 _RELEASE_TIMEOUT_S = 0.5
+_MAX_BODY_BYTES = 8 * 1024  # of responses, which have a few fields
 _events = EventLog("prefill")
 
 
@@ -46,6 +47,7 @@
                 candidate,
                 limit_s,
                 on_response=exchange.response_observer(candidate),
+                max_body_bytes=_MAX_BODY_BYTES,
             )
         exchange.record_prefill_attempt(candidate, result)
         if result.outcome is Outcome.GONE:
@@ -94,6 +96,7 @@
             timeout_s=_RELEASE_TIMEOUT_S,
             connect_s=_RELEASE_TIMEOUT_S,
             omit_default_headers=True,
+            max_body_bytes=_MAX_BODY_BYTES,
         )
     )
     _events.emit("handle_released", request=exchange.request.id, handle=kv_cache.handle, status=result.status)
--- a/libs/arbutusrill_gateway/_stream.py
+++ b/libs/arbutusrill_gateway/_stream.py
@@ -334,7 +334,8 @@
         exchange.pool.record_failure(candidate.record, result.detail, avoid=False)
         return
     exchange.tried.add(candidate.id)
-    exchange.pool.record_failure(candidate.record, result.detail, avoid=result.outcome is not Outcome.ANSWERED)
+    is_avoided = result.outcome is not Outcome.ANSWERED and not result.lacks_memory
+    exchange.pool.record_failure(candidate.record, result.detail, avoid=is_avoided)
 
 
 def _refuse_or_abort(exchange: Exchange, code: str, message: str, retry_after_s: float) -> None:
--- a/libs/arbutusrill_gateway/tests/test_faulty_backends.py
+++ b/libs/arbutusrill_gateway/tests/test_faulty_backends.py
@@ -8,7 +8,7 @@
 
 import pytest
 from arbutusrill_base import RetryBudget, SystemClock, Verdict
-from arbutusrill_http import AbortStreamError
+from arbutusrill_http import AbortStreamError, BodyBudget
 from arbutusrill_site import Engine, Route, RouteKind, Service, Target
 from arbutusrill_wire import messages
 
@@ -126,6 +126,7 @@
     method="POST",
     placements=None,
     prompt_guard=None,
+    body_budget=None,
 ):
     """Relays one request to `backends`; returns the caller, the exchange and whether the response was aborted.
 
@@ -162,10 +163,11 @@
         prompt_guard=prompt_guard,
     )
     aborted = False
-    try:
-        (relay_stream if stream else relay_plain)(exchange)
-    except AbortStreamError:
-        aborted = True
+    with (body_budget or BodyBudget(None)).open("clinic", is_response=True) as exchange.memory:
+        try:
+            (relay_stream if stream else relay_plain)(exchange)
+        except AbortStreamError:
+            aborted = True
     return caller, exchange, aborted
 
 
--- a/libs/arbutusrill_http/_body_budget.py
+++ b/libs/arbutusrill_http/_body_budget.py
@@ -16,6 +16,7 @@
 _SMALL_BYTES = 64 * 1024  # bodies up to this size have a share of their own, so that large ones cannot delay them
 _SMALL_FRACTION = 0.125
 _OWNER_FRACTION = 0.75  # largest share of one owner, such as a workspace
+_RESPONSE_FRACTION = 0.5  # largest share of responses: most can be forwarded without room, requests cannot
 _COPIES = 2  # a body is assembled from its pieces, so that it takes its size twice for a moment
 _MEMORY_FRACTION = 0.3  # of the memory of a process
 _MIN_MEMORY_MB = 150  # of the smallest VM, where no limit is known
@@ -76,6 +77,8 @@
 
     A body that finds no room waits unread, in order of arrival; those of an owner that holds its largest share are
     passed by those of others. Small bodies have a share that large ones cannot use, and very small ones need no room.
+    Responses hold half of the memory at most, so that faulty backend servers do not keep requests out, and pass the
+    bodies of requests that wait.
 
     >>> budget = BodyBudget(1024 * 1024)
     >>> with budget.open("clinic") as reservation:
@@ -88,7 +91,7 @@
         self._changed = threading.Condition()
         self._waiting: deque[BodyReservation] = deque()
         self._held_by_owner: dict[str, int] = {}
-        self._large_bytes = self._small_bytes = 0
+        self._large_bytes = self._small_bytes = self._response_bytes = 0
         self.refused_count = self.refused_response_count = 0
 
     @classmethod
@@ -145,10 +148,12 @@
 
     def _has_room(self, reservation: BodyReservation) -> bool:
         added = (reservation.wanted - reservation.size) * _COPIES
+        if reservation.is_response and self._response_bytes + added > _RESPONSE_FRACTION * self.total_bytes:
+            return False
         if reservation.wanted <= _SMALL_BYTES:
             small_limit = _SMALL_FRACTION * self.total_bytes
             return self._small_bytes + added <= max(small_limit, self.total_bytes - self._large_bytes)
-        is_first = not any(
+        is_first = reservation.is_response or not any(
             self._is_within_share(other)
             for other in itertools.takewhile(lambda other: other is not reservation, self._waiting)
             if other.wanted > _SMALL_BYTES
@@ -176,6 +181,8 @@
             self._large_bytes += added
         else:
             self._small_bytes += added
+        if reservation.is_response:
+            self._response_bytes += added
         held = self._held_by_owner.get(reservation.owner, 0) + added
         if held:
             self._held_by_owner[reservation.owner] = held
--- a/libs/arbutusrill_http/_writer.py
+++ b/libs/arbutusrill_http/_writer.py
@@ -2,17 +2,21 @@
 
 from __future__ import annotations
 
+import socket
 from collections.abc import Callable
 from typing import Any
 
 __all__ = ["ResponseWriter"]
 
 
+_MAX_JOINED_BYTES = 64 * 1024  # larger parts of a body are sent without a copy that joins them to their head
+
+
 class ResponseWriter:
     """Writes one WSGI response, with chunked encoding if it has no Content-Length.
 
-    Each `write` makes one send. `handler` is the request handler of the connection; its `close_connection` says
-    whether the connection closes after the response.
+    Each `write` makes one send, unless its part of the body is large. `handler` is the request handler of the
+    connection; its `close_connection` says whether the connection closes after the response.
     """
 
     def __init__(self, handler: Any):
@@ -64,10 +68,17 @@
         head = b"" if self.head_sent else self._build_head()
         if not self._has_body:
             data = b""
-        elif data and self._chunked:
-            data = b"%x\r\n%b\r\n" % (len(data), data)
-        if head or data:
-            self._send(head + data)
+        tail = b""
+        if data and self._chunked:
+            head, tail = b"%b%x\r\n" % (head, len(data)), b"\r\n"
+        if len(data) > _MAX_JOINED_BYTES:
+            if head:
+                self._send(head, socket.MSG_MORE)
+            self._send(data, socket.MSG_MORE if tail else 0)
+            if tail:
+                self._send(tail)
+        elif head or data:
+            self._send(b"%b%b%b" % (head, data, tail))
 
     def finish(self) -> None:
         """Writes the head if it has not been sent, and the final chunk of a chunked body."""
@@ -76,9 +87,9 @@
         if self._chunked:
             self._send(b"0\r\n\r\n")
 
-    def _send(self, data: bytes) -> None:
+    def _send(self, data: bytes, flags: int = 0) -> None:
         try:
-            self._handler.connection.sendall(data)
+            self._handler.connection.sendall(data, flags)
         except OSError as error:
             self.has_failed = True
             if isinstance(error, BlockingIOError):
