--- a/libs/arbutusrill_gateway/__init__.py
+++ b/libs/arbutusrill_gateway/__init__.py
@@ -1,6 +1,7 @@
 """Reverse proxy for opaque requests: routing, admission, backend selection, retries and response streaming."""
 
 from ._backends import BackendPool, Candidate
+from ._configuration_change import apply_configuration
 from ._gateway import Gateway
 from ._metrics import GatewayMetrics
 from ._placement import PlacementClient
@@ -24,5 +25,6 @@
     "Refusal",
     "Responder",
     "ResponseHead",
+    "apply_configuration",
     "stop_in_time",
 ]
--- a/libs/arbutusrill_gateway/_metrics.py
+++ b/libs/arbutusrill_gateway/_metrics.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 from arbutusrill_http import BodyBudget, ConnectionEndings
+from arbutusrill_site import SiteView
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
+from ._backends import BackendPool
+
 __all__ = ["GatewayMetrics"]
 
 _BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5, 0.9, 1.5, 3.0, 6.0, 14.0)
@@ -32,15 +35,15 @@
             buckets=_BUCKETS_S,
             registry=self.registry,
         )
-        self.view_age = Gauge("arbutusrill_view_age_seconds", "Age of the confirmed view.", registry=self.registry)
-        self.barred_part_sets = Gauge(
+        self._view_age = Gauge("arbutusrill_view_age_seconds", "Age of the confirmed view.", registry=self.registry)
+        self._barred_part_sets = Gauge(
             "arbutusrill_barred_part_sets", "Sets of parts of prompts that are barred.", registry=self.registry
         )
-        self.suspected_parts = Gauge(
+        self._suspected_parts = Gauge(
             "arbutusrill_suspected_parts", "Parts of prompts involved in crashes of engines.", registry=self.registry
         )
-        self.version = Gauge("arbutusrill_config_version", "Version in force on this VM.", registry=self.registry)
-        self.draining_backends = Gauge(
+        self._version = Gauge("arbutusrill_config_version", "Version in force on this VM.", registry=self.registry)
+        self._draining_backends = Gauge(
             "arbutusrill_backends_draining",
             "Backend servers that this VM sends nothing since they said in an answer that they drain.",
             registry=self.registry,
@@ -71,26 +74,39 @@
             "Responses that were not kept for want of memory since the start.",
             registry=self.registry,
         )
-        self.quiet_backends = Gauge(
+        self._quiet_backends = Gauge(
             "arbutusrill_backends_quiet",
             "Backend servers that this VM sends nothing for the time that they asked for.",
             registry=self.registry,
         )
 
-    def record_bodies(self, budget: BodyBudget) -> None:
+    def _record_bodies(self, budget: BodyBudget) -> None:
         """Sets the gauges of the memory for bodies of requests and responses."""
         self._body_bytes.set(budget.held_bytes)
         self._body_budget_bytes.set(budget.total_bytes or 0)
         self._bodies_refused.set(budget.refused_count)
         self._responses_without_memory.set(budget.refused_response_count)
 
-    def record_endings(self, endings: ConnectionEndings) -> None:
+    def _record_endings(self, endings: ConnectionEndings) -> None:
         """Sets the gauges of callers' connections that have ended and of requests rejected before they were routed."""
         for reason, count in endings.by_reason().items():
             self._connections_ended.labels(reason).set(count)
         for code, count in endings.by_code().items():
             self._requests_rejected.labels(code).set(count)
 
+    def _record_view(self, view: SiteView) -> None:
+        """Sets the gauges of the configuration in force and of the parts of prompts that crash engines."""
+        self._version.set(view.version)
+        self._view_age.set(view.age_s() if view.version else -1)
+        self._barred_part_sets.set(len(view.prompt_bars.barred))
+        self._suspected_parts.set(len(view.prompt_bars.suspected))
+
+    def _record_backends(self, pool: BackendPool) -> None:
+        """Sets the gauges of the backend servers that this VM sends nothing."""
+        draining_count, quiet_count = pool.restricted_counts()
+        self._draining_backends.set(draining_count)
+        self._quiet_backends.set(quiet_count)
+
     def record_request(self, route: str, status: int, took_s: float, first_event_s: float | None) -> None:
         """Counts a finished request; `status` 0 means that its connection was closed without a response."""
         self._requests.labels(route, str(status)).inc()
@@ -98,6 +114,10 @@
         if first_event_s is not None:
             self._time_to_first_event.labels(route).observe(first_event_s)
 
-    def expose(self) -> bytes:
-        """Returns the metrics in the Prometheus text format."""
+    def expose(self, view: SiteView, pool: BackendPool, budget: BodyBudget, endings: ConnectionEndings) -> bytes:
+        """Returns the metrics in the Prometheus text format, with the gauges of the present state."""
+        self._record_view(view)
+        self._record_backends(pool)
+        self._record_bodies(budget)
+        self._record_endings(endings)
         return generate_latest(self.registry)
--- a/libs/arbutusrill_http/_server.py
+++ b/libs/arbutusrill_http/_server.py
@@ -312,6 +312,11 @@
             self._server.shutdown()
             self._server.server_close()
 
+    @property
+    def limits(self) -> HttpLimits:
+        """The limits in force."""
+        return self._server.limits
+
     def set_limits(self, limits: HttpLimits) -> None:
         """Changes the limits for later requests and for idle connections.
 
