http: reject a request that cannot be parsed once

Change: http.server's send_error raises the rejection, which is sent once the head's reader has been replaced.

--- a/libs/arbutusrill_http/_handler.py
+++ b/libs/arbutusrill_http/_handler.py
@@ -227,7 +227,7 @@
     def send_error(self, code: int, message: str | None = None, explain: str | None = None) -> None:
         """Rejects a request that `http.server` cannot parse, with a JSON body instead of HTML."""
         phrase = message or HTTPStatus(code).phrase
-        self._reject(_RequestError(int(code), "bad_request", phrase))
+        raise _RequestError(int(code), "bad_request", phrase)
 
     def _check_headers(self) -> None:
         limits = self.server.limits
--- a/libs/arbutusrill_http/tests/test_endings.py
+++ b/libs/arbutusrill_http/tests/test_endings.py
@@ -65,3 +65,19 @@
         while server.open_connections() and time.monotonic() < deadline:
             time.sleep(0.01)
     assert endings.by_reason() == {"caller": 1}
+
+
+@pytest.mark.parametrize(
+    "data",
+    [GET % (b"X: 1\r\n" * 101), b"GET /x HTTP/x\r\n\r\n", GET % (b"X: " + b"x" * 70_000 + b"\r\n")],
+)
+def test_request_that_cannot_be_parsed_is_rejected_once(data):
+    # The rejection of a head with too many fields failed half-way and was followed by one as an internal error.
+    endings = ConnectionEndings()
+    with HttpServer("127.0.0.1", 0, app, HttpLimits(header_bytes=100_000), endings=endings) as server:
+        host, port = server.address.split(":")
+        with socket.create_connection((host, int(port)), timeout=10) as connection:
+            connection.sendall(data)
+            response = connection.makefile("rb").read()
+    assert response.startswith(b"HTTP/1.1 4") and response.count(b"HTTP/1.1") == 1
+    assert endings.by_code() == {"bad_request": 1}
