gateway: answers that pause give up their memory, and are not forwarded

Callers saw: with the budget for responses, most callers of a runner whose answers never end got the beginning of such an answer as a 200 that was cut off at their deadline, and idempotent requests lost their retry: without room, an answer was forwarded at once, and nothing told a faulty runner's from a sound one's.

Cause: the answers that pause held the memory until their deadline, and the decision was made before anything was known of the server.

Change: a response waits up to 0.5 s for room, unread. One that holds room, pauses for 0.4 s and has others waiting ends: 502 or a retry, and its server is avoided for a while. Answers of a server that is avoided are not forwarded for want of room. Sound answers are still forwarded if the wait is in vain.

--- a/libs/arbutusrill_gateway/_attempt.py
+++ b/libs/arbutusrill_gateway/_attempt.py
@@ -25,7 +25,7 @@
     """Receives the response of one attempt while it arrives.
 
     `problem` is empty, or says why the response is not read any further, which ends the attempt; `lacks_memory` is true
-    if it is too large for this process at the moment, and not for any answer.
+    if the only reason is the memory of this process at the moment, which is no fault of the backend server.
     """
 
     problem: str = ""
@@ -39,6 +39,10 @@
     def on_data(self, data: bytes) -> None:
         """Processes a part of the body."""
 
+    def should_stop(self) -> bool:
+        """Returns whether the attempt ends now; called at intervals and after each part of the response."""
+        return bool(self.problem)
+
     @abc.abstractmethod
     def progress_at(self) -> float:
         """Returns when the response last made progress, on the monotonic clock."""
@@ -67,7 +71,7 @@
     """Result of a finished attempt. `response` is None if no response head was received.
 
     `connection_lost` is true if the backend server closed or reset the connection before its response was complete,
-    `is_oversized` if it sent more than any answer has, and `lacks_memory` if this process had no room for its response.
+    `is_faulty` if it sent what can be no answer, and `lacks_memory` if this process had no room for its response.
     """
 
     outcome: Outcome
@@ -76,7 +80,7 @@
     detail: str
     took_s: float
     connection_lost: bool = False
-    is_oversized: bool = False
+    is_faulty: bool = False
     lacks_memory: bool = False
 
 
@@ -174,7 +178,7 @@
         caller_connection=request.connection,
         on_stall=on_stall,
         on_any_head=head_check.on_any_head,
-        should_stop=lambda: bool(head_check.problem or (receiver is not None and receiver.problem)),
+        should_stop=lambda: bool(head_check.problem) or (receiver is not None and receiver.should_stop()),
         max_body_bytes=max_body_bytes,
     )
     if receiver is not None:
@@ -205,8 +209,7 @@
         detail,
         took_s,
         connection_lost=outcome is Outcome.BROKEN and result.error == "broken" and not is_other,
-        is_oversized=result.error == "too_large"
-        or (receiver is not None and bool(receiver.problem) and not lacks_memory),
+        is_faulty=result.error == "too_large" or (receiver is not None and bool(receiver.problem) and not lacks_memory),
         lacks_memory=lacks_memory,
     )
 
--- a/libs/arbutusrill_gateway/_backends.py
+++ b/libs/arbutusrill_gateway/_backends.py
@@ -196,6 +196,11 @@
             )
             return sorted(self._availability.restricted_ids(now).union(failing))
 
+    def is_avoided(self, record: Any) -> bool:
+        """Returns whether a backend server is avoided after a failure."""
+        with self._lock:
+            return self._availability.is_avoided(record, self._clock.monotonic())
+
     def is_usable(self, record: Any) -> bool:
         """Returns whether a backend server is still listed, has not restarted, is not draining and not quiet."""
         current = self._view.backends_by_id.get(record.id)
--- a/libs/arbutusrill_gateway/_exchange.py
+++ b/libs/arbutusrill_gateway/_exchange.py
@@ -58,9 +58,9 @@
     prompt_guard: PromptGuard | None = None
     memory: BodyReservation = field(default_factory=lambda: BodyBudget(None).open("", is_response=True))
 
-    def has_room_for(self, size: int) -> bool:
-        """Reserves memory for a body of `size` bytes, in steps that double; returns False if there is none."""
-        return size <= self.memory.size or self.memory.grow(1 << (size - 1).bit_length(), 0.0)
+    def has_room_for(self, size: int, wait_s: float = 0.0) -> bool:
+        """Reserves memory for a body of `size` bytes, in steps that double; returns False if there is none in time."""
+        return size <= self.memory.size or self.memory.grow(1 << (size - 1).bit_length(), wait_s)
 
     def remaining_s(self) -> float:
         """Seconds until the caller's deadline or the route's time limit, whichever comes first."""
--- a/libs/arbutusrill_gateway/_plain.py
+++ b/libs/arbutusrill_gateway/_plain.py
@@ -24,13 +24,22 @@
 # quiet, and for the silence after which a request is sent to another one.
 _BACKEND_WAIT_FRACTION = 0.4
 _STALL_FRACTION = 0.5
+# A response waits this long in all for memory, unread. One that holds memory and makes no progress for the second time
+# ends if others wait.
+_MEMORY_WAIT_S = 0.5
+_MAX_PAUSE_S = 0.4
 
 
 class _ResponseRelay(BodyReceiver):
-    """Buffers a response; forwards it once it exceeds `_MAX_BUFFERED_BYTES` or the memory, if it is a valid answer."""
+    """Buffers a response; forwards it once it exceeds `_MAX_BUFFERED_BYTES` or the memory, if it is a valid answer.
 
-    def __init__(self, exchange: Exchange):
+    What a server that is avoided sends is not forwarded for want of memory: its answers may have no end.
+    """
+
+    def __init__(self, exchange: Exchange, candidate: Candidate):
         self._exchange = exchange
+        self._candidate = candidate
+        self._memory_wait_s = _MEMORY_WAIT_S
         self._response: ResponseHead | None = None
         self._chunks: list[bytes] = []
         self._size_bytes = 0
@@ -69,13 +78,28 @@
         self._chunks.append(data)
         if self._size_bytes > _MAX_BUFFERED_BYTES:
             self._end_buffering(f"status {self._response.status} with a body of more than {_MAX_BUFFERED_BYTES} bytes")
-        elif not self._exchange.has_room_for(self._size_bytes):
-            self.lacks_memory = self._response.status >= 500
-            self._end_buffering(f"no memory for a body of {self._size_bytes} bytes with status {self._response.status}")
-
-    def _end_buffering(self, reason: str) -> None:
+        elif not self._has_room():
+            self.lacks_memory = True
+            reason = f"no memory for a body of {self._size_bytes} bytes with status {self._response.status}"
+            self._end_buffering(reason, self._exchange.pool.is_avoided(self._candidate.record))
+
+    def _has_room(self) -> bool:
+        has_room = self._exchange.has_room_for(self._size_bytes, min(self._memory_wait_s, self._exchange.remaining_s()))
+        now = time.monotonic()
+        self._memory_wait_s = max(0.0, self._memory_wait_s - (now - self._progress_at))
+        self._progress_at = now
+        return has_room
+
+    def should_stop(self) -> bool:
+        """Also ends a response that pauses while it holds memory for which others wait."""
+        pause_s = time.monotonic() - self._progress_at
+        if not (self.problem or self.begun) and pause_s > _MAX_PAUSE_S and self._exchange.memory.is_contended:
+            self.problem = f"no progress for {pause_s:.3g} s while others wait for memory"
+        return bool(self.problem)
+
+    def _end_buffering(self, reason: str, is_suspect: bool = False) -> None:
         """Forwards an answer while it arrives from now on; an error, which may be followed by a retry, ends."""
-        if self._response.status < 500:
+        if self._response.status < 500 and not is_suspect:
             self._exchange.responder.send_head(self._response.status, self._response.headers)
             for chunk in self._chunks:
                 self._exchange.responder.write(chunk)
@@ -135,7 +159,7 @@
         return is_sound and exchange.reserve_retry()
 
     exchange.memory.shrink(0)
-    relay = _ResponseRelay(exchange)
+    relay = _ResponseRelay(exchange, candidate)
     backend_request = exchange.backend_request(candidate)
     try:
         with exchange.pool.track_request(candidate.id, 0):
@@ -170,7 +194,7 @@
         pool.record_success(candidate.record, result.took_s)
         exchange.responder.send_response(response.status, response.headers, result.body)
         return True
-    is_avoided = result.outcome is Outcome.TIMEOUT or result.is_oversized
+    is_avoided = result.outcome is Outcome.TIMEOUT or result.is_faulty
     pool.record_failure(candidate.record, result.detail, avoid=is_avoided)
     may_repeat = result.outcome is Outcome.REJECTED or exchange.route.kind is RouteKind.IDEMPOTENT
     if may_repeat and exchange.acquire_retry():
--- a/libs/arbutusrill_gateway/tests/test_response_memory.py
+++ b/libs/arbutusrill_gateway/tests/test_response_memory.py
@@ -1,9 +1,13 @@
 """Guards what happens to responses that find no room in the memory of the process."""
 
+import threading
+
 import pytest
 from arbutusrill_http import BodyBudget
 from arbutusrill_site import RouteKind
 
+from arbutusrill_gateway import BackendPool
+
 from .test_faulty_backends import MIB, STREAM, WHOLE, Backend, Caller, chunk, event, head, relay, sends
 
 LARGE = 600_000
@@ -84,3 +88,36 @@
     caller, _, _ = relay(Backend(answer), body_budget=budget, caller=MeasuringCaller())
     assert len(caller.body) == LARGE
     assert held == [2 * LARGE] and budget.held_bytes == 0
+
+
+def test_answer_waits_for_room():
+    budget = BodyBudget(4 * MIB)
+    with budget.open("other", is_response=True) as other:
+        assert other.grow(MIB, 0.0)
+        timer = threading.Timer(0.2, lambda: other.shrink(0))
+        timer.start()
+        caller, _, _ = relay(Backend(large(200, "Stamp: 1")), body_budget=budget)
+        timer.join()
+    assert (caller.status, len(caller.body), budget.refused_response_count) == (200, LARGE, 0)
+
+
+def test_answer_that_pauses_gives_its_memory_to_others():
+    # Answers whose last bytes never came kept the memory from others until their deadline.
+    budget, grown = BodyBudget(4 * MIB), []
+    paused = Backend(sends(head(200, "Stamp: 1", f"Content-Length: {LARGE}") + bytes(LARGE - 1), pause_s=3.0))
+    with budget.open("other", is_response=True) as other:
+        waiting = threading.Timer(0.2, lambda: grown.append(other.grow(MIB, 2.0)))
+        waiting.start()
+        caller, exchange, _ = relay(
+            paused, Backend(sends(WHOLE)), kind=RouteKind.IDEMPOTENT, body_budget=budget, event_s=0.01, deadline_s=10.0
+        )
+        waiting.join()
+    assert (caller.body, grown) == (b"whole", [True])
+    assert exchange.pool.avoided_ids() == ["0"]
+
+
+def test_answer_of_an_avoided_server_is_not_forwarded_for_want_of_memory(full_budget, monkeypatch):
+    # Callers got the beginnings of answers that had no end.
+    monkeypatch.setattr(BackendPool, "is_avoided", lambda self, record: True)
+    caller, exchange, _ = relay(Backend(large(200, "Stamp: 1")), body_budget=full_budget)
+    assert caller.status == 502 and exchange.verdict.value == "may_have_run"
--- a/libs/arbutusrill_http/_body_budget.py
+++ b/libs/arbutusrill_http/_body_budget.py
@@ -62,6 +62,11 @@
     def __exit__(self, *_: object) -> None:
         self._budget.release(self)
 
+    @property
+    def is_contended(self) -> bool:
+        """Whether others wait for room while this one holds some."""
+        return bool(self.size) and self._budget.has_waiting
+
     def grow(self, size: int, wait_s: float) -> bool:
         """Raises the reservation to a body of `size` bytes, waiting at most `wait_s` seconds; returns False in vain."""
         return size <= max(self.size, _FREE_BYTES) or self._budget.acquire(self, size, wait_s)
@@ -108,6 +113,11 @@
         """Reserved bytes, all copies of the bodies included."""
         return self._large_bytes + self._small_bytes
 
+    @property
+    def has_waiting(self) -> bool:
+        """Whether a body waits for room."""
+        return bool(self._waiting)
+
     def open(self, owner: str, is_response: bool = False) -> BodyReservation:
         """Returns an empty reservation for the body of a request, or of a response of a backend server."""
         return BodyReservation(self, owner, is_response)
--- a/libs/arbutusrill_http/_transfer.py
+++ b/libs/arbutusrill_http/_transfer.py
@@ -41,8 +41,8 @@
 
     `on_head` gets the status and the headers, `on_any_head` also those of interim responses. `on_data` gets each part
     of the body as it arrives; without it the body is collected, and the transfer fails if it exceeds `max_body_bytes`
-    or finds no room in `memory`, which its owner releases. It also fails if the heads exceed 32 KiB, or if there are more
-    than 32 interim ones.
+    or finds no room in `memory`, which its owner releases. It also fails if the heads exceed 32 KiB, or if more than 32
+    of them are interim.
     `should_stop` is polled and cancels the transfer when it returns True. `caller_connection` is the connection of the
     caller; the transfer is cancelled when the caller closes it.
     `timeout_s` limits the whole transfer, `connect_s` the time to connect and `stall_s` the time without progress.
