http: open no more connections than there are descriptors for

Callers lost their kept connections, or got 500, when many of them were connected to a VM with few descriptors. Without a descriptor to wake it, an idle connection was closed although its caller had been told to keep it. Change: at most three quarters of the descriptors go to connections; beyond it, the longest idle one is closed.

--- a/libs/arbutusrill_http/_server.py
+++ b/libs/arbutusrill_http/_server.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import os
+import resource
 import socket
 import struct
 import threading
@@ -29,6 +30,9 @@
 _LINGER_S = 1.0
 _IDLE_EVICTION_FRACTION = 0.9  # of the connection limit, from which a new connection evicts an idle one
 _MIN_IDLE_S = 0.2  # younger idle connections are not evicted: their next request is probably in flight
+# Descriptors of a connection: its socket, one to wake it or to a backend server, and two of libcurl for its thread.
+_DESCRIPTORS_PER_CONNECTION = 4
+_DESCRIPTOR_FRACTION = 0.75  # of the descriptors of the process that connections may take
 _RESET_LINGER = struct.pack("ii", 1, 0)
 _log = PartLog("http")
 
@@ -37,8 +41,8 @@
 class HttpLimits:
     """Limits of an HTTP server. Times are in seconds, sizes in bytes.
 
-    When `connections` are open, `reserve` further ones are accepted, but only for paths that start with one of
-    `reserved_paths`.
+    `connections` is lowered if the process may not open enough descriptors. When they are open, `reserve` further ones
+    are accepted, but only for paths that start with one of `reserved_paths`.
     """
 
     connections: int = 256
@@ -164,13 +168,22 @@
                 connection.shutdown(socket.SHUT_RDWR)
         return active
 
+    def _max_connections(self) -> int:
+        """Returns how many connections may be open: without descriptors, all of them would be closed when idle."""
+        soft_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        if soft_limit == resource.RLIM_INFINITY:
+            return self.limits.connections
+        by_descriptors = int(_DESCRIPTOR_FRACTION * soft_limit) // _DESCRIPTORS_PER_CONNECTION
+        return max(1, min(self.limits.connections, by_descriptors))
+
     def process_request(self, request: Any, client_address: Any) -> None:
+        limit = self._max_connections()
         with self._lock:
-            reserved = len(self._reserved_by_connection) >= self.limits.connections
-            full = len(self._reserved_by_connection) >= self.limits.connections + self.limits.reserve
+            reserved = len(self._reserved_by_connection) >= limit
+            full = len(self._reserved_by_connection) >= limit + self.limits.reserve
             if not full:
                 self._reserved_by_connection[request] = reserved
-            near_limit = len(self._reserved_by_connection) >= _IDLE_EVICTION_FRACTION * self.limits.connections
+            near_limit = len(self._reserved_by_connection) >= _IDLE_EVICTION_FRACTION * limit
         if near_limit:
             self._evict_longest_idle()
         if full or self.tasks.start(self._serve_connection, request, client_address) is None:
