--- a/libs/arbutusrill_gateway/_planned_stop.py
+++ b/libs/arbutusrill_gateway/_planned_stop.py
@@ -20,7 +20,7 @@
 _EXIT_RESERVE_S, _EXIT_RESERVE_FRACTION = 0.8, 0.1  # time to exit: at most, and of the time until the process is killed
 # Before the connections are closed: requests without a backend server are refused, then requests without a response.
 _REFUSE_WAITING_S, _REFUSE_WAITING_FRACTION = 0.45, 0.15  # at most, and of the time until the process is killed
-_REFUSE_S, _REFUSE_FRACTION = 0.4, 0.05
+_REFUSE_S, _REFUSE_FRACTION = 0.3, 0.05
 _POLL_INTERVAL_S = 0.02
 _events = EventLog("process")
 
