http: a slow upload that is rejected gets its response

Callers saw: a large upload that was refused (no memory, too large) ended with a reset connection, without the refusal.

Cause: after a rejection, input was discarded for 1 s in all, and in at most 256 parts. A caller that was still sending then met a reset, which also drops what it has received but not read. On a link of 7.5 Mbit/s, 4 MB take more than 4 s.

Change: input is discarded until the caller closes the connection, pauses for 1 s, or has had the time for a body (10 s at most).

Evidence: test_slow_upload_that_is_rejected_gets_its_response failed before (ConnectionResetError).

--- a/libs/arbutusrill_http/_handler.py
+++ b/libs/arbutusrill_http/_handler.py
@@ -27,6 +27,7 @@
 _HEADER_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 _RAW_HEADER_FACTOR = 2  # optional whitespace does not count towards the limit of the headers
 _IDLE_MARGIN_S = 1.0  # between the idle time that responses state and the limit, for requests on their way
+_MAX_DISCARD_S, _DISCARD_PAUSE_S = 10.0, 1.0  # of input after a rejection: at most, and without any
 _PENDING_INPUT_WAIT_S = 0.001  # for bytes that are already in the receive buffer
 _log = PartLog("http")
 
@@ -312,14 +313,18 @@
         self.server.endings.record_rejection(error.status, error.code, *self._origin())
         self.connection.settimeout(self.server.limits.write_s)
         self.connection.sendall(error_response(error.status, error.code, str(error), error.param))
-        self._socket_reader.deadline = time.monotonic() + 1.0
         self._discard_input()
 
     def _discard_input(self) -> None:
-        """Discards unread input: with it, a close would reset the connection and the caller could lose the response."""
+        """Discards unread input: with it, a close would reset the connection and the caller could lose the response.
+
+        Ends once the caller closes the connection, pauses, or has had time for a body.
+        """
+        end = time.monotonic() + min(self.server.limits.body_s, _MAX_DISCARD_S)
         try:
             self.connection.shutdown(socket.SHUT_WR)
-            for _ in range(256):
+            while (now := time.monotonic()) < end:
+                self._socket_reader.deadline = min(end, now + _DISCARD_PAUSE_S)
                 if not self.rfile.read1(65_536):
                     return
         except OSError:
--- a/libs/arbutusrill_http/tests/test_server.py
+++ b/libs/arbutusrill_http/tests/test_server.py
@@ -494,3 +494,13 @@
         response = connection.makefile("rb").read()
         assert response.startswith(b"HTTP/1.1 502 ") and b"may_have_run" in response
         assert not begun.makefile("rb").read().endswith(b"0\r\n\r\n")
+
+
+def test_slow_upload_that_is_rejected_gets_its_response(app):
+    # After 1 s, or 256 small parts, the connection was reset, and the caller lost a response that it had not read.
+    with HttpServer("127.0.0.1", 0, app, HttpLimits(body_bytes=1000)) as server, connect(server) as connection:
+        connection.sendall(b"POST /x HTTP/1.1\r\nHost: x\r\nContent-Length: 100000\r\n\r\n")
+        for _ in range(400):
+            connection.sendall(bytes(250))
+            time.sleep(0.005)
+        assert connection.makefile("rb").read().startswith(b"HTTP/1.1 413 ")
