--- a/libs/arbutusrill_http/__init__.py
+++ b/libs/arbutusrill_http/__init__.py
@@ -7,7 +7,7 @@
 
 from typing import Any
 
-from ._body_budget import BodyBudget
+from ._body_budget import BodyBudget, BodyReservation
 from ._handler import AbortStreamError
 from ._json import error_body, failure_response, json_response
 from ._server import HttpLimits, HttpServer
@@ -16,6 +16,7 @@
 __all__ = [  # noqa: F822
     "AbortStreamError",
     "BodyBudget",
+    "BodyReservation",
     "HttpLimits",
     "HttpServer",
     "Transfer",
