--- a/libs/arbutusrill_pool/_engine_calls.py
+++ b/libs/arbutusrill_pool/_engine_calls.py
@@ -19,6 +19,8 @@
 RETRY_INTERVAL_S = 0.2
 CANCEL_TIMEOUT_S = 10.0  # an engine that has not responded for this long no longer holds the request
 MAX_READ_TRIES = 3
+_MAX_LIST_BYTES = 256 * 1024  # of the requests in an engine, about 100 bytes each
+_MAX_ANSWER_BYTES = 16 * 1024  # of a cancellation or an order
 _HEADERS = ["Content-Type: application/json"]
 _log = PartLog("pool engines")
 
@@ -66,7 +68,8 @@
 
     def requests(self, address: str) -> list[EngineRequest] | None:
         """Calls ``GET /engine/requests``."""
-        result = fetch(Transfer("GET", address + "/engine/requests", timeout_s=CALL_TIMEOUT_S))
+        url = address + "/engine/requests"
+        result = fetch(Transfer("GET", url, timeout_s=CALL_TIMEOUT_S, max_body_bytes=_MAX_LIST_BYTES))
         if not result.is_complete or result.status != 200:
             return None
         try:
@@ -84,7 +87,10 @@
         return OrderAnswer(result.status, result.body[:200].decode("utf-8", "replace"))
 
     def _post(self, address: str, path: str, body: dict[str, Any], timeout_s: float) -> TransferResult:
-        return fetch(Transfer("POST", address + path, _HEADERS, json.dumps(body).encode(), timeout_s=timeout_s))
+        data = json.dumps(body).encode()
+        return fetch(
+            Transfer("POST", address + path, _HEADERS, data, timeout_s=timeout_s, max_body_bytes=_MAX_ANSWER_BYTES)
+        )
 
 
 @dataclass(slots=True)
