entry, daemon: bound what is kept of answers of backend servers in sum

Seen: 200 answers at once of a faulty server whose last bytes never come, the project's own interface, an entry VM with 150 MB: each answer kept to its limit and nothing bounded the sum. A stream of tokens beyond those asked for had no end. Cause: Answer, EventReader and prefill answers kept 256 KiB to 1 MiB each outside of the budget of bodies. Change: EntryContext has the BodyBudget of the process. A request holds a reservation of its workspace until its response is written. A plain answer without room is streamed; a once-only call is then recorded as run, without its body. Events of engines and prefill answers are limited to 64 KiB; one that is larger is a failure of the engine, without a resumption, and is retried within the budget. Without room a completion ends with 503 response_memory, may_have_run, and does not count against the engine. Tokens beyond those asked for end the stream. Texts of tokens are joined in groups. The operators' HTTP server of a control VM has the budget too (by the same code; no run with uploads to it was made).

--- a/libs/arbutusrill_daemon/_roles.py
+++ b/libs/arbutusrill_daemon/_roles.py
@@ -48,15 +48,16 @@
     The entry role drains before it stops; setting `force_stop` ends the drain early.
     """
     with contextlib.ExitStack() as stack:
+        body_budget = BodyBudget.of_process(settings.entry.memory_mb if settings.entry is not None else None)
         if settings.control is not None:
-            stack.enter_context(_serve_control(settings))
+            stack.enter_context(_serve_control(settings, body_budget))
         if settings.entry is not None:
-            stack.enter_context(_serve_entry(settings, force_stop))
+            stack.enter_context(_serve_entry(settings, force_stop, body_budget))
         stopping.wait()
 
 
 @contextlib.contextmanager
-def _serve_control(settings: DaemonSettings):
+def _serve_control(settings: DaemonSettings, body_budget: BodyBudget):
     role = settings.control
     clock = SystemClock()
     machine = SharedStateMachine()
@@ -73,7 +74,7 @@
                 {messages.Control: service, messages.Raft: replica.handler},
                 limit=_MAX_CONTROL_CONNECTIONS,
             ),
-            HttpServer(*split_address(role.http), operator_app),
+            HttpServer(*split_address(role.http), operator_app, body_budget=body_budget, body_owner=_body_owner),
         ):
             tasks.run_periodically(_CONTROL_TICK_INTERVAL_S, service.tick)
             yield
@@ -90,7 +91,7 @@
 
 
 @contextlib.contextmanager
-def _serve_entry(settings: DaemonSettings, force_stop: threading.Event):
+def _serve_entry(settings: DaemonSettings, force_stop: threading.Event, body_budget: BodyBudget):
     role = settings.entry
     clock = SystemClock()
     incarnation = new_incarnation()
@@ -109,14 +110,12 @@
         )
         stack.callback(directory.close)
         follower.on_change(lambda: _reconcile_directory(directory, follower.config))
-        context = _build_entry_context(stack, follower, client, directory)
+        context = _build_entry_context(stack, follower, client, directory, body_budget)
         application = EntryApp(context, role.announce_token_sha256)
         limits = HttpLimits(connections=role.connections, reserve=_RESERVED_CONNECTIONS, reserved_paths=RESERVED_PATHS)
         with (
             RpcServer(*split_address(role.rpc), {messages.Pool: directory}),
-            HttpServer(
-                *split_address(role.http), application, limits, BodyBudget.of_process(role.memory_mb), _body_owner
-            ) as server,
+            HttpServer(*split_address(role.http), application, limits, body_budget, _body_owner) as server,
         ):
             _add_gauges(context, server)
             follower.start(tasks)
@@ -135,7 +134,11 @@
 
 
 def _build_entry_context(
-    stack: contextlib.ExitStack, follower: Follower, client: ControlClient, directory: PoolDirectory
+    stack: contextlib.ExitStack,
+    follower: Follower,
+    client: ControlClient,
+    directory: PoolDirectory,
+    body_budget: BodyBudget,
 ) -> EntryContext:
     clock = SystemClock()
     identity = follower.identity
@@ -151,7 +154,17 @@
     held_tickets = stack.enter_context(HeldTickets(pools, identity.vm, identity.incarnation))
     cleanup = stack.enter_context(CleanupQueue())
     return EntryContext(
-        follower, client, pools, token_leases, journal, clock, cleanup, held_tickets, RetryBudget(), Meters(clock)
+        follower,
+        client,
+        pools,
+        token_leases,
+        journal,
+        clock,
+        cleanup,
+        held_tickets,
+        RetryBudget(),
+        Meters(clock),
+        body_budget,
     )
 
 
--- a/libs/arbutusrill_entry/_answer.py
+++ b/libs/arbutusrill_entry/_answer.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
+from arbutusrill_http import BodyReservation
 from werkzeug.wrappers import Response
 
 __all__ = ["Answer"]
@@ -20,9 +21,13 @@
 
 
 class _EventBuffer:
-    """Holds back the incomplete event at the end of a stream, as far as it fits into `_MAX_BUFFERED_BYTES`."""
+    """Holds back the incomplete event at the end of a stream, as far as it fits into `_MAX_BUFFERED_BYTES`.
 
-    def __init__(self) -> None:
+    `has_room(size)` returns whether there is memory for `size` bytes of it.
+    """
+
+    def __init__(self, has_room: Callable[[int], bool]) -> None:
+        self._has_room = has_room
         self.rest = b""
         self._part_forwarded = False  # of the event in `rest`
 
@@ -33,7 +38,7 @@
         end = max(ends, default=0)
         if end:
             self._part_forwarded = False
-        if len(data) - end > _MAX_BUFFERED_BYTES:
+        if len(data) - end > _MAX_BUFFERED_BYTES or not self._has_room(len(data) - end):
             end, self._part_forwarded = len(data) - _SEPARATOR_BYTES, True
         self.rest = data[end:]
         return data[:end]
@@ -48,15 +53,25 @@
     """Buffers an answer, or streams it to the caller if it is too large or an event stream.
 
     Bodies of at most `max_recorded_bytes` are kept in memory for the journal. With `read_after_disconnect`, the answer
-    is read to its end even if the caller has disconnected.
+    is read to its end even if the caller has disconnected. What is kept takes room in `memory`, whose owner releases
+    it; without room the answer is streamed and not kept for the journal.
     """
 
-    def __init__(self, start_response: Callable, request_id: str, max_recorded_bytes: int, read_after_disconnect: bool):
+    def __init__(
+        self,
+        start_response: Callable,
+        request_id: str,
+        max_recorded_bytes: int,
+        read_after_disconnect: bool,
+        memory: BodyReservation,
+    ):
         self._start_response = start_response
         self._request_id = request_id
         self._buffer_limit_bytes = max(_MAX_BUFFERED_BYTES, max_recorded_bytes)
         self._max_recorded_bytes = max_recorded_bytes
         self._read_after_disconnect = read_after_disconnect
+        self._memory = memory
+        self._is_kept = True  # whether all of the body so far is in `_chunks`
         self._chunks: list[bytes] = []
         self._size_bytes = 0
         self._write: Callable[[bytes], Any] | None = None
@@ -72,31 +87,48 @@
 
     @property
     def body(self) -> bytes | None:
-        """The whole body for the journal, or None if it exceeds `max_recorded_bytes`."""
-        return b"".join(self._chunks) if self._size_bytes <= self._max_recorded_bytes else None
+        """The whole body for the journal, or None if it exceeds `max_recorded_bytes` or had no room."""
+        is_whole = self._is_kept and self._size_bytes <= self._max_recorded_bytes
+        return b"".join(self._chunks) if is_whole else None
 
     def on_head(self, status: int, headers_by_name: dict[str, str]) -> None:
         """Handles the status and the headers, whose names are in lower case."""
         self.status = status
         self.headers_by_name = {name: value for name, value in headers_by_name.items() if name in _FORWARDED_HEADERS}
         if self.headers_by_name.get("content-type", "").startswith("text/event-stream"):
-            self._events = _EventBuffer()
+            self._events = _EventBuffer(lambda size: self._has_room(self._kept_bytes + size))
             self._start_forwarding()
 
     def on_data(self, data: bytes) -> None:
         """Handles the next chunk of the body."""
         self._size_bytes += len(data)
-        if self._size_bytes <= self._buffer_limit_bytes:
-            self._chunks.append(data)
+        if self._is_kept:
+            self._keep(data)
         if self._events is not None:
             self._forward(self._events.feed(data))
         elif self.begun:
             self._forward(data)
-        elif self._size_bytes > self._buffer_limit_bytes:
+        elif not self._is_kept:
             self._start_forwarding()
             self._forward(b"".join(self._chunks) + data)
-        if self.begun and self._size_bytes > self._max_recorded_bytes:
+        if not self._is_kept:
             self._chunks.clear()
+        if self.begun:
+            self._memory.shrink(self._kept_bytes + (len(self._events.rest) if self._events is not None else 0))
+
+    def _keep(self, data: bytes) -> None:
+        """Keeps the next chunk, as far as limit and memory allow, until it can be of no use any more."""
+        limit_bytes = self._max_recorded_bytes if self.begun else self._buffer_limit_bytes
+        self._is_kept = self._size_bytes <= limit_bytes and self._has_room(self._size_bytes)
+        if self._is_kept:
+            self._chunks.append(data)
+
+    @property
+    def _kept_bytes(self) -> int:
+        return self._size_bytes if self._is_kept else 0
+
+    def _has_room(self, size: int) -> bool:
+        return self._memory.grow(size, 0.0)
 
     @property
     def ends_inside_event(self) -> bool:
--- a/libs/arbutusrill_entry/_completions.py
+++ b/libs/arbutusrill_entry/_completions.py
@@ -5,6 +5,7 @@
 import json
 import time
 from collections.abc import Callable, Iterable
+from contextlib import ExitStack
 from json.encoder import encode_basestring_ascii
 from typing import Any
 
@@ -14,7 +15,7 @@
 
 from ._auth import authenticate, refuse_key_in_body
 from ._call import Call
-from ._context import EntryContext
+from ._context import EntryContext, close_after
 from ._guard import KeyGuard
 from ._parse import Completion, parse_completion, parse_deadline, parse_latency_class
 from ._relay import Relay, RelayResult
@@ -48,12 +49,17 @@
         wait_check = make_wait_check(caller, guard)
         with self._context.limits.charge(guard.workspace, tokens, requirements.deadline, wait_check) as charge:
             charge.used = 0  # refunds all tokens if no server is assigned
-            with ServerReservation(self._context, requirements, caller, guard) as reservation:
-                relay = Relay(self._context, reservation, completion, guard)
+            with (
+                ExitStack() as stack,
+                ServerReservation(self._context, requirements, caller, guard) as reservation,
+            ):
+                memory = stack.enter_context(self._context.body_budget.open(guard.workspace, is_response=True))
+                relay = Relay(self._context, reservation, completion, guard, memory)
                 try:
                     if completion.stream:
                         return _stream_response(relay, reservation, completion, call, start_response)
-                    return _whole_response(relay, reservation, completion, call)(request.environ, start_response)
+                    response = _whole_response(relay, reservation, completion, call)
+                    return close_after(response(request.environ, start_response), stack)
                 finally:
                     charge.used = completion.prompt_tokens + relay.token_count
 
@@ -81,15 +87,12 @@
 
 
 def _whole_response(relay: Relay, reservation: ServerReservation, completion: Completion, call: Call) -> Any:
-    tokens: list[str] = []
-
     def on_tokens(texts: list[str]) -> None:
         call.add_tokens(len(texts))
         reservation.release.first_token_s = call.first_token_s
-        tokens.extend(texts)
 
     result = relay.run(on_tokens)
-    text = "".join(tokens)
+    text = relay.text()
     choice: dict[str, Any] = {"index": 0, "finish_reason": result.finish_reason, "logprobs": None}
     if completion.chat:
         choice["message"] = {"role": "assistant", "content": text, "refusal": None}
--- a/libs/arbutusrill_entry/_context.py
+++ b/libs/arbutusrill_entry/_context.py
@@ -2,18 +2,22 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+from contextlib import ExitStack
 from dataclasses import dataclass
 
 from arbutusrill_base import Clock, RetryBudget
+from arbutusrill_http import BodyBudget
 from arbutusrill_limits import TokenLeases
 from arbutusrill_state import ControlClient, Follower, JournalClient
+from werkzeug.wsgi import ClosingIterator
 
 from ._cleanup import CleanupQueue
 from ._held_tickets import HeldTickets
 from ._meters import Meters
 from ._pool_clients import PoolClients
 
-__all__ = ["EntryContext"]
+__all__ = ["EntryContext", "close_after"]
 
 
 @dataclass(slots=True, frozen=True)
@@ -30,6 +34,7 @@
     held_tickets: HeldTickets
     retry_budget: RetryBudget
     meters: Meters
+    body_budget: BodyBudget
 
     def try_acquire_retry(self) -> bool:
         """Takes one retry from the retry budget; returns False if none is left.
@@ -38,3 +43,8 @@
         """
         self.retry_budget.set_fraction(self.follower.config.value("retry.budget"))
         return self.retry_budget.try_acquire()
+
+
+def close_after(chunks: Iterable[bytes], stack: ExitStack) -> Iterable[bytes]:
+    """Returns the chunks of a response; the contexts in `stack` end once they are written."""
+    return ClosingIterator(chunks, stack.pop_all().close)
--- a/libs/arbutusrill_entry/_relay.py
+++ b/libs/arbutusrill_entry/_relay.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from arbutusrill_base import Failure, FailureError, PartLog, Verdict, load_json, whole_number
-from arbutusrill_http import AbortStreamError, Transfer, TransferResult, fetch
+from arbutusrill_http import AbortStreamError, BodyReservation, Transfer, TransferResult, fetch
 
 from ._context import EntryContext
 from ._events import EventReader
@@ -30,6 +30,8 @@
 _MIN_FIRST_TOKEN_TIMEOUT_S = 2.0
 _STATE_LOST_STATUSES = (404, 409, 410)  # the engine works but does not hold this stream or KV cache
 _MAX_ATTEMPTS = 4
+_GROUPED_TOKENS = 256
+_MAX_PREFILL_ANSWER_BYTES = 65_536  # a handle and two counts
 _JSON_HEADERS = ["Content-Type: application/json"]
 _log = PartLog("relay")
 
@@ -64,20 +66,48 @@
         self.attempt_error = attempt_error
 
 
+class _Output:
+    """The texts of the tokens of one request, joined in groups: a text of its own takes ten times its characters."""
+
+    def __init__(self) -> None:
+        self.token_count = 0
+        self._groups: list[str] = []
+        self._texts: list[str] = []
+
+    def add(self, texts: list[str]) -> None:
+        self.token_count += len(texts)
+        self._texts += texts
+        if len(self._texts) >= _GROUPED_TOKENS:
+            self._groups.append("".join(self._texts))
+            self._texts.clear()
+
+    def text(self) -> str:
+        return "".join([*self._groups, *self._texts])
+
+
 class Relay:
     """Runs one completion on the servers of a reservation and fails over to others.
 
     The callback `on_tokens` receives the texts of the tokens that arrived together, in order and without duplicates.
+    What is kept of the answers of the engines takes room in `memory`, whose owner releases it.
     """
 
-    def __init__(self, context: EntryContext, reservation: ServerReservation, completion: Completion, guard: KeyGuard):
+    def __init__(
+        self,
+        context: EntryContext,
+        reservation: ServerReservation,
+        completion: Completion,
+        guard: KeyGuard,
+        memory: BodyReservation,
+    ):
+        self._memory = memory
         self._context = context
         self._reservation = reservation
         self._completion = completion
         self._guard = guard
-        self._texts: list[str] = []
+        self._output = _Output()
         self._prompt_tokens = 0
-        self._reader = EventReader("", 0)
+        self._reader = self._new_reader(0)
         self._on_tokens: Callable[[list[str]], None] = lambda _: None
         self._token_received = False
         self._last_token_at = 0.0  # or the start of the transfer
@@ -90,7 +120,11 @@
     @property
     def token_count(self) -> int:
         """Number of output tokens relayed so far."""
-        return len(self._texts)
+        return self._output.token_count
+
+    def text(self) -> str:
+        """Returns the text of all output tokens relayed so far."""
+        return self._output.text()
 
     def run(self, on_tokens: Callable[[list[str]], None]) -> RelayResult:
         """Runs prefill and decode; raises `FailureError`, or `AbortStreamError` if the caller has disconnected."""
@@ -102,7 +136,7 @@
                 break
             except _AttemptFailedError as attempt_error:
                 self._change_servers(attempt_error, attempt)
-        return RelayResult(self._reader.finish_reason, len(self._texts), self._prompt_tokens)
+        return RelayResult(self._reader.finish_reason, self._output.token_count, self._prompt_tokens)
 
     def _change_servers(self, attempt_error: _AttemptFailedError, attempt: int) -> None:
         """Reserves other servers after a failed attempt.
@@ -130,7 +164,7 @@
     def _run_attempt(self) -> None:
         """Runs one attempt, with a second prefill if an engine has lost the stream or the KV cache."""
         for is_repeat in (False, True):
-            self._reader = EventReader(self._reservation.ticket, len(self._texts))
+            self._reader = self._new_reader(self._reader.text_bytes)
             self._token_received = False
             result = self._decode(self._prefill())
             try:
@@ -141,9 +175,13 @@
                 if is_repeat:
                     raise state_error.attempt_error from None
         self._reservation.clear_stage("decode")
-        self._reservation.release.tokens = len(self._texts)
+        self._reservation.release.tokens = self._output.token_count
         self._reservation.release.decode_s = time.monotonic() - self._decode_started_at
 
+    def _new_reader(self, text_bytes: int) -> EventReader:
+        max_tokens = self._completion.max_tokens
+        return EventReader(self._reservation.ticket, self._output.token_count, max_tokens, self._memory, text_bytes)
+
     def _prefill(self) -> dict[str, Any]:
         assignment = self._reservation.assignment
         started = time.monotonic()
@@ -153,10 +191,12 @@
             if predicted_s > 0
             else _MAX_PREFILL_TIMEOUT_S
         )
-        body = {"model": self._completion.model, "prompt": self._completion.prompt + "".join(self._texts)}
+        body = {"model": self._completion.model, "prompt": self._completion.prompt + self._output.text()}
         self._reservation.mark_stage(assignment.prefill_address, "prefill")
         transfer = self._post(assignment.prefill_address, "/engine/prefill", body, limit_s)
-        result = self._transfer(transfer, self._key_refused)
+        transfer.max_body_bytes = _MAX_PREFILL_ANSWER_BYTES
+        with self._context.body_budget.open(self._guard.workspace, is_response=True) as transfer.memory:
+            result = self._transfer(transfer, self._key_refused)
         answer = _parse_json_object(result.body) if result.is_complete and result.status == 200 else None
         if answer is None or answer.get("request_id") != self._reservation.ticket or "kv_handle" not in answer:
             if answer is not None:
@@ -174,8 +214,8 @@
             "kv_handle": prefill["kv_handle"],
             "source": assignment.prefill_address,
             "prompt_tokens": prefill.get("prompt_tokens", 0),
-            "offset": len(self._texts),
-            "max_tokens": self._completion.max_tokens - len(self._texts),
+            "offset": self._output.token_count,
+            "max_tokens": self._completion.max_tokens - self._output.token_count,
             "priority": assignment.priority or 0,
         }
         self._decode_started_at = time.monotonic()
@@ -188,15 +228,15 @@
         Raises `_AttemptFailedError` if the server has failed and `_EngineStateLostError` if it has lost the stream.
         """
         assignment = self._reservation.assignment
-        if len(self._texts) == self._completion.max_tokens:
+        if self._output.token_count == self._completion.max_tokens:
             self._reader.finish_reason = "length"
             return broken_result
         attempt_error = self._make_attempt_error("decode_failed", assignment.decode_server, broken_result)
         if broken_result.status in _STATE_LOST_STATUSES:
             raise _EngineStateLostError(attempt_error)
-        if broken_result.error in ("crossed", "connect") or broken_result.status not in (0, 200):
+        if broken_result.error in ("crossed", "too_large", "connect") or broken_result.status not in (0, 200):
             raise attempt_error
-        tokens_before = len(self._texts)
+        tokens_before = self._output.token_count
         _log.info(
             "request %s: resuming the stream after %d tokens: %s",
             self._reservation.ticket,
@@ -210,7 +250,9 @@
         result = self._stream(Transfer("GET", url, timeout_s=_STREAM_TIMEOUT_S))
         if result.status in _STATE_LOST_STATUSES:
             raise _EngineStateLostError(self._make_attempt_error("decode_failed", assignment.decode_server, result))
-        is_alive = len(self._texts) > tokens_before or self._reader.finish_reason or self._extend_timeout(result)
+        is_alive = (
+            self._output.token_count > tokens_before or self._reader.finish_reason or self._extend_timeout(result)
+        )
         if not is_alive:
             raise self._make_attempt_error("decode_failed", assignment.decode_server, result)
         return result
@@ -238,6 +280,10 @@
         result = self._transfer(transfer, self._should_stop)
         if self._reader.request_mismatch:
             result.error = "crossed"
+        elif self._reader.lacks_memory:
+            raise self._memory_failure()
+        elif self._reader.is_endless:
+            result.error = "too_large"
         elif self._reader.problem:
             result.error = "broken"
         elif result.error == "stopped":
@@ -254,8 +300,15 @@
             raise AbortStreamError
         if self._key_failure is not None:
             raise FailureError(self._key_failure)
+        if result.error == "no_memory":
+            raise self._memory_failure()
         return result
 
+    def _memory_failure(self) -> FailureError:
+        """Returns the error of a request for whose answer this VM has no memory, which says nothing of the engine."""
+        message = "too many large answers at the moment"
+        return FailureError(Failure("response_memory", message, Verdict.MAY_HAVE_RUN, 503, 1.0))
+
     def _key_refused(self) -> bool:
         self._key_failure = self._key_failure or self._guard.check_key(Verdict.MAY_HAVE_RUN)
         return self._key_failure is not None
@@ -290,11 +343,11 @@
             if not self._token_received:
                 self._token_received = True
                 self._reservation.clear_stage("prefill")
-            self._texts += texts
+            self._output.add(texts)
             self._on_tokens(texts)
 
     def _make_attempt_error(self, outcome: str, server: str, result: TransferResult) -> _AttemptFailedError:
-        verdict = result.verdict if result.status == 0 and not self._texts else Verdict.MAY_HAVE_RUN
+        verdict = result.verdict if result.status == 0 and not self._output.token_count else Verdict.MAY_HAVE_RUN
         detail = result.detail or f"status {result.status}"
         code = "crossed_answer" if result.error == "crossed" else outcome
         return _AttemptFailedError(
--- a/libs/arbutusrill_entry/_reservation.py
+++ b/libs/arbutusrill_entry/_reservation.py
@@ -24,6 +24,7 @@
 _CANCEL_TIMEOUT_S = 0.5  # of one attempt
 _MAX_CANCEL_WAIT_S = 1.5  # then slots are released even if a server has not acknowledged the cancellation
 _CLEANUP_TIMEOUT_S = 10.0
+_MAX_CANCEL_ANSWER_BYTES = 16_384  # not read; bounded in sum by the threads of the clean-up
 
 
 def make_wait_check(caller: socket.socket, guard: KeyGuard) -> Callable[[], bool]:
@@ -233,6 +234,13 @@
 
 def _try_cancel(address: str, ticket: str) -> bool:
     body = json.dumps({"request_id": ticket}).encode()
-    transfer = Transfer("POST", f"{address}/engine/cancel", ["Content-Type: application/json"], body, _CANCEL_TIMEOUT_S)
+    transfer = Transfer(
+        "POST",
+        f"{address}/engine/cancel",
+        ["Content-Type: application/json"],
+        body,
+        _CANCEL_TIMEOUT_S,
+        max_body_bytes=_MAX_CANCEL_ANSWER_BYTES,
+    )
     result = fetch(transfer)
     return result.is_complete and result.status == 200
--- a/libs/arbutusrill_entry/_services.py
+++ b/libs/arbutusrill_entry/_services.py
@@ -4,16 +4,17 @@
 
 import socket
 from collections.abc import Callable, Iterable
+from contextlib import ExitStack
 
 from arbutusrill_base import Failure, FailureError, Verdict
-from arbutusrill_http import AbortStreamError, Transfer, TransferResult, fetch
+from arbutusrill_http import AbortStreamError, BodyReservation, Transfer, TransferResult, fetch
 from arbutusrill_limits import Charge
 from werkzeug.wrappers import Request
 
 from ._answer import Answer
 from ._auth import authenticate, forwarded_headers, forwarded_query, refuse_key_in_body, refuse_key_in_path
 from ._call import Call
-from ._context import EntryContext
+from ._context import EntryContext, close_after
 from ._guard import KeyGuard
 from ._journal import JournaledCall
 from ._parse import parse_deadline, parse_latency_class
@@ -42,12 +43,21 @@
         call.workspace, call.route = guard.workspace, f"services/{name}"
         refuse_key_in_path(request, path)
         refuse_key_in_body(request, follower)
-        service_call = _ServiceCall(self._context, request, start_response, name, path, route.repeatable, guard, call)
+        with ExitStack() as stack:
+            memory = stack.enter_context(self._context.body_budget.open(guard.workspace, is_response=True))
+            service_call = _ServiceCall(
+                self._context, request, start_response, name, path, route.repeatable, guard, call, memory
+            )
+            return close_after(self._serve_charged(service_call, guard), stack)
+
+    def _serve_charged(self, service_call: _ServiceCall, guard: KeyGuard) -> Iterable[bytes]:
+        request = service_call.request
         key = request.headers.get("Idempotency-Key")
         with self._charge(service_call.requirements, request.environ["werkzeug.socket"], guard) as charge:
             try:
-                if route.repeatable or key is None:
+                if service_call.is_repeatable or key is None:
                     return service_call.run().finish(request.environ)
+                name = service_call.requirements.pool
                 return self._serve_journaled(
                     service_call, JournaledCall(self._context.journal, request, name, guard.workspace, key)
                 )
@@ -95,13 +105,15 @@
         repeatable: bool,
         guard: KeyGuard,
         call: Call,
+        memory: BodyReservation,
     ):
         self._context = context
         self._name = name
         self._path = path
-        self._repeatable = repeatable
+        self.is_repeatable = repeatable
         self._guard = guard
         self._call = call
+        self._memory = memory
         self._caller = request.environ["werkzeug.socket"]
         self.request = request
         self.requirements = self._make_requirements()
@@ -114,7 +126,7 @@
         self._journaled = journaled
         if self._context.pools.find_pool(self._name) is None:
             raise FailureError(Failure("no_server", f"no server of {self._name!r} is known", retry_after=1.0))
-        if self._repeatable:
+        if self.is_repeatable:
             self._context.retry_budget.record_request()
         with ServerReservation(self._context, self.requirements, self._caller, self._guard) as reservation:
             for attempt in range(1, _MAX_ATTEMPTS + 1):
@@ -124,6 +136,7 @@
                 outcome = "not_sent" if result.verdict is Verdict.NOT_RUN else "decode_failed"
                 reservation.set_failure(outcome, reservation.assignment.decode_server)
                 self._check_retry(answer, result, attempt)
+                del answer  # and what it has kept
                 try:
                     reservation.reassign(outcome, reservation.assignment.decode_server)
                 except FailureError as error:
@@ -132,7 +145,7 @@
 
     def _make_requirements(self) -> Requirements:
         config = self._context.follower.config
-        latency_class = parse_latency_class(self.request, "lookup" if self._repeatable else "interactive")
+        latency_class = parse_latency_class(self.request, "lookup" if self.is_repeatable else "interactive")
         wait_s = config.value(f"queue.max_wait_s.{latency_class}", workspace=self._guard.workspace, service=self._name)
         deadline, set_by_caller = parse_deadline(self.request, wait_s)
         return Requirements(
@@ -150,9 +163,14 @@
         failure = self._guard.check_key(self.verdict, force=True)
         if failure is not None:
             raise FailureError(failure)
-        max_recorded_bytes = 0 if self._repeatable else self._context.follower.config.value("journal.answer_bytes")
+        self._memory.shrink(0)  # of an earlier attempt
+        max_recorded_bytes = 0 if self.is_repeatable else self._context.follower.config.value("journal.answer_bytes")
         answer = Answer(
-            self.start_response, self._call.request_id, max_recorded_bytes, read_after_disconnect=not self._repeatable
+            self.start_response,
+            self._call.request_id,
+            max_recorded_bytes,
+            read_after_disconnect=not self.is_repeatable,
+            memory=self._memory,
         )
         transfer = self._make_transfer(reservation, answer)
         if self._journaled is not None:
@@ -186,7 +204,7 @@
             on_head=answer.on_head,
             on_data=answer.on_data,
         )
-        if self._repeatable:
+        if self.is_repeatable:
             # Only repeatable calls may be aborted: the outcome of any other aborted call would be unknown.
             transfer.caller_connection = self._caller
             transfer.should_stop = self._key_refused
@@ -205,7 +223,7 @@
             raise FailureError(failure)
         if result.verdict is Verdict.NOT_RUN:
             return
-        if not self._repeatable or not self._context.try_acquire_retry():
+        if not self.is_repeatable or not self._context.try_acquire_retry():
             raise FailureError(failure)
 
     def _with_call_verdict(self, failure: Failure) -> FailureError:
--- a/libs/arbutusrill_entry/tests/rig.py
+++ b/libs/arbutusrill_entry/tests/rig.py
@@ -7,7 +7,7 @@
 import time
 
 from arbutusrill_base import RetryBudget, SystemClock, TaskGroup, hash_key
-from arbutusrill_http import AbortStreamError, HttpLimits, HttpServer, json_response
+from arbutusrill_http import AbortStreamError, BodyBudget, HttpLimits, HttpServer, json_response
 from arbutusrill_limits import Limits, TokenLeases
 from arbutusrill_state import ConfigState, JournalClient, VmIdentity, make_command
 from arbutusrill_wire import messages
@@ -197,7 +197,7 @@
 class Rig:
     """An entry VM that serves the model ``m`` and the service ``seats``, with helpers that send requests to it."""
 
-    def __init__(self, stack):
+    def __init__(self, stack, body_budget=None):
         self.stack = stack
         self.follower = StubFollower()
         self.follower.apply(messages.PutWorkspace("dispatch", 100.0, 1000.0))
@@ -226,6 +226,7 @@
             held_tickets=self.held,
             retry_budget=self.retry_budget,
             meters=self.meters,
+            body_budget=body_budget or BodyBudget(None),
         )
         self.app = EntryApp(self.context, hash_key("announce"))
         self.server = stack.enter_context(HttpServer("127.0.0.1", 0, self.app, HttpLimits(connections=32)))
@@ -305,6 +306,6 @@
 
 
 @contextlib.contextmanager
-def entry_rig():
+def entry_rig(body_budget=None):
     with contextlib.ExitStack() as stack:
-        yield Rig(stack)
+        yield Rig(stack, body_budget)
--- a/libs/arbutusrill_entry/tests/test_relay.py
+++ b/libs/arbutusrill_entry/tests/test_relay.py
@@ -5,6 +5,7 @@
 import time
 
 import pytest
+from arbutusrill_http import AbortStreamError, BodyBudget, json_response
 from arbutusrill_wire import encode, messages
 
 from arbutusrill_entry import _relay
@@ -357,3 +358,45 @@
     monkeypatch.setattr(engine, "_send", send)
     assert_complete(rig.chat(stream=True))
     assert [path for path, _ in engine.seen if "/streams/" in path]
+
+
+def test_tokens_beyond_those_asked_for_are_not_relayed(rig):
+    # They were kept and relayed without end.
+    rig.engine()
+    status, _, body, whole = rig.chat(stream=True, max_tokens=5)
+    assert (status, whole, text_of(body)) == (200, True, "".join(WORDS[:5]))
+
+
+def test_stream_without_room_fails_without_blame_for_the_engine():
+    budget = BodyBudget(20_000)
+    with entry_rig(budget) as rig, budget.open("other") as other:
+        assert other.grow(9_000, 0.0)
+        rig.serve(EventWithoutEnd(20_000))
+        answer = rig.chat(stream=True)
+        error = json.loads(answer[2])["error"]
+        assert (answer[0], error["code"], error["verdict"]) == (503, "response_memory", "may_have_run")
+        eventually(lambda: rig.pools.messages_named("release"))
+        assert rig.pools.messages_named("release")[0].failed_server == ""
+        eventually(lambda: budget.held_bytes == 18_000)
+
+
+def test_event_without_end_counts_as_a_failure_of_the_engine(rig):
+    rig.engine("sound")
+    rig.serve(EventWithoutEnd(100_000), "endless")
+    assert_complete(rig.chat(stream=True))
+    assert rig.pools.messages_named("release")[0].failed_server == "endless"
+
+
+class EventWithoutEnd:
+    """An engine that sends a part of an event, `size` bytes long, and then nothing."""
+
+    def __init__(self, size):
+        self.size = size
+
+    def __call__(self, environ, start):
+        if environ["PATH_INFO"] != "/engine/decode":
+            request_id = json.loads(environ["wsgi.input"].read())["request_id"]
+            return json_response({"request_id": request_id, "kv_handle": "kv"})(environ, start)
+        start("200 OK", [("Content-Type", "text/event-stream")])(b"data: " + b"x" * self.size)
+        time.sleep(1)
+        raise AbortStreamError
--- a/libs/arbutusrill_entry/tests/test_services.py
+++ b/libs/arbutusrill_entry/tests/test_services.py
@@ -7,6 +7,7 @@
 import time
 
 import pytest
+from arbutusrill_http import BodyBudget, HttpServer
 from arbutusrill_state import ControlUnavailableError
 from arbutusrill_wire import messages
 from werkzeug.wrappers import Request, Response
@@ -362,3 +363,40 @@
     rig.pools.servers.clear()
     RawAnswer(rig, whole + b"whole")
     assert rig.call(method, path)[2:] == (b"whole", True)
+
+
+@pytest.mark.parametrize("method, headers", [("GET", []), ("POST", IDEMPOTENT)])
+def test_answer_without_room_is_forwarded_and_not_recorded(method, headers):
+    # The answer is streamed in place of being kept; a once-only call has run all the same.
+    budget = BodyBudget(100_000)
+    with entry_rig(budget) as rig:
+        rig.follower.apply(messages.PutService("seats", [messages.Route("POST", "/bookings", False, False)]))
+        rig.follower.apply(messages.SetDefault("journal.answer_bytes", "1048576"))
+        service = Service()
+        rig.serve(service)
+        service.body = b"s" * 200_000
+        assert rig.call(method, BOOK, headers=headers)[2:] == (service.body, True)
+        assert budget.refused_response_count == 1
+        if headers:
+            assert recorded_finishes(rig)[0].status == "ran"
+        eventually(lambda: budget.held_bytes == 0)
+
+
+def test_room_of_an_answer_is_held_until_it_is_written():
+    budget = BodyBudget(100_000_000)
+    held = []
+    with entry_rig(budget) as rig:
+        rig.follower.apply(messages.PutService("seats", []))
+
+        def app(environ, start):
+            chunks = rig.app(environ, start)
+            held.append(budget.held_bytes)
+            return chunks
+
+        service = Service()
+        rig.serve(service)
+        service.body = b"s" * 250_000
+        rig.address = rig.stack.enter_context(HttpServer("127.0.0.1", 0, app)).address
+        assert rig.call("GET", "/services/seats/stops")[2:] == (service.body, True)
+        assert held == [2 * len(service.body)]
+        eventually(lambda: budget.held_bytes == 0)
