--- a/libs/arbutusrill_gateway/_metrics.py
+++ b/libs/arbutusrill_gateway/_metrics.py
@@ -45,6 +45,14 @@
             "Backend servers that this VM sends nothing since they said in an answer that they drain.",
             registry=self.registry,
         )
+        self.quiet_backends = Gauge(
+            "arbutusrill_backends_quiet",
+            "Backend servers that this VM sends nothing for the time that they asked for.",
+            registry=self.registry,
+        )
+        self._add_body_gauges()
+
+    def _add_body_gauges(self) -> None:
         self._body_bytes = Gauge(
             "arbutusrill_body_bytes", "Memory reserved for bodies of requests and responses.", registry=self.registry
         )
@@ -59,11 +67,6 @@
             "Responses that were not kept for want of memory since the start.",
             registry=self.registry,
         )
-        self.quiet_backends = Gauge(
-            "arbutusrill_backends_quiet",
-            "Backend servers that this VM sends nothing for the time that they asked for.",
-            registry=self.registry,
-        )
 
     def record_bodies(self, budget: BodyBudget) -> None:
         """Sets the gauges of the memory for bodies of requests and responses."""
