http: a connection that its caller resets after the response ended by its caller

test_connection_that_its_caller_closes_is_counted failed in 7 of 25 runs under load: the caller closed the connection before it had read the last chunk.

--- a/libs/arbutusrill_http/_handler.py
+++ b/libs/arbutusrill_http/_handler.py
@@ -106,7 +106,8 @@
             while not self.close_connection:
                 self.handle_one_request()
         except (ConnectionError, TimeoutError, OSError):
-            pass
+            if self._ending == "response":  # reset by the caller after it
+                self._ending = "caller"
         finally:
             self.server.endings.record(self._ending)
 
