--- /dev/null
+++ b/libs/arbutusrill_http/tests/test_rejections.py
@@ -0,0 +1,70 @@
+"""Requests that are rejected or cancelled must get a response, whatever their callers still send."""
+
+import socket
+import time
+
+import pytest
+
+from arbutusrill_http import AbortStreamError, HttpLimits, HttpServer, peer_closed
+
+from .test_server import LIMITS, App, connect, exchange, get
+
+
+@pytest.mark.parametrize("target", ["http://[a/", "http://a]/x", "http://[::g]/"])
+def test_target_that_is_no_url_gets_a_response(target):
+    # The request was read whole, and its connection was closed without a response.
+    with HttpServer("127.0.0.1", 0, App(), LIMITS) as server:
+        response = exchange(server, get(target))
+    assert response.startswith(b"HTTP/1.1 400 ") and b'"verdict": "not_run"' in response
+
+
+def test_error_while_a_request_is_read_does_not_end_it_without_a_response():
+    def body_owner(_):
+        raise KeyError("workspace")
+
+    with HttpServer("127.0.0.1", 0, App(), LIMITS, body_owner=body_owner) as server:
+        assert exchange(server, get("/x")).startswith(b"HTTP/1.1 500 ")
+
+
+def wait_for_caller(environ, start):
+    """Waits like a request at a backend server, which is cancelled once its caller looks gone."""
+    deadline = time.monotonic() + 5
+    while not peer_closed(environ["werkzeug.socket"]):
+        assert time.monotonic() < deadline
+        time.sleep(0.01)
+    if environ["PATH_INFO"] == "/begun":
+        start("200 OK", [])(b"some")
+    raise AbortStreamError
+
+
+@pytest.mark.parametrize("is_stopped", [False, True])
+def test_request_that_is_cancelled_before_its_response_gets_one(is_stopped):
+    # Its connection was closed without a response, at the end of a VM's grace period or for a half-closed connection.
+    with (
+        HttpServer("127.0.0.1", 0, wait_for_caller, LIMITS) as server,
+        connect(server) as connection,
+        connect(server) as begun,
+    ):
+        connection.sendall(get("/"))
+        begun.sendall(get("/begun"))
+        if is_stopped:
+            while server.active_connections() < 2:
+                time.sleep(0.01)
+            time.sleep(0.05)
+            assert server.cancel_requests() == 2
+        else:
+            connection.shutdown(socket.SHUT_WR)
+            begun.shutdown(socket.SHUT_WR)
+        response = connection.makefile("rb").read()
+        assert response.startswith(b"HTTP/1.1 502 ") and b"may_have_run" in response
+        assert not begun.makefile("rb").read().endswith(b"0\r\n\r\n")
+
+
+def test_slow_upload_that_is_rejected_gets_its_response():
+    # After 1 s, or 256 small parts, the connection was reset, and the caller lost a response that it had not read.
+    with HttpServer("127.0.0.1", 0, App(), HttpLimits(body_bytes=1000)) as server, connect(server) as connection:
+        connection.sendall(b"POST /x HTTP/1.1\r\nHost: x\r\nContent-Length: 100000\r\n\r\n")
+        for _ in range(400):
+            connection.sendall(bytes(250))
+            time.sleep(0.005)
+        assert connection.makefile("rb").read().startswith(b"HTTP/1.1 413 ")
