http: large responses leave room for small ones

Cause: the fraction of the memory that responses may hold counted small and large ones together. Once answers without end of one server filled it, sound responses of 8 to 64 KiB of other servers found no room: plain ones waited, events ended their attempt. Change: small responses may hold half of the small share beyond that fraction. Test: test_small_responses_do_not_wait_for_large_ones fails without the change.

--- a/libs/arbutusrill_http/_body_budget.py
+++ b/libs/arbutusrill_http/_body_budget.py
@@ -82,8 +82,8 @@
 
     A body that finds no room waits unread, in order of arrival; those of an owner that holds its largest share are
     passed by those of others. Small bodies have a share that large ones cannot use, and very small ones need no room.
-    Responses hold half of the memory at most, so that faulty backend servers do not keep requests out, and pass the
-    bodies of requests that wait.
+    Large responses hold half of the memory at most, so that faulty backend servers do not keep requests out, and pass
+    the bodies of requests that wait. Small ones may hold half of the small share beyond that.
 
     >>> budget = BodyBudget(1024 * 1024)
     >>> with budget.open("clinic") as reservation:
@@ -156,9 +156,14 @@
     def _large_limit(self) -> float:
         return (1 - _SMALL_FRACTION) * self.total_bytes
 
+    def _response_limit(self, reservation: BodyReservation) -> float:
+        """Returns how much all responses may hold: small ones may add half of the small share to their fraction."""
+        added = _SMALL_FRACTION if reservation.wanted <= _SMALL_BYTES else 0.0
+        return _RESPONSE_FRACTION * (1 + added) * self.total_bytes
+
     def _has_room(self, reservation: BodyReservation) -> bool:
         added = (reservation.wanted - reservation.size) * _COPIES
-        if reservation.is_response and self._response_bytes + added > _RESPONSE_FRACTION * self.total_bytes:
+        if reservation.is_response and self._response_bytes + added > self._response_limit(reservation):
             return False
         if reservation.wanted <= _SMALL_BYTES:
             small_limit = _SMALL_FRACTION * self.total_bytes
--- a/libs/arbutusrill_http/tests/test_body_budget.py
+++ b/libs/arbutusrill_http/tests/test_body_budget.py
@@ -115,3 +115,15 @@
 def test_without_a_limit_nothing_waits():
     with BodyBudget(None).open("a") as body:
         assert body.grow(10**12, 0)
+
+
+def test_small_responses_do_not_wait_for_large_ones(budget):
+    # Answers without end of one server filled the share of all responses: small events of sound streams found no room.
+    large = [budget.open("a", is_response=True) for _ in range(16)]
+    assert not all([body.grow(size, 0) for size in (MB, MB // 8) for body in large])
+    small = [budget.open("b", is_response=True) for _ in range(4)]
+    assert all(body.grow(60_000, 0) for body in small)
+    assert budget.held_bytes <= 9 * MB, "responses keep requests out"
+    for body in large + small:
+        body.shrink(0)
+    assert budget.held_bytes == 0
