http: a request whose end is missing is neither served nor rejected

Cause: http.client takes the end of the input for the end of the header fields, so that a head that broke off was served without its other fields and its body. A chunked body that broke off was rejected with 400, after which callers do not repeat a request; since cancel_requests, the end of a grace period causes both on connections of sound callers. Change: the connection is closed without a response, as it was for bodies with a length.

--- a/libs/arbutusrill_http/_handler.py
+++ b/libs/arbutusrill_http/_handler.py
@@ -16,7 +16,7 @@
 from werkzeug.serving import WSGIRequestHandler
 
 from ._body_budget import BodyReservation
-from ._request_reader import ChunkedReader, HeadReader, HeadTooLargeError
+from ._request_reader import ChunkedReader, HeadReader, HeadTooLargeError, end_of_input_error
 from ._writer import ResponseWriter
 
 __all__ = ["AbortStreamError", "Handler", "error_response"]
@@ -149,6 +149,8 @@
             self.close_connection = False
             return False
         if not self.raw_requestline.endswith(b"\n"):
+            if len(self.raw_requestline) <= limits.header_bytes:
+                raise end_of_input_error()
             raise _RequestError(414, "request_line_too_long", "the request line is too long", "path")
         if not self._parse_head():
             return False
@@ -267,7 +269,7 @@
         self._send_continue()
         body = self.rfile.read(length)
         if len(body) < length:
-            raise ConnectionResetError("the caller closed the connection before the end of the request body")
+            raise end_of_input_error()
         return body
 
     def _reserve(self, reservation: BodyReservation, size: int) -> None:
@@ -300,9 +302,7 @@
                     raise _RequestError(413, "body_too_large", f"the body exceeds {limit} bytes", "body")
                 self._reserve_chunk(reservation, len(body) + len(chunk), limit)
                 body += chunk
-        except TimeoutError:
-            raise
-        except (OSError, ValueError) as error:
+        except ValueError as error:
             raise _RequestError(400, "bad_chunk", f"the chunked body is malformed: {error}", "body") from None
         reservation.shrink(len(body))
         return bytes(body)
--- a/libs/arbutusrill_http/_request_reader.py
+++ b/libs/arbutusrill_http/_request_reader.py
@@ -5,7 +5,7 @@
 import re
 from typing import BinaryIO
 
-__all__ = ["ChunkedReader", "HeadReader", "HeadTooLargeError"]
+__all__ = ["ChunkedReader", "HeadReader", "HeadTooLargeError", "end_of_input_error"]
 
 _MAX_CHUNK_LINE_BYTES = 4096  # size and extensions of a chunk
 _CHUNK_SIZE = re.compile(rb"([0-9A-Fa-f]{1,15})[ \t]*(?:;.*)?\r?\n", re.DOTALL)
@@ -16,6 +16,11 @@
     """The header fields of a request exceed their limit."""
 
 
+def end_of_input_error() -> ConnectionResetError:
+    """Returns the error for a request that breaks off: the rest of it is missing, which says nothing of its form."""
+    return ConnectionResetError("the connection ended before the end of the request")
+
+
 class HeadReader:
     r"""Reads the lines of header fields, at most `limit_bytes` in all.
 
@@ -34,9 +39,14 @@
         self._limit_bytes = self._remaining_bytes = limit_bytes
 
     def readline(self, size: int = -1) -> bytes:
-        """Returns the next line; raises `HeadTooLargeError` if it exceeds the rest of the limit."""
+        """Returns the next line; raises `HeadTooLargeError` if it exceeds the rest of the limit.
+
+        Raises `ConnectionResetError` at the end of the input, which `http.client` takes for the end of the fields.
+        """
         largest = self._remaining_bytes + 1
         line = self._stream.readline(largest if size < 0 else min(size, largest))
+        if not line:
+            raise end_of_input_error()
         self._remaining_bytes -= len(line)
         if self._remaining_bytes < 0:
             raise HeadTooLargeError(f"the headers exceed {self._limit_bytes} bytes")
@@ -60,7 +70,10 @@
         self._is_at_end = False
 
     def read(self, size: int) -> bytes:
-        """Returns at most `size` bytes of the body, none at its end; raises `ValueError` if it is malformed."""
+        """Returns at most `size` bytes of the body, none at its end.
+
+        Raises `ValueError` if it is malformed, and `ConnectionResetError` if the input ends before it.
+        """
         if not self._remaining_bytes and not self._is_at_end:
             self._remaining_bytes = self._read_size()
             if not self._remaining_bytes:
@@ -70,23 +83,28 @@
             return b""
         data = self._stream.read(min(size, self._remaining_bytes))
         if not data:
-            raise ValueError("it ends within a chunk")
+            raise end_of_input_error()
         self._remaining_bytes -= len(data)
-        if not self._remaining_bytes and self._stream.readline(2) not in _EMPTY_LINES:
+        if not self._remaining_bytes and self._read_line(2) not in _EMPTY_LINES:
             raise ValueError("a chunk is longer than stated")
         return data
 
     def _read_size(self) -> int:
-        match = _CHUNK_SIZE.fullmatch(self._stream.readline(_MAX_CHUNK_LINE_BYTES))
+        match = _CHUNK_SIZE.fullmatch(self._read_line(_MAX_CHUNK_LINE_BYTES))
         if match is None:
             raise ValueError("the size of a chunk is invalid")
         return int(match[1], 16)
 
+    def _read_line(self, max_bytes: int) -> bytes:
+        line = self._stream.readline(max_bytes)
+        if len(line) < max_bytes and not line.endswith(b"\n"):
+            raise end_of_input_error()
+        return line
+
     def _skip_trailer(self) -> None:
         reader = HeadReader(self._stream, self._max_trailer_bytes)
         try:
-            while (line := reader.readline()) not in _EMPTY_LINES:
-                if not line:
-                    raise ValueError("it ends within the trailer")
+            while reader.readline() not in _EMPTY_LINES:
+                pass
         except HeadTooLargeError:
             raise ValueError("the trailer is too long") from None
--- a/libs/arbutusrill_http/tests/test_server.py
+++ b/libs/arbutusrill_http/tests/test_server.py
@@ -504,3 +504,32 @@
             connection.sendall(bytes(250))
             time.sleep(0.005)
         assert connection.makefile("rb").read().startswith(b"HTTP/1.1 413 ")
+
+
+CUT_REQUESTS = [
+    b"POST /x HT",
+    b"POST /x HTTP/1.1\r\nHost: x\r\n",
+    b"POST /x HTTP/1.1\r\nHost: x\r\nDeadline-Ms: 14",
+    b"POST /x HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nab",
+    b"POST /x HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n",
+    b"POST /x HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n1",
+    b"POST /x HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab",
+    b"POST /x HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r",
+    b"POST /x HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\nX-Sum: 1\r\n",
+]
+
+
+@pytest.mark.parametrize("part", CUT_REQUESTS)
+@pytest.mark.parametrize("is_stopped", [False, True], ids=["caller", "stop"])
+def test_request_whose_end_is_missing_is_neither_served_nor_rejected(app, part, is_stopped):
+    # A head that broke off was served as if it were whole, and a chunked body that the end of the grace period cut off
+    # was refused with 400, after which callers do not repeat a request. A close tells them that it was not read.
+    with HttpServer("127.0.0.1", 0, app, LIMITS) as server, connect(server) as connection:
+        connection.sendall(part)
+        if is_stopped:
+            time.sleep(0.1)
+            assert server.cancel_requests() == 1
+        else:
+            connection.shutdown(socket.SHUT_WR)
+        assert connection.makefile("rb").read() == b""
+    assert app.bodies == []
