gateway: releases of places keep up with responses, and do not hold up the exit

Cause: one thread sent all releases, one after another. Change: 16 threads; the exit waits 0.6 s, after which the leader learns of the rest from the missing reports. Tests: the two new ones fail without the change.

--- a/libs/arbutusrill_gateway/_placement.py
+++ b/libs/arbutusrill_gateway/_placement.py
@@ -5,7 +5,7 @@
 import itertools
 import threading
 from collections.abc import Callable
-from concurrent.futures import ThreadPoolExecutor
+from concurrent.futures import Future, ThreadPoolExecutor, wait
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -23,6 +23,8 @@
 _POLL_S = 0.4  # wait of further long polls; the caller's connection is checked between them
 _CALL_MARGIN_S = 0.2  # time for a call in addition to its wait
 _FREE_TIMEOUT_S = 0.3
+_FREE_THREADS = 16  # the leader may be in another region: one call takes many times the interval between releases
+_MAX_EXIT_S = 0.6  # to send what is queued
 _NO_PLACEMENT = 0  # placement number in messages that only report an unresponsive engine
 _MAX_PREFILL_SPEEDS = 50  # measurements to keep while the leader is unavailable
 _UNLIMITED_PATIENCE_S = 3600.0
@@ -74,8 +76,8 @@
     """Requests placements from the leader and tracks those that this VM holds.
 
     While the leader is unavailable, `acquire` returns no placement and the gateway chooses engines from its local view,
-    so that requests are served during a change of leader. Releases are sent in the background, in order: a response
-    must not wait for the leader. On exit from the context, those that are queued are sent.
+    so that requests are served during a change of leader. Releases are sent in the background: a response must not wait
+    for the leader. On exit from the context, those that are queued are sent, as far as the leader answers in time.
     """
 
     def __init__(self, vm: str, incarnation: int, client: ControlClient, view: SiteView, clock: Clock):
@@ -90,13 +92,15 @@
         self._unreported_prefill_speeds: list[Any] = []
         self._leader_unavailable_until = float("-inf")
         self._is_stopping = False
-        self._sender = ThreadPoolExecutor(1, thread_name_prefix="releases")
+        self._sender = ThreadPoolExecutor(_FREE_THREADS, thread_name_prefix="releases")
+        self._unsent: set[Future] = set()
 
     def __enter__(self) -> PlacementClient:
         return self
 
     def __exit__(self, *_: object) -> None:
-        self._sender.shutdown()
+        self._wait_for_releases(_MAX_EXIT_S)
+        self._sender.shutdown(cancel_futures=True)
 
     def held_places(self) -> list[Any]:
         """Returns the placements that this VM holds as `HeldPlace` messages."""
@@ -139,7 +143,7 @@
         started = self._clock.monotonic()
         deadline = started + max_wait_s
         if requirements.continued:  # the leader must learn first that the request has left its previous place
-            self._wait_for_releases()
+            self._wait_for_releases(_FREE_TIMEOUT_S)
         poll_s, declined_count = _FIRST_POLL_S, 0
         while (now := self._clock.monotonic()) >= self._leader_unavailable_until:
             wait_s = deadline - now
@@ -249,18 +253,27 @@
                 return
         if placement.number < 0 and self._clock.monotonic() < self._leader_unavailable_until:
             return
-        self._sender.submit(self._send_free, placement.number, placement.speeds, [])
+        self._send_free_later(placement.number, placement.speeds, [])
 
-    def _wait_for_releases(self) -> None:
-        try:
-            self._sender.submit(int).result(_FREE_TIMEOUT_S)
-        except TimeoutError:
-            pass
+    def _send_free_later(self, *arguments: Any) -> None:
+        sending = self._sender.submit(self._send_free, *arguments)
+        with self._lock:
+            self._unsent.add(sending)
+        sending.add_done_callback(self._forget_sent)
+
+    def _forget_sent(self, sending: Future) -> None:
+        with self._lock:
+            self._unsent.discard(sending)
+
+    def _wait_for_releases(self, timeout: float) -> None:
+        with self._lock:
+            unsent = set(self._unsent)
+        wait(unsent, timeout)
 
     def report_unresponsive(self, backend: str) -> None:
         """Reports an unresponsive engine to the leader at once, without releasing a placement."""
         if self._clock.monotonic() >= self._leader_unavailable_until:
-            self._sender.submit(self._send_free, _NO_PLACEMENT, [], [backend])
+            self._send_free_later(_NO_PLACEMENT, [], [backend])
 
     def _send_free(self, number: int, speeds: list[Any], unresponsive: list[str]) -> None:
         message = messages.FreePlace(self._vm, self._incarnation, number, speeds, unresponsive)
--- a/libs/arbutusrill_gateway/tests/test_placement.py
+++ b/libs/arbutusrill_gateway/tests/test_placement.py
@@ -6,6 +6,7 @@
 
 from arbutusrill_base import ManualClock
 from arbutusrill_site import Service, SiteView
+from arbutusrill_state import ControlUnavailableError
 from arbutusrill_wire import messages
 
 from arbutusrill_gateway import CallerRequest, PlacementClient
@@ -57,3 +58,40 @@
         threading.Timer(0.1, leader.resumed.set).start()
         assert placements.acquire(requirements, 1.0)[0].decode is ENGINE
         assert leader.calls == ["free_place", "place"]
+
+
+class DistantLeader:
+    """Answers each call after `delay_s`, many at the same time."""
+
+    def __init__(self, delay_s):
+        self.delay_s, self.freed = delay_s, []
+
+    def call(self, _, message, timeout, **__):
+        time.sleep(min(timeout, self.delay_s))
+        if self.delay_s > timeout:
+            raise ControlUnavailableError("no answer")
+        self.freed.append(message.place)
+
+
+def test_releases_keep_up_with_responses_if_the_leader_is_distant():
+    # One after another, 7 places were freed in a second, and each retry waited for all of those before it.
+    leader, (_, placements) = DistantLeader(0.15), placement_client()
+    placements._client = leader
+    with placements:
+        for number in range(30):
+            request = CallerRequest(f"r{number}", "POST", "h", "/x", [], b"")
+            placements.release(placements.record_local(ENGINE, request, 0.0))
+        time.sleep(0.6)
+        assert len(leader.freed) == 30
+
+
+def test_exit_does_not_wait_for_all_releases_if_the_leader_is_silent():
+    # A process that waits 0.3 s for each does not end within its grace period.
+    _, placements = placement_client()
+    placements._client = DistantLeader(5.0)
+    with placements:
+        for number in range(200):
+            request = CallerRequest(f"r{number}", "POST", "h", "/x", [], b"")
+            placements.release(placements.record_local(ENGINE, request, 0.0))
+        started = time.monotonic()
+    assert time.monotonic() - started < 1.5
