--- a/libs/arbutusrill_standins/_engine.py
+++ b/libs/arbutusrill_standins/_engine.py
@@ -9,12 +9,12 @@
 from typing import Any
 
 from arbutusrill_base import BLOCK_BYTES, TaskGroup, new_incarnation, prefix_blocks
-from arbutusrill_http import AbortStreamError, Transfer, fetch, json_response, peer_closed
+from arbutusrill_http import Transfer, fetch, json_response, peer_closed
 from werkzeug.wrappers import Request
 
 from ._announcer import cache_events_message
 from ._counters import Counters
-from ._faults import FaultInjector
+from ._faults import FaultInjector, abort_connection
 from ._link import SharedLink
 from ._options import BYTES_PER_TOKEN, EngineOptions
 from ._orders import OrderExecutor
@@ -246,7 +246,7 @@
         try:
             while offset < stream.end_offset:
                 if not stream.wait(offset, lambda: not stream.is_attached(attachment)):
-                    raise AbortStreamError
+                    abort_connection(connection)
                 if offset == cut_offset or attached_at < self.faults.cut_attached_before:
                     raise ConnectionAbortedError
                 event = {"request_id": reported_id, "offset": offset, "token": stream.text(offset)}
@@ -256,7 +256,7 @@
             self._send_event({"request_id": reported_id, "end": True, "finish_reason": "length"}, write, connection)
         except OSError:
             self._streams.detach(stream, attachment, "streams_broken")
-            raise AbortStreamError from None
+            abort_connection(connection)
         finally:
             if stream.request.cancelled.is_set():
                 self._streams.remove(stream)
--- a/libs/arbutusrill_standins/_faults.py
+++ b/libs/arbutusrill_standins/_faults.py
@@ -11,7 +11,7 @@
 
 from arbutusrill_http import AbortStreamError, peer_closed
 
-__all__ = ["FAULT_KINDS", "FaultInjector"]
+__all__ = ["FAULT_KINDS", "FaultInjector", "abort_connection"]
 
 FAULT_KINDS = ("stall", "silence", "crash", "slow", "late", "cross", "cut", "refuse", "drop_cache_events", "clear")
 _MAX_FAULT_S = 3600.0
@@ -121,3 +121,15 @@
         if self.consume("late"):
             time.sleep(self._response_delay_s)
         return "req-" + "0" * 26 if self.consume("cross") else request_id
+
+
+def abort_connection(connection: socket.socket) -> None:
+    """Closes a connection, so that its caller gets no response or an incomplete one; raises `AbortStreamError`.
+
+    The server would answer a request that ends without a response.
+    """
+    try:
+        connection.shutdown(socket.SHUT_RDWR)
+    except OSError:
+        pass
+    raise AbortStreamError
--- a/libs/arbutusrill_standins/service.py
+++ b/libs/arbutusrill_standins/service.py
@@ -9,6 +9,7 @@
 import hashlib
 import json
 import os
+import socket
 import threading
 import time
 from collections import Counter
@@ -17,11 +18,12 @@
 
 import typer
 from arbutusrill_base import new_incarnation, split_address
-from arbutusrill_http import AbortStreamError, HttpLimits, HttpServer, json_response
+from arbutusrill_http import HttpLimits, HttpServer, json_response
 from werkzeug.wrappers import Request
 
 from ._announcer import Announcer
 from ._counters import Counters
+from ._faults import abort_connection
 
 __all__ = ["PlainService"]
 
@@ -60,7 +62,7 @@
         if fault.get("kind") == "slow":
             time.sleep(float(fault.get("delay_s", 1.0)))
         if not fault.get("after_booking", True):
-            _crash_or_cut(fault)
+            _crash_or_cut(fault, environ["werkzeug.socket"])
         time.sleep(self._service_time_s)
         if request.method == "POST":
             response = self._book(request)
@@ -70,7 +72,7 @@
         if fault.get("kind") == "cut":
             response.headers["Content-Length"] = str(response.content_length or 0)
             start_response(response.status, list(response.headers.items()))(response.get_data()[:5])
-        _crash_or_cut(fault)
+        _crash_or_cut(fault, environ["werkzeug.socket"])
         return response(environ, start_response)
 
     def _serve_control(self, request: Request) -> Any:
@@ -107,11 +109,11 @@
         return json_response({"server": self._name, "booking": booking_number, "wanted": booking_request}, 201)
 
 
-def _crash_or_cut(fault: dict[str, Any]) -> None:
+def _crash_or_cut(fault: dict[str, Any], connection: socket.socket) -> None:
     if fault.get("kind") == "kill":
         os._exit(70)
     if fault.get("kind") == "cut":
-        raise AbortStreamError
+        abort_connection(connection)
 
 
 def main(
