gateway: requests that wait for quiet servers are refused when the VM stops

Cause: stop_waiting ended only the waits for placements and for the list of backend servers. A request that waits for quiet servers looks at its connection every 0.25 s, which is longer than the last step of a stop with a grace period of less than 5 s; its connection was then closed without an answer. Change: the wait ends when the VM stops, with a refusal that says not run.

--- a/libs/arbutusrill_gateway/_backends.py
+++ b/libs/arbutusrill_gateway/_backends.py
@@ -68,7 +68,8 @@
 class BackendPool:
     """Selects backend servers and tracks their speed and failures.
 
-    The load of a backend server is this VM's own plus what the other entry VMs reported last.
+    The load of a backend server is this VM's own plus what the other entry VMs reported last. `is_stopping` says if
+    `stop_waiting` has been called.
     """
 
     def __init__(self, view: SiteView, data_centre: str, clock: Clock):
@@ -81,7 +82,7 @@
         self._line_by_service_and_stage: dict[tuple[str, str], WaitingLine] = {}
         self._requests_by_id: dict[str, int] = {}
         self._tokens_by_id: dict[str, int] = {}
-        self._is_stopping = False
+        self.is_stopping = False
 
     def current_load(self) -> list[Any]:
         """Returns this VM's load on each backend server as `BackendUse` messages."""
@@ -156,12 +157,12 @@
         def has_backend() -> bool:
             return any(record.service_name == service.name for record in view.backends_by_id.values())
 
-        view.wait_for(lambda: self._is_stopping or view.backends_complete or has_backend(), timeout_s)
+        view.wait_for(lambda: self.is_stopping or view.backends_complete or has_backend(), timeout_s)
         return has_backend()
 
     def stop_waiting(self) -> None:
-        """Ends the waits of `wait_for_backends`."""
-        self._is_stopping = True
+        """Ends the waits of `wait_for_backends`, and of requests whose backend servers are quiet."""
+        self.is_stopping = True
         self._view.notify()
 
     def waiting_line(self, service: Service, stage: str) -> WaitingLine:
--- a/libs/arbutusrill_gateway/_quiet_wait.py
+++ b/libs/arbutusrill_gateway/_quiet_wait.py
@@ -19,7 +19,8 @@
 
     While all of them are quiet, waits in order of arrival, at most `max_wait_s` seconds, and not at all if their quiet
     times end later. Requests that arrive after the quiet time queue behind those that still wait. Also true if the
-    service has no backend server that the request could use anyway. Raises `FailureError` if the caller disconnects.
+    service has no backend server that the request could use anyway. The wait ends in vain when the VM stops. Raises
+    `FailureError` if the caller disconnects.
     """
     line = exchange.pool.waiting_line(exchange.service, exchange.serving_stage)
     wait_s = _permitted_in_s(exchange)
@@ -39,7 +40,7 @@
         if not wait_s and turn_s == 0.0:
             return True
         now = time.monotonic()
-        if now + wait_s >= deadline:
+        if now + wait_s >= deadline or exchange.pool.is_stopping:
             return False
         if connection is not None and peer_closed(connection):
             raise exchange.caller_gone_error()
