--- a/libs/arbutusrill_http/_server.py
+++ b/libs/arbutusrill_http/_server.py
@@ -287,9 +287,9 @@
 
     The application gets the whole request body in memory and the caller's socket as
     ``environ["werkzeug.socket"]``. Bodies take memory from `body_budget`; `body_owner` returns the owner of a request,
-    such as its workspace, from its field ``Authorization``. `endings` counts how its connections
-    end. The application may raise `AbortStreamError` after the response has begun. On exit from the context, requests
-    in progress finish, unless `abort_connections` is called.
+    such as its workspace, from its field ``Authorization``. `endings` counts how its connections end.
+    The application may raise `AbortStreamError` after the response has begun. On exit from the context, requests in
+    progress finish, unless `abort_connections` is called.
     """
 
     def __init__(
