--- a/libs/arbutusrill_gateway/_exchange.py
+++ b/libs/arbutusrill_gateway/_exchange.py
@@ -35,7 +35,7 @@
     `deadline` and `started` are on the monotonic clock. `attempt_count` is the number of attempts that count towards
     the route's maximum; prefills and connection failures that are retried at once do not. `verdict` combines the
     verdicts of all attempts, `tried` holds the ids of backend servers to exclude, and `trail` lists every attempt for
-    the request log. `memory` holds what is reserved for the body of the response.
+    the request log. `memory` holds what is reserved for the body of the response. `rank` is 0 for the most urgent.
     """
 
     request: CallerRequest
@@ -57,6 +57,7 @@
     is_retry_reserved: bool = False
     prompt_guard: PromptGuard | None = None
     memory: BodyReservation = field(default_factory=lambda: BodyBudget(None).open("", is_response=True))
+    rank: int = 0
 
     def has_room_for(self, size: int, wait_s: float = 0.0) -> bool:
         """Reserves memory for a body of `size` bytes, in steps that double; returns False if there is none in time."""
--- a/libs/arbutusrill_gateway/_gateway.py
+++ b/libs/arbutusrill_gateway/_gateway.py
@@ -190,6 +190,7 @@
             started,
             prompt_guard=self._prompt_guard,
             memory=memory,
+            rank=configuration.rank_of(route, workspace),
         )
         ending = ""
         try:
--- a/libs/arbutusrill_site/__init__.py
+++ b/libs/arbutusrill_site/__init__.py
@@ -22,6 +22,15 @@
 )
 from ._configuration_decoder import ConfigurationDecoder, ConfigurationFormat
 from ._directory import EntryDirectory
+from ._document_fields import (
+    MAX_DURATION_S,
+    duration_field_s,
+    flag_field,
+    integer_field,
+    number_field,
+    require,
+    text_field,
+)
 from ._entries import EntryRegistry
 from ._follower import SiteFollower, SiteView
 from ._membership import GroupJoinClient, MembershipManager
@@ -34,6 +43,13 @@
 from ._stages import EngineRegistry, EngineStatistics, OrderAnswer, StageBalancer, StageOrderTransport
 
 __all__ = [  # noqa: F822
+    "MAX_DURATION_S",
+    "duration_field_s",
+    "flag_field",
+    "integer_field",
+    "number_field",
+    "require",
+    "text_field",
     "BackendRegistry",
     "BarredSet",
     "ClientLimits",
--- a/libs/arbutusrill_site/_configuration.py
+++ b/libs/arbutusrill_site/_configuration.py
@@ -102,12 +102,14 @@
 class Workspace:
     """Customer to which callers belong.
 
-    `limits` is None for an unlimited rate. `plain_tokens` is the charge for a request without token counts.
+    `limits` is None for an unlimited rate. `plain_tokens` is the charge for a request without token counts. `priority`
+    is the rank of its requests, where 0 is the most urgent, or None if the route decides.
     """
 
     name: str
     limits: Limits | None = None
     plain_tokens: float = 1.0
+    priority: int | None = None
 
 
 @dataclass(slots=True, frozen=True)
@@ -259,6 +261,13 @@
                 del routes_by_host[host]
         return routes_by_host
 
+    @staticmethod
+    def rank_of(route: Route, workspace: Workspace | None) -> int:
+        """Returns the rank of a request, where 0 is the most urgent: that of its workspace goes before its route's."""
+        if workspace is not None and workspace.priority is not None:
+            return workspace.priority
+        return route.priority
+
     def route_of(self, host: str, path: str) -> Route | None:
         """Returns the route with the longest prefix of `path` among those of `host`."""
         hostname = host.partition(":")[0].lower()
