limits: charges whose answer comes too late are withdrawn

Change: charges are numbered; an entry VM names those that it gave up on with its next report, and the leader returns their tokens, or ignores the charge if it comes later.

--- a/libs/arbutusrill_limits/_fleet_buckets.py
+++ b/libs/arbutusrill_limits/_fleet_buckets.py
@@ -12,6 +12,8 @@
 
 __all__ = ["FleetBuckets", "FleetLevels", "Level", "SpendReport"]
 
+_CHARGE_MEMORY_S = 5.0  # after a charge or its withdrawal; a VM reports several times a second
+
 
 @dataclass(slots=True, frozen=True)
 class SpendReport:
@@ -19,7 +21,8 @@
 
     `spent` holds the tokens by workspace since the VM's start; a report without `is_full` omits workspaces whose
     totals have not changed. A full report also holds the `levels` that the VM received `levels_age_s` seconds ago, and
-    in `uncounted` the tokens by workspace that it has spent or been granted since then.
+    in `uncounted` the tokens by workspace that it has spent or been granted since then. `abandoned` has the numbers of
+    charges whose answer did not arrive in time: the VM has not used them.
     """
 
     spent: dict[str, float]
@@ -27,6 +30,7 @@
     levels: dict[str, float] = field(default_factory=dict)
     levels_age_s: float = 0.0
     uncounted: dict[str, float] = field(default_factory=dict)
+    abandoned: tuple[int, ...] = ()
 
 
 @dataclass(slots=True, frozen=True)
@@ -53,6 +57,24 @@
         self.updated_at = now
 
 
+@dataclass(slots=True)
+class _Reporter:
+    """Totals that an entry VM has reported, its latest charges by number, and those that it has withdrawn."""
+
+    totals: dict[str, float]
+    charge_by_number: dict[int, tuple[float, str, float]] = field(default_factory=dict)  # time, workspace, tokens
+    withdrawn_at_by_number: dict[int, float] = field(default_factory=dict)
+
+    def prune(self, now: float) -> None:
+        """Forgets charges that a VM can no longer withdraw, in order of their time."""
+        for times in (self.charge_by_number, self.withdrawn_at_by_number):
+            while times:
+                number, entry = next(iter(times.items()))
+                if now - (entry[0] if isinstance(entry, tuple) else entry) <= _CHARGE_MEMORY_S:
+                    break
+                del times[number]
+
+
 class FleetBuckets:
     """Token buckets by workspace; entry VMs charge them in advance or report what they have spent.
 
@@ -75,7 +97,7 @@
         self._slack = slack
         self._lock = threading.Lock()
         self._level_by_workspace: dict[str, Level] = {}
-        self._spent_by_reporter: dict[tuple[str, int], dict[str, float]] = {}
+        self._reporter_by_vm: dict[tuple[str, int], _Reporter] = {}
 
     def _limits_of(self, workspace: str) -> Limits | None:
         limits = self._base_limits_of(workspace)
@@ -89,27 +111,40 @@
         """
         now = self._clock.monotonic()
         with self._lock:
-            counted_totals = self._spent_by_reporter.get((vm, incarnation))
-            if counted_totals is None:
+            reporter = self._reporter_by_vm.get((vm, incarnation))
+            if reporter is None:
                 if not report.is_full:
                     return FleetLevels({}, is_reporter_known=False)
-                self._spent_by_reporter[vm, incarnation] = dict(report.spent)
+                self._reporter_by_vm[vm, incarnation] = _Reporter(dict(report.spent))
                 self._restore_levels(report, now)
                 return self._levels(now)
             for workspace, total in report.spent.items():
-                self._deduct(workspace, total - counted_totals.get(workspace, 0.0), now)
-                counted_totals[workspace] = total
+                self._deduct(workspace, total - reporter.totals.get(workspace, 0.0), now)
+                reporter.totals[workspace] = total
+            self._withdraw_charges(reporter, report.abandoned, now)
             return self._levels(now)
 
-    def charge(self, vm: str, incarnation: int, workspace: str, tokens: float) -> float | None:
+    def _withdraw_charges(self, reporter: _Reporter, numbers: tuple[int, ...], now: float) -> None:
+        """Returns the tokens of charges that the VM gave up waiting for; one that arrives later deducts nothing."""
+        reporter.prune(now)
+        for number in numbers:
+            if number in reporter.withdrawn_at_by_number:
+                continue
+            reporter.withdrawn_at_by_number[number] = now
+            charge = reporter.charge_by_number.pop(number, None)
+            if charge is not None:
+                self._deduct(charge[1], -charge[2], now)
+
+    def charge(self, vm: str, incarnation: int, workspace: str, tokens: float, number: int = 0) -> float | None:
         """Deducts `tokens` and returns 0, or returns the seconds until enough tokens will have accrued.
 
-        Returns None for a VM that has not sent a full report. A charge larger than the bucket is accepted when the
-        bucket is full.
+        Returns None for a VM that has not sent a full report, and for a charge that it has withdrawn by its `number`.
+        A charge larger than the bucket is accepted when the bucket is full.
         """
         now = self._clock.monotonic()
         with self._lock:
-            if (vm, incarnation) not in self._spent_by_reporter:
+            reporter = self._reporter_by_vm.get((vm, incarnation))
+            if reporter is None or number in reporter.withdrawn_at_by_number:
                 return None
             limits = self._limits_of(workspace)
             if limits is None:
@@ -119,6 +154,9 @@
             if shortfall > 0:
                 return shortfall / limits.rate
             level.tokens -= tokens
+            if number:
+                reporter.prune(now)
+                reporter.charge_by_number[number] = (now, workspace, tokens)
             return 0.0
 
     def _level(self, workspace: str, limits: Limits, now: float) -> Level:
@@ -156,10 +194,10 @@
     def drop_reporter(self, vm: str, incarnation: int) -> None:
         """Drops the reported totals of an entry VM, which then has to send a full report."""
         with self._lock:
-            self._spent_by_reporter.pop((vm, incarnation), None)
+            self._reporter_by_vm.pop((vm, incarnation), None)
 
     def clear(self) -> None:
         """Drops all levels and reported totals when this VM becomes the leader."""
         with self._lock:
             self._level_by_workspace.clear()
-            self._spent_by_reporter.clear()
+            self._reporter_by_vm.clear()
--- a/libs/arbutusrill_limits/_fleet_rate_limiter.py
+++ b/libs/arbutusrill_limits/_fleet_rate_limiter.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import abc
+import itertools
 import math
 import threading
 from collections.abc import Callable
@@ -24,6 +25,7 @@
 _MIN_LOCAL_LEVEL_FRACTION = 0.5  # of the bucket; above it, a VM spends first and reports later
 _LEADER_RETRY_PAUSE_S = 0.4  # after a failed call to the leader; meanwhile a VM uses its share of the rate
 _MAX_CACHED_REFUSAL_S = 0.25  # time for which a refusal by the leader is repeated without asking it
+_MAX_ABANDONED_CHARGES = 1000  # to withdraw with the next report
 
 
 class RateAuthorityUnavailableError(Exception):
@@ -34,10 +36,11 @@
     """Interface to the leader, which decides on requests of workspaces near their limit."""
 
     @abc.abstractmethod
-    def charge(self, workspace: str, tokens: float) -> float:
+    def charge(self, workspace: str, tokens: float, number: int) -> float:
         """Deducts `tokens` and returns 0, or returns the seconds until enough tokens will have accrued.
 
-        Raises `RateAuthorityUnavailableError`.
+        Raises `RateAuthorityUnavailableError`; the charge with this `number` is withdrawn then, since the leader may
+        have deducted it.
         """
 
 
@@ -88,6 +91,8 @@
         self._levels_received_at = float("-inf")
         self._full_report_due = True
         self._leader_unavailable_until = float("-inf")
+        self._charge_numbers = itertools.count(1)
+        self._abandoned_charges: list[int] = []
 
     def admit(self, workspace: str, tokens: float, limits: Limits) -> RateDecision:
         """Charges `tokens` if the rate allows it, and returns the decision."""
@@ -104,10 +109,12 @@
                 return RateDecision(account.refused_until - now, "refusal", now - self._levels_received_at)
             leader_unavailable = now < self._leader_unavailable_until
         if not leader_unavailable:
+            number = next(self._charge_numbers)
             try:
-                wait_s = self._authority.charge(workspace, tokens)
+                wait_s = self._authority.charge(workspace, tokens, number)
             except RateAuthorityUnavailableError:
                 with self._lock:
+                    self._abandoned_charges = [*self._abandoned_charges[-_MAX_ABANDONED_CHARGES:], number]
                     self._leader_unavailable_until = self._clock.monotonic() + _LEADER_RETRY_PAUSE_S
             else:
                 self._record_answer(workspace, account, tokens, limits, wait_s)
@@ -187,7 +194,8 @@
                 account.granted_before_report = account.granted
             if not self._full_report_due:
                 return SpendReport(
-                    {workspace: account.spent for workspace, account in accounts if account.spent != account.reported}
+                    {workspace: account.spent for workspace, account in accounts if account.spent != account.reported},
+                    abandoned=tuple(self._abandoned_charges),
                 )
             return SpendReport(
                 {workspace: account.spent for workspace, account in accounts},
@@ -207,6 +215,8 @@
             self._full_report_due = not levels.is_reporter_known
             if not levels.is_reporter_known:
                 return
+            withdrawn = set(report.abandoned)
+            self._abandoned_charges = [number for number in self._abandoned_charges if number not in withdrawn]
             self._level_by_workspace = levels.tokens_by_workspace
             self._levels_received_at = self._clock.monotonic()
             for account in self._account_by_workspace.values():
--- a/libs/arbutusrill_limits/tests/test_fleet.py
+++ b/libs/arbutusrill_limits/tests/test_fleet.py
@@ -21,7 +21,7 @@
     def __init__(self, clock, limits=LIMITS, slack=0.0):
         self.clock, self.limits = clock, limits
         self.buckets = FleetBuckets(lambda workspace: limits, clock, slack)
-        self.is_unreachable = False
+        self.is_unreachable = self.answers_too_late = False
         self.charge_calls = 0
 
     def restart(self):
@@ -35,9 +35,12 @@
         self.rate_limiter = FleetRateLimiter(leader.clock, self, lambda: count, slack)
         self.leader, self.name = leader, name
 
-    def charge(self, workspace, tokens):
+    def charge(self, workspace, tokens, number):
         self.leader.charge_calls += 1
-        wait_s = None if self.leader.is_unreachable else self.leader.buckets.charge(self.name, 1, workspace, tokens)
+        buckets = self.leader.buckets
+        wait_s = None if self.leader.is_unreachable else buckets.charge(self.name, 1, workspace, tokens, number)
+        if self.leader.answers_too_late:
+            wait_s = None
         if wait_s is None:
             raise RateAuthorityUnavailableError("no answer")
         return wait_s
@@ -222,3 +225,36 @@
     allowed = limits.rate * window_s + limits.burst + slack
     assert peak_tokens <= allowed
     assert len(admitted) * tokens >= 0.95 * (limits.rate * 24.0)
+
+
+def test_charge_whose_answer_comes_too_late_is_not_deducted_twice(clock, leader):
+    """Guards against an overloaded leader that deducts what entry VMs then spend from their own share."""
+    vm = EntryVm(leader)
+    vm.poll()
+    assert vm.admit(50.0) is None
+    vm.poll()
+    leader.answers_too_late = True
+    vm.admit(20.0)
+    leader.answers_too_late = False
+    spent_before = leader.buckets.report("other", 1, SpendReport({}, True)).tokens_by_workspace["clinic"]
+    assert spent_before == 30.0
+    vm.poll()
+    assert vm.last_decision.decided_by == "part"
+    level = leader.buckets.report("other", 1, SpendReport({})).tokens_by_workspace["clinic"]
+    assert level == (30.0 if vm.last_decision.wait_s <= 0 else 50.0)
+
+
+def test_charge_that_arrives_after_its_withdrawal_deducts_nothing(clock, leader):
+    """Guards against a call that a slow leader takes up after the entry VM has gone on without it."""
+    leader.buckets.report("vm-1", 1, SpendReport({}, True))
+    leader.buckets.report("vm-1", 1, SpendReport({"clinic": 10.0}, abandoned=(7,)))
+    assert leader.buckets.charge("vm-1", 1, "clinic", 20.0, 7) is None
+    assert leader.buckets.report("vm-1", 1, SpendReport({})).tokens_by_workspace == {"clinic": 90.0}
+
+
+def test_withdrawal_that_is_repeated_returns_the_tokens_once(clock, leader):
+    leader.buckets.report("vm-1", 1, SpendReport({}, True))
+    assert leader.buckets.charge("vm-1", 1, "clinic", 30.0, 7) == 0.0
+    for _ in range(2):
+        answer = leader.buckets.report("vm-1", 1, SpendReport({}, abandoned=(7,)))
+    assert answer.tokens_by_workspace == {}
--- a/libs/arbutusrill_site/_follower.py
+++ b/libs/arbutusrill_site/_follower.py
@@ -177,6 +177,7 @@
             accepts_patches=True,
             suspects_revision=self.view.prompt_bars.revision,
             bars_revision=self.view.prompt_bars.bars_revision,
+            abandoned_charges=list(report.abandoned),
         )
         sent_at = self._clock.monotonic()
         reply = self._client.call("follow_site", request, timeout=_CALL_TIMEOUT_S, try_timeout=wait_ms / 1000 + 0.35)
--- a/libs/arbutusrill_site/_rates.py
+++ b/libs/arbutusrill_site/_rates.py
@@ -19,9 +19,9 @@
         self._incarnation = incarnation
         self._client = client
 
-    def charge(self, workspace: str, tokens: float) -> float:
+    def charge(self, workspace: str, tokens: float, number: int) -> float:
         """Charges `tokens` and returns 0, or returns the seconds until that many are available."""
-        charge = messages.TokenCharge(self._vm, self._incarnation, workspace, tokens)
+        charge = messages.TokenCharge(self._vm, self._incarnation, workspace, tokens, number)
         try:
             return self._client.call("charge_tokens", charge, timeout=_CALL_TIMEOUT_S, try_timeout=_CALL_TIMEOUT_S)
         except (ControlUnavailableError, messages.Refused) as error:
--- a/libs/arbutusrill_site/_service.py
+++ b/libs/arbutusrill_site/_service.py
@@ -221,9 +221,11 @@
     def charge_tokens(self, charge: Any) -> float:
         """Charges the tokens of a request of a workspace near its limit; returns 0, or the seconds until a retry."""
         self._require_leadership()
-        wait_s = self._buckets.charge(charge.vm, charge.incarnation, charge.workspace, charge.tokens)
+        wait_s = self._buckets.charge(charge.vm, charge.incarnation, charge.workspace, charge.tokens, charge.number)
         if wait_s is None:
-            raise messages.Refused("unknown_vm", f"{charge.vm} has not told yet what it has spent")
+            raise messages.Refused(
+                "unknown_vm", f"{charge.vm} has not told yet what it has spent, or has withdrawn the charge"
+            )
         return wait_s
 
     def put_document(self, document: Any) -> int:
@@ -417,4 +419,5 @@
         request.levels or {},
         request.levels_age_s,
         request.uncounted or {},
+        tuple(request.abandoned_charges or ()),
     )
--- a/libs/arbutusrill_site/tests/test_follower.py
+++ b/libs/arbutusrill_site/tests/test_follower.py
@@ -4,6 +4,7 @@
 from types import SimpleNamespace
 
 from arbutusrill_base import ManualClock, TaskGroup
+from arbutusrill_limits import SpendReport
 from arbutusrill_state import join_parts, make_patch
 from arbutusrill_wire import messages
 
@@ -50,7 +51,7 @@
 def follow(*replies):
     """Returns the view and the leader after a follower has polled once for each of `replies`."""
     rates = SimpleNamespace(
-        report=lambda: SimpleNamespace(spent={}, is_full=True, levels={}, levels_age_s=0.0, uncounted={}),
+        report=lambda: SpendReport({}, is_full=True),
         apply_levels=lambda report, levels: None,
     )
     clock = ManualClock()
--- a/libs/arbutusrill_wire/arbutusrill.thrift
+++ b/libs/arbutusrill_wire/arbutusrill.thrift
@@ -471,7 +471,8 @@
   15: bool accepts_deltas = false,     // lists may be sent as changes since the revisions above
   16: bool accepts_patches = false,    // the document may be sent as patches of `document_version`
   20: i64 suspects_revision = -1,      // -1: the follower does not know barred parts of prompts
-  21: i64 bars_revision = -1
+  21: i64 bars_revision = -1,
+  71: list<i64> abandoned_charges      // numbers of charges whose answer did not arrive in time: not used by the VM
 }
 
 // Parts of prompts that crash engines: a request whose prompt has all of them is not sent to an engine.
@@ -541,7 +542,8 @@
 struct SiteDocument { 1: i64 version, 2: binary body, 3: binary layout }
 
 // Tokens that an entry VM asks to charge before it admits a request.
-struct TokenCharge { 1: string vm, 2: i64 incarnation, 3: string workspace, 4: double tokens }
+// `number` names the charge in `abandoned_charges` if its answer does not arrive in time.
+struct TokenCharge { 1: string vm, 2: i64 incarnation, 3: string workspace, 4: double tokens, 5: i64 number = 0 }
 
 // Request that broke at an engine that crashed, in the beginning of its answer. The times are before the report.
 struct PromptCrash {
