--- a/libs/arbutusrill_gateway/_exchange.py
+++ b/libs/arbutusrill_gateway/_exchange.py
@@ -35,7 +35,8 @@
     `deadline` and `started` are on the monotonic clock. `attempt_count` is the number of attempts that count towards
     the route's maximum; prefills and connection failures that are retried at once do not. `verdict` combines the
     verdicts of all attempts, `tried` holds the ids of backend servers to exclude, and `trail` lists every attempt for
-    the request log. `memory` holds what is reserved for the body of the response. `rank` is 0 for the most urgent.
+    the request log. `memory` holds what is reserved for the body of the response. `rank` is 0 for the most urgent;
+    `urgency` is that of `BackendRequest`. `full` holds the ids of engines that turned the request away.
     """
 
     request: CallerRequest
@@ -58,6 +59,8 @@
     prompt_guard: PromptGuard | None = None
     memory: BodyReservation = field(default_factory=lambda: BodyBudget(None).open("", is_response=True))
     rank: int = 0
+    urgency: int | None = None
+    full: set[str] = field(default_factory=set)
 
     def has_room_for(self, size: int, wait_s: float = 0.0) -> bool:
         """Reserves memory for a body of `size` bytes, in steps that double; returns False if there is none in time."""
@@ -78,7 +81,8 @@
     def backend_request(self, candidate: Candidate, **fields: Any) -> BackendRequest:
         """Returns the values to add to the caller's request for an attempt at `candidate`."""
         workspace = self.workspace.name if self.workspace else ""
-        return BackendRequest(candidate.record, max(0.001, self.remaining_s()), workspace, **fields)
+        remaining_s = max(0.001, self.remaining_s())
+        return BackendRequest(candidate.record, remaining_s, workspace, urgency=self.urgency, **fields)
 
     @property
     def serving_stage(self) -> str:
--- a/libs/arbutusrill_gateway/_gateway.py
+++ b/libs/arbutusrill_gateway/_gateway.py
@@ -21,6 +21,7 @@
 from ._prompt_guard import PromptGuard
 from ._protocol import MIN_RETRY_AFTER_S, BackendProtocol, CallerRequest
 from ._reply import Refusal, Responder
+from ._service_ranks import ServiceRanks
 from ._stream import relay_stream
 
 __all__ = ["Gateway"]
@@ -66,6 +67,7 @@
         self._retry_reserve = retry_reserve
         self._max_view_age_s = max_view_age_s
         self._prompt_guard = prompt_guard
+        self._ranks = ServiceRanks()
         self._body_budget = body_budget or BodyBudget(None)
         self._lock = threading.Lock()
         self._budget_by_service: dict[str, RetryBudget] = {}
@@ -173,6 +175,7 @@
         memory: BodyReservation,
     ) -> None:
         service = configuration.services_by_name[route.pick_service()]
+        rank = configuration.rank_of(route, workspace)
         limit_s = _time_limit_s(route, request)
         budget = self._retry_budget(service.name)
         budget.record_request()
@@ -190,7 +193,8 @@
             started,
             prompt_guard=self._prompt_guard,
             memory=memory,
-            rank=configuration.rank_of(route, workspace),
+            rank=rank,
+            urgency=self._ranks.urgency(configuration, service.name, rank, time.monotonic()),
         )
         ending = ""
         try:
--- a/libs/arbutusrill_gateway/_placement.py
+++ b/libs/arbutusrill_gateway/_placement.py
@@ -47,7 +47,7 @@
     tokens: int
     output_tokens: int  # part of `tokens` that is allocated during decoding
     taken_at: float
-    event_gap_s: float = 0.0  # longest gap between events that the caller accepts, 0 if unknown
+    event_gap_s: float = 0.0  # longest gap between events that the caller accepts, 0 if unknown or late
     speeds: list[Any] = field(default_factory=list)
 
 
@@ -59,7 +59,8 @@
     already knows the request from an earlier try. `needs_prefill` is true if the prompt is still to be processed, which
     it is not if the request is resumed. `avoided_ids` returns the engines not to use at the time of the call, and
     `is_usable` whether a granted one may be used. `continued` is true if the request had a placement before.
-    `event_gap_s` is the longest gap between events that the caller accepts.
+    `event_gap_s` is the longest gap between events that the caller accepts. `rank` is 0 for the most urgent requests,
+    and `return_within_s` the longest time after a refusal at which the caller returns.
     """
 
     service: Service
@@ -70,6 +71,9 @@
     is_usable: Callable[[Any], bool]
     continued: bool
     event_gap_s: float = 0.0
+    rank: int = 0
+    workspace: str = ""
+    return_within_s: float = 0.0
 
 
 class PlacementClient:
@@ -206,6 +210,9 @@
             self._pop_prefill_speeds(),
             requirements.continued or declined,
             int(requirements.event_gap_s * 1000),
+            rank=requirements.rank,
+            workspace=requirements.workspace,
+            return_within_ms=max(0, int(requirements.return_within_s * 1000)),
         )
 
     def record_prefill_speed(self, backend: str, took_s: float, tokens: int) -> None:
@@ -227,9 +234,8 @@
         if decode is None:  # the engine is not yet in this VM's view, which lags behind the leader
             self._send_free(reply.place, [], [])
             return None
-        return self._record(
-            reply.place, decode, backends.get(reply.prefill), requirements.request, requirements.event_gap_s
-        )
+        event_gap_s = 0.0 if reply.late else requirements.event_gap_s  # pauses do not matter to a late stream
+        return self._record(reply.place, decode, backends.get(reply.prefill), requirements.request, event_gap_s)
 
     def record_local(self, decode: Any, request: CallerRequest, event_gap_s: float) -> Placement:
         """Records a placement that this VM chose without the leader, which learns of it from the next report."""
--- a/libs/arbutusrill_gateway/_prefill.py
+++ b/libs/arbutusrill_gateway/_prefill.py
@@ -5,7 +5,7 @@
 from arbutusrill_base import EventLog
 from arbutusrill_http import Transfer, fetch
 
-from ._attempt import Outcome, send_attempt
+from ._attempt import AttemptResult, Outcome, send_attempt
 from ._backends import Candidate
 from ._exchange import Exchange
 from ._placement import Placement
@@ -13,7 +13,8 @@
 
 __all__ = ["RetryBudgetExhaustedError", "release_kv_cache", "run_prefill"]
 
-_MAX_TRIES = 2  # a further prefill engine is tried only if the one before was unreachable
+_MAX_TRIES = 2
+_UNCOUNTED_FAILURES = (Outcome.BROKEN, Outcome.TIMEOUT)  # of a first prefill, after which no retry is charged
 _MAX_PREFILL_S = 1.5  # after this time the decode engine processes the prompt itself
 _RELEASE_TIMEOUT_S = 0.5
 _MAX_BODY_BYTES = 8 * 1024  # of responses, which have a few fields
@@ -28,8 +29,10 @@
     """Processes the prompt on a prefill engine; returns None if the decode engine has to process it.
 
     The prefill engine of `placement` is tried first; without a placement, this VM chooses one from its local view.
-    After a failed prefill that reached an engine, the decode counts as a retry; `RetryBudgetExhaustedError` is raised
-    if the retry budget does not allow it.
+    Another one follows if the first was unreachable, or if its answer broke off and the retry budget allows a second
+    prefill: a decode engine that reads the prompt pauses its streams. The first prefill of a request that an engine
+    accepts is no arrival of the request; after any other one, the decode counts as a retry, and
+    `RetryBudgetExhaustedError` is raised if the retry budget does not allow it.
     """
     request, pool = exchange.request, exchange.pool
     tokens = request.prompt_tokens or 0
@@ -58,17 +61,41 @@
                 pool.record_success(candidate.record, result.took_s, tokens)
                 exchange.placements.record_prefill_speed(candidate.id, result.took_s, max(1, tokens))
                 return kv_cache
-        pool.record_failure(candidate.record, f"prefill: {result.detail}", avoid=result.outcome is not Outcome.REJECTED)
-        if placement is not None and result.outcome in (Outcome.UNREACHED, Outcome.TIMEOUT):
-            exchange.placements.report_unresponsive(candidate.id)
-        if result.outcome is not Outcome.UNREACHED:
-            if not exchange.budget.try_acquire():
-                raise RetryBudgetExhaustedError
-            return None
+        _record_failure(exchange, placement, candidate, result)
         excluded.add(candidate.id)
+        if result.outcome is not Outcome.UNREACHED and not _may_repeat(exchange, result, len(excluded)):
+            return None
     return None
 
 
+def _record_failure(
+    exchange: Exchange, placement: Placement | None, candidate: Candidate, result: AttemptResult
+) -> None:
+    is_avoided = result.outcome is not Outcome.REJECTED
+    exchange.pool.record_failure(candidate.record, f"prefill: {result.detail}", avoid=is_avoided)
+    if placement is not None and result.outcome in (Outcome.UNREACHED, Outcome.TIMEOUT):
+        exchange.placements.report_unresponsive(candidate.id)
+
+
+def _may_repeat(exchange: Exchange, result: AttemptResult, tries: int) -> bool:
+    """Whether another prefill engine follows after a prefill that reached an engine and failed.
+
+    A second prefill counts as a retry, which is taken from the budget; after a slow first one no time is left for it.
+    """
+    if result.outcome not in _UNCOUNTED_FAILURES:
+        if not exchange.budget.try_acquire():
+            raise RetryBudgetExhaustedError
+        return False
+    is_repeated = (
+        result.outcome is Outcome.BROKEN
+        and tries < _MAX_TRIES
+        and exchange.has_time()
+        and exchange.budget.try_acquire()
+    )
+    _events.emit("prefill_failed", request=exchange.request.id, detail=result.detail, repeated=is_repeated)
+    return is_repeated
+
+
 def _candidate(exchange: Exchange, placement: Placement | None, excluded: set[str]) -> Candidate | None:
     """Returns the prefill engine to use, or None if the leader assigned the prompt to the decode engine.
 
--- a/libs/arbutusrill_gateway/_protocol.py
+++ b/libs/arbutusrill_gateway/_protocol.py
@@ -99,6 +99,8 @@
 
     `backend` is the backend record of the receiver, `remaining_s` the time until the deadline. `prefill` asks for a
     prefill only; `kv_cache` is the result of an earlier prefill. A stream resumes after the event `resume_after`.
+    `urgency` is negative for a request more urgent than the middle rank of its service, positive for a less urgent one,
+    and None where all requests of the service have the same rank.
     """
 
     backend: Any
@@ -107,6 +109,7 @@
     prefill: bool = False
     kv_cache: KvCacheHandle | None = None
     resume_after: str = ""
+    urgency: int | None = None
 
 
 @dataclass(slots=True)
--- a/libs/arbutusrill_gateway/_stream.py
+++ b/libs/arbutusrill_gateway/_stream.py
@@ -30,6 +30,7 @@
 _PLACEMENT_WAIT_FRACTION = 0.35
 _PLACEMENT_WAIT_OBJECTIVE_FACTOR = 3.0
 _MIN_OBJECTIVE_S = 0.5  # lower bound of the objective in that limit
+_RETURN_FRACTION = 1 / 3  # of the remaining time, for which callers honour a `Retry-After`
 # A resumable stream may be resumed on another engine after the longest of these times without a complete event: a
 # minimum, a fraction of the gap after which callers disconnect, and a multiple of the usual time between events of its
 # engine. Time to prefill the prompt is added before the first event.
@@ -58,15 +59,20 @@
     events = EventRelay(exchange)
     try:
         with Replacement(exchange, lambda avoided: _requirements(exchange, events, avoided)) as replacement:
-            _relay_attempts(exchange, events, replacement)
+            prefill_decode = _PrefillDecode(exchange, events, replacement)
+            try:
+                _relay_attempts(exchange, events, replacement, prefill_decode)
+            finally:
+                prefill_decode.release()
     except PromptBarredError as error:
         _refuse_or_abort(exchange, "prompt_part_barred", str(error), error.retry_after_s)
     except _NoPlacementError as error:
         _refuse_or_abort(exchange, error.code, str(error), error.retry_after_s)
 
 
-def _relay_attempts(exchange: Exchange, events: EventRelay, replacement: Replacement) -> None:
-    prefill_decode = _PrefillDecode(exchange, events, replacement)
+def _relay_attempts(
+    exchange: Exchange, events: EventRelay, replacement: Replacement, prefill_decode: _PrefillDecode
+) -> None:
     unreached_count = 0
     while True:
         exchange.check_prompt()
@@ -106,7 +112,7 @@
         raise _NoPlacementError("backends_quiet", "all engines are quiet or drain", _RETRY_AFTER_S)
     if exchange.service.engine is None:
         return None
-    requirements = _requirements(exchange, events, lambda: [*exchange.pool.avoided_ids(), *exchange.tried])
+    requirements = _requirements(exchange, events, lambda: _avoided_ids(exchange))
     try:
         placement, retry_after_s = exchange.placements.acquire(requirements, max_wait_s)
     except ConnectionResetError:
@@ -116,6 +122,10 @@
     return placement
 
 
+def _avoided_ids(exchange: Exchange) -> list[str]:
+    return [*exchange.pool.avoided_ids(), *exchange.tried, *exchange.full]
+
+
 def _requirements(exchange: Exchange, events: EventRelay, avoided_ids: Callable[[], list[str]]) -> PlacementRequest:
     """Returns what the next attempt needs; a resumed stream needs no prefill."""
     return PlacementRequest(
@@ -127,6 +137,9 @@
         exchange.pool.is_usable,
         bool(exchange.trail),
         exchange.route.event_gap_s,
+        exchange.rank,
+        exchange.workspace.name if exchange.workspace else "",
+        _RETURN_FRACTION * exchange.remaining_s(),
     )
 
 
@@ -145,8 +158,9 @@
 class _PrefillDecode:
     """Runs prefill and decode for one request, once per attempt.
 
-    The KV cache is reused by the next attempt if the decode engine was unreachable. Prefills after the first are
-    charged to the retry budget; once it is exhausted, the decode engine processes the prompt itself.
+    The KV cache is reused by the next attempt if the decode engine was unreachable, and once if it turned the request
+    away, since it then has not fetched the KV cache. Prefills after the first are charged to the retry budget; once it
+    is exhausted, the decode engine processes the prompt itself.
     """
 
     def __init__(self, exchange: Exchange, events: EventRelay, replacement: Replacement):
@@ -156,16 +170,16 @@
         self._kv_cache: KvCacheHandle | None = None
         self._prefilled_at = 0.0
         self._prefill_count = 0
+        self._is_reused = False
 
     def run(self, placement: Placement | None) -> AttemptResult | None:
         """Makes one attempt; returns None if no decode engine is available."""
         exchange, events = self._exchange, self._events
         exchange.check_prompt()
         kv_cache = self._prefill(placement)
-        self._check_prompt_again(kv_cache)
+        exchange.check_prompt()  # it may have been barred during the prefill
         candidate = _decode_candidate(exchange, placement, kv_cache)
         if candidate is None:
-            release_kv_cache(exchange, kv_cache)
             return None
         forwarded_before = events.forwarded_count
         with _track_decode(exchange, placement, candidate):
@@ -174,10 +188,12 @@
         exchange.record_prompt_attempt(candidate, result, events.forwarded_count - forwarded_before)
         if result.outcome is Outcome.GONE:
             # Before the first forwarded event, the decode engine may not have fetched the KV cache.
-            if not exchange.responder.status:
-                release_kv_cache(exchange, kv_cache)
+            if exchange.responder.status:
+                self._kv_cache = None
             raise exchange.caller_gone_error()
-        if result.outcome is not Outcome.UNREACHED:
+        if result.outcome is Outcome.REJECTED and not self._is_reused:
+            self._is_reused = True
+        elif result.outcome is not Outcome.UNREACHED:
             self._kv_cache = None
         elif placement is not None:
             exchange.placements.report_unresponsive(candidate.id)
@@ -191,13 +207,12 @@
             _record_failure(exchange, candidate, result, kv_cache)
         return result
 
-    def _check_prompt_again(self, kv_cache: KvCacheHandle | None) -> None:
-        """Checks the prompt after its prefill, during which it may have been barred."""
-        try:
-            self._exchange.check_prompt()
-        except PromptBarredError:
+    def release(self) -> None:
+        """Frees the KV cache if no decode engine has fetched it and it has not expired."""
+        kv_cache, self._kv_cache = self._kv_cache, None
+        engine = self._exchange.service.engine
+        if engine is not None and time.monotonic() - self._prefilled_at < engine.kv_cache_ttl_s:
             release_kv_cache(self._exchange, kv_cache)
-            raise
 
     def _prefill(self, placement: Placement | None) -> KvCacheHandle | None:
         exchange = self._exchange
@@ -227,9 +242,14 @@
     stage = "decode" if exchange.service.engine is not None else ""
     kv_data_centre = kv_cache.data_centre if kv_cache else ""
     request = exchange.request
-    return exchange.pool.pick(
-        exchange.service, stage, request.memory_tokens, request.model, exchange.tried, kv_data_centre
-    )
+
+    def pick(excluded: set[str]) -> Candidate | None:
+        return exchange.pool.pick(
+            exchange.service, stage, request.memory_tokens, request.model, excluded, kv_data_centre
+        )
+
+    candidate = pick(exchange.tried | exchange.full)
+    return candidate or (pick(exchange.tried) if exchange.full else None)
 
 
 @contextlib.contextmanager
@@ -327,6 +347,8 @@
     A rejection after a prefill is recorded for both engines, and both may be used again. Any other failure is recorded
     for the decode engine, which this request does not use again.
     """
+    if result.outcome is Outcome.REJECTED:
+        exchange.full.add(candidate.id)
     if result.outcome is Outcome.REJECTED and kv_cache is not None:
         # The decode engine is full or could not fetch the KV cache; neither proves an engine faulty, so both may be
         # used again.
--- a/libs/arbutusrill_site/_engine_loads.py
+++ b/libs/arbutusrill_site/_engine_loads.py
@@ -35,13 +35,13 @@
     taken_at: float  # monotonic clock
     service: str = ""
     output_tokens: int = 0  # the share of `tokens` that the output fills during the stream
-    event_gap_s: float = 0.0  # longest pause between events that the caller accepts; 0 if unknown
+    event_gap_s: float = 0.0  # longest pause between events that the caller accepts; 0 if unknown or already late
     queued_at_engine: bool = False  # in the queue of the engine, beyond its usable memory
 
     @classmethod
-    def for_request(cls, request: Any, backend: str, now: float) -> Place:
-        """Returns a place for a `PlaceRequest` on a decode engine."""
-        output_tokens, gap_s = output_tokens_of(request), request.event_gap_ms / 1000
+    def for_request(cls, request: Any, backend: str, now: float, is_late: bool = False) -> Place:
+        """Returns a place for a `PlaceRequest` on a decode engine; pauses do not matter to a late request."""
+        output_tokens, gap_s = output_tokens_of(request), 0.0 if is_late else request.event_gap_ms / 1000
         return cls(backend, request.memory_tokens, now, request.service_name, output_tokens, gap_s)
 
     def stream_load(self, speeds: EngineSpeeds) -> StreamLoad:
@@ -185,7 +185,11 @@
         return not request.model or not record.models or any(model.name == request.model for model in record.models)
 
     def choose_decode(self, request: Any, capacity: Engine, now: float) -> Any | None:
-        """Returns the decode engine with the lowest utilisation times slowness that has room; None if none has.
+        """Returns the first decode engine of `decode_with_room`, None if none has room."""
+        return next(self.decode_with_room(request, capacity, now), None)
+
+    def decode_with_room(self, request: Any, capacity: Engine, now: float) -> Iterator[Any]:
+        """Yields the decode engines that have room, the one with the lowest utilisation times slowness first.
 
         An engine in `request.avoid` is chosen only when all eligible engines are in it. An engine without places takes
         a request of any size.
@@ -197,12 +201,20 @@
                 continue
             only_avoided = False
             if self._has_room(load, request, capacity, now):
-                return record
+                yield record
         if only_avoided and avoided:
             for record, load in self._ranked(request, now):
                 if self._has_room(load, request, capacity, now):
-                    return record
-        return None
+                    yield record
+
+    def free_count(self, request: Any, capacity: Engine) -> int:
+        """Returns how many requests like this one the decode engines have room for, without forecasts of memory."""
+        usable = capacity.kv_tokens * _USABLE_MEMORY_FRACTION
+        tokens = max(1, request.memory_tokens)
+        return sum(
+            max(0, min(capacity.slots - len(load.places), int((usable - load.tokens) // tokens)))
+            for load in self._decode_by_service.get(request.service_name, ())
+        )
 
     def _ranked(self, request: Any, now: float) -> Iterator[tuple[Any, EngineLoad]]:
         for load in self._decode_by_service.get(request.service_name, ()):
--- a/libs/arbutusrill_site/_local_prefills.py
+++ b/libs/arbutusrill_site/_local_prefills.py
@@ -8,14 +8,15 @@
 
 __all__ = ["LocalPrefills"]
 
-_MAX_GAP_FRACTION = 0.8  # of the longest accepted pause between events; the rest is left for the next event itself
+_MAX_GAP_FRACTION = 0.9  # of the longest accepted pause between events; the rest is left for the network
 _PROMPT_SPACING_S = 0.1  # between two prefills, so that no event is delayed by both
 
 
 class LocalPrefills:
     """Tracks which decode engines run a prefill; not thread-safe, the caller holds a lock around each call.
 
-    A decode engine runs a prefill between two decoding steps, which pauses all of its streams.
+    A decode engine reads a prompt in chunks between its decoding steps. An event takes several steps, so that one event
+    of each of its streams may take as long as the whole prefill, in addition to its usual time.
 
     >>> prefills = LocalPrefills(EngineSpeeds())
     >>> prefills.record_start("engine-1", prompt_tokens=1000, now=5.0)
@@ -23,6 +24,8 @@
     True
     >>> prefills.exceeds_event_gap("engine-2", 1000, event_gaps_s=[0.3], now=5.0)
     False
+    >>> prefills.exceeds_event_gap("engine-2", 2600, event_gaps_s=[0.3], now=5.0)
+    True
     """
 
     def __init__(self, speeds: EngineSpeeds):
@@ -40,7 +43,8 @@
         if self._busy_until_by_backend.get(backend, now) > now:
             return True
         shortest_s = min((gap_s for gap_s in gaps_s if gap_s > 0), default=float("inf"))
-        return self._speeds.local_prefill_s(prompt_tokens, backend) > shortest_s * _MAX_GAP_FRACTION
+        pause_s = self._speeds.local_prefill_s(prompt_tokens, backend) + self._speeds.event_s(backend)
+        return pause_s > shortest_s * _MAX_GAP_FRACTION
 
     def record_start(self, backend: str, prompt_tokens: int, now: float) -> None:
         """Records that a prefill is assigned to a decode engine; `_PROMPT_SPACING_S` is added to its expected end."""
--- a/libs/arbutusrill_site/_placement.py
+++ b/libs/arbutusrill_site/_placement.py
@@ -7,6 +7,7 @@
 
 import itertools
 from collections.abc import Callable
+from dataclasses import dataclass, field
 from typing import Any
 
 from arbutusrill_base import EventLog
@@ -14,30 +15,36 @@
 
 from ._configuration import Engine
 from ._engine_loads import EngineLoads, Place
-from ._local_prefills import LocalPrefills
+from ._late_room import LateRoom
+from ._prompt_reading import PromptReading, Reading
 from ._speeds import EngineSpeeds
 from ._waiting_queue import Ticket, WaitingQueue, output_tokens_of
 
-__all__ = ["PlacementScheduler"]
+__all__ = ["PlacementCounts", "PlacementScheduler"]
 
-# If no prefill engine is expected to finish within this time, the decode engine runs the prefill, which pauses its
-# streams.
-_MAX_PREFILL_S = 0.75
-_FIRST_EVENT_DELAY_S = 0.12  # from the end of the prefill to the first event at the caller
-# Added to the expected end of a prefill outside the decode engine's data centre; a prefill engine in the same one is
-# preferred if it finishes at most this much later.
-_CROSS_DATA_CENTRE_PENALTY_S = 0.05
 _MAX_QUEUED_PER_ENGINE = 1  # requests placed beyond its usable memory, which wait in the engine's own queue
 _UNREPORTED_PLACE_TTL_S = 1.0  # a place that its holder does not report is freed after this age
+_MAX_ENGINES_EXAMINED = 8  # decode engines with room that are examined for the reading of one prompt
+_MAX_TICKETS_EXAMINED = 32  # waiting requests that are examined while no engine can read the prompt of the first
 _events = EventLog("places")
 
 
+@dataclass(slots=True)
+class PlacementCounts:
+    """Decisions since the start of the process."""
+
+    late_places: int = 0
+    refused_by_rank: dict[int, int] = field(default_factory=dict)
+    local_prefills_refused: int = 0  # requests that waited since no engine could read their prompt
+
+
 class PlacementScheduler:
     """Places requests on decode engines, shortest job first, and assigns their prefills.
 
     Each event (a request that polls, a released place, a report) is followed by one pass over the waiting requests,
-    which ends at the first one without an engine. A place granted between two polls of its request waits for the next
-    one. `engine_of` returns the capacity of each engine of a service, None for a service without engines.
+    which ends at the first one without an engine. A late request gets a place only where room is left for those that
+    are expected in time. A place granted between two polls of its request waits for the next one. `engine_of` returns
+    the capacity of each engine of a service, None for a service without engines.
     """
 
     def __init__(
@@ -49,8 +56,10 @@
         self._engine_of = engine_of
         self.speeds = EngineSpeeds()
         self._loads = EngineLoads(backends, self.speeds, revision)
-        self._local_prefills = LocalPrefills(self.speeds)
+        self._reading = PromptReading(self._loads, self.speeds)
         self._waiting_queue = WaitingQueue()
+        self._late_room = LateRoom(self._loads, self._waiting_queue)
+        self.counts = PlacementCounts()
         self._place_numbers = itertools.count(1)
         # The holder is an entry VM and its incarnation; the inner key is the place number.
         self._places_by_holder: dict[tuple[str, int], dict[int, Place]] = {}
@@ -80,16 +89,12 @@
             self.speeds.learn_request(
                 request.service_name, request.prompt_tokens, output_tokens_of(request), capacity.kv_tokens
             )
-            ticket = self._waiting_queue.enqueue(request, now, self._first_event_s(request, now))
+            ticket = self._waiting_queue.enqueue(request, now, self._reading.first_event_s(request, now))
         engines = self._loads.decode_count(request.service_name)
-        return ticket, self._waiting_queue.expected_wait_s(ticket, now, engines)
-
-    def _first_event_s(self, request: Any, now: float) -> float:
-        """Returns the expected seconds from a place to the first event, including the queues of the prefill engines."""
-        ends = [self.speeds.local_prefill_s(request.prompt_tokens)]
-        for record in self._loads.eligible_prefill(request, now):
-            ends.append(self.speeds.unit_time_of(record.id, "prefill").ends_at(request.prompt_tokens, now) - now)
-        return min(ends) + _FIRST_EVENT_DELAY_S
+        expected_s = self._waiting_queue.expected_wait_s(ticket, now, engines)
+        if ticket.is_returned:  # it was refused once and waits to the end of its patience
+            expected_s = min(expected_s, request.patience_ms / 1000)
+        return ticket, expected_s
 
     def take_reply(self, ticket: Ticket) -> Any | None:
         """Returns the place granted to a request and removes its ticket; None if it has none."""
@@ -97,15 +102,37 @@
             self._waiting_queue.remove(ticket)
         return ticket.reply
 
-    def end_poll(self, ticket: Ticket, now: float) -> None:
-        """Ends a poll without a place."""
-        self._waiting_queue.end_poll(ticket, now)
+    def end_poll(self, ticket: Ticket, now: float, expected_s: float = 0.0) -> Any:
+        """Ends a poll without a place; returns the reply, which is final once the patience of the caller has ended."""
+        if self._waiting_queue.end_poll(ticket, now):
+            return self._refusal(ticket, expected_s, now)
+        return messages.PlaceReply(wait_ms=int(expected_s * 1000))
 
     def refuse(self, ticket: Ticket, expected_s: float, now: float) -> Any:
         """Removes a request that would wait for too long; returns a position in an engine's own queue or a refusal."""
-        self._waiting_queue.remove(ticket)
         queued = self._reserve_queue_position(ticket.request, now)
-        return queued or messages.PlaceReply(wait_ms=int(expected_s * 1000), refused=True)
+        if queued is not None:
+            self._waiting_queue.remove(ticket)
+            return queued
+        self._waiting_queue.refuse(ticket)
+        return self._refusal(ticket, expected_s, now)
+
+    def _refusal(self, ticket: Ticket, expected_s: float, now: float) -> Any:
+        request = ticket.request
+        after_s = self._waiting_queue.return_after_s(ticket, now, self._loads.decode_count(request.service_name))
+        self.counts.refused_by_rank[ticket.rank] = self.counts.refused_by_rank.get(ticket.rank, 0) + 1
+        _events.emit(
+            "place_refused",
+            request=request.request_id,
+            vm_of=request.vm,
+            rank=ticket.rank,
+            late=ticket.is_late,
+            returned=ticket.is_returned,
+            expected_ms=round(expected_s * 1000),
+            return_ms=round(after_s * 1000),
+            waiting=len(self._waiting_queue),
+        )
+        return messages.PlaceReply(wait_ms=int(after_s * 1000), refused=True)
 
     def dispatch(self, now: float) -> list[Ticket]:
         """Grants places to waiting requests as long as the first one in order fits; returns their tickets."""
@@ -119,76 +146,88 @@
 
     def _dispatch_service(self, service: str, capacity: Engine, now: float) -> list[Ticket]:
         granted = []
-        while True:
-            ticket = next(self._waiting_queue.polled(service, now), None)
-            decode = None if ticket is None else self._loads.choose_decode(ticket.request, capacity, now)
-            if decode is None:
-                return granted
-            self._waiting_queue.set_granted(ticket, self._reserve_place(ticket, decode, now))
+        while (choice := self._next_choice(service, capacity, now)) is not None:
+            ticket, decode, reading = choice
+            self._waiting_queue.set_granted(ticket, self._reserve_place(ticket, decode, reading, now), now)
             granted.append(ticket)
+        return granted
 
-    def _reserve_place(self, ticket: Ticket, decode: Any, now: float) -> Any:
+    def _next_choice(self, service: str, capacity: Engine, now: float) -> tuple[Ticket, Any, Reading] | None:
+        """Returns the next request to get a place, with its engines; None if there is none.
+
+        While no engine can read the prompt of the first one, those that need no prefill may go ahead of it.
+        """
+        is_reading_refused = False
+        for ticket in itertools.islice(self._waiting_queue.polled(service, now), _MAX_TICKETS_EXAMINED):
+            if is_reading_refused and ticket.request.prefill:
+                continue
+            if ticket.is_late and not self._late_room.allows(ticket, capacity, now):
+                return None
+            decodes = self._loads.decode_with_room(ticket.request, capacity, now)
+            choice = self._reading.choose(ticket, itertools.islice(decodes, _MAX_ENGINES_EXAMINED), now)
+            if choice is None:
+                return None
+            decode, reading = choice
+            if reading is not None:
+                return ticket, decode, reading
+            is_reading_refused = True
+            self._record_reading_refused(ticket, now)
+        return None
+
+    def _record_reading_refused(self, ticket: Ticket, now: float) -> None:
+        if ticket.is_reading_refused:
+            return
+        ticket.is_reading_refused = True
+        self.counts.local_prefills_refused += 1
+        _events.emit(
+            "prompt_waits",
+            request=ticket.request.request_id,
+            rank=ticket.rank,
+            late=ticket.is_late,
+            spare_ms=round((ticket.placement_deadline - now) * 1000),
+        )
+
+    def _reserve_place(self, ticket: Ticket, decode: Any, reading: Reading, now: float) -> Any:
         request, number = ticket.request, next(self._place_numbers)
-        prefill = self._choose_prefill_engine(request, decode, now) if request.prefill else ""
-        self._add_place((request.vm, request.incarnation), number, Place.for_request(request, decode.id, now))
+        self._reading.record(request, decode.id, reading, now)
+        place = Place.for_request(request, decode.id, now, ticket.is_late)
+        self._add_place((request.vm, request.incarnation), number, place)
+        self._late_room.record_grant(request.service_name)
+        self.counts.late_places += ticket.is_late
         _events.emit(
             "placed",
             request=request.request_id,
             vm_of=request.vm,
             decode=decode.id,
-            prefill=prefill,
+            prefill=reading.prefill,
+            local_reason=reading.reason,
+            rank=ticket.rank,
+            late=ticket.is_late,
+            returned=ticket.is_returned,
             tokens=request.memory_tokens,
             waiting=len(self._waiting_queue),
             spare_ms=round((ticket.placement_deadline - now) * 1000),
         )
-        return messages.PlaceReply(number, prefill, decode.id)
+        return messages.PlaceReply(number, reading.prefill, decode.id, late=ticket.is_late)
 
     def _reserve_queue_position(self, request: Any, now: float) -> Any | None:
         """Reserves a position in the queue of an engine.
 
-        Returns None when no engine is eligible or all positions are occupied.
+        Returns None when no engine is eligible, all positions are occupied, or the prompt, which the engine would read
+        itself, would pause its streams for too long.
         """
         load = self._loads.least_queued(request, now)
         if load is None or load.queued_count >= _MAX_QUEUED_PER_ENGINE:
             return None
+        if not self._reading.may_queue_at(request, load.id, now):
+            return None
         number = next(self._place_numbers)
         place = Place(load.id, request.memory_tokens, now, request.service_name, queued_at_engine=True)
         self._add_place((request.vm, request.incarnation), number, place)
-        self._local_prefills.record_start(load.id, request.prompt_tokens, now)
+        self._reading.record(request, load.id, Reading(""), now)
         _events.emit("placed_in_queue", request=request.request_id, vm_of=request.vm, decode=load.id)
         return messages.PlaceReply(number, "", load.id)
 
-    def _choose_prefill_engine(self, request: Any, decode: Any, now: float) -> str:
-        """Assigns the prefill to the engine expected to end it first; returns its ID.
-
-        Returns an empty string when the decode engine runs the prefill: when it ends sooner there without pausing a
-        stream for too long, or when no prefill engine ends within `_MAX_PREFILL_S`.
-        """
-        best, best_end, best_cost = None, 0.0, float("inf")
-        eligible = self._loads.eligible_prefill(request, now)
-        preferred = [record for record in eligible if record.id not in (request.avoid or ())]
-        for record in preferred or eligible:
-            end = self.speeds.unit_time_of(record.id, "prefill").ends_at(request.prompt_tokens, now)
-            cost = end + (_CROSS_DATA_CENTRE_PENALTY_S if record.data_centre != decode.data_centre else 0.0)
-            if cost < best_cost:
-                best, best_end, best_cost = record, end, cost
-        if (
-            best is None
-            or best_end - now > _MAX_PREFILL_S
-            or self._prefers_local_prefill(request, decode, best_end, now)
-        ):
-            self._local_prefills.record_start(decode.id, request.prompt_tokens, now)
-            return ""
-        self.speeds.unit_time_of(best.id, "prefill").add_prompt(request.prompt_tokens, now)
-        return best.id
-
-    def _prefers_local_prefill(self, request: Any, decode: Any, prefill_end: float, now: float) -> bool:
-        """Whether the decode engine ends the prefill before `prefill_end` without pausing a stream for too long."""
-        if now + self.speeds.local_prefill_s(request.prompt_tokens, decode.id) >= prefill_end:
-            return False
-        gaps_s = self._loads.event_gaps_s(decode.id)
-        return not self._local_prefills.exceeds_event_gap(decode.id, request.prompt_tokens, gaps_s, now)
-
     def free(self, freed: Any, now: float) -> None:
         """Frees a place; learns from the decoding times and the unresponsive engines that its holder reports."""
         place = self._remove_place((freed.vm, freed.incarnation), freed.place)
--- a/libs/arbutusrill_site/_places.py
+++ b/libs/arbutusrill_site/_places.py
@@ -13,7 +13,7 @@
 from arbutusrill_wire import messages
 
 from ._configuration import Engine
-from ._placement import PlacementScheduler
+from ._placement import PlacementCounts, PlacementScheduler
 from ._speeds import EngineSpeeds
 from ._waiting_queue import Ticket
 
@@ -23,8 +23,8 @@
 class PlaceLedger:
     """Reserves memory and slots of decode engines, and assigns each prefill to the engine expected to end it first.
 
-    Requests wait in a queue, shortest job first; requests that can no longer meet their objective follow in order of
-    arrival, so that large requests do not starve. An event wakes only the requests that it grants a place.
+    Requests wait in a queue by rank, shortest job first; requests that can no longer meet their objective follow, and
+    leave room for those that can. An event wakes only the requests that it grants a place.
     `backends` returns the records of the backend servers, `revision` a number that changes with them, `engine_of` the
     capacity of each engine of a service, `is_complete` whether all running engines have had time to announce
     themselves.
@@ -56,6 +56,11 @@
         with self._lock:
             return len(self._scheduler)
 
+    @property
+    def counts(self) -> PlacementCounts:
+        """Decisions since the start of the process."""
+        return self._scheduler.counts
+
     def begin_term(self, term: int) -> None:
         """Clears all places at the start of a term; the entry VMs report theirs again."""
         with self._lock:
@@ -95,8 +100,7 @@
             return self._scheduler.take_reply(ticket) or self._end_poll(ticket, expected_s)
 
     def _end_poll(self, ticket: Ticket, expected_s: float) -> Any:
-        self._scheduler.end_poll(ticket, self._clock.monotonic())
-        return messages.PlaceReply(wait_ms=int(expected_s * 1000))
+        return self._scheduler.end_poll(ticket, self._clock.monotonic(), expected_s)
 
     def _dispatch(self) -> None:
         for ticket in self._scheduler.dispatch(self._clock.monotonic()):
--- /dev/null
+++ b/libs/arbutusrill_site/_service_line.py
@@ -0,0 +1,137 @@
+"""Waiting requests of one service in the order in which they get places."""
+
+from __future__ import annotations
+
+import itertools
+import operator
+from collections.abc import Iterable, Iterator
+from typing import Any
+
+from sortedcontainers import SortedDict, SortedKeyList
+
+from ._rate_window import RateWindow
+from ._return_schedule import ReturnSchedule
+from ._served_shares import ServedShares
+
+__all__ = ["ServiceLine"]
+
+_RATE_WINDOW_S = 4.0  # window over which arrivals and released places are counted
+_LARGEST_INTERVAL = 8  # one grant in this number goes to the largest request within its deadline
+_STARVED_INTERVAL = 8  # one grant in this number goes to the line that is served least often, if it starves
+_STARVED_TURN = 3  # which one of them, so that it is not the turn of the largest
+# A line starves below this fraction of the places per request of the whole service.
+_STARVED_FRACTION = 0.5
+_SORT_KEY = operator.attrgetter("sort_key")
+
+
+class _Line:
+    """Tickets of one rank within their deadline, shortest job first."""
+
+    __slots__ = ("grant_count", "tickets")
+
+    def __init__(self):
+        self.tickets = SortedKeyList(key=_SORT_KEY)
+        self.grant_count = 0
+
+    def in_order(self) -> Iterable[Any]:
+        is_turn_of_largest = self.grant_count % _LARGEST_INTERVAL == _LARGEST_INTERVAL - 1
+        return reversed(self.tickets) if is_turn_of_largest else self.tickets
+
+
+class ServiceLine:
+    """Tickets of one service.
+
+    Those within their deadline come first, by rank; within a rank, the tickets of workspaces that have had far more
+    places than others follow the rest. One grant in `_STARVED_INTERVAL` goes to a line that starves. Late ones follow.
+    """
+
+    def __init__(self):
+        self.in_time_by_class: dict[tuple[int, bool], _Line] = SortedDict()
+        self.late = SortedKeyList(key=_SORT_KEY)
+        self.by_deadline = SortedKeyList(key=lambda ticket: (ticket.placement_deadline, ticket.number))  # in time
+        self.grant_count = 0
+        self.arrivals = RateWindow(_RATE_WINDOW_S)  # of requests that can be in time
+        self.releases = RateWindow(_RATE_WINDOW_S)
+        self.late_grants = RateWindow(_RATE_WINDOW_S)
+        self.returns = ReturnSchedule()
+        self.served_classes = ServedShares()
+        self.served_workspaces = ServedShares()
+
+    def move_late(self, now: float) -> None:
+        """Moves the tickets whose deadline has passed to the late ones."""
+        while self.by_deadline and self.by_deadline[0].placement_deadline <= now:
+            ticket = self.by_deadline.pop(0)
+            self.in_time_by_class[ticket.line_class].tickets.remove(ticket)
+            ticket.set_late(True)
+            self.late.add(ticket)
+
+    def add_new(self, ticket: Any, now: float) -> None:
+        """Adds a ticket of a request that asks for the first time."""
+        workspace = ticket.request.workspace
+        ticket.set_above_share(bool(workspace) and self.served_workspaces.is_far_above(workspace))
+        if workspace:
+            self.served_workspaces.record_request(workspace)
+        self.served_classes.record_request(ticket.line_class)
+        if not ticket.is_late:
+            self.arrivals.add(now)
+        self.add(ticket)
+
+    def add(self, ticket: Any) -> None:
+        """Adds a ticket."""
+        if ticket.is_late:
+            self.late.add(ticket)
+            return
+        line = self.in_time_by_class.get(ticket.line_class)
+        if line is None:
+            line = self.in_time_by_class[ticket.line_class] = _Line()
+        line.tickets.add(ticket)
+        self.by_deadline.add(ticket)
+
+    def remove(self, ticket: Any) -> None:
+        """Removes a ticket if it is there."""
+        if ticket.is_late:
+            self.late.discard(ticket)
+        elif ticket.line_class in self.in_time_by_class:
+            self.in_time_by_class[ticket.line_class].tickets.discard(ticket)
+            self.by_deadline.discard(ticket)
+
+    def record_grant(self, ticket: Any, now: float) -> None:
+        """Records that a ticket, already removed, got a place."""
+        self.served_classes.record_place(ticket.line_class)
+        if ticket.request.workspace:
+            self.served_workspaces.record_place(ticket.request.workspace)
+        if ticket.is_late:
+            self.late_grants.add(now)
+            return
+        self.grant_count += 1
+        self.in_time_by_class[ticket.line_class].grant_count += 1
+
+    def in_order(self) -> Iterator[Any]:
+        """Yields the tickets in the order in which they get places; none may be added or removed meanwhile."""
+        if len(self.in_time_by_class) == 1:
+            (line,) = self.in_time_by_class.values()
+            return itertools.chain(line.in_order(), self.late)
+        lines = [line.in_order() for _, line in self._lines_in_order()]
+        return itertools.chain(*lines, self.late)
+
+    def _lines_in_order(self) -> list[tuple[tuple[int, bool], _Line]]:
+        lines = [(key, line) for key, line in self.in_time_by_class.items() if line.tickets]
+        if len(lines) > 1 and self.grant_count % _STARVED_INTERVAL == _STARVED_TURN:
+            least = min(lines[1:], key=lambda entry: self.served_classes.share(entry[0]))
+            if self.served_classes.is_starved(least[0], _STARVED_FRACTION):
+                lines.remove(least)
+                lines.insert(0, least)
+        return lines
+
+    def position(self, ticket: Any) -> tuple[int, int]:
+        """Returns the number of tickets in time and of late ones that are ahead of a ticket."""
+        if ticket.is_late:
+            return len(self.by_deadline), self.late.bisect_left(ticket)
+        if len(self.in_time_by_class) == 1:
+            return self.in_time_by_class[ticket.line_class].tickets.bisect_left(ticket), 0
+        ahead = 0
+        for key, line in self.in_time_by_class.items():
+            if key == ticket.line_class:
+                return ahead + line.tickets.bisect_left(ticket), 0
+            ahead += len(line.tickets)
+        return ahead, 0
--- a/libs/arbutusrill_site/_speeds.py
+++ b/libs/arbutusrill_site/_speeds.py
@@ -11,6 +11,7 @@
 __all__ = ["EngineSpeeds", "UnitTimeEstimate"]
 
 _SLOWER_SMOOTHING_FACTOR = 0.02  # weight of an observation that is longer than the estimate; a shorter one replaces it
+_RECENT_SMOOTHING_FACTOR = 0.2  # weight of the latest observation in the moving average
 _NOMINAL_PREFILL_S_PER_TOKEN = 0.000045  # a nominal engine is the reference for relative speeds
 _NOMINAL_DECODE_S_PER_EVENT = 0.048
 _ASSUMED_TOKENS_PER_EVENT = 12.0  # before enough streams were observed
@@ -20,6 +21,7 @@
 _MIN_REQUEST_SAMPLES = 15  # from which the work of a service counts as known; also the window of its averages
 _CONTENTION_FACTOR = 1.1  # the estimate follows the shortest times; concurrent streams lengthen them
 _MAX_PENDING_PROMPT_AGE_S = 3.0  # older prompts count as processed
+_ASSIGNMENT_TOLERANCE_S = 0.05  # by which a prefill may seem to begin before its assignment
 _LOCAL_PREFILL_FACTOR = 2.0  # time of a prefill on a decode engine, as a multiple of that on a prefill engine
 
 
@@ -59,6 +61,7 @@
     assigned_at: float
     tokens: int
     queued: bool  # whether the engine was expected to be busy at `assigned_at`
+    expected_end: float
 
 
 @dataclass(slots=True)
@@ -70,6 +73,7 @@
 
     unit_s: float
     count: int = 0
+    recent_s: float = 0.0  # moving average of the times, with queueing and contention; 0 before the first
     busy_until: float = 0.0  # when the engine is expected to be able to start another prefill
     _pending: deque[_PendingPrompt] = field(default_factory=deque)  # oldest first
 
@@ -81,27 +85,47 @@
         """Adds a prompt that is assigned to the engine, and drops those older than `_MAX_PENDING_PROMPT_AGE_S`."""
         while self._pending and self._pending[0].assigned_at < now - _MAX_PENDING_PROMPT_AGE_S:
             self._pending.popleft()
-        self._pending.append(_PendingPrompt(now, tokens, self.busy_until > now))
+        self._pending.append(_PendingPrompt(now, tokens, self.busy_until > now, self.ends_at(tokens, now)))
         self.busy_until = max(now, self.busy_until) + tokens * self.unit_s * _PREFILL_OCCUPANCY_FRACTION
 
     def complete_prompt(self, tokens: int, took_s: float, now: float) -> None:
         """Updates the estimate from a prefill that took `took_s` seconds and whose report arrived at `now`.
 
-        `took_s` counts from the assignment to the engine. An engine processes its prompts in order, so that older ones
-        have ended too and newer ones are its queue. The time of a queued prompt includes its wait, and counts only when
-        it is shorter than the estimate.
+        `took_s` counts from the assignment to the engine, and the report may be seconds old. The time of a queued
+        prompt includes its wait, and counts only when it is shorter than the estimate. So does that of a prompt that
+        was not assigned here, as after a change of leader. An engine processes its prompts in order, so that those
+        assigned after this one end as much later or earlier than expected as this one.
         """
-        queued = False
-        while self._pending and self._pending[0].assigned_at <= now - took_s:
-            queued = self._pending.popleft().queued
-        if not queued or took_s / tokens < self.unit_s:
+        index = self._index_of(tokens, now - took_s)
+        if index is None:
+            if took_s / tokens < self.unit_s:
+                self.add(took_s / tokens)
+            return
+        prompt = self._pending[index]
+        for _ in range(index + 1):
+            self._pending.popleft()
+        delay_s = prompt.assigned_at + took_s - prompt.expected_end
+        self.busy_until += delay_s
+        for newer in self._pending:
+            newer.expected_end += delay_s
+        if not prompt.queued or took_s / tokens < self.unit_s:
             self.add(took_s / tokens)
-        waiting = sum(prompt.tokens for prompt in self._pending)
-        self.busy_until = max(self.busy_until, now + waiting * self.unit_s * _PREFILL_OCCUPANCY_FRACTION)
+
+    def _index_of(self, tokens: int, assigned_by: float) -> int | None:
+        """Returns the position of the oldest pending prompt of `tokens`; None if it was not assigned here."""
+        for index, prompt in enumerate(self._pending):
+            if prompt.assigned_at > assigned_by + _ASSIGNMENT_TOLERANCE_S:
+                return None
+            if prompt.tokens == tokens:
+                return index
+        return None
 
     def add(self, observed_s: float) -> None:
         """Adds an observation in seconds per prompt token or event; the first one replaces the nominal value."""
         self.count += 1
+        self.recent_s = (
+            observed_s if self.count == 1 else self.recent_s + _RECENT_SMOOTHING_FACTOR * (observed_s - self.recent_s)
+        )
         if self.count == 1 or observed_s < self.unit_s:
             self.unit_s = observed_s
         else:
@@ -126,15 +150,22 @@
 
     def unit_time_of(self, backend: str, stage: str) -> UnitTimeEstimate:
         """Returns the estimate for an engine in a stage, nominal before the first observation."""
+        key = (backend, stage)
         with self._lock:
-            return self._estimate_by_engine.setdefault(
-                (backend, stage), UnitTimeEstimate(_NOMINAL_UNIT_S_BY_STAGE[stage])
-            )
+            estimate = self._estimate_by_engine.get(key)
+            if estimate is None:
+                estimate = self._estimate_by_engine[key] = UnitTimeEstimate(_NOMINAL_UNIT_S_BY_STAGE[stage])
+            return estimate
 
     def slowness(self, backend: str) -> float:
         """Returns the decoding time per event of an engine, as a multiple of that of a nominal engine."""
         return self.unit_time_of(backend, "decode").unit_s / _NOMINAL_DECODE_S_PER_EVENT
 
+    def event_s(self, backend: str) -> float:
+        """Returns the usual time per event of the streams of an engine lately, with contention."""
+        estimate = self.unit_time_of(backend, "decode")
+        return estimate.recent_s or estimate.unit_s
+
     def local_prefill_s(self, prompt_tokens: int, backend: str = "") -> float:
         """Returns the expected seconds of a prefill on a decode engine, a nominal one when `backend` is empty."""
         slowness = self.slowness(backend) if backend else 1.0
--- /dev/null
+++ b/libs/arbutusrill_site/tests/test_order.py
@@ -0,0 +1,194 @@
+"""Replays of loads beyond the room of the engines: who gets a place, who is refused, and where prompts are read."""
+
+import copy
+from collections import Counter
+
+import pytest
+from arbutusrill_wire import messages
+
+from .test_placement import OBJECTIVE_S, Replay
+
+PREFILL_S_PER_TOKEN = 0.00003
+LOCAL_PREFILL_S_PER_TOKEN = 0.00006
+NETWORK_S = 0.025  # of a prefill, while the engine reads the next prompt
+REPORT_DELAY_S = 0.5  # from the end of a prefill to the next request of its entry VM
+EVENT_S = 0.08  # usual time between two events
+FETCH_S = 0.08  # from the end of a prefill to the first event
+GAP = {"event_gap_ms": 300}
+
+
+class ScarceReplay(Replay):
+    """Reads prompts one after the other, and keeps what became of each request."""
+
+    def __init__(self, *args, **more):
+        super().__init__(*args, **more)
+        self.requests, self.arrived_at, self.first_event_at, self.refused_at = {}, {}, {}, {}
+        self.prefill_ends, self.prefills = {}, []
+        self.streams_by_engine, self.local_end_by_engine = {}, {}
+        self.paused = set()  # IDs of streams that paused for longer than their callers accept
+
+    def poll(self, now, request, arrived_at):
+        self.requests.setdefault(request.request_id, request)
+        self.arrived_at.setdefault(request.request_id, now)
+        ended = [entry for entry in self.prefills if entry[0] <= now - REPORT_DELAY_S]
+        self.prefills = [entry for entry in self.prefills if entry[0] > now - REPORT_DELAY_S]
+        request.prefills = [speed for _, speed in ended]
+        refused_before = self.refused
+        super().poll(now, request, arrived_at)
+        if self.refused > refused_before:
+            self.on_refused(now, request)
+
+    def on_refused(self, now, request):
+        self.refused_at[request.request_id] = now
+
+    def begin_stream(self, now, reply, request):
+        if request.request_id in self.waiting_since:
+            self.first_event_at[request.request_id] = self.read(now, reply, request.prompt_tokens) + FETCH_S
+            self.streams_by_engine.setdefault(reply.decode, set()).add(request.request_id)
+        super().begin_stream(now, reply, request)
+
+    def end_stream(self, now, reply, request):
+        self.streams_by_engine[reply.decode].discard(request.request_id)
+        super().end_stream(now, reply, request)
+
+    def read(self, now, reply, tokens):
+        """Returns when a prompt has been read."""
+        if not reply.prefill:
+            ends_at = max(now, self.local_end_by_engine.get(reply.decode, 0.0)) + tokens * LOCAL_PREFILL_S_PER_TOKEN
+            self.local_end_by_engine[reply.decode] = ends_at
+            if ends_at - now + EVENT_S > GAP["event_gap_ms"] / 1000:
+                self.paused |= self.streams_by_engine.get(reply.decode, set())
+            return ends_at
+        ends_at = max(now, self.prefill_ends.get(reply.prefill, 0.0)) + tokens * PREFILL_S_PER_TOKEN
+        self.prefill_ends[reply.prefill] = ends_at
+        self.prefills.append((ends_at, messages.EngineSpeed(reply.prefill, ends_at + NETWORK_S - now, tokens)))
+        return ends_at
+
+    def in_time_fraction(self, start, end):
+        asked = [n for n, at in self.arrived_at.items() if start <= at < end and not n.startswith("again-")]
+        in_time = [n for n in asked if self.first_event_at.get(n, 1e9) - self.arrived_at[n] <= OBJECTIVE_S]
+        return len(set(in_time) - self.paused) / len(asked)
+
+    def served_by(self, field):
+        asked = Counter(getattr(request, field) for request in self.requests.values())
+        served = Counter(getattr(self.requests[name], field) for name in self.first_event_at)
+        return {key: served[key] / count for key, count in asked.items()}
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_decode_engines_with_streams_read_no_prompt_that_pauses_them(seed):
+    # One prefill engine for twice its load: decode engines read every second prompt, and most streams paused.
+    replay = ScarceReplay(seed, decode=12, prefill=1)
+    replay.load(20, 0, 15, **GAP)
+    replay.run(40)
+    assert not replay.paused
+    assert len(replay.first_event_at) > 100
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_short_prompts_are_still_read_by_decode_engines(seed):
+    # Without a prefill engine in time, streams that allow it share their engine with the reading of a short prompt.
+    replay = ScarceReplay(seed, decode=12, prefill=1)
+    replay.load(25, 0, 10, prompt_tokens=1500, **GAP)
+    replay.run(30)
+    assert replay.in_time_fraction(0, 10) > 0.9
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_burst_leaves_most_streams_in_time_and_those_after_it_all(seed):
+    # Prompts of late streams filled the prefill engines, others were read where they paused streams, and a large part
+    # of the requests that came next was late too.
+    replay = ScarceReplay(seed, decode=12, prefill=3)
+    for start, end, rate in ((0, 5, 22), (5, 9, 60), (9, 20, 22)):
+        replay.load(rate * 0.7, start, end, prompt_tokens=2400, output_tokens=500, **GAP)
+        replay.load(rate * 0.3, start, end, prompt_tokens=5500, output_tokens=900, **GAP)
+    replay.run(60)
+    assert replay.in_time_fraction(5, 9) > 0.7
+    assert replay.in_time_fraction(9.5, 20) > 0.99
+    assert len(replay.first_event_at) > 480
+    assert replay.peak_tokens <= replay.capacity_tokens
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_half_of_the_refusals_come_within_an_eighth_of_the_objective(seed):
+    # Requests that could not be in time waited up to three times their objective and were refused then.
+    replay = ScarceReplay(seed)
+    replay.load(14, 0, 5, **GAP)
+    replay.load(70, 5, 11, **GAP)
+    replay.run(40)
+    held = [moment - replay.arrived_at[name] for name, moment in replay.refused_at.items()]
+    assert len(held) > 50
+    assert sum(held_s <= OBJECTIVE_S / 8 for held_s in held) > 0.5 * len(held)
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_more_urgent_requests_go_first_and_no_rank_or_workspace_starves(seed):
+    replay = ScarceReplay(seed, prefill=5)
+    for rank, rate in enumerate((10, 20, 20)):
+        for number in range(4):
+            replay.load(rate / 4, 0, 30, rank=rank, workspace=f"{number}", **GAP)
+    replay.run(60)
+    served = replay.served_by("rank")
+    total = len(replay.first_event_at) / replay.arrived
+    assert total < 0.8, "the load is above the capacity"
+    assert served[0] > 0.9
+    assert served[0] >= served[1] - 0.05 and served[1] >= served[2] - 0.05
+    assert min(served.values()) > total / 4
+    assert min(replay.served_by("workspace").values()) > 0.8 * total
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_workspace_with_far_more_than_its_share_of_places_goes_after_the_others(seed):
+    replay = ScarceReplay(seed, prefill=5)
+    for number in range(9):
+        replay.load(1.5, 0, 30, workspace=f"w{number}", **GAP)
+    replay.load(30, 0, 30, workspace="large", **GAP)
+    replay.run(60)
+    served = replay.served_by("workspace")
+    total = len(replay.first_event_at) / replay.arrived
+    others = [share for name, share in served.items() if name != "large"]
+    assert total < 0.8, "the load is above the capacity"
+    assert sum(others) / len(others) > served["large"] + 0.1
+    assert served["large"] > total / 4
+
+
+class ReturningReplay(ScarceReplay):
+    """Refused callers return once after the time that they are told."""
+
+    def __init__(self, *args, **more):
+        super().__init__(*args, **more)
+        self.return_at = {}  # by the ID of the second request
+        self.refused_twice = 0
+
+    def arrive(self, now, *args, **more):
+        super().arrive(now, *args, content=self.arrived + 1, return_within_ms=4000, **more)
+
+    def on_refused(self, now, request):
+        super().on_refused(now, request)
+        if request.request_id.startswith("again-"):
+            self.refused_twice += 1
+            return
+        again = copy.copy(request)
+        again.request_id = f"again-{request.request_id}"
+        again.late_in_ms = int(OBJECTIVE_S * 1000)
+        self.return_at[again.request_id] = return_at = now + self.last_wait_ms / 1000
+        self.at(return_at, self.come_back, again)
+
+    def come_back(self, now, request):
+        self.waiting_since[request.request_id] = now
+        self.poll(now, request, now)
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_refused_callers_return_spread_out_and_are_rarely_refused_again(seed):
+    # All were told the same wait, came back together and were refused for good.
+    replay = ReturningReplay(seed, prefill=5)
+    replay.load(16, 0, 5, **GAP)
+    replay.load(60, 5, 8, **GAP)
+    replay.load(12, 8, 20, **GAP)
+    replay.run(60)
+    assert len(replay.return_at) > 40
+    by_half_second = Counter(int(moment * 2) for moment in replay.return_at.values())
+    assert max(by_half_second.values()) < 0.3 * len(replay.return_at)
+    assert replay.refused_twice < 0.2 * len(replay.return_at)
+    assert replay.in_time_fraction(9, 20) > 0.9
--- a/libs/arbutusrill_site/tests/test_placement.py
+++ b/libs/arbutusrill_site/tests/test_placement.py
@@ -41,11 +41,11 @@
     def at(self, moment, step, *args):
         heapq.heappush(self.events, (moment, next(self.order), step, args))
 
-    def arrive(self, now, prompt_tokens=3200, output_tokens=700):
+    def arrive(self, now, prompt_tokens=3200, output_tokens=700, **more):
         self.arrived += 1
         request = messages.PlaceRequest(
             "vm", 1, str(self.arrived), "model", "", prompt_tokens, prompt_tokens + output_tokens, int(POLL_S * 1000),
-            int(OBJECTIVE_S * 1000), True, [], int(PATIENCE_S * 1000),
+            int(OBJECTIVE_S * 1000), True, [], int(PATIENCE_S * 1000), **more,
         )  # fmt: skip
         self.waiting_since[request.request_id] = now
         self.poll(now, request, now)
@@ -61,6 +61,7 @@
             self.at(now + POLL_S, self.end_poll, ticket, arrived_at)
         elif reply.refused:
             self.refused += 1
+            self.last_wait_ms = reply.wait_ms
         else:
             self.begin_stream(now, reply, request)
 
@@ -68,7 +69,7 @@
         reply = self.scheduler.take_reply(ticket)
         if reply is not None:
             return
-        self.scheduler.end_poll(ticket, now)
+        self.last_wait_ms = self.scheduler.end_poll(ticket, now).wait_ms
         if now - arrived_at < PATIENCE_S:
             self.at(now + 0.005, self.poll, ticket.request, arrived_at)
         else:
--- a/libs/arbutusrill_wire/arbutusrill.thrift
+++ b/libs/arbutusrill_wire/arbutusrill.thrift
@@ -525,12 +525,17 @@
   13: i64 content = 0,                 // hash of the content, which identifies a repeated request of a caller
   14: list<EngineSpeed> prefills,      // speeds of prefill engines measured by the VM since its last call
   15: bool continued = false,          // whether the request had a place before, on an engine that failed
-  16: i32 event_gap_ms = 0             // longest gap between events that the caller accepts; 0 if unknown
+  16: i32 event_gap_ms = 0,            // longest gap between events that the caller accepts; 0 if unknown
+  30: i32 rank = 0,                    // urgency, where 0 is the most urgent
+  31: string workspace = "",
+  32: i32 return_within_ms = 0         // longest time after a refusal at which the caller returns; 0 if unknown
 }
 
 // IDs of the engines, empty if none had capacity in time. `wait_ms` is the time until capacity is expected. A `refused`
-// request has lost its position in the queue.
-struct PlaceReply { 1: i64 place = 0, 2: string prefill = "", 3: string decode = "", 4: i32 wait_ms = 0, 5: bool refused = false }
+// request has lost its position in the queue. A `late` place was granted after the objective could no longer be met.
+struct PlaceReply {
+  1: i64 place = 0, 2: string prefill = "", 3: string decode = "", 4: i32 wait_ms = 0, 5: bool refused = false, 30: bool late = false
+}
 
 // `speeds` are those of the decode engine. `unresponsive` lists engines that did not accept a connection or took too
 // long to read a prompt.
