site: room for late streams follows the last second

Change: arrivals and releases of the last second.

Before/after: test_no_room_is_kept_for_a_burst_that_has_ended fails on the commit before.

--- a/libs/arbutusrill_site/_service_line.py
+++ b/libs/arbutusrill_site/_service_line.py
@@ -15,7 +15,8 @@
 
 __all__ = ["ServiceLine"]
 
-_RATE_WINDOW_S = 4.0  # window over which arrivals and released places are counted
+_RATE_WINDOW_S = 4.0  # window over which released places are counted for expected waits
+_FORECAST_WINDOW_S = 1.0  # short, so that room is not kept for a burst that has ended
 _LARGEST_INTERVAL = 8  # one grant in this number goes to the largest request within its deadline
 _STARVED_INTERVAL = 8  # one grant in this number goes to the line that is served least often, if it starves
 _STARVED_TURN = 3  # which one of them, so that it is not the turn of the largest
@@ -50,8 +51,9 @@
         self.late = SortedKeyList(key=_SORT_KEY)
         self.by_deadline = SortedKeyList(key=lambda ticket: (ticket.placement_deadline, ticket.number))  # in time
         self.grant_count = 0
-        self.arrivals = RateWindow(_RATE_WINDOW_S)  # of requests that can be in time
+        self.arrivals = RateWindow(_FORECAST_WINDOW_S)  # of requests that can be in time
         self.releases = RateWindow(_RATE_WINDOW_S)
+        self.recent_releases = RateWindow(_FORECAST_WINDOW_S)
         self.late_grants = RateWindow(_RATE_WINDOW_S)
         self.returns = ReturnSchedule()
         self.served_classes = ServedShares()
--- a/libs/arbutusrill_site/_waiting_queue.py
+++ b/libs/arbutusrill_site/_waiting_queue.py
@@ -199,7 +199,9 @@
 
     def record_release(self, service: str, now: float) -> None:
         """Records the release of a place, for the release rate of its service."""
-        self._line(service).releases.add(now)
+        line = self._line(service)
+        line.releases.add(now)
+        line.recent_releases.add(now)
 
     def expected_wait_s(self, ticket: Ticket, now: float, engines: int) -> float:
         """Returns the expected seconds until the ticket gets a place, from its position and the release rate.
@@ -229,7 +231,7 @@
         if releases < _MIN_RELEASES:
             return self._release_rate(line, now, engines)
         least = _MIN_LATE_PLACES_PER_S_PER_ENGINE * max(1, engines)
-        return max(line.late_grants.rate(now), line.releases.rate(now) - line.arrivals.rate(now), least)
+        return max(line.late_grants.rate(now), line.recent_releases.rate(now) - line.arrivals.rate(now), least)
 
     def reserve_from_late(self, ticket: Ticket, now: float) -> float:
         """Returns the places to leave free for requests that are expected to arrive in time within a moment.
@@ -238,7 +240,7 @@
         """
         line = self._line(ticket.request.service_name)
         arrivals = line.arrivals.rate(now) * _RESERVE_HORIZON_S
-        releases = line.releases.rate(now) * _RESERVE_HORIZON_S
+        releases = line.recent_releases.rate(now) * _RESERVE_HORIZON_S
         reserve = max(0.0, arrivals - releases) + math.sqrt(arrivals)
         return reserve * (_RETURNED_RESERVE_FRACTION if ticket.is_returned else 1.0)
 
--- a/libs/arbutusrill_site/tests/test_order.py
+++ b/libs/arbutusrill_site/tests/test_order.py
@@ -6,6 +6,8 @@
 import pytest
 from arbutusrill_wire import messages
 
+from arbutusrill_site._waiting_queue import WaitingQueue
+
 from .test_placement import OBJECTIVE_S, Replay
 
 PREFILL_S_PER_TOKEN = 0.00003
@@ -109,6 +111,24 @@
     assert replay.peak_tokens <= replay.capacity_tokens
 
 
+def test_no_room_is_kept_for_a_burst_that_has_ended():
+    # Engines were a third empty for five seconds after a burst while late requests waited and were refused.
+    queue = WaitingQueue()
+
+    def arrive(name, moment):
+        request = messages.PlaceRequest("vm", 1, str(name), "model", "", 3200, 3900, 400, 900)
+        return queue.enqueue(request, moment, 0.2)
+
+    for number in range(120):
+        ticket = arrive(number, number / 60)
+    assert queue.reserve_from_late(ticket, 2.0) > 40
+    for number in range(15):
+        arrive(200 + number, 2 + number / 10)
+    for number in range(70):
+        queue.record_release("model", number / 20)
+    assert queue.reserve_from_late(ticket, 3.5) < 6
+
+
 @pytest.mark.parametrize("seed", range(3))
 def test_half_of_the_refusals_come_within_an_eighth_of_the_objective(seed):
     # Requests that could not be in time waited up to three times their objective and were refused then.
