site: a large late request keeps no smaller one from the room; metrics, tests of prefills and urgency

Change: a late request that fits on no engine is passed over. The room for late requests is counted in requests of the mean size that runs. Metrics of late places, refusals by rank and prompts that wait.

--- a/libs/arbutusrill_site/_engine_loads.py
+++ b/libs/arbutusrill_site/_engine_loads.py
@@ -208,12 +208,17 @@
                     yield record
 
     def free_count(self, request: Any, capacity: Engine) -> int:
-        """Returns how many requests like this one the decode engines have room for, without forecasts of memory."""
+        """Returns how many requests the decode engines have room for, without forecasts of memory.
+
+        A request counts with the mean size of those that run, or with that of `request` if none does.
+        """
         usable = capacity.kv_tokens * _USABLE_MEMORY_FRACTION
-        tokens = max(1, request.memory_tokens)
+        loads = self._decode_by_service.get(request.service_name, ())
+        place_count = sum(len(load.places) for load in loads)
+        mean_tokens = sum(load.tokens for load in loads) / place_count if place_count else request.memory_tokens
+        tokens = max(1, mean_tokens)
         return sum(
-            max(0, min(capacity.slots - len(load.places), int((usable - load.tokens) // tokens)))
-            for load in self._decode_by_service.get(request.service_name, ())
+            max(0, min(capacity.slots - len(load.places), int((usable - load.tokens) // tokens))) for load in loads
         )
 
     def _ranked(self, request: Any, now: float) -> Iterator[tuple[Any, EngineLoad]]:
--- a/libs/arbutusrill_site/_metrics.py
+++ b/libs/arbutusrill_site/_metrics.py
@@ -57,9 +57,20 @@
             "barred_part_sets": (service.prompts.bar_count, "sets of parts of prompts that are barred"),
             "suspected_parts": (service.prompts.suspected_count, "parts of prompts involved in crashes of engines"),
             "places_waiting": (service.places.waiting, "requests in line for a place on an engine"),
+            "places_late": (service.places.counts.late_places, "places granted to late requests since the start"),
+            "local_prefills_refused": (
+                service.places.counts.local_prefills_refused,
+                "requests that waited since the start because no engine could read their prompt",
+            ),
         }
         for name, (value, text) in values.items():
             yield GaugeMetricFamily(f"arbutusrill_control_{name}", text, value=value)
+        refused = GaugeMetricFamily(
+            "arbutusrill_control_places_refused", "requests refused a place since the start", labels=["rank"]
+        )
+        for rank, count in sorted(service.places.counts.refused_by_rank.copy().items()):
+            refused.add_metric([str(rank)], count)
+        yield refused
 
     def expose(self) -> bytes:
         """Returns the metrics in the Prometheus text format."""
--- a/libs/arbutusrill_site/_placement.py
+++ b/libs/arbutusrill_site/_placement.py
@@ -155,7 +155,8 @@
     def _next_choice(self, service: str, capacity: Engine, now: float) -> tuple[Ticket, Any, Reading] | None:
         """Returns the next request to get a place, with its engines; None if there is none.
 
-        While no engine can read the prompt of the first one, those that need no prefill may go ahead of it.
+        While no engine can read the prompt of the first one, those that need no prefill may go ahead of it. A late one
+        that is too large for the room on any engine keeps no other late one from it.
         """
         is_reading_refused = False
         for ticket in itertools.islice(self._waiting_queue.polled(service, now), _MAX_TICKETS_EXAMINED):
@@ -165,6 +166,8 @@
                 return None
             decodes = self._loads.decode_with_room(ticket.request, capacity, now)
             choice = self._reading.choose(ticket, itertools.islice(decodes, _MAX_ENGINES_EXAMINED), now)
+            if choice is None and ticket.is_late:
+                continue
             if choice is None:
                 return None
             decode, reading = choice
--- a/libs/arbutusrill_site/tests/test_order.py
+++ b/libs/arbutusrill_site/tests/test_order.py
@@ -111,6 +111,21 @@
     assert replay.peak_tokens <= replay.capacity_tokens
 
 
+def test_large_late_request_keeps_no_smaller_one_from_the_room():
+    # Engines were a quarter empty for four seconds after a burst, while a late request too large for any of them was
+    # the first of 70.
+    replay = ScarceReplay(1, decode=2, prefill=2)
+    for number in range(8):
+        replay.arrive(number / 100, prompt_tokens=4400, output_tokens=600, **GAP)
+    replay.run(0.2)
+    assert len(replay.first_event_at) == 8
+    replay.run(1.3)
+    replay.arrive(1.3, prompt_tokens=20_000, late_in_ms=0, **GAP)
+    replay.arrive(1.4, prompt_tokens=900, output_tokens=100, late_in_ms=0, **GAP)
+    replay.run(1.6)
+    assert "10" in replay.first_event_at and "9" not in replay.first_event_at
+
+
 def test_no_room_is_kept_for_a_burst_that_has_ended():
     # Engines were a third empty for five seconds after a burst while late requests waited and were refused.
     queue = WaitingQueue()
--- a/libs/arbutusrill_site/tests/test_placement.py
+++ b/libs/arbutusrill_site/tests/test_placement.py
@@ -43,9 +43,10 @@
 
     def arrive(self, now, prompt_tokens=3200, output_tokens=700, **more):
         self.arrived += 1
+        late_in_ms = more.pop("late_in_ms", int(OBJECTIVE_S * 1000))
         request = messages.PlaceRequest(
             "vm", 1, str(self.arrived), "model", "", prompt_tokens, prompt_tokens + output_tokens, int(POLL_S * 1000),
-            int(OBJECTIVE_S * 1000), True, [], int(PATIENCE_S * 1000), **more,
+            late_in_ms, True, [], int(PATIENCE_S * 1000), **more,
         )  # fmt: skip
         self.waiting_since[request.request_id] = now
         self.poll(now, request, now)
--- a/libs/arbutusrill_site/tests/test_speeds.py
+++ b/libs/arbutusrill_site/tests/test_speeds.py
@@ -38,6 +38,25 @@
     assert estimate.ends_at(3000, 13.0) > 14.0
 
 
+def test_prefill_that_ends_sooner_than_expected_moves_the_queue_forward():
+    # The end expected was only ever moved later: idle engines counted as busy, and decode engines read the prompts.
+    speeds = EngineSpeeds()
+    estimate = speeds.unit_time_of("engine-1", "prefill")
+    for number in range(10):
+        estimate.add_prompt(3000 + number, 10.0)
+    speeds.learn_prefill("engine-1", 0.3, 3009, 11.0)  # the last one
+    assert estimate.busy_until < 10.3
+
+
+def test_time_of_a_prompt_that_another_leader_assigned_counts_only_if_it_is_short():
+    # The first report after a change of leader set an engine of 45 us a token to 188, and its queue to 0.8 s.
+    speeds = EngineSpeeds()
+    speeds.learn_prefill("engine-1", 0.404, 2151, 10.0)
+    assert speeds.unit_time_of("engine-1", "prefill").unit_s < 0.00005
+    speeds.learn_prefill("engine-1", 0.07, 2151, 10.0)
+    assert speeds.unit_time_of("engine-1", "prefill").unit_s < 0.000035
+
+
 def test_queueing_time_at_an_engine_does_not_lower_its_speed():
     # Two busy engines were estimated at half the capacity of one, so that a burst switched decode engines to prefill.
     speeds = EngineSpeeds()
