gateway: without the leader, engines are chosen from a random sample

Change: without a place, a VM chooses the best of a random eighth of the engines of a stage, of at least three.

Before/after: test_sample.py: 50 of 50 VMs with the same view choose the same of 40 engines without the sample, fewer than a quarter of 400 with it.

Ruled out: more jitter of the expected time, which also moves choices among engines that differ for a reason.

--- a/libs/arbutusrill_gateway/_backends.py
+++ b/libs/arbutusrill_gateway/_backends.py
@@ -30,6 +30,7 @@
 _CROSS_DATA_CENTRE_KV_PENALTY_S = 0.06  # for a transfer of a KV cache
 _FAILURE_PENALTY_S = 0.6  # expected cost of a failed request
 _DECODE_STEP_S = 0.02  # expected duration on a decode engine, for each concurrent request
+_SAMPLE_INTERVAL, _MIN_SAMPLE = 8, 3  # of the servers among which a VM chooses without the leader
 _JITTER_FRACTION = 0.05
 _AVOID_FAILURE_RATE = 0.4  # engines with a higher failure rate are avoided
 _USABLE_MEMORY_FRACTION = 0.92  # fraction of an engine's KV cache memory that may be allocated
@@ -194,6 +195,15 @@
             if record.service_name == service.name and _serves(record, stage, model)
         ]
 
+    def unsampled_ids(self, service: Service, stage: str, model: str) -> set[str]:
+        """Returns the ids of all servers but a random sample of one in `_SAMPLE_INTERVAL`, at least `_MIN_SAMPLE`.
+
+        VMs that choose by the same old view and without a sample all choose the same server.
+        """
+        ids = [record.id for record in self._serving(service, stage, model)]
+        size = max(_MIN_SAMPLE, len(ids) // _SAMPLE_INTERVAL)
+        return set(random.sample(ids, max(0, len(ids) - size)))
+
     def avoided_ids(self) -> list[str]:
         """Returns the ids of backend servers that drain, are quiet, or failed recently or often."""
         now = self._clock.monotonic()
--- a/libs/arbutusrill_gateway/_prefill.py
+++ b/libs/arbutusrill_gateway/_prefill.py
@@ -110,8 +110,13 @@
             return None
         if exchange.pool.is_usable(placement.prefill):
             return Candidate(placement.prefill, 0.0)
-    request = exchange.request
-    return exchange.pool.pick(exchange.service, "prefill", request.prompt_tokens or 0, request.model, excluded)
+    request, pool, service = exchange.request, exchange.pool, exchange.service
+
+    def pick(excluded: set[str]) -> Candidate | None:
+        return pool.pick(service, "prefill", request.prompt_tokens or 0, request.model, excluded)
+
+    candidate = pick(excluded | pool.unsampled_ids(service, "prefill", request.model)) if placement is None else None
+    return candidate or pick(excluded)
 
 
 def release_kv_cache(exchange: Exchange, kv_cache: KvCacheHandle | None) -> None:
--- a/libs/arbutusrill_gateway/_stream.py
+++ b/libs/arbutusrill_gateway/_stream.py
@@ -248,7 +248,12 @@
             exchange.service, stage, request.memory_tokens, request.model, excluded, kv_data_centre
         )
 
-    candidate = pick(exchange.tried | exchange.full)
+    candidate = None
+    if placement is None and stage:
+        candidate = pick(
+            exchange.tried | exchange.full | exchange.pool.unsampled_ids(exchange.service, stage, request.model)
+        )
+    candidate = candidate or pick(exchange.tried | exchange.full)
     return candidate or (pick(exchange.tried) if exchange.full else None)
 
 
