site: the search for a late request that fits examines only smaller ones

Cause: every late request that was passed over cost a pass over all engines, 32 at most for one event.

Change: after one that fits nowhere, only smaller requests for the same model are examined.

--- a/libs/arbutusrill_site/_placement.py
+++ b/libs/arbutusrill_site/_placement.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import itertools
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -25,6 +26,7 @@
 _MAX_QUEUED_PER_ENGINE = 1  # requests placed beyond its usable memory, which wait in the engine's own queue
 _UNREPORTED_PLACE_TTL_S = 1.0  # a place that its holder does not report is freed after this age
 _MAX_ENGINES_EXAMINED = 8  # decode engines with room that are examined for the reading of one prompt
+_MAX_LATE_MODELS = 4  # models of late requests for which a smaller request than the first is looked for
 _MAX_TICKETS_EXAMINED = 32  # waiting requests that are examined while no engine can read the prompt of the first
 _events = EventLog("places")
 
@@ -159,14 +161,18 @@
         that is too large for the room on any engine keeps no other late one from it.
         """
         is_reading_refused = False
+        smallest_by_model: dict[str, int] = {}  # sizes of late requests that fit on no engine
         for ticket in itertools.islice(self._waiting_queue.polled(service, now), _MAX_TICKETS_EXAMINED):
             if is_reading_refused and ticket.request.prefill:
                 continue
+            if ticket.request.memory_tokens >= smallest_by_model.get(ticket.request.model, math.inf):
+                continue
             if ticket.is_late and not self._late_room.allows(ticket, capacity, now):
                 return None
             decodes = self._loads.decode_with_room(ticket.request, capacity, now)
             choice = self._reading.choose(ticket, itertools.islice(decodes, _MAX_ENGINES_EXAMINED), now)
-            if choice is None and ticket.is_late:
+            if choice is None and ticket.is_late and len(smallest_by_model) < _MAX_LATE_MODELS:
+                smallest_by_model[ticket.request.model] = ticket.request.memory_tokens
                 continue
             if choice is None:
                 return None
