http: client and pool for connections to servers that are used again

Change: a transfer with `connections` runs on sockets of our own. The request is written to one connection only; the parser takes a response whose end is in doubt for broken, or closes its connection if the response itself is sound. A late response to the request before on the same connection is dropped. `ConnectionPool` keeps idle connections by server incarnation, within the idle time that the server states. Limits and callbacks are now in `TransferState` for both clients, and the tests of `_transfer.py` run with both.

Ruled out: reuse by libcurl for repeatable requests only, http.client; see docs/design/connections-to-servers.md.

--- a/libs/arbutusrill_http/__init__.py
+++ b/libs/arbutusrill_http/__init__.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from ._body_budget import BodyBudget, BodyReservation
+from ._connection_pool import ConnectionPool, Server, ServerConnections
 from ._endings import ConnectionEndings
 from ._handler import AbortStreamError
 from ._json import error_body, failure_response, json_response
@@ -19,8 +20,11 @@
     "BodyBudget",
     "BodyReservation",
     "ConnectionEndings",
+    "ConnectionPool",
     "HttpLimits",
     "HttpServer",
+    "Server",
+    "ServerConnections",
     "Transfer",
     "TransferResult",
     "error_body",
--- a/libs/arbutusrill_http/_transfer.py
+++ b/libs/arbutusrill_http/_transfer.py
@@ -6,7 +6,6 @@
 import socket
 import threading
 import time
-import urllib.parse
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -14,19 +13,19 @@
 from arbutusrill_base import Verdict
 
 from ._body_budget import BodyReservation
+from ._connection_pool import ServerConnections
+from ._request_target import encoded, split_url
+from ._socket_transfer import SocketTransfer
+from ._transfer_state import TransferState
 
 __all__ = ["Transfer", "TransferResult", "fetch"]
 
 _CONNECT_TIMEOUT_S = 2.0
 _KEEPALIVE_IDLE_S = 10
 _KEEPALIVE_INTERVAL_S = 5
-_ASCII = bytes(range(128))
 _MAX_COLLECTED_BYTES = 1_048_576  # of a body that is kept in memory; larger ones need `on_data`
-_MAX_HEAD_BYTES = 32 * 1024  # of all heads and trailers of a response, interim responses included
-_MAX_INTERIM_HEADS = 32
 _TCP_USER_TIMEOUT_MS = 2000
 _MAX_POLL_MS = 250  # interval at which `should_stop`, `stall_s` and `timeout_s` are checked at the latest
-_STALL_RECHECK_S = 0.25
 _CURLE_TOO_LARGE = 100  # a line beyond libcurl's own limit of 100 kB; pycurl has no name for this code
 _LIBCURL_HEADERS = ("Accept", "Content-Type", "User-Agent")
 _thread_local = threading.local()
@@ -34,10 +33,14 @@
 
 @dataclass(slots=True)
 class Transfer:
-    """One HTTP request, on a connection of its own.
+    """One HTTP request, on a connection of its own unless `connections` is given.
 
-    Connections are not reused: libcurl would resend a request by itself when a reused connection turns out to be
-    closed, and a late or repeated response to an earlier request could be taken for the response to this one.
+    Without `connections`, libcurl runs the transfer on a connection that is not reused: it would resend a request by
+    itself when a reused connection turns out to be closed, and a late or repeated response to an earlier request could
+    be taken for the response to this one. With `connections`, the transfer runs on a socket of its own code, which may
+    have been kept after an earlier one, and sends the request once. The connection is kept after a complete response
+    for which `may_keep` returns True. `answer_id` returns the id of the request that a head answers: a response to the
+    request before this one on the same connection is dropped, and the next one is read.
 
     `on_head` gets the status and the headers, `on_any_head` also those of interim responses. `on_data` gets each part
     of the body as it arrives; without it the body is collected, and the transfer fails if it exceeds `max_body_bytes`
@@ -48,7 +51,7 @@
     `timeout_s` limits the whole transfer, `connect_s` the time to connect and `stall_s` the time without progress.
     Progress is the complete head and any byte of the body, or, with `progress_at`, the time that it returns on the
     monotonic clock. With `on_stall`, a transfer without progress for `stall_s` ends only if `on_stall` returns True; it
-    is called again every `_STALL_RECHECK_S` until then.
+    is called again every 0.25 s until then.
     `omit_default_headers` omits the headers that libcurl adds by default.
     """
 
@@ -69,6 +72,9 @@
     on_stall: Callable[[], bool] | None = None
     max_body_bytes: int = _MAX_COLLECTED_BYTES
     memory: BodyReservation | None = None
+    connections: ServerConnections | None = None
+    may_keep: Callable[[], bool] | None = None
+    answer_id: Callable[[int, dict[str, str]], str] | None = None
 
 
 @dataclass(slots=True)
@@ -78,7 +84,8 @@
     `error` is empty for a complete response, else ``connect``, ``timeout``, ``stall``, ``gone`` (the caller closed
     its connection), ``stopped`` (by `should_stop`), ``too_large`` (a head or the body exceeds its limit), ``no_memory``
     (the body finds no room), ``callback`` or ``broken`` (any other error); `detail` describes it. `verdict` says
-    whether the server may have run the request.
+    whether the server may have run the request. `reused` is true if the connection was kept from an earlier transfer,
+    `lost_reused` if such a connection ended before one byte of a response to this one.
     """
 
     status: int = 0
@@ -87,6 +94,8 @@
     error: str = ""
     detail: str = ""
     verdict: Verdict = Verdict.NOT_RUN
+    reused: bool = False
+    lost_reused: bool = False
 
     @property
     def is_complete(self) -> bool:
@@ -99,6 +108,8 @@
 
     An exception of `on_head` or `on_data` ends the transfer and is re-raised.
     """
+    if transfer.connections is not None:
+        return SocketTransfer(transfer, TransferResult()).run()
     return _TransferRun(transfer).run()
 
 
@@ -158,29 +169,18 @@
         return peer_closed
 
 
-class _TransferRun:
-    """State of one transfer while it runs."""
+class _TransferRun(TransferState):
+    """One transfer on libcurl while it runs."""
 
     def __init__(self, transfer: Transfer):
-        self._transfer = transfer
-        self._result = TransferResult()
-        self._body_parts: list[bytes] = []
-        self._body_bytes = 0
-        self._callback_error: BaseException | None = None
-        self._last_byte_at = time.monotonic()
-        self._headers_done = False
-        self._next_stall_check = float("-inf")
+        super().__init__(transfer, TransferResult())
         self._in_head = False  # whether the status line of the current head has been read
-        self._received_bytes = 0
-        self._head_bytes = 0
-        self._interim_count = 0
-        self._refusal: tuple[str, str] | None = None  # error and detail of a response that is not read any further
 
     def run(self) -> TransferResult:
         loop = _current_loop()
         easy = self._make_easy_handle()
         caller_descriptor = (
-            self._transfer.caller_connection.fileno() if self._transfer.caller_connection is not None else -1
+            self.transfer.caller_connection.fileno() if self.transfer.caller_connection is not None else -1
         )
         if caller_descriptor >= 0:
             loop.poller.register(caller_descriptor, select.POLLRDHUP)
@@ -193,19 +193,16 @@
             if caller_descriptor >= 0:
                 loop.poller.unregister(caller_descriptor)
             easy.close()
-        if self._callback_error is not None:
-            raise self._callback_error
-        self._result.body = b"".join(self._body_parts)
-        return self._result
+        return self.finish()
 
     def _wait_for_end(self, loop: _EventLoop, easy: pycurl.Curl, caller_descriptor: int) -> None:
-        deadline = time.monotonic() + self._transfer.timeout_s
+        deadline = time.monotonic() + self.transfer.timeout_s
         while not self._has_ended(loop, easy):
             is_caller_gone = loop.run_once(caller_descriptor)
             # A response that has arrived counts, even if a limit has passed while this thread did not run.
             if self._has_ended(loop, easy):
                 return
-            failure = ("gone", "the caller closed its connection") if is_caller_gone else self._exceeded_limit(deadline)
+            failure = ("gone", "the caller closed its connection") if is_caller_gone else self.exceeded_limit(deadline)
             if failure is not None:
                 self._fail(easy, *failure)
                 return
@@ -216,64 +213,42 @@
         if done:
             self._end(easy)
         elif failed:
-            error, detail = self._refusal or (_error_from_code(failed[0][1]), failed[0][2])
+            error, detail = self.refusal or (_error_from_code(failed[0][1]), failed[0][2])
             self._fail(easy, error, detail)
         return bool(done or failed)
 
-    def _exceeded_limit(self, deadline: float) -> tuple[str, str] | None:
-        """Returns error and detail if the transfer has to end before its response is complete."""
-        now = time.monotonic()
-        if now >= deadline:
-            return "timeout", f"no whole answer in {self._transfer.timeout_s:.3g} s"
-        if self._has_stalled(now):
-            return "stall", f"no progress for {now - self._progress_at():.3g} s"
-        if self._transfer.should_stop is not None and self._transfer.should_stop():
-            return "stopped", "stopped by this process"
-        return None
-
-    def _has_stalled(self, now: float) -> bool:
-        stall_s, on_stall = self._transfer.stall_s, self._transfer.on_stall
-        if stall_s is None or now < max(self._progress_at() + stall_s, self._next_stall_check):
-            return False
-        self._next_stall_check = now + _STALL_RECHECK_S
-        return on_stall is None or on_stall()
-
     def _end(self, easy: pycurl.Curl) -> None:
         """Stores the outcome of a response that libcurl takes for complete, as it does for a head that breaks off."""
-        if not self._headers_done:
+        if not self.headers_done:
             self._fail(easy, "broken", "the connection was closed within the head")
         elif not self._has_stated_length():
             self._fail(easy, "broken", "the body has another length than stated")
         else:
-            self._result.status = easy.getinfo(pycurl.RESPONSE_CODE)
-            self._result.verdict = Verdict.RAN
+            self.result.status = easy.getinfo(pycurl.RESPONSE_CODE)
+            self.result.verdict = Verdict.RAN
 
     def _has_stated_length(self) -> bool:
         """Whether the body has the length in the head; libcurl ignores a length that exceeds 64 bits."""
-        headers = self._result.headers_by_name
-        has_no_body = self._transfer.method == "HEAD" or self._result.status in (204, 304)
+        headers = self.result.headers_by_name
+        has_no_body = self.transfer.method == "HEAD" or self.result.status in (204, 304)
         if has_no_body or "transfer-encoding" in headers or "content-length" not in headers:
             return True
         lengths = {length.strip().lstrip("0") for length in headers["content-length"].split(",")}  # it may be repeated
-        return lengths == {str(self._received_bytes or "")}
-
-    def _progress_at(self) -> float:
-        progress_at = self._transfer.progress_at
-        return self._last_byte_at if progress_at is None else progress_at()
+        return lengths == {str(self.received_bytes or "")}
 
     def _fail(self, easy: pycurl.Curl, error: str, detail: str) -> None:
         # REQUEST_SIZE is the number of bytes sent: if it is 0, the server cannot have run the request.
         sent = easy.getinfo(pycurl.REQUEST_SIZE) > 0
-        self._result.error = error
-        self._result.detail = detail
-        self._result.status = easy.getinfo(pycurl.RESPONSE_CODE)
-        self._result.verdict = Verdict.MAY_HAVE_RUN if sent else Verdict.NOT_RUN
+        self.result.error = error
+        self.result.detail = detail
+        self.result.status = easy.getinfo(pycurl.RESPONSE_CODE)
+        self.result.verdict = Verdict.MAY_HAVE_RUN if sent else Verdict.NOT_RUN
 
     def _make_easy_handle(self) -> pycurl.Curl:
-        transfer = self._transfer
+        transfer = self.transfer
         easy = pycurl.Curl()
-        origin, target = _split_url(transfer.url)
-        easy.setopt(pycurl.URL, _encoded(origin))
+        origin, target = split_url(transfer.url)
+        easy.setopt(pycurl.URL, encoded(origin))
         easy.setopt(pycurl.REQUEST_TARGET, target)  # libcurl would change percent-encoded octets
         easy.setopt(pycurl.CUSTOMREQUEST, transfer.method)
         easy.setopt(pycurl.NOSIGNAL, 1)
@@ -286,7 +261,7 @@
         easy.setopt(pycurl.TCP_KEEPIDLE, _KEEPALIVE_IDLE_S)
         easy.setopt(pycurl.TCP_KEEPINTVL, _KEEPALIVE_INTERVAL_S)
         easy.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
-        easy.setopt(pycurl.WRITEFUNCTION, self._on_data)
+        easy.setopt(pycurl.WRITEFUNCTION, self.add_data)
         easy.setopt(pycurl.HEADERFUNCTION, self._on_header)
         if transfer.body or transfer.method in ("POST", "PUT", "PATCH"):
             easy.setopt(pycurl.POST, 1)
@@ -301,99 +276,27 @@
         if transfer.omit_default_headers:
             given_names = {line.partition(":")[0].lower() for line in transfer.headers}
             headers += [f"{name}:" for name in _LIBCURL_HEADERS if name.lower() not in given_names]
-        easy.setopt(pycurl.HTTPHEADER, [_encoded(line) for line in headers])
+        easy.setopt(pycurl.HTTPHEADER, [encoded(line) for line in headers])
         return easy
 
-    def _refuse(self, error: str, detail: str) -> int:
-        """Ends the transfer within a callback of libcurl."""
-        self._refusal = error, detail
-        return -1
-
     def _on_header(self, line: bytes) -> int | None:
-        self._head_bytes += len(line)
-        if self._head_bytes > _MAX_HEAD_BYTES:
-            return self._refuse("too_large", f"the heads exceed {_MAX_HEAD_BYTES} bytes")
-        if self._headers_done:
+        outcome = self.count_head_bytes(len(line))
+        if outcome is not None or self.headers_done:
             # Trailer fields: merged into the head, they could turn a response into a refusal after it was delivered.
-            return None
+            return outcome
         if not line.endswith(b"\n"):  # the connection was closed within this line, possibly the empty one
             return None
         text = line.decode("latin-1").strip()
         if not self._in_head:
             self._in_head = True
-            self._result.status = int(text.split(None, 2)[1])
-            self._result.headers_by_name.clear()
+            self.begin_head(int(text.split(None, 2)[1]))
         elif ":" in text:
-            self._add_header(*text.split(":", 1))
+            self.add_header(*text.split(":", 1))
         elif not text:
-            return self._end_head()
+            self._in_head = self.result.status >= 200
+            return self.end_head()
         return None
 
-    def _add_header(self, name: str, value: str) -> None:
-        """Adds a header field; the values of a repeated field are combined (RFC 9110, 5.3), except for cookies."""
-        name, value = name.strip().lower(), value.strip()
-        earlier = self._result.headers_by_name.get(name)
-        if earlier is not None and name != "set-cookie":
-            value = f"{earlier}, {value}"
-        self._result.headers_by_name[name] = value
-
-    def _end_head(self) -> int | None:
-        status, headers_by_name = self._result.status, self._result.headers_by_name
-        outcome = None
-        self._interim_count += status < 200
-        if self._interim_count > _MAX_INTERIM_HEADS:
-            return self._refuse("too_large", f"more than {_MAX_INTERIM_HEADS} interim heads")
-        if self._transfer.on_any_head is not None:
-            outcome = self._run_callback(self._transfer.on_any_head, status, headers_by_name)
-        if status >= 200:
-            self._headers_done = True
-            self._last_byte_at = time.monotonic()
-            if outcome is None and self._transfer.on_head is not None:
-                outcome = self._run_callback(self._transfer.on_head, status, headers_by_name)
-        else:
-            self._in_head = False  # the end of an interim head
-        return outcome
-
-    def _on_data(self, data: bytes) -> int | None:
-        self._last_byte_at = time.monotonic()
-        self._received_bytes += len(data)
-        if self._transfer.on_data is not None:
-            return self._run_callback(self._transfer.on_data, data)
-        self._body_bytes += len(data)
-        if self._body_bytes > self._transfer.max_body_bytes:
-            return self._refuse("too_large", f"the body exceeds {self._transfer.max_body_bytes} bytes")
-        if self._transfer.memory is not None and not self._transfer.memory.grow(self._body_bytes, 0.0):
-            return self._refuse("no_memory", f"no memory for a body of {self._body_bytes} bytes")
-        self._body_parts.append(data)
-        return None
-
-    def _run_callback(self, callback: Callable, *arguments: object) -> int | None:
-        try:
-            callback(*arguments)
-        except BaseException as error:
-            self._callback_error = error
-            return -1
-        return None
-
-
-def _split_url(url: str) -> tuple[str, str]:
-    """Returns the URL of the server and the target on it; only bytes beyond ASCII are percent-encoded in the target.
-
-    >>> _split_url("http://10.0.0.1:80/a%c3/../b?c")
-    ('http://10.0.0.1:80/', '/a%c3/../b?c')
-    """
-    scheme, _, rest = url.partition("://")
-    authority, _, target = rest.partition("/")
-    return f"{scheme}://{authority}/", "/" + urllib.parse.quote(_encoded(target), safe=_ASCII)
-
-
-def _encoded(text: str) -> bytes:
-    """Encodes text of a request; text that came from a request is in Latin-1 and returns to the same bytes."""
-    try:
-        return text.encode("latin-1")
-    except UnicodeEncodeError:
-        return text.encode()
-
 
 def _on_socket_created(descriptor: int, _purpose: int) -> int:
     # With family and type given, Python makes no system calls to find them out.
--- a/libs/arbutusrill_http/tests/test_transfer.py
+++ b/libs/arbutusrill_http/tests/test_transfer.py
@@ -10,7 +10,31 @@
 from arbutusrill_base import Verdict
 from werkzeug.wrappers import Response
 
-from arbutusrill_http import BodyBudget, HttpServer, Transfer, _transfer, fetch
+from arbutusrill_http import (
+    BodyBudget,
+    ConnectionPool,
+    HttpServer,
+    Server,
+    ServerConnections,
+    Transfer,
+    _socket_transfer,
+    _transfer,
+)
+from arbutusrill_http._sockets import set_dead_peer_timeouts
+
+
+@pytest.fixture(autouse=True, params=["libcurl", "sockets"])
+def way(request):
+    """Runs each test with both clients."""
+    global fetch
+    fetch = _transfer.fetch if request.param == "libcurl" else fetch_on_sockets
+    return request.param
+
+
+def fetch_on_sockets(transfer):
+    address = transfer.url.split("/")[2]
+    transfer.connections = ServerConnections(ConnectionPool(), Server("s", address, 1), is_once=True)
+    return _transfer.fetch(transfer)
 
 
 def serve_once(script):
@@ -167,7 +191,7 @@
     assert received and time.monotonic() - started < 5
 
 
-def test_unresponsive_connections_have_tcp_timeouts(monkeypatch):
+def test_unresponsive_connections_have_tcp_timeouts(monkeypatch, way):
     server_options = []
 
     def app(environ, start):
@@ -186,7 +210,12 @@
             client_options.append(connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT))
         return result
 
+    def on_socket(connection, unacknowledged_s):
+        set_dead_peer_timeouts(connection, unacknowledged_s)
+        client_options.append(connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT))
+
     monkeypatch.setattr(_transfer, "_on_socket_created", on_connection)
+    monkeypatch.setattr(_socket_transfer, "set_dead_peer_timeouts", on_socket)
     with HttpServer("127.0.0.1", 0, app) as server:
         assert fetch(Transfer("GET", f"http://{server.address}/")).is_complete
     assert (server_options, client_options) == ([10_000, 1, 1], [2000])
