gateway, site: connections to backend servers are kept where the contract asks for it

Change: sends, prefills and releases of KV caches use kept connections if the settings name the contract `pool`. A VM holds at most its share of half of what a server accepts (`Service.max_connections`). A request that may run once only uses a connection only while it is young, and is never sent again; one that may be repeated is sent again on a new connection if the server closed the kept one, with a retry from the budget. The place request names the engines to which the VM has a connection (field 40), and the leader prefers them among engines of close cost. Metrics, a log line for lost connections, `reused` in the `attempt` lines.

Ruled out: closer shares by reports of what other VMs keep.

--- a/libs/arbutusrill_gateway/__init__.py
+++ b/libs/arbutusrill_gateway/__init__.py
@@ -2,6 +2,7 @@
 
 from ._backends import BackendPool, Candidate
 from ._configuration_change import apply_configuration
+from ._connections import BackendConnections
 from ._gateway import Gateway
 from ._metrics import GatewayMetrics
 from ._placement import PlacementClient
@@ -11,6 +12,7 @@
 from ._reply import Refusal, Responder
 
 __all__ = [
+    "BackendConnections",
     "BackendPool",
     "BackendProtocol",
     "BackendRequest",
--- a/libs/arbutusrill_gateway/_attempt.py
+++ b/libs/arbutusrill_gateway/_attempt.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 
 from arbutusrill_base import Verdict
-from arbutusrill_http import Transfer, TransferResult, fetch
+from arbutusrill_http import ServerConnections, Transfer, TransferResult, fetch
 
 from ._backends import Candidate
 from ._protocol import BackendProtocol, BackendRequest, CallerRequest, ResponseHead
@@ -17,6 +17,9 @@
 __all__ = ["AttemptResult", "BodyReceiver", "Outcome", "send_attempt"]
 
 _CONNECT_TIMEOUT_S = 0.12  # leaves time for a second engine: an unfetched KV cache expires after 0.5 s
+# A request that was lost with a kept connection is sent again at once if it was lost within this time, as happens when
+# the server has closed the connection. After a longer silence, the rules for retries choose a server.
+_MAX_RESEND_S = 0.25
 # Statuses that tell a caller that its request has not run. They are trusted only if the backend server states so.
 _NOT_RUN_STATUSES = (408, 421, 429, 503)
 
@@ -71,7 +74,9 @@
     """Result of a finished attempt. `response` is None if no response head was received.
 
     `connection_lost` is true if the backend server closed or reset the connection before its response was complete,
-    `is_faulty` if it sent what can be no answer, and `lacks_memory` if this process had no room for its response.
+    unless it was a kept one that ended before the response, which tells nothing about the request. `is_faulty` is true
+    if it sent what can be no answer, and `lacks_memory` if this process had no room for its response.
+    `reused` is true if it was sent on a kept connection.
     """
 
     outcome: Outcome
@@ -82,6 +87,7 @@
     connection_lost: bool = False
     is_faulty: bool = False
     lacks_memory: bool = False
+    reused: bool = False
 
 
 class _HeadCheck:
@@ -124,6 +130,17 @@
         if not self.problem:
             self._receiver.on_data(data)
 
+    def answered_id(self, status: int, headers_by_name: dict[str, str]) -> str:
+        """Returns the id of the request that a head answers."""
+        return self._protocol.decode_response(status, headers_by_name).request_id
+
+    def attach(self, transfer: Transfer) -> None:
+        """Passes the heads of a transfer through this check, and its body to the receiver if there is one."""
+        transfer.on_any_head, transfer.answer_id = self.on_any_head, self.answered_id
+        if self._receiver is not None:
+            transfer.on_head, transfer.on_data = self.on_head, self.on_data
+            transfer.progress_at = self._receiver.progress_at
+
     def decode(self, result: TransferResult) -> ResponseHead:
         """Decodes what arrived of a head that broke off."""
         return self._protocol.decode_response(result.status, result.headers_by_name)
@@ -155,21 +172,20 @@
     on_stall: Callable[[], bool] | None = None,
     on_response: Callable[[ResponseHead], None] | None = None,
     max_body_bytes: int = 0,
+    connections: ServerConnections | None = None,
 ) -> AttemptResult:
     """Sends `request` to `candidate` and waits for the end of the response, whose body `receiver` gets.
 
     Without `receiver`, the body is collected, up to `max_body_bytes`. `stall_s` is the longest time without progress,
     after which `on_stall` decides whether the attempt ends. `on_response` gets each head as soon as it is complete,
-    also of interim responses. A response whose head is that of no answer is not read any further.
+    also of interim responses. A response whose head is that of no answer is not read any further. With `connections`,
+    a kept connection may be used; a request that may run again is sent again on a new one if the server closed it.
     """
     head_check = _HeadCheck(protocol, request, backend_request, on_response, receiver)
     transfer = Transfer(
         request.method,
         f"http://{candidate.address}{request.target}",
-        [
-            f"{name}: {value}" if value else f"{name};"
-            for name, value in protocol.request_headers(request, backend_request)
-        ],
+        _header_lines(protocol, request, backend_request),
         request.body,
         timeout_s,
         stall_s,
@@ -177,18 +193,41 @@
         omit_default_headers=True,
         caller_connection=request.connection,
         on_stall=on_stall,
-        on_any_head=head_check.on_any_head,
         should_stop=lambda: bool(head_check.problem) or (receiver is not None and receiver.should_stop()),
         max_body_bytes=max_body_bytes,
+        connections=connections,
+        may_keep=lambda: _may_keep(head_check, receiver),
     )
-    if receiver is not None:
-        transfer.on_head, transfer.on_data = head_check.on_head, head_check.on_data
-        transfer.progress_at = receiver.progress_at
+    head_check.attach(transfer)
     started = time.monotonic()
     result = fetch(transfer)
+    took_s = time.monotonic() - started
+    if result.lost_reused and took_s < min(_MAX_RESEND_S, timeout_s):
+        repeated = connections.for_repeat()
+        if repeated is not None:
+            backend_request.remaining_s -= took_s
+            transfer.headers = _header_lines(protocol, request, backend_request)
+            transfer.connections, transfer.timeout_s = repeated, timeout_s - took_s
+            result = fetch(transfer)
     return _attempt_result(head_check, receiver, result, time.monotonic() - started)
 
 
+def _header_lines(protocol: BackendProtocol, request: CallerRequest, backend_request: BackendRequest) -> list[str]:
+    fields = protocol.request_headers(request, backend_request)
+    return [f"{name}: {value}" if value else f"{name};" for name, value in fields]
+
+
+def _may_keep(head_check: _HeadCheck, receiver: BodyReceiver | None) -> bool:
+    """Whether the connection of a complete response may be kept.
+
+    A server that has turned the request away accepts fewer connections, since its queue is long.
+    """
+    response = head_check.response
+    if head_check.problem or response is None or response.request_id != head_check.request.id:
+        return False
+    return not (response.draining or response.not_run or (receiver is not None and receiver.problem))
+
+
 def _attempt_result(
     head_check: _HeadCheck, receiver: BodyReceiver | None, result: TransferResult, took_s: float
 ) -> AttemptResult:
@@ -208,9 +247,10 @@
         result.body,
         detail,
         took_s,
-        connection_lost=outcome is Outcome.BROKEN and result.error == "broken" and not is_other,
+        connection_lost=outcome is Outcome.BROKEN and result.error == "broken" and not (is_other or result.lost_reused),
         is_faulty=result.error == "too_large" or (receiver is not None and bool(receiver.problem) and not lacks_memory),
         lacks_memory=lacks_memory,
+        reused=result.reused,
     )
 
 
--- a/libs/arbutusrill_gateway/_backends.py
+++ b/libs/arbutusrill_gateway/_backends.py
@@ -6,7 +6,7 @@
 import math
 import random
 import threading
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from typing import Any
 
@@ -31,6 +31,7 @@
 _FAILURE_PENALTY_S = 0.6  # expected cost of a failed request
 _DECODE_STEP_S = 0.02  # expected duration on a decode engine, for each concurrent request
 _JITTER_FRACTION = 0.05
+_KEPT_CONNECTION_GAIN_S = 0.01  # a new connection takes a round trip, and the server's work to accept it
 _AVOID_FAILURE_RATE = 0.4  # engines with a higher failure rate are avoided
 _USABLE_MEMORY_FRACTION = 0.92  # fraction of an engine's KV cache memory that may be allocated
 _events = EventLog("placement")
@@ -115,13 +116,14 @@
         model: str = "",
         exclude: frozenset[str] | set[str] = frozenset(),
         kv_data_centre: str = "",
+        is_connected: Callable[[Any], bool] | None = None,
     ) -> Candidate | None:
         """Returns the backend server of `service` with the lowest cost for a request of `tokens`, or None.
 
         The cost is the expected duration plus penalties for failures and for other data centres than `kv_data_centre`,
         which holds the request's KV cache (by default this VM's data centre). Backend servers that drain or are quiet
         are not chosen; those that are avoided after a failure only if there is no other. Random jitter spreads requests
-        over servers of similar cost.
+        over servers of similar cost. Those are preferred for which `is_connected` says that a connection is kept.
         """
         now = self._clock.monotonic()
         ranked = []
@@ -141,6 +143,8 @@
                 cost = expected_s * random.uniform(1, 1 + _JITTER_FRACTION) + self._penalty_s(
                     record, stage, kv_data_centre, stats, now
                 )
+                if is_connected is not None and is_connected(record):
+                    cost -= _KEPT_CONNECTION_GAIN_S
                 ranked.append(((avoided, not fits, cost), record, expected_s))
         if not ranked:
             return None
--- a/libs/arbutusrill_gateway/_configuration_change.py
+++ b/libs/arbutusrill_gateway/_configuration_change.py
@@ -8,6 +8,7 @@
 from arbutusrill_site import SiteView
 
 from ._backends import BackendPool
+from ._connections import BackendConnections
 
 __all__ = ["apply_configuration"]
 
@@ -16,9 +17,16 @@
 _IDLE_MARGIN_S = 1.0
 
 
-def apply_configuration(view: SiteView, pool: BackendPool, server: HttpServer) -> None:
-    """Applies the limits for callers to `server`, and drops what `pool` knows of backend servers that have left."""
+def apply_configuration(
+    view: SiteView, pool: BackendPool, server: HttpServer, connections: BackendConnections | None = None
+) -> None:
+    """Applies the limits for callers to `server`, and drops what `pool` knows of backend servers that have left.
+
+    Connections to such servers are closed.
+    """
     pool.prune()
+    if connections is not None:
+        connections.refresh()
     if view.document is None:
         return
     limits = view.document.client_limits
--- a/libs/arbutusrill_gateway/_exchange.py
+++ b/libs/arbutusrill_gateway/_exchange.py
@@ -9,11 +9,12 @@
 from typing import Any
 
 from arbutusrill_base import EventLog, Failure, FailureError, RetryBudget, Verdict
-from arbutusrill_http import BodyBudget, BodyReservation
+from arbutusrill_http import BodyBudget, BodyReservation, ServerConnections
 from arbutusrill_site import Route, Service, Workspace
 
 from ._attempt import AttemptResult
 from ._backends import BackendPool, Candidate
+from ._connections import BackendConnections
 from ._placement import PlacementClient
 from ._prompt_guard import PromptGuard
 from ._protocol import BackendProtocol, BackendRequest, CallerRequest, ResponseHead
@@ -36,6 +37,7 @@
     the route's maximum; prefills and connection failures that are retried at once do not. `verdict` combines the
     verdicts of all attempts, `tried` holds the ids of backend servers to exclude, and `trail` lists every attempt for
     the request log. `memory` holds what is reserved for the body of the response. `rank` is 0 for the most urgent.
+    `connections` are those that this VM keeps, None if it keeps none.
     """
 
     request: CallerRequest
@@ -58,6 +60,7 @@
     prompt_guard: PromptGuard | None = None
     memory: BodyReservation = field(default_factory=lambda: BodyBudget(None).open("", is_response=True))
     rank: int = 0
+    connections: BackendConnections | None = None
 
     def has_room_for(self, size: int, wait_s: float = 0.0) -> bool:
         """Reserves memory for a body of `size` bytes, in steps that double; returns False if there is none in time."""
@@ -89,6 +92,21 @@
         """Returns the function that learns from the response heads of an attempt at `candidate`."""
         return lambda response: self.pool.observe_response(candidate.record, response, self.request.id)
 
+    def connections_to(self, candidate: Candidate, is_once: bool) -> ServerConnections | None:
+        """Returns the connections for an attempt at `candidate`, which may run the request once only if `is_once`."""
+        if self.connections is None:
+            return None
+        may_repeat = None if is_once else lambda: self.has_time() and self.budget.try_acquire()
+        return self.connections.to(candidate.record, self.request.id, is_once, may_repeat)
+
+    def is_connected(self, record: Any) -> bool:
+        """Whether this VM has a connection to a server that the request may use."""
+        return self.connections is not None and self.connections.is_ready(record, not self.route.repeatable)
+
+    def connected_ids(self) -> list[str]:
+        """Returns the ids of the servers to which this VM has a connection that the request may use."""
+        return [] if self.connections is None else self.connections.ready_ids(not self.route.repeatable)
+
     def record_attempt(self, candidate: Candidate, step: str, result: AttemptResult) -> None:
         """Records the result of an attempt that may have run the request."""
         self.verdict = self.verdict.combine(result.outcome.verdict)
@@ -124,6 +142,7 @@
             detail=result.detail,
             took_ms=round(result.took_s * 1000, 1),
             expected_ms=round(candidate.expected_s * 1000, 1),
+            reused=result.reused,
         )
 
     def acquire_retry(self) -> bool:
--- a/libs/arbutusrill_gateway/_gateway.py
+++ b/libs/arbutusrill_gateway/_gateway.py
@@ -14,6 +14,7 @@
 from arbutusrill_site import Route, RouteKind, SiteConfiguration, SiteView, Workspace
 
 from ._backends import BackendPool
+from ._connections import BackendConnections
 from ._exchange import Exchange
 from ._metrics import GatewayMetrics
 from ._placement import PlacementClient
@@ -39,7 +40,7 @@
     a function because the number of VMs that share the deployment's reserve changes. If `max_view_age_s` is set,
     requests that need a key are refused while the view is older, since revoked keys could still be accepted.
     `prompt_guard` refuses streams whose prompts crash engines. `body_budget` bounds the memory of responses that are
-    kept, until they are written to their callers.
+    kept, until they are written to their callers. With `connections`, those to backend servers are kept and used again.
     """
 
     def __init__(
@@ -55,6 +56,7 @@
         max_view_age_s: float | None = None,
         prompt_guard: PromptGuard | None = None,
         body_budget: BodyBudget | None = None,
+        connections: BackendConnections | None = None,
     ):
         self._view = view
         self._pool = pool
@@ -67,6 +69,7 @@
         self._max_view_age_s = max_view_age_s
         self._prompt_guard = prompt_guard
         self._body_budget = body_budget or BodyBudget(None)
+        self._connections = connections
         self._lock = threading.Lock()
         self._budget_by_service: dict[str, RetryBudget] = {}
         self._accepts_all_until = self._shutdown_at = math.inf  # finite once `drain` was called
@@ -191,6 +194,7 @@
             prompt_guard=self._prompt_guard,
             memory=memory,
             rank=configuration.rank_of(route, workspace),
+            connections=self._connections,
         )
         ending = ""
         try:
--- a/libs/arbutusrill_gateway/_metrics.py
+++ b/libs/arbutusrill_gateway/_metrics.py
@@ -7,6 +7,7 @@
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
 from ._backends import BackendPool
+from ._connections import BackendConnections
 
 __all__ = ["GatewayMetrics"]
 
@@ -54,6 +55,7 @@
             registry=self.registry,
         )
         self._add_http_gauges()
+        self._add_connection_gauges()
 
     def _add_http_gauges(self) -> None:
         self._body_bytes = Gauge(
@@ -83,6 +85,32 @@
             registry=self.registry,
         )
 
+    def _add_connection_gauges(self) -> None:
+        self._backend_connections = Gauge(
+            "arbutusrill_backend_connections",
+            "Connections to backend servers that were opened or used again since the start, and those idle now.",
+            ["state"],
+            registry=self.registry,
+        )
+        self._backend_connections_closed = Gauge(
+            "arbutusrill_backend_connections_closed",
+            "Connections to backend servers that this VM has closed since the start, by reason.",
+            ["reason"],
+            registry=self.registry,
+        )
+
+    def _record_connections(self, connections: BackendConnections) -> None:
+        """Sets the gauges of the connections to backend servers."""
+        pool = connections.pool
+        for state, count in (
+            ("opened", pool.opened_count),
+            ("reused", pool.reused_count),
+            ("idle", pool.idle_count()),
+        ):
+            self._backend_connections.labels(state).set(count)
+        for reason, count in pool.closed_by_reason().items():
+            self._backend_connections_closed.labels(reason).set(count)
+
     def _record_bodies(self, budget: BodyBudget) -> None:
         """Sets the gauges of the memory for bodies of requests and responses."""
         self._body_bytes.set(budget.held_bytes)
@@ -117,8 +145,17 @@
         if first_event_s is not None:
             self._time_to_first_event.labels(route).observe(first_event_s)
 
-    def expose(self, view: SiteView, pool: BackendPool, budget: BodyBudget, endings: ConnectionEndings) -> bytes:
+    def expose(
+        self,
+        view: SiteView,
+        pool: BackendPool,
+        budget: BodyBudget,
+        endings: ConnectionEndings,
+        connections: BackendConnections | None = None,
+    ) -> bytes:
         """Returns the metrics in the Prometheus text format, with the gauges of the present state."""
+        if connections is not None:
+            self._record_connections(connections)
         self._record_view(view)
         self._record_backends(pool)
         self._record_bodies(budget)
--- a/libs/arbutusrill_gateway/_placement.py
+++ b/libs/arbutusrill_gateway/_placement.py
@@ -59,7 +59,8 @@
     already knows the request from an earlier try. `needs_prefill` is true if the prompt is still to be processed, which
     it is not if the request is resumed. `avoided_ids` returns the engines not to use at the time of the call, and
     `is_usable` whether a granted one may be used. `continued` is true if the request had a placement before.
-    `event_gap_s` is the longest gap between events that the caller accepts.
+    `event_gap_s` is the longest gap between events that the caller accepts. `connected_ids` returns the engines to
+    which this VM has a connection that the request may use.
     """
 
     service: Service
@@ -70,6 +71,7 @@
     is_usable: Callable[[Any], bool]
     continued: bool
     event_gap_s: float = 0.0
+    connected_ids: Callable[[], list[str]] = list
 
 
 class PlacementClient:
@@ -206,6 +208,7 @@
             self._pop_prefill_speeds(),
             requirements.continued or declined,
             int(requirements.event_gap_s * 1000),
+            connected=requirements.connected_ids(),
         )
 
     def record_prefill_speed(self, backend: str, took_s: float, tokens: int) -> None:
--- a/libs/arbutusrill_gateway/_plain.py
+++ b/libs/arbutusrill_gateway/_plain.py
@@ -125,7 +125,7 @@
         if not wait_for_permitted(exchange, _BACKEND_WAIT_FRACTION * exchange.remaining_s()):
             exchange.refuse_not_run("backends_quiet", "all backend servers are quiet or drain", _RETRY_AFTER_S)
             return
-        candidate = exchange.pool.pick(exchange.service, exclude=exchange.tried)
+        candidate = exchange.pool.pick(exchange.service, exclude=exchange.tried, is_connected=exchange.is_connected)
         if candidate is None and not exchange.tried:
             exchange.pool.wait_for_backends(exchange.service, _BACKEND_WAIT_FRACTION * exchange.remaining_s())
             candidate = exchange.pool.pick(exchange.service)
@@ -175,6 +175,7 @@
                 relay,
                 reserve_other_backend,
                 exchange.response_observer(candidate),
+                connections=exchange.connections_to(candidate, is_once=not exchange.route.repeatable),
             )
     except OSError:  # from the connection of the caller, while a large response is forwarded
         exchange.verdict = exchange.verdict.combine(Verdict.MAY_HAVE_RUN)
--- a/libs/arbutusrill_gateway/_prefill.py
+++ b/libs/arbutusrill_gateway/_prefill.py
@@ -48,6 +48,7 @@
                 limit_s,
                 on_response=exchange.response_observer(candidate),
                 max_body_bytes=_MAX_BODY_BYTES,
+                connections=exchange.connections_to(candidate, is_once=False),
             )
         exchange.record_prefill_attempt(candidate, result)
         if result.outcome is Outcome.GONE:
@@ -89,6 +90,14 @@
         return
     path = exchange.protocol.release_path(kv_cache)
     url = f"http://{kv_cache.address}{path}"
+    connections = None if exchange.connections is None else exchange.connections.to(kv_cache.record, "", is_once=False)
+    answered: set[str] = set()  # ids of requests that the response names: none if it answers the release
+
+    def answer_id(status: int, headers_by_name: dict[str, str]) -> str:
+        named = exchange.protocol.decode_response(status, headers_by_name).request_id
+        answered.update(filter(None, [named]))
+        return named
+
     result = fetch(
         Transfer(
             "DELETE",
@@ -97,6 +106,9 @@
             connect_s=_RELEASE_TIMEOUT_S,
             omit_default_headers=True,
             max_body_bytes=_MAX_BODY_BYTES,
+            connections=connections,
+            may_keep=lambda: not answered,
+            answer_id=answer_id,
         )
     )
     _events.emit("handle_released", request=exchange.request.id, handle=kv_cache.handle, status=result.status)
--- a/libs/arbutusrill_gateway/_stream.py
+++ b/libs/arbutusrill_gateway/_stream.py
@@ -127,6 +127,7 @@
         exchange.pool.is_usable,
         bool(exchange.trail),
         exchange.route.event_gap_s,
+        exchange.connected_ids,
     )
 
 
@@ -272,6 +273,7 @@
             events,
             lambda: replacement.reserve(candidate),
             exchange.response_observer(candidate),
+            connections=exchange.connections_to(candidate, is_once=not exchange.route.repeatable),
         )
         if result.outcome is Outcome.ANSWERED and result.response.status == 200:
             reason = events.incompleteness(backend_request.resume_after)
--- a/libs/arbutusrill_gateway/tests/test_faulty_backends.py
+++ b/libs/arbutusrill_gateway/tests/test_faulty_backends.py
@@ -12,7 +12,7 @@
 from arbutusrill_site import Engine, Route, RouteKind, Service, Target
 from arbutusrill_wire import messages
 
-from arbutusrill_gateway import BackendPool, BackendProtocol, CallerRequest, ResponseHead
+from arbutusrill_gateway import BackendConnections, BackendPool, BackendProtocol, CallerRequest, ResponseHead
 from arbutusrill_gateway._exchange import Exchange
 from arbutusrill_gateway._plain import relay_plain
 from arbutusrill_gateway._reply import Responder
@@ -21,6 +21,13 @@
 MIB = 1_048_576
 
 
+@pytest.fixture(autouse=True, params=["new connections", "kept connections"])
+def connections(request):
+    """Runs each test with and without connections that are kept."""
+    global keeps_connections
+    keeps_connections = request.param == "kept connections"
+
+
 class HeaderProtocol(BackendProtocol):
     """Protocol with the headers ``id``, ``stamp`` and ``refused``."""
 
@@ -127,11 +134,15 @@
     placements=None,
     prompt_guard=None,
     body_budget=None,
+    kept=None,
+    id="r",
+    retries=10,
 ):
     """Relays one request to `backends`; returns the caller, the exchange and whether the response was aborted.
 
     The first backend is known to take `event_s` seconds for an event, the others twice as long, so it is chosen first.
-    With `placements`, they are decode engines, and `placements` gets their records.
+    With `kept`, connections are kept between calls. With `placements`, they are decode engines, and `placements` gets
+    their records.
     """
     stage = "" if placements is None else "decode"
     records, stream = {}, kind is RouteKind.STREAM
@@ -149,7 +160,7 @@
             pool.record_success(record, event_s * min(number + 1, 2))
     route = Route("r", "h", "/", kind, deadline_s, 0.9, (Target("s", 1.0),), max_attempts, False, stream, 0.3)
     exchange = Exchange(
-        CallerRequest("r", method, "h", "/x", [], b"body" if method == "POST" else b""),
+        CallerRequest(id, method, "h", "/x", [], b"body" if method == "POST" else b""),
         Responder(caller.start, []),
         route,
         Service("s", None if placements is None else Engine(8, 1000, 0.5)),
@@ -157,10 +168,11 @@
         HeaderProtocol(),
         pool,
         placements,
-        RetryBudget(1.0, 10),
+        RetryBudget(1.0, retries),
         time.monotonic() + deadline_s,
         time.monotonic(),
         prompt_guard=prompt_guard,
+        connections=kept or (BackendConnections(view, lambda: 1) if keeps_connections else None),
     )
     aborted = False
     with (body_budget or BodyBudget(None)).open("clinic", is_response=True) as exchange.memory:
--- a/libs/arbutusrill_gateway/tests/test_prefill.py
+++ b/libs/arbutusrill_gateway/tests/test_prefill.py
@@ -59,6 +59,7 @@
         backend_request=lambda candidate, **_: BackendRequest(candidate.record, 1.0),
         record_prefill_attempt=lambda candidate, result: None,
         response_observer=lambda candidate: None,
+        connections_to=lambda candidate, is_once: None,
     )
     placement = SimpleNamespace(prefill=unreachable)
     with placements:
--- a/libs/arbutusrill_site/_configuration.py
+++ b/libs/arbutusrill_site/_configuration.py
@@ -92,10 +92,14 @@
 
 @dataclass(slots=True, frozen=True)
 class Service:
-    """Group of backend servers; `engine` is None for a service without model engines."""
+    """Group of backend servers; `engine` is None for a service without model engines.
+
+    `max_connections` is the number of connections that each server accepts from all callers, 0 if it is not stated.
+    """
 
     name: str
     engine: Engine | None = None
+    max_connections: int = 0
 
 
 @dataclass(slots=True, frozen=True)
--- a/libs/arbutusrill_site/_engine_loads.py
+++ b/libs/arbutusrill_site/_engine_loads.py
@@ -23,6 +23,10 @@
 _STREAM_START_DELAY_S = 0.2  # from the reservation to the start of the stream
 _UNRESPONSIVE_EXCLUSION_S = 1.5  # shortest exclusion of an engine that did not answer an entry VM
 _NO_ROOM_TTL_S = 0.1  # an engine without room is examined again after this time or after a change of its load
+# An engine to which the entry VM has a connection is preferred to one with a lower rank if its rank is at most that of
+# this many requests higher, and the request fills it to at most this fraction of its memory.
+_CONNECTED_MAX_REQUESTS_AHEAD = 4
+_CONNECTED_MAX_MEMORY_FRACTION = 0.5
 _REFRESH_INTERVAL_S = 0.1  # for announcements that change nothing but show that an engine is alive
 
 
@@ -197,13 +201,34 @@
                 continue
             only_avoided = False
             if self._has_room(load, request, capacity, now):
-                return record
+                return self._connected_decode(request, load, capacity, now) or record
         if only_avoided and avoided:
             for record, load in self._ranked(request, now):
                 if self._has_room(load, request, capacity, now):
                     return record
         return None
 
+    def _connected_decode(self, request: Any, best: EngineLoad, capacity: Engine, now: float) -> Any | None:
+        """Returns a decode engine of `request.connected` whose rank is close to that of the best one, or None."""
+        max_rank = best.rank + _CONNECTED_MAX_REQUESTS_AHEAD * request.memory_tokens
+        max_tokens = capacity.kv_tokens * _CONNECTED_MAX_MEMORY_FRACTION - request.memory_tokens
+        for id_ in request.connected or ():
+            record = self._record_by_id.get(id_)
+            if (
+                record is None
+                or record.stage != "decode"
+                or record.draining
+                or record.ordered_stage
+                or record.service_name != request.service_name
+                or id_ in (request.avoid or ())
+                or not self._may_serve(record, request, now)
+            ):
+                continue
+            load = self._load_of(id_)
+            if load.rank <= max_rank and load.tokens <= max_tokens and self._has_room(load, request, capacity, now):
+                return record
+        return None
+
     def _ranked(self, request: Any, now: float) -> Iterator[tuple[Any, EngineLoad]]:
         for load in self._decode_by_service.get(request.service_name, ()):
             record = self._record_by_id[load.id]
--- a/libs/arbutusrill_site/_placement.py
+++ b/libs/arbutusrill_site/_placement.py
@@ -27,6 +27,8 @@
 # Added to the expected end of a prefill outside the decode engine's data centre; a prefill engine in the same one is
 # preferred if it finishes at most this much later.
 _CROSS_DATA_CENTRE_PENALTY_S = 0.05
+# A prefill engine to which the entry VM has a connection is preferred if it finishes at most this much later.
+_CONNECTED_PREFILL_GAIN_S = 0.05
 _MAX_QUEUED_PER_ENGINE = 1  # requests placed beyond its usable memory, which wait in the engine's own queue
 _UNREPORTED_PLACE_TTL_S = 1.0  # a place that its holder does not report is freed after this age
 _events = EventLog("places")
@@ -170,6 +172,7 @@
         for record in preferred or eligible:
             end = self.speeds.unit_time_of(record.id, "prefill").ends_at(request.prompt_tokens, now)
             cost = end + (_CROSS_DATA_CENTRE_PENALTY_S if record.data_centre != decode.data_centre else 0.0)
+            cost -= _connection_gain_s(request, record)
             if cost < best_cost:
                 best, best_end, best_cost = record, end, cost
         if (
@@ -259,3 +262,8 @@
                 del self._places_by_holder[holder]
             self._loads.remove(number, place)
         return place
+
+
+def _connection_gain_s(request: Any, record: Any) -> float:
+    """Returns the seconds by which a prefill engine may finish later because the entry VM has a connection to it."""
+    return _CONNECTED_PREFILL_GAIN_S if record.id in (request.connected or ()) else 0.0
--- a/libs/arbutusrill_site/tests/test_placement.py
+++ b/libs/arbutusrill_site/tests/test_placement.py
@@ -33,6 +33,7 @@
         self.waits, self.refused, self.wakeups, self.tokens_by_engine = [], 0, 0, {}
         self.peak_tokens = 0
         self.arrived = 0
+        self.connected = []  # engines to which the entry VM has a connection
 
     @staticmethod
     def _engine(name, stage):
@@ -46,6 +47,7 @@
         request = messages.PlaceRequest(
             "vm", 1, str(self.arrived), "model", "", prompt_tokens, prompt_tokens + output_tokens, int(POLL_S * 1000),
             int(OBJECTIVE_S * 1000), True, [], int(PATIENCE_S * 1000),
+            connected=self.connected,
         )  # fmt: skip
         self.waiting_since[request.request_id] = now
         self.poll(now, request, now)
@@ -188,3 +190,40 @@
         min(measure_ms(many.release, 40) for _ in range(3))
         < 1.5 * min(measure_ms(few.release, 40) for _ in range(3)) + 0.02
     )
+
+
+def test_streams_go_to_the_engines_to_which_their_vm_has_a_connection():
+    # Spread over 40 engines, the streams of one VM used each connection once.
+    replay = Replay(1, decode=40, prefill=6)
+    replay.connected = ["d31", "d7", "p4"]
+    replies = []
+    replay.begin_stream = lambda now, reply, request: replies.append(reply)
+    for number in range(4):
+        replay.at(number * 0.5, replay.arrive, 400, 100)
+    replay.run(2.0)
+    assert {reply.decode for reply in replies} <= {"d31", "d7"} and {reply.prefill for reply in replies} == {"p4"}
+
+
+def test_connection_does_not_outweigh_the_load_of_an_engine():
+    replay = Replay(1, decode=8)
+    replay.connected = ["d0"]
+    replay.load(6.0, 0.0, 20.0)
+    replay.run(30.0)
+    assert replay.peak_tokens <= 0.75 * replay.capacity_tokens and not replay.refused
+    replay.connected = ["unknown", "p0"]
+    replay.arrive(30.0)
+    assert replay.arrived == len(replay.served)
+
+
+def test_connection_to_an_engine_that_is_avoided_drains_or_serves_another_model_does_not_count():
+    for change in ("avoid", "draining", "ordered_stage", "service_name"):
+        replay = Replay(1, decode=4)
+        replay.connected = ["d3"]
+        record = replay.records[3]
+        if change == "avoid":
+            original = replay.poll
+            replay.poll = lambda now, request, at, call=original: (request.avoid.append("d3"), call(now, request, at))
+        else:
+            setattr(record, change, {"draining": True, "ordered_stage": "prefill", "service_name": "other"}[change])
+        replay.arrive(0.0)
+        assert replay.tokens_by_engine and "d3" not in replay.tokens_by_engine, change
--- a/libs/arbutusrill_wire/arbutusrill.thrift
+++ b/libs/arbutusrill_wire/arbutusrill.thrift
@@ -525,7 +525,8 @@
   13: i64 content = 0,                 // hash of the content, which identifies a repeated request of a caller
   14: list<EngineSpeed> prefills,      // speeds of prefill engines measured by the VM since its last call
   15: bool continued = false,          // whether the request had a place before, on an engine that failed
-  16: i32 event_gap_ms = 0             // longest gap between events that the caller accepts; 0 if unknown
+  16: i32 event_gap_ms = 0,            // longest gap between events that the caller accepts; 0 if unknown
+  40: list<string> connected           // engines to which the VM has an idle connection, the latest used first
 }
 
 // IDs of the engines, empty if none had capacity in time. `wait_ms` is the time until capacity is expected. A `refused`
