--- a/libs/arbutusrill_http/_connection_pool.py
+++ b/libs/arbutusrill_http/_connection_pool.py
@@ -22,10 +22,10 @@
 _MAX_STATED_IDLE_S = 15.0
 _UNSTATED_IDLE_S = 0.2
 # A request that may not run twice is lost if its connection ends before the response. It uses a connection only within
-# half of the stated time, and only if the server has answered on it within the last 2 s: a server that lost its
+# half of the stated time, and only if the server has answered on it within the last 3 s: a server that lost its
 # power since then does not accept a new connection, which proves that nothing was sent, but a kept one tells nothing.
 _ONCE_IDLE_FRACTION = 0.5
-_MAX_ONCE_IDLE_S = 2.0
+_MAX_ONCE_IDLE_S = 3.0
 _SILENCE_S = 1.5  # connections used within this time before a silent one is found are not taken for silent
 _LOG_INTERVAL_S = 1.0  # for connections that ended without a response
 _KEEP_ALIVE_TIMEOUT = re.compile(r"(?:^|[,;\s])timeout\s*=\s*([0-9]{1,9})(?![0-9.])", re.IGNORECASE)
@@ -67,7 +67,7 @@
     """Returns the idle time up to which a connection is used again, for a request that may run once if `is_once`.
 
     >>> idle_limit_s(5.0, False), idle_limit_s(5.0, True), idle_limit_s(1.0, True)
-    (4.5, 2.0, 0.5)
+    (4.5, 2.5, 0.5)
     """
     if stated_s is None:
         return _UNSTATED_IDLE_S / 2 if is_once else _UNSTATED_IDLE_S
--- a/libs/arbutusrill_site/_engine_loads.py
+++ b/libs/arbutusrill_site/_engine_loads.py
@@ -24,9 +24,8 @@
 _UNRESPONSIVE_EXCLUSION_S = 1.5  # shortest exclusion of an engine that did not answer an entry VM
 _NO_ROOM_TTL_S = 0.1  # an engine without room is examined again after this time or after a change of its load
 # An engine to which the entry VM has a connection is preferred to one with a lower rank if its rank is at most that of
-# this many requests higher, and the request fills it to at most this fraction of its memory.
-_CONNECTED_MAX_REQUESTS_AHEAD = 4
-_CONNECTED_MAX_MEMORY_FRACTION = 0.5
+# this many requests higher, and its memory has room for the request without counting on the end of a stream.
+_CONNECTED_MAX_REQUESTS_AHEAD = 2
 _REFRESH_INTERVAL_S = 0.1  # for announcements that change nothing but show that an engine is alive
 
 
@@ -211,7 +210,7 @@
     def _connected_decode(self, request: Any, best: EngineLoad, capacity: Engine, now: float) -> Any | None:
         """Returns a decode engine of `request.connected` whose rank is close to that of the best one, or None."""
         max_rank = best.rank + _CONNECTED_MAX_REQUESTS_AHEAD * request.memory_tokens
-        max_tokens = capacity.kv_tokens * _CONNECTED_MAX_MEMORY_FRACTION - request.memory_tokens
+        max_tokens = capacity.kv_tokens * _USABLE_MEMORY_FRACTION - request.memory_tokens
         for id_ in request.connected or ():
             record = self._record_by_id.get(id_)
             if (
