--- a/libs/arbutusrill_gateway/_placement.py
+++ b/libs/arbutusrill_gateway/_placement.py
@@ -61,6 +61,7 @@
     `is_usable` whether a granted one may be used. `continued` is true if the request had a placement before.
     `event_gap_s` is the longest gap between events that the caller accepts. `rank` is 0 for the most urgent requests,
     and `return_within_s` the longest time after a refusal at which the caller returns.
+    `connected_ids` returns the engines to which this VM has a connection that the request may use.
     """
 
     service: Service
@@ -74,6 +75,7 @@
     rank: int = 0
     workspace: str = ""
     return_within_s: float = 0.0
+    connected_ids: Callable[[], list[str]] = list
 
 
 class PlacementClient:
@@ -213,6 +215,7 @@
             rank=requirements.rank,
             workspace=requirements.workspace,
             return_within_ms=max(0, int(requirements.return_within_s * 1000)),
+            connected=requirements.connected_ids(),
         )
 
     def record_prefill_speed(self, backend: str, took_s: float, tokens: int) -> None:
--- a/libs/arbutusrill_gateway/_stream.py
+++ b/libs/arbutusrill_gateway/_stream.py
@@ -140,6 +140,7 @@
         exchange.rank,
         exchange.workspace.name if exchange.workspace else "",
         _RETURN_FRACTION * exchange.remaining_s(),
+        exchange.connected_ids,
     )
 
 
@@ -297,6 +298,7 @@
             events,
             lambda: replacement.reserve(candidate),
             exchange.response_observer(candidate),
+            connections=exchange.connections_to(candidate, is_once=not exchange.route.repeatable),
         )
         if result.outcome is Outcome.ANSWERED and result.response.status == 200:
             reason = events.incompleteness(backend_request.resume_after)
--- a/libs/arbutusrill_site/_prompt_reading.py
+++ b/libs/arbutusrill_site/_prompt_reading.py
@@ -21,6 +21,8 @@
 # Added to the expected end of a prefill outside the decode engine's data centre; a prefill engine in the same one is
 # preferred if it finishes at most this much later.
 _CROSS_DATA_CENTRE_PENALTY_S = 0.05
+# A prefill engine to which the entry VM has a connection is preferred if it finishes at most this much later.
+_CONNECTED_PREFILL_GAIN_S = 0.05
 
 
 @dataclass(slots=True, frozen=True)
@@ -87,7 +89,9 @@
         end, best = min(
             ends,
             key=lambda entry: (
-                entry[0] + (_CROSS_DATA_CENTRE_PENALTY_S if entry[1].data_centre != decode.data_centre else 0.0)
+                entry[0]
+                + (_CROSS_DATA_CENTRE_PENALTY_S if entry[1].data_centre != decode.data_centre else 0.0)
+                - _connection_gain_s(request, entry[1])
             ),
         )
         local_end = now + self._speeds.local_prefill_s(request.prompt_tokens, decode.id)
@@ -131,3 +135,8 @@
             self._speeds.unit_time_of(reading.prefill, "prefill").add_prompt(request.prompt_tokens, now)
         else:
             self._local_prefills.record_start(decode, request.prompt_tokens, now)
+
+
+def _connection_gain_s(request: Any, record: Any) -> float:
+    """Returns the seconds by which a prefill engine may finish later because the entry VM has a connection to it."""
+    return _CONNECTED_PREFILL_GAIN_S if record.id in (request.connected or ()) else 0.0
--- a/libs/arbutusrill_wire/arbutusrill.thrift
+++ b/libs/arbutusrill_wire/arbutusrill.thrift
@@ -529,7 +529,8 @@
   16: i32 event_gap_ms = 0,            // longest gap between events that the caller accepts; 0 if unknown
   30: i32 rank = 0,                    // urgency, where 0 is the most urgent
   31: string workspace = "",
-  32: i32 return_within_ms = 0         // longest time after a refusal at which the caller returns; 0 if unknown
+  32: i32 return_within_ms = 0,        // longest time after a refusal at which the caller returns; 0 if unknown
+  40: list<string> connected           // engines to which the VM has an idle connection, the latest used first
 }
 
 // IDs of the engines, empty if none had capacity in time. `wait_ms` is the time until capacity is expected. A `refused`
