evacuation: orders to send nothing more to the servers of a data centre

Cause: the control VMs answered POST /evacuations/ZONE with 404: there was no order for a data centre as a whole.

A data centre that neither the settings nor the leader's lists name is refused with 400. A service whose servers are all evacuated refuses at once as not run.

Ruled out: waiting for the log format of silent members, which would refuse an order to a new leader while a member is down; a field of the configuration document; marks on single servers, which miss those that start later.

--- a/libs/arbutusrill_gateway/_availability.py
+++ b/libs/arbutusrill_gateway/_availability.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Collection, Mapping
+from collections.abc import Callable, Collection, Mapping
 from dataclasses import dataclass
 from typing import Any
 
@@ -34,9 +34,10 @@
 class BackendAvailability:
     """Restrictions on the use of backend servers, by incarnation.
 
-    A server that drains is barred for good, one that asked for quiet until its quiet time ends; neither is ever chosen.
-    One that is avoided after a failure is chosen if there is no other. Every method takes the present time in seconds,
-    so that decisions can be replayed. Calls must not overlap.
+    A server that drains is barred for good, one that asked for quiet until its quiet time ends, and one in a data
+    centre that `evacuated` returns as long as it does; none of them is ever chosen. One that is avoided after a failure
+    is chosen if there is no other. Every method takes the present time in seconds, so that decisions can be replayed.
+    Calls must not overlap.
 
     >>> from types import SimpleNamespace
     >>> record, restarted = (SimpleNamespace(id="b", started_ms=ms) for ms in (1, 2))
@@ -47,9 +48,10 @@
     (False, True)
     """
 
-    __slots__ = ("_restriction_by_incarnation",)
+    __slots__ = ("_evacuated", "_restriction_by_incarnation")
 
-    def __init__(self) -> None:
+    def __init__(self, evacuated: Callable[[], frozenset[str]] = frozenset) -> None:
+        self._evacuated = evacuated
         self._restriction_by_incarnation: dict[tuple[str, int], _Restriction] = {}
 
     def set_draining(self, record: Any, now: float) -> bool:
@@ -76,9 +78,16 @@
 
     def is_permitted(self, record: Any, now: float) -> bool:
         """Returns whether anything may be sent to a server."""
+        if self.is_evacuated(record):
+            return False
         restriction = self._restriction_of(record)
         return restriction is None or not (restriction.draining or restriction.quiet_until > now)
 
+    def is_evacuated(self, record: Any) -> bool:
+        """Returns whether a server is in an evacuated data centre."""
+        evacuated = self._evacuated()
+        return bool(evacuated) and record.data_centre in evacuated
+
     def is_avoided(self, record: Any, now: float) -> bool:
         """Returns whether a server is to be used only if there is no other."""
         restriction = self._restriction_of(record)
@@ -96,7 +105,7 @@
 
         None also if none of them is quiet: a failed server alone says nothing about the time after which to retry.
         """
-        restrictions = [self._restriction_of(record) for record in records]
+        restrictions = [self._restriction_of(record) for record in records if not self.is_evacuated(record)]
         if not any(each is not None and each.quiet_until > now for each in restrictions):
             return None
         ends = [
@@ -113,11 +122,13 @@
     def permitted_in_s(self, records: Collection[Any], now: float) -> float | None:
         """Returns the seconds until anything may be sent to one of `records`, None if that is so now.
 
-        Infinite if all of them drain, and None if there are none.
+        Infinite if all of them drain or are evacuated, and None if there are none.
         """
-        if not self._restriction_by_incarnation or any(self.is_permitted(record, now) for record in records):
+        if not (self._restriction_by_incarnation or self._evacuated()):
+            return None
+        if any(self.is_permitted(record, now) for record in records):
             return None
-        ends = [self.quiet_end(record, now) for record in records]
+        ends = [None if self.is_evacuated(record) else self.quiet_end(record, now) for record in records]
         return min((math.inf if end is None else end - now for end in ends), default=None)
 
     def counts(self, now: float) -> tuple[int, int]:
--- a/libs/arbutusrill_gateway/_backends.py
+++ b/libs/arbutusrill_gateway/_backends.py
@@ -78,7 +78,7 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._stats_by_id: dict[str, _BackendStats] = {}
-        self._availability = BackendAvailability()
+        self._availability = BackendAvailability(lambda: view.evacuated_data_centres)
         self._line_by_service_and_stage: dict[tuple[str, str], WaitingLine] = {}
         self._requests_by_id: dict[str, int] = {}
         self._tokens_by_id: dict[str, int] = {}
@@ -119,9 +119,9 @@
         """Returns the backend server of `service` with the lowest cost for a request of `tokens`, or None.
 
         The cost is the expected duration plus penalties for failures and for other data centres than `kv_data_centre`,
-        which holds the request's KV cache (by default this VM's data centre). Backend servers that drain or are quiet
-        are not chosen; those that are avoided after a failure only if there is no other. Random jitter spreads requests
-        over servers of similar cost.
+        which holds the request's KV cache (by default this VM's data centre). Backend servers that drain, are quiet or
+        are evacuated are not chosen; those that are avoided after a failure only if there is no other. Random jitter
+        spreads requests over servers of similar cost.
         """
         now = self._clock.monotonic()
         ranked = []
@@ -174,9 +174,9 @@
     def permitted_in_s(
         self, service: Service, stage: str, model: str, exclude: frozenset[str] | set[str] = frozenset()
     ) -> float | None:
-        """Returns the seconds until a backend server may be used that is quiet now, infinite if all of them drain.
+        """Returns the seconds until a backend server may be used that is quiet now, None if one may be used now.
 
-        None if one may be used now, or if the service has none outside `exclude`.
+        Infinite if all of them drain or are evacuated. None as well if the service has none outside `exclude`.
         """
         records = [record for record in self._serving(service, stage, model) if record.id not in exclude]
         with self._lock:
@@ -195,13 +195,16 @@
         ]
 
     def avoided_ids(self) -> list[str]:
-        """Returns the ids of backend servers that drain, are quiet, or failed recently or often."""
+        """Returns the ids of backend servers that drain, are quiet or evacuated, or failed recently or often."""
         now = self._clock.monotonic()
         with self._lock:
             failing = (
                 id_ for id_, stats in self._stats_by_id.items() if self._failure_rate(stats, now) > _AVOID_FAILURE_RATE
             )
-            return sorted(self._availability.restricted_ids(now).union(failing))
+            evacuated = (
+                record.id for record in self._view.backends_by_id.values() if self._availability.is_evacuated(record)
+            )
+            return sorted(self._availability.restricted_ids(now).union(failing, evacuated))
 
     def is_avoided(self, record: Any) -> bool:
         """Returns whether a backend server is avoided after a failure."""
@@ -209,7 +212,7 @@
             return self._availability.is_avoided(record, self._clock.monotonic())
 
     def is_usable(self, record: Any) -> bool:
-        """Returns whether a backend server is still listed, has not restarted, is not draining and not quiet."""
+        """Returns whether a backend server is still listed, has not restarted, is not draining, quiet or evacuated."""
         current = self._view.backends_by_id.get(record.id)
         if current is None or current.started_ms != record.started_ms or current.draining:
             return False
@@ -217,7 +220,7 @@
             return self._permits(record, self._clock.monotonic())
 
     def _permits(self, record: Any, now: float) -> bool:
-        """Returns whether a backend server neither drains nor is quiet; reports the choices that this changes."""
+        """Returns whether a backend server neither drains nor is quiet or evacuated; reports choices this changes."""
         if self._availability.is_permitted(record, now):
             return True
         skipped_count = self._availability.record_skip(record, now)
--- a/libs/arbutusrill_gateway/_metrics.py
+++ b/libs/arbutusrill_gateway/_metrics.py
@@ -53,6 +53,11 @@
             "Backend servers that this VM sends nothing for the time that they asked for.",
             registry=self.registry,
         )
+        self._evacuated_data_centres = Gauge(
+            "arbutusrill_evacuated_data_centres",
+            "Data centres to whose backend servers this VM sends nothing more.",
+            registry=self.registry,
+        )
         self._add_http_gauges()
 
     def _add_http_gauges(self) -> None:
@@ -100,6 +105,7 @@
     def _record_view(self, view: SiteView) -> None:
         """Sets the gauges of the configuration in force and of the parts of prompts that crash engines."""
         self._version.set(view.version)
+        self._evacuated_data_centres.set(len(view.evacuated_data_centres))
         self._view_age.set(view.age_s() if view.version else -1)
         self._barred_part_sets.set(len(view.prompt_bars.barred))
         self._suspected_parts.set(len(view.prompt_bars.suspected))
--- a/libs/arbutusrill_gateway/_plain.py
+++ b/libs/arbutusrill_gateway/_plain.py
@@ -123,7 +123,9 @@
             exchange.refuse_not_run("no_time", "the time limit has passed", _RETRY_AFTER_S)
             return
         if not wait_for_permitted(exchange, _BACKEND_WAIT_FRACTION * exchange.remaining_s()):
-            exchange.refuse_not_run("backends_quiet", "all backend servers are quiet or drain", _RETRY_AFTER_S)
+            exchange.refuse_not_run(
+                "backends_quiet", "all backend servers are quiet, drain or are evacuated", _RETRY_AFTER_S
+            )
             return
         candidate = exchange.pool.pick(exchange.service, exclude=exchange.tried)
         if candidate is None and not exchange.tried:
--- a/libs/arbutusrill_gateway/_stream.py
+++ b/libs/arbutusrill_gateway/_stream.py
@@ -103,7 +103,7 @@
     """
     max_wait_s = _max_placement_wait_s(exchange)
     if not wait_for_permitted(exchange, max_wait_s):
-        raise _NoPlacementError("backends_quiet", "all engines are quiet or drain", _RETRY_AFTER_S)
+        raise _NoPlacementError("backends_quiet", "all engines are quiet, drain or are evacuated", _RETRY_AFTER_S)
     if exchange.service.engine is None:
         return None
     requirements = _requirements(exchange, events, lambda: [*exchange.pool.avoided_ids(), *exchange.tried])
--- a/libs/arbutusrill_gateway/tests/test_availability.py
+++ b/libs/arbutusrill_gateway/tests/test_availability.py
@@ -137,3 +137,42 @@
             availability.set_quiet(record, quiet_s, now)
     assert arrived > 500 and asked_by_id.keys() == quiet_from_by_id.keys()
     assert max(late_by_id.values()) == 0
+
+
+def in_data_centres(*data_centres, stage=""):
+    records = [backend(data_centre, stage=stage) for data_centre in data_centres]
+    for record in records:
+        record.data_centre = record.id
+    return records
+
+
+def test_server_in_an_evacuated_data_centre_is_not_used_until_it_is_taken_back():
+    here, other = in_data_centres("z1", "z2")
+    pool, view, _ = pool_of(here, other)
+    view.apply_evacuations(messages.Evacuations(1, ["z1"]))
+    assert {pool.pick(SERVICE).id for _ in range(50)} == {"z2"}
+    assert not pool.is_usable(here) and pool.is_usable(other) and pool.avoided_ids() == ["z1"]
+    assert pool.pick(SERVICE, exclude={"z2"}) is None
+    view.apply_evacuations(messages.Evacuations(2, []))
+    assert pool.pick(SERVICE).id == "z1" and pool.is_usable(here) and not pool.avoided_ids()
+
+
+def test_request_is_refused_at_once_if_all_servers_are_evacuated():
+    # It waited for a server that became free, as for one that is quiet, up to the caller's patience.
+    here, other = in_data_centres("z1", "z2")
+    pool, view, _ = pool_of(here, other)
+    view.apply_evacuations(messages.Evacuations(1, ["z1", "z2"]))
+    assert pool.permitted_in_s(SERVICE, "", "") == float("inf")
+    view.apply_evacuations(messages.Evacuations(2, ["z1"]))
+    assert pool.permitted_in_s(SERVICE, "", "") is None
+
+
+def test_request_waits_for_a_quiet_server_outside_the_evacuated_data_centre_only():
+    here, other = in_data_centres("z1", "z2")
+    pool, view, clock = pool_of(here, other)
+    view.apply_evacuations(messages.Evacuations(1, ["z1"]))
+    pool.observe_response(here, says(quiet_s=1.0), "r")
+    pool.observe_response(other, says(quiet_s=5.0), "r")
+    assert pool.permitted_in_s(SERVICE, "", "") == pool.retry_in_s(SERVICE, "", "") == pytest.approx(5.0)
+    clock.advance(2.0)
+    assert pool.permitted_in_s(SERVICE, "", "") == pytest.approx(3.0)
--- a/libs/arbutusrill_gateway/tests/test_declined_places.py
+++ b/libs/arbutusrill_gateway/tests/test_declined_places.py
@@ -1,7 +1,8 @@
-"""Places that the leader grants on engines that began to drain or to be quiet while it decided."""
+"""Places that the leader grants on engines that began to drain, to be quiet or to be evacuated while it decided."""
 
 from types import SimpleNamespace
 
+import pytest
 from arbutusrill_base import ManualClock
 from arbutusrill_site import Service, SiteView
 from arbutusrill_wire import messages
@@ -11,7 +12,7 @@
 
 
 def engine(id_):
-    return messages.BackendRecord(id_, 1, 1, "model", "10.0.0.1:1", "z1", 8, False, "decode", [])
+    return messages.BackendRecord(id_, 1, 1, "model", "10.0.0.1:1", f"z-{id_}", 8, False, "decode", [])
 
 
 class Leader:
@@ -32,14 +33,16 @@
         return messages.PlaceReply(self.granted[-1], "", allowed[0])
 
 
-def acquire(obstinate=False):
+def acquire(obstinate=False, evacuated=False):
     clock = ManualClock()
     view = SiteView(clock)
     view.backends_by_id = {id_: engine(id_) for id_ in ("a", "b")}
     pool = BackendPool(view, "z1", clock)
 
     def ask_for_quiet(id_):
-        if id_ == "a":
+        if id_ == "a" and evacuated:
+            view.apply_evacuations(messages.Evacuations(1, ["z-a"]))
+        elif id_ == "a":
             pool.observe_response(view.backends_by_id["a"], ResponseHead(503, "r", True, False, quiet_s=5.0), "r")
 
     leader = Leader(["a", "b"], ask_for_quiet, obstinate)
@@ -50,8 +53,9 @@
     return leader, placements, placements.acquire(requirements, 1.0)
 
 
-def test_place_on_an_engine_that_became_quiet_is_given_back_and_another_taken():
-    leader, placements, (placement, retry_after_s) = acquire()
+@pytest.mark.parametrize("evacuated", [False, True])
+def test_place_on_an_engine_that_may_not_be_used_any_more_is_given_back_and_another_taken(evacuated):
+    leader, placements, (placement, retry_after_s) = acquire(evacuated=evacuated)
     assert (placement.decode.id, retry_after_s) == ("b", None)
     assert leader.freed == [1] and leader.avoided == [[], ["a"]]
     assert [held.place for held in placements.held_places()] == [2]
--- a/libs/arbutusrill_gateway/tests/test_faulty_backends.py
+++ b/libs/arbutusrill_gateway/tests/test_faulty_backends.py
@@ -175,6 +175,7 @@
     def __init__(self, backends_by_id):
         self.backends_by_id = backends_by_id
         self.backends_complete = True
+        self.evacuated_data_centres = frozenset()
         self.other_vms_requests_by_backend = self.other_vms_tokens_by_backend = {}
 
     def wait_for(self, condition, timeout_s):
--- a/libs/arbutusrill_raft/_entries.py
+++ b/libs/arbutusrill_raft/_entries.py
@@ -12,7 +12,7 @@
 __all__ = ["COMMAND", "LOG_FORMAT", "MEMBERSHIP", "NO_OP", "Entry", "EntryLog", "chain_hash"]
 
 COMMAND, NO_OP, MEMBERSHIP = 0, 1, 2  # kinds of entries
-LOG_FORMAT = 1  # 1: entries may change the document by patches
+LOG_FORMAT = 2  # 1: entries may change the document by patches; 2: they may be orders to evacuate data centres
 _HASHED_FIELDS = struct.Struct("!qqqB")
 _ENTRY_OVERHEAD_BYTES = 64  # memory that an entry takes in addition to its data
 
--- a/libs/arbutusrill_raft/_membership_changes.py
+++ b/libs/arbutusrill_raft/_membership_changes.py
@@ -34,6 +34,19 @@
 
     def log_format(self) -> int:
         """Returns the highest format of log entries that all members are known to read; asks those not asked before."""
+        others, known = self._ask_formats()
+        return min((known.get(member, 0) for member in others), default=LOG_FORMAT)
+
+    def is_format_refused(self, log_format: int) -> bool:
+        """Returns whether a member that has answered reads only older formats of log entries than `log_format`."""
+        _, known = self._ask_formats(must_be_whole=False)
+        return any(at < log_format for at in known.values())
+
+    def _ask_formats(self, must_be_whole: bool = True) -> tuple[list[str], dict[str, int]]:
+        """Returns the other members, and the formats of those that have answered.
+
+        With `must_be_whole`, ends at the first one that does not answer.
+        """
         core = self._core
         with core.lock:
             others = [member for member in core.membership.members if member != core.own_id] if core.membership else []
@@ -43,11 +56,13 @@
                 try:
                     reply = self._transport.call(address_of(member), "hello", core.own_id, core.timing.call_timeout_s)
                 except (OSError, messages.Refused):
-                    return 0
+                    if must_be_whole:
+                        break
+                    continue
                 if reply.member == member:
                     known[member] = reply.log_format
         self._log_format_by_member = known
-        return min((known.get(member, 0) for member in others), default=LOG_FORMAT)
+        return others, known
 
     def add_learner(self, address: str, timeout: float) -> str:
         """Adds the replica at an RPC address as a learner and returns its member ID."""
--- a/libs/arbutusrill_raft/_replica.py
+++ b/libs/arbutusrill_raft/_replica.py
@@ -262,6 +262,13 @@
         """
         return self._membership_changes.log_format()
 
+    def is_format_refused(self, log_format: int) -> bool:
+        """Returns whether a member is known to read only older formats of log entries than `log_format`.
+
+        Members that do not answer are passed over, each after `Timing.call_timeout_s`.
+        """
+        return self._membership_changes.is_format_refused(log_format)
+
     def add_learner(self, address: str, timeout: float) -> str:
         """Adds the replica at an RPC address as a learner and returns its member ID.
 
--- /dev/null
+++ b/libs/arbutusrill_raft/tests/test_formats.py
@@ -0,0 +1,43 @@
+"""Guards of entries that replicas of earlier versions cannot read."""
+
+import threading
+from types import SimpleNamespace
+
+import pytest
+from arbutusrill_wire import messages
+
+from arbutusrill_raft._membership_changes import MembershipChanges
+
+
+def changes(format_by_address):
+    """Returns the membership changes of a replica ``a`` whose other members reply with their formats, None for not."""
+
+    def hello(address, name, request, timeout):
+        if format_by_address[address] is None:
+            raise OSError("no route")
+        return messages.HelloReply(f"{address}/disk", "", "", format_by_address[address])
+
+    members = ["a/disk", *(f"{address}/disk" for address in format_by_address)]
+    core = SimpleNamespace(
+        lock=threading.Lock(),
+        own_id="a/disk",
+        membership=SimpleNamespace(members=members),
+        timing=SimpleNamespace(call_timeout_s=0.1),
+    )
+    return MembershipChanges(core, SimpleNamespace(call=hello))
+
+
+@pytest.mark.parametrize(
+    ("formats", "log_format", "refused"),
+    [
+        ({"b": 2, "c": 2}, 2, False),
+        # A new leader must be able to commit while a member is down that it has not asked before.
+        ({"b": None, "c": 2}, 0, False),
+        ({"b": None, "c": 1}, 0, True),
+        ({"b": 1, "c": None}, 0, True),
+        ({"b": 1, "c": 2}, 1, True),
+    ],
+)
+def test_silent_member_is_neither_taken_for_a_current_nor_for_an_old_one(formats, log_format, refused):
+    assert changes(formats).log_format() == log_format
+    assert changes(formats).is_format_refused(2) == refused
--- /dev/null
+++ b/libs/arbutusrill_site/_evacuations.py
@@ -0,0 +1,106 @@
+"""The leader's part in orders to evacuate data centres."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from arbutusrill_base import EventLog
+from arbutusrill_raft import Replica
+from arbutusrill_state import EVACUATION_LEVEL, SharedState
+from arbutusrill_wire import messages
+
+__all__ = ["EvacuationLedger"]
+
+_EVACUATIONS_LOG_FORMAT = 2  # format of the replicated log from which on entries may be evacuations
+_events = EventLog("evacuations")
+
+
+class EvacuationLedger:
+    """Commits orders to evacuate data centres and tells the followers of them.
+
+    `propose` commits a change and returns its outcome. `data_centres` returns those of the backend servers and entry
+    VMs that the leader knows, `is_complete` whether all of them have had time to report to it.
+    """
+
+    def __init__(
+        self,
+        log: Replica,
+        state: SharedState,
+        changed: threading.Condition,
+        propose: Callable[[Any], Any],
+        data_centres: Callable[[], set[str]],
+        is_complete: Callable[[], bool],
+    ):
+        self._log = log
+        self._state = state
+        self._changed = changed
+        self._propose = propose
+        self._data_centres = data_centres
+        self._is_complete = is_complete
+
+    @property
+    def revision(self) -> int:
+        """Revision of the orders, see `EvacuationOrders`."""
+        return self._state.evacuations.revision
+
+    def order(self, order: Any, known: bool) -> None:
+        """Commits an order unless it holds already; the caller has confirmed the leadership.
+
+        Refuses with `unknown_data_centre` if neither the caller nor this leader knows the data centre.
+        """
+        orders = self._state.evacuations
+        if (order.data_centre in orders.data_centres) != bool(order.evacuated):
+            self._check_data_centre(order.data_centre, known)
+            self._raise_feature_level()
+            outcome = self._propose(messages.PutEvacuation(order.data_centre, bool(order.evacuated)))
+            if not outcome.accepted:
+                raise messages.Refused(outcome.code, outcome.message)
+            with self._changed:
+                self._changed.notify_all()
+            _events.emit(
+                "evacuation_committed",
+                data_centre=order.data_centre,
+                evacuated=bool(order.evacuated),
+                revision=orders.revision,
+            )
+        elif not order.evacuated:
+            self._check_data_centre(order.data_centre, known)
+
+    def _check_data_centre(self, data_centre: str, known: bool) -> None:
+        if known or data_centre in self._state.evacuations.data_centres or data_centre in self._data_centres():
+            return
+        if not self._is_complete():
+            raise messages.Refused("unavailable", "the leader still collects the data centres of the site")
+        raise messages.Refused("unknown_data_centre", f"no VM and no backend server is in data centre {data_centre!r}")
+
+    def _raise_feature_level(self) -> None:
+        """Lets the group hold evacuations; a replica of an earlier version that was silent stops when it learns of it.
+
+        Without that, such a replica would pass over the order, and lose it when it leads.
+        """
+        if self._state.config.feature_level >= EVACUATION_LEVEL:
+            return
+        if self._log.is_format_refused(_EVACUATIONS_LOG_FORMAT):
+            raise messages.Refused("unavailable", "a control VM runs a version that does not know evacuations")
+        self._propose(messages.SetFeatureLevel(EVACUATION_LEVEL))
+        _events.emit("feature_level_raised", level=EVACUATION_LEVEL)
+
+    def record(self) -> Any:
+        """Returns the orders as an `Evacuations` message."""
+        return self._state.evacuations.record()
+
+    def is_behind(self, request: Any) -> bool:
+        """Returns whether the follower that sent `request` lacks a change."""
+        return 0 <= request.evacuations_revision < self.revision
+
+    def add_to_reply(self, reply: Any, request: Any) -> None:
+        """Adds the orders to a reply if the follower does not know them."""
+        if request.evacuations_revision < self.revision or request.evacuations_revision < 0:
+            reply.evacuations = self.record()
+
+    def usable(self, records: Iterable[Any]) -> list[Any]:
+        """Returns the backend servers outside the evacuated data centres."""
+        evacuated = self._state.evacuations.data_centres
+        return [record for record in records if record.data_centre not in evacuated]
--- a/libs/arbutusrill_site/_follower.py
+++ b/libs/arbutusrill_site/_follower.py
@@ -38,6 +38,8 @@
         self.backends_complete = False
         self.entries_by_id: dict[str, Any] = {}
         self.prompt_bars = PromptBars()
+        self.evacuated_data_centres: frozenset[str] = frozenset()
+        self.evacuations_revision = -1
         self.other_vms_requests_by_backend: dict[str, int] = {}
         self.other_vms_tokens_by_backend: dict[str, int] = {}
         self.last_poll_sent_at = float("-inf")
@@ -64,6 +66,19 @@
         if [barred.parts for barred in known.barred] != [barred.parts for barred in bars.barred]:
             _events.emit("bars_applied", sets=len(bars.barred), suspected=len(bars.suspected), revision=bars.revision)
 
+    def apply_evacuations(self, record: Any) -> None:
+        """Replaces the evacuated data centres by those in a reply of a leader, unless the reply is older."""
+        with self._changed:
+            if record.revision <= self.evacuations_revision:
+                return
+            known = self.evacuated_data_centres
+            self.evacuated_data_centres = frozenset(record.data_centres or ())
+            self.evacuations_revision = record.revision
+            self._changed.notify_all()
+        if known != self.evacuated_data_centres:
+            data_centres = sorted(self.evacuated_data_centres)
+            _events.emit("evacuations_applied", data_centres=data_centres, revision=record.revision)
+
     def age_s(self) -> float:
         """Returns the seconds since the start of the last successful poll."""
         return self._clock.monotonic() - self.last_poll_sent_at
@@ -177,6 +192,7 @@
             accepts_patches=True,
             suspects_revision=self.view.prompt_bars.revision,
             bars_revision=self.view.prompt_bars.bars_revision,
+            evacuations_revision=self.view.evacuations_revision,
         )
         sent_at = self._clock.monotonic()
         reply = self._client.call("follow_site", request, timeout=_CALL_TIMEOUT_S, try_timeout=wait_ms / 1000 + 0.35)
@@ -193,6 +209,8 @@
             return
         if reply.barred is not None:  # before the document: requests may wait for the first one
             view.apply_prompt_bars(reply)
+        if reply.evacuations is not None:  # before the document, likewise
+            view.apply_evacuations(reply.evacuations)
         has_document = self._receive_document(reply)
         if has_document:
             self._apply_document(reply.term)
--- a/libs/arbutusrill_site/_metrics.py
+++ b/libs/arbutusrill_site/_metrics.py
@@ -54,6 +54,10 @@
             "config_version": (service.document_version, "version of the latest configuration"),
             "backends": (len(service.backends.records()), "backend servers that the leader knows"),
             "entries": (len(service.entries.records()), "entry VMs that the leader knows"),
+            "evacuated_data_centres": (
+                len(service.evacuations.record().data_centres),
+                "data centres to whose backend servers nothing more is sent",
+            ),
             "barred_part_sets": (service.prompts.bar_count, "sets of parts of prompts that are barred"),
             "suspected_parts": (service.prompts.suspected_count, "parts of prompts involved in crashes of engines"),
             "places_waiting": (service.places.waiting, "requests in line for a place on an engine"),
--- a/libs/arbutusrill_site/_registry.py
+++ b/libs/arbutusrill_site/_registry.py
@@ -70,6 +70,11 @@
         with self._changed:
             return list(self._record_by_id.values())
 
+    def data_centres(self) -> set[str]:
+        """Returns the data centres of the servers or VMs."""
+        with self._changed:
+            return {record.data_centre for record in self._record_by_id.values()}
+
     def changes_since(self, revision: int | None) -> RegistryChanges | None:
         """Returns what changed after a revision of this term, the whole list for None; None if nothing changed."""
         with self._changed:
--- a/libs/arbutusrill_site/_service.py
+++ b/libs/arbutusrill_site/_service.py
@@ -17,6 +17,7 @@
 from ._backends import BackendRegistry
 from ._configuration import Engine, SiteConfiguration
 from ._entries import EntryRegistry
+from ._evacuations import EvacuationLedger
 from ._membership import MembershipManager
 from ._places import PlaceLedger
 from ._prompt_ledger import PromptLedger
@@ -71,13 +72,21 @@
         self._membership_manager = membership_manager
         self.backends = BackendRegistry(clock, timeouts.backend_timeout_s, changed, state.departures, state.roster)
         self.entries = EntryRegistry(clock, timeouts.entry_timeout_s, changed)
+        self.evacuations = EvacuationLedger(
+            log,
+            state,
+            changed,
+            self._propose,
+            lambda: self.backends.data_centres() | self.entries.data_centres(),
+            lambda: self.backends.complete and self.entries.complete,
+        )
         self._buckets = FleetBuckets(self._limits_of, clock, rate_slack)
         self.places = PlaceLedger(
             clock,
-            self.backends.records,
+            lambda: self.evacuations.usable(self.backends.records()),
             self._engine_of,
             lambda: self.backends.complete,
-            lambda: self.backends.revision,
+            lambda: (self.backends.revision, self.evacuations.revision),
         )
         self.prompts = PromptLedger(
             clock,
@@ -132,6 +141,7 @@
         )
         self._add_document(reply, request)
         self._add_lists(reply, backends, entries)
+        self.evacuations.add_to_reply(reply, request)
         self.prompts.add_to_reply(reply, request.suspects_revision if same_term else min(request.suspects_revision, 0))
         return reply
 
@@ -178,6 +188,7 @@
                 or self._state.document.version > request.document_version
                 or self.backends.revision != request.backends_revision
                 or self.prompts.is_behind(request.bars_revision)
+                or self.evacuations.is_behind(request)
             )
 
         with self._changed:
@@ -249,6 +260,17 @@
             raise messages.Refused("stale_base", f"the version in force is {in_force}")
         return in_force
 
+    def order_evacuation(self, order: Any, known: bool) -> None:
+        """Commits that nothing more is sent to the backend servers of a data centre, or the end of that."""
+        self._confirm_leadership()
+        self._require_leadership()
+        self.evacuations.order(order, known)
+
+    def read_evacuations(self) -> Any:
+        """Returns the data centres that are evacuated as a linearizable read."""
+        self._confirm_leadership()
+        return self.evacuations.record()
+
     def _commit_document(self, change: Any, size: int, is_patch: bool) -> int:
         current_version = self._state.document.version
         if change.version <= current_version:
@@ -404,7 +426,7 @@
         self._service = service
 
     def records(self) -> list[Any]:
-        return self._service.backends.records()
+        return self._service.evacuations.usable(self._service.backends.records())
 
     def record_stage_order(self, backend: str, stage: str) -> bool:
         return self._service.record_stage_order(backend, stage)
--- /dev/null
+++ b/libs/arbutusrill_site/tests/test_evacuations.py
@@ -0,0 +1,137 @@
+"""Tests of the leader's part in evacuations, of its choice of engines and of what entry VMs learn of them."""
+
+import threading
+from types import SimpleNamespace
+
+import pytest
+from arbutusrill_base import ManualClock
+from arbutusrill_state import EVACUATION_LEVEL, SharedState, make_command
+from arbutusrill_wire import decode, encode, messages
+
+from arbutusrill_site import Engine, PlacementScheduler, SiteView
+from arbutusrill_site._evacuations import EvacuationLedger
+
+from .test_follower import follow, reply
+
+
+class Group:
+    """A leader whose proposals are committed at once; `old_member` reads no evacuations."""
+
+    def __init__(self, *data_centres, complete=True, old_member=False):
+        self.state = SharedState()
+        self.proposed = []
+        log = SimpleNamespace(is_format_refused=lambda log_format: old_member)
+        self.ledger = EvacuationLedger(
+            log, self.state, threading.Condition(), self.propose, lambda: set(data_centres), lambda: complete
+        )
+
+    def propose(self, change):
+        self.proposed.append(type(change).__name__)
+        return decode(messages.Outcome, self.state.apply(encode(make_command(change, "site", 0))))
+
+    def order(self, data_centre, evacuated=True, known=False):
+        self.ledger.order(messages.PutEvacuation(data_centre, evacuated), known)
+
+
+def test_first_order_raises_the_feature_level_and_repeated_ones_are_not_committed_again():
+    group = Group("a")
+    for _ in range(3):
+        group.order("a")
+    assert group.proposed == ["SetFeatureLevel", "PutEvacuation"]
+    assert group.state.config.feature_level == EVACUATION_LEVEL
+    group.order("a", evacuated=False)
+    group.order("a", evacuated=False)
+    assert group.proposed[2:] == ["PutEvacuation"] and group.ledger.record().data_centres == []
+
+
+@pytest.mark.parametrize("evacuated", [True, False])
+def test_order_for_a_data_centre_that_nobody_knows_is_refused_and_changes_nothing(evacuated):
+    group = Group("a")
+    with pytest.raises(messages.Refused) as refused:
+        group.order("elsewhere", evacuated)
+    assert refused.value.code == "unknown_data_centre" and not group.proposed
+    group.order("elsewhere", evacuated, known=True)  # the settings of the VM that was called name it
+
+
+def test_new_leader_refuses_no_order_for_good_before_it_knows_the_site():
+    # The operator does not repeat an order that is refused as invalid.
+    with pytest.raises(messages.Refused) as refused:
+        Group(complete=False).order("a")
+    assert refused.value.code == "unavailable"
+
+
+def test_order_can_be_withdrawn_after_all_of_its_data_centre_has_left():
+    group = Group()
+    group.order("a", known=True)
+    group.order("a", evacuated=False)
+    assert group.ledger.record().data_centres == []
+
+
+def test_order_waits_while_a_member_runs_a_version_without_evacuations():
+    # It would pass over the entry and, as the next leader, send its callers to the evacuated data centre.
+    group = Group("a", old_member=True)
+    with pytest.raises(messages.Refused) as refused:
+        group.order("a")
+    assert refused.value.code == "unavailable" and not group.proposed
+
+
+def request_for(wait_ms=0):
+    return messages.PlaceRequest("vm", 1, "r", "model", "", 100, 150, wait_ms, prefill=True)
+
+
+def test_leader_places_nothing_in_an_evacuated_data_centre():
+    group = Group("z1", "z2")
+    records = [
+        messages.BackendRecord(f"{stage}-{place}", 1, 1, "model", f"{place}:{stage}", place, 8, False, stage, [])
+        for place in ("z1", "z2")
+        for stage in ("prefill", "decode")
+    ]
+    scheduler = PlacementScheduler(
+        lambda: group.ledger.usable(records), lambda _: Engine(8, 1000, 0.5), lambda: (1, group.ledger.revision)
+    )
+
+    def place(now):
+        ticket, _ = scheduler.poll(request_for(), now)
+        scheduler.dispatch(now)
+        found = scheduler.take_reply(ticket)
+        return found and (found.prefill[-2:], found.decode[-2:])
+
+    for evacuated, permitted in (("z1", "z2"), ("z2", "z1")):
+        group.order(evacuated)
+        for number in range(5):
+            found = place(number / 100)
+            assert found[1] == permitted and found[0] in ("", permitted)
+        group.order(evacuated, evacuated=False)
+    group.order("z1")
+    group.order("z2")
+    assert place(1.0) is None
+
+
+def test_evacuations_are_in_force_before_the_first_document_and_stay_without_a_leader():
+    first = reply(1, b"first")
+    first.evacuations = messages.Evacuations(3, ["z1"])
+    older = reply(2, b"second", term=2)  # of a leader of an earlier version, which does not know evacuations
+    view, leader = follow(first, messages.Refused("x"), older)
+    assert view.evacuated_data_centres == {"z1"}
+    assert [poll.evacuations_revision for poll in leader.requests] == [-1, 3, 3]
+
+
+def test_older_orders_do_not_replace_newer_ones():
+    # The poll that announces a drain may run beside a long poll and be answered before it.
+    view = SiteView(ManualClock())
+    view.apply_evacuations(messages.Evacuations(5, ["z1"]))
+    view.apply_evacuations(messages.Evacuations(4, []))
+    assert view.evacuated_data_centres == {"z1"}
+    view.apply_evacuations(messages.Evacuations(6, []))
+    assert view.evacuated_data_centres == frozenset()
+
+
+def test_change_of_the_orders_ends_the_wait_of_followers_that_know_them_only():
+    group = Group("a")
+    group.order("a")
+    polls = {revision: messages.SiteFollowRequest(evacuations_revision=revision) for revision in (-1, 0, 1)}
+    assert {revision: group.ledger.is_behind(poll) for revision, poll in polls.items()} == {
+        -1: False,
+        0: True,
+        1: False,
+    }
--- a/libs/arbutusrill_site/tests/test_prompt_ledger.py
+++ b/libs/arbutusrill_site/tests/test_prompt_ledger.py
@@ -112,6 +112,7 @@
         _state=SimpleNamespace(document=SimpleNamespace(version=1)),
         backends=SimpleNamespace(revision=1),
         prompts=ledger,
+        evacuations=SimpleNamespace(is_behind=lambda poll: False),
     )
     poll = SimpleNamespace(document_version=1, backends_revision=1, bars_revision=ledger.bars_revision, wait_ms=50)
     assert not SiteService._wait_for_change(service, poll, 1)
--- a/libs/arbutusrill_state/__init__.py
+++ b/libs/arbutusrill_state/__init__.py
@@ -1,6 +1,6 @@
 """Replicated state of a site: the configuration, the journal of once-only calls and the commands that change them."""
 
-from ._checks import FEATURE_LEVEL, UnsupportedLevelError
+from ._checks import EVACUATION_LEVEL, FEATURE_LEVEL, UnsupportedLevelError
 from ._client import ControlClient, ControlUnavailableError
 from ._commands import change_of, make_command
 from ._config import ConfigState
@@ -17,6 +17,7 @@
     pack_layout,
     unpack_parts,
 )
+from ._evacuations import EvacuationOrders
 from ._follower import Follower, VmIdentity
 from ._journal import Journal
 from ._journal_client import Attempt, JournalClient
@@ -26,6 +27,7 @@
 
 __all__ = [
     "DEFAULT_SPEC_BY_NAME",
+    "EVACUATION_LEVEL",
     "FEATURE_LEVEL",
     "SCOPE_KINDS",
     "UNDIVIDED",
@@ -38,6 +40,7 @@
     "Departures",
     "Document",
     "DocumentPatch",
+    "EvacuationOrders",
     "Follower",
     "Journal",
     "JournalClient",
--- a/libs/arbutusrill_state/_checks.py
+++ b/libs/arbutusrill_state/_checks.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 __all__ = [
+    "EVACUATION_LEVEL",
     "ENDED_ORDER_STATES",
     "FEATURE_LEVEL",
     "MAX_ORDERS",
@@ -16,11 +17,15 @@
     "check_order",
 ]
 
-FEATURE_LEVEL = 2  # highest level at which this version supports every kind of change
+FEATURE_LEVEL = 3  # highest level at which this version supports every kind of change
+EVACUATION_LEVEL = 3  # from which on the log may hold orders to evacuate data centres
 MAX_ORDERS = 1000
 ENDED_ORDER_STATES = ("done", "failed", "withdrawn")
 
-_MIN_LEVEL_BY_KIND = {"forget_vm": 2}  # kinds that replicas of older versions do not support
+_MIN_LEVEL_BY_KIND = {
+    "forget_vm": 2,
+    "put_evacuation": EVACUATION_LEVEL,
+}  # kinds that replicas of older versions do not support
 _MAX_NAME_CHARACTERS = 128
 _MAX_TEXT_CHARACTERS = 1000
 _MAX_REQUEST_ID_CHARACTERS = 250
--- a/libs/arbutusrill_state/_machine.py
+++ b/libs/arbutusrill_state/_machine.py
@@ -8,10 +8,12 @@
 
 from arbutusrill_wire import decode, encode, messages
 
+from ._checks import RejectedError, check_change
 from ._commands import change_of
 from ._config import ConfigState
 from ._departures import Departures
 from ._document import Document, DocumentPatch
+from ._evacuations import EvacuationOrders
 from ._journal import Journal
 from ._prompt_table import PromptTable
 from ._roster import BackendRoster
@@ -34,6 +36,7 @@
         self.journal = Journal(self.config)
         self.document = Document()
         self.departures = Departures()
+        self.evacuations = EvacuationOrders()
         self.roster = BackendRoster()
         self.prompt_table = PromptTable()
         self._recent_commands: deque[Any] = deque(maxlen=_MAX_RECENT_COMMANDS)
@@ -56,6 +59,8 @@
         if kind == "patch_document":
             held_version = self.document.patch(DocumentPatch(change.base_version, change.version, change.patch or b""))
             return encode(messages.Outcome(held_version == change.version, held_version))
+        if kind == "put_evacuation":
+            return encode(self._put_evacuation(kind, change))
         if kind in ("put_departure", "put_backends", "put_prompt_suspects"):
             if kind == "put_departure":
                 self.departures.put(change)
@@ -72,6 +77,16 @@
                 self._recent_commands.append(messages.RevisionedCommand(self.config.revision, command))
         return encode(outcome)
 
+    def _put_evacuation(self, kind: str, change: Any) -> Any:
+        revision = self.config.revision
+        try:
+            check_change(kind, change, self.config.feature_level)
+        except RejectedError as error:
+            return messages.Outcome(False, revision, error.code, str(error))
+        if not self.evacuations.put(change.data_centre, bool(change.evacuated)):
+            return messages.Outcome(False, revision, "too_many", "too many data centres are evacuated")
+        return messages.Outcome(True, revision)
+
     def commands_after(self, revision: int, limit: int = MAX_COMMANDS) -> tuple[list[Any] | None, int]:
         """Returns at most `limit` commands after `revision`, and the current revision.
 
@@ -94,6 +109,7 @@
         state.document = messages.PutDocument(packed.version, packed.body, packed.layout)
         state.departures = self.departures.records()
         state.backends = self.roster.records()
+        state.evacuations = self.evacuations.record()
         state.prompt_suspects = self.prompt_table.record()
         config = encode(state)
         return len(config).to_bytes(8, "big") + config + self.journal.snapshot()
@@ -109,6 +125,7 @@
         for record in state.departures or []:
             self.departures.put(record)
         self.roster.put(state.backends or [])
+        self.evacuations.restore(state.evacuations)
         self.prompt_table.put(state.prompt_suspects)
         self.journal.restore(data[8 + config_bytes :])
         self._recent_commands.clear()
--- a/libs/arbutusrill_wire/arbutusrill.thrift
+++ b/libs/arbutusrill_wire/arbutusrill.thrift
@@ -80,7 +80,7 @@
   1: string member,         // member ID of the replying replica
   2: string group = "",     // group of the replica, empty before it has joined one
   3: string fault = "",     // why the replica does not participate, empty if it does
-  4: i32 log_format = 0     // 1: knows entries that change the document by patches
+  4: i32 log_format = 0     // 1: knows entries that change the document by patches; 2: evacuations as well
 }
 
 service Raft {
@@ -172,6 +172,12 @@
 // Suspected parts of prompts as the leader last recorded them; replaces the earlier record.
 struct PutPromptSuspects { 1: list<EngineCrash> crashes, 2: list<SuspectedPart> parts }
 
+// Order that nothing more is sent to the backend servers of a data centre, or its withdrawal.
+struct PutEvacuation { 1: string data_centre, 2: bool evacuated }
+
+// Data centres to whose backend servers nothing more is sent. `revision` increases with each change and is never reset.
+struct Evacuations { 1: i64 revision = 0, 2: list<string> data_centres }
+
 struct JournalBegin {
   1: string workspace, 2: string key, 3: binary digest, 4: string vm, 5: i64 incarnation
 }
@@ -212,7 +218,8 @@
   34: PatchDocument patch_document, // does not change the revision
   40: JournalBegin journal_begin,
   41: JournalFinish journal_finish,
-  42: JournalSweep journal_sweep
+  42: JournalSweep journal_sweep,
+  50: PutEvacuation put_evacuation // feature level 3; does not change the revision
 }
 
 // Result of a command in the state machine.
@@ -248,7 +255,8 @@
   13: PutDocument document,
   14: list<PutDeparture> departures,
   15: list<BackendRecord> backends,
-  16: PutPromptSuspects prompt_suspects
+  16: PutPromptSuspects prompt_suspects,
+  50: Evacuations evacuations
 }
 
 struct JournalRecord {
@@ -471,7 +479,8 @@
   15: bool accepts_deltas = false,     // lists may be sent as changes since the revisions above
   16: bool accepts_patches = false,    // the document may be sent as patches of `document_version`
   20: i64 suspects_revision = -1,      // -1: the follower does not know barred parts of prompts
-  21: i64 bars_revision = -1
+  21: i64 bars_revision = -1,
+  50: i64 evacuations_revision = -1    // -1: the follower does not know evacuations
 }
 
 // Parts of prompts that crash engines: a request whose prompt has all of them is not sent to an engine.
@@ -502,7 +511,8 @@
   20: i64 suspects_revision = 0,       // changes with `barred` and `suspected`
   21: i64 bars_revision = 0,           // changes with `barred`
   22: list<BarredParts> barred,        // omitted, like `suspected`, if the follower has their revision
-  23: list<string> suspected           // parts whose successes the leader wants to know
+  23: list<string> suspected,          // parts whose successes the leader wants to know
+  50: Evacuations evacuations          // omitted if the follower has their revision
 }
 
 // Measured speed of an engine: `took_s` seconds for `units` tokens or events.
@@ -575,5 +585,8 @@
   double charge_tokens(1: TokenCharge charge) throws (1: Refused refused),    // 0, or seconds until the tokens are available
   list<string> join(1: string member) throws (1: Refused refused),            // returns the RPC addresses of the group
   PromptReply report_prompts(1: PromptReport report) throws (1: Refused refused),
-  bool leave(1: string member) throws (1: Refused refused)                    // whether the voter is to be replaced now
+  bool leave(1: string member) throws (1: Refused refused),                   // whether the voter is to be replaced now
+  // `known` tells that the data centre is known to the caller; otherwise the leader must know it.
+  void order_evacuation(1: PutEvacuation order, 2: bool known) throws (1: Refused refused),
+  Evacuations read_evacuations() throws (1: Refused refused)
 }
