cold servers: a bound for all entry VMs, with and without a leader

Cause: a server that comes back cold, alone or with its whole data centre, ranks first for every entry VM and for the leader, and gets far more than it bears; coldRemainingMs of announcements was checked and dropped.

Change: ColdServers knows which servers may be cold (announcements, data centres taken back, a new leader, an old view). GrantLimit holds the places and prefills that the leader grants on one engine to a quarter of the bound; LocalLimit divides half of an engine's bound, or all of a plain server's, among the entry VMs by a hash, without messages. Effective only where the settings bound cold servers (cold_overage) and a service states a rate. Field checks of announcements moved from the adapter into the product.

Ruled out: an equal rate for each VM, since 64 VMs may send one request in the same second; tokens from the leader.

--- a/libs/arbutusrill_base/__init__.py
+++ b/libs/arbutusrill_base/__init__.py
@@ -1,6 +1,6 @@
 """Common types and helpers: clocks, identifiers, logs, settings, retry budgets and task groups."""
 
-from ._addresses import split_address
+from ._addresses import is_ipv4_address, split_address
 from ._blocks import BLOCK_BYTES, prefix_blocks
 from ._budget import RetryBudget, backoff_s
 from ._clock import BootClock, Clock, ManualClock, SystemClock
@@ -38,6 +38,7 @@
     "backoff_s",
     "configure_logs",
     "hash_key",
+    "is_ipv4_address",
     "load_json",
     "load_settings",
     "new_incarnation",
--- a/libs/arbutusrill_gateway/_backends.py
+++ b/libs/arbutusrill_gateway/_backends.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from arbutusrill_base import Clock, EventLog
-from arbutusrill_site import Service, SiteView
+from arbutusrill_site import ColdRules, LocalLimit, Service, SiteView
 from arbutusrill_wire import messages
 
 from ._availability import BackendAvailability
@@ -69,10 +69,12 @@
     """Selects backend servers and tracks their speed and failures.
 
     The load of a backend server is this VM's own plus what the other entry VMs reported last. `is_stopping` says if
-    `stop_waiting` has been called.
+    `stop_waiting` has been called. `cold_rules` bounds what cold servers get; it needs the name of this VM.
     """
 
-    def __init__(self, view: SiteView, data_centre: str, clock: Clock):
+    def __init__(
+        self, view: SiteView, data_centre: str, clock: Clock, cold_rules: ColdRules | None = None, vm: str = ""
+    ):
         self._view = view
         self._data_centre = data_centre
         self._clock = clock
@@ -83,6 +85,9 @@
         self._requests_by_id: dict[str, int] = {}
         self._tokens_by_id: dict[str, int] = {}
         self.is_stopping = False
+        self._cold_limit = cold_rules and LocalLimit(
+            cold_rules, view.cold_servers, vm, lambda: view.entries_by_id, view.age_s
+        )
 
     def current_load(self) -> list[Any]:
         """Returns this VM's load on each backend server as `BackendUse` messages."""
@@ -121,7 +126,7 @@
         The cost is the expected duration plus penalties for failures and for other data centres than `kv_data_centre`,
         which holds the request's KV cache (by default this VM's data centre). Backend servers that drain, are quiet or
         are evacuated are not chosen; those that are avoided after a failure only if there is no other. Random jitter
-        spreads requests over servers of similar cost.
+        spreads requests over servers of similar cost. Each choice counts as a request where the server may be cold.
         """
         now = self._clock.monotonic()
         ranked = []
@@ -132,6 +137,8 @@
                 for record in listed
                 if _serves(record, stage, model) and record.id not in exclude and self._permits(record, now)
             ]
+            if self._cold_limit is not None:
+                usable = [record for record in usable if self._cold_limit.permits(record, service, now)]
             mean_s = self._mean_unit_s(listed, stage)
             for record in usable:
                 expected_s = self._expected_s(record, service, stage, tokens, mean_s, now)
@@ -142,9 +149,11 @@
                     record, stage, kv_data_centre, stats, now
                 )
                 ranked.append(((avoided, not fits, cost), record, expected_s))
-        if not ranked:
-            return None
-        _, record, expected_s = min(ranked, key=lambda entry: entry[0])
+            if not ranked:
+                return None
+            _, record, expected_s = min(ranked, key=lambda entry: entry[0])
+            if self._cold_limit is not None:
+                self._cold_limit.record(record, service, now)
         return Candidate(record, expected_s)
 
     def wait_for_backends(self, service: Service, timeout_s: float) -> bool:
@@ -344,6 +353,8 @@
         """Drops the observations of backend servers that are no longer listed, and restrictions that are over."""
         with self._lock:
             self._availability.prune(self._view.backends_by_id, self._clock.monotonic())
+            if self._cold_limit is not None:
+                self._cold_limit.drop_old(self._view.backends_by_id, self._clock.monotonic())
             for backend in [id_ for id_ in self._stats_by_id if id_ not in self._view.backends_by_id]:
                 del self._stats_by_id[backend]
 
--- a/libs/arbutusrill_site/__init__.py
+++ b/libs/arbutusrill_site/__init__.py
@@ -7,7 +7,15 @@
 
 from typing import Any
 
+from ._announcement_fields import (
+    AnnouncementError,
+    announced_address,
+    announced_number,
+    announced_text,
+    backend_id,
+)
 from ._backends import BackendRegistry, is_newer
+from ._cold_limits import ColdRules, ColdServers, LocalLimit
 from ._configuration import (
     ClientLimits,
     ConfigurationError,
@@ -50,9 +58,16 @@
     "number_field",
     "require",
     "text_field",
+    "AnnouncementError",
     "BackendRegistry",
+    "announced_address",
+    "announced_number",
+    "announced_text",
+    "backend_id",
     "BarredSet",
     "ClientLimits",
+    "ColdRules",
+    "ColdServers",
     "ConfigurationDecoder",
     "ConfigurationError",
     "ConfigurationFormat",
@@ -64,6 +79,7 @@
     "GroupJoinClient",
     "HostRoutes",
     "LeaderRateAuthority",
+    "LocalLimit",
     "MembershipManager",
     "OrderAnswer",
     "PlaceLedger",
--- a/libs/arbutusrill_site/_backends.py
+++ b/libs/arbutusrill_site/_backends.py
@@ -10,6 +10,7 @@
 from arbutusrill_state import BackendRoster, Departures
 from arbutusrill_wire import messages
 
+from ._cold_limits import ColdServers
 from ._registry import Registry
 
 __all__ = ["BackendRegistry", "is_newer"]
@@ -64,9 +65,11 @@
         self._departures = departures
         self._roster = roster
         self._id_by_address: dict[str, str] = {}
+        self.cold_servers = ColdServers()
 
     def _clear(self) -> None:
         self._id_by_address.clear()
+        self.cold_servers.begin_term(self._clock.monotonic())
 
     def restore_roster(self) -> None:
         """Adds the servers of the roster that have not announced themselves; they expire unless they do so in time."""
@@ -99,7 +102,8 @@
                 record.ordered_stage = known.ordered_stage
             self._record_by_id[record.id] = record
             self._last_heard_by_id[record.id] = now
-            if known is None or not _equal_except_sequence(record, known):
+            is_colder = self.cold_servers.learn(record, now)
+            if known is None or is_colder or not _equal_except_sequence(record, known):
                 self._apply_announcement(record, known)
             return True
 
@@ -135,6 +139,7 @@
             address=record.address,
             draining=record.draining,
             stage=record.stage,
+            cold_ms=record.cold_ms,
             ordered_stage=record.ordered_stage,
             start=record.started_ms,
             seq=record.sequence,
@@ -178,6 +183,7 @@
         with self._changed:
             for backend in self._silent_ids():
                 self._drop(backend, f"no announcement for {self._silence_timeout_s:g} s")
+            self.cold_servers.keep(self._record_by_id, self._clock.monotonic())
 
     def _drop(self, backend: str, reason: str) -> None:
         record = self._record_by_id.pop(backend)
--- a/libs/arbutusrill_site/_configuration.py
+++ b/libs/arbutusrill_site/_configuration.py
@@ -92,10 +92,16 @@
 
 @dataclass(slots=True, frozen=True)
 class Service:
-    """Group of backend servers; `engine` is None for a service without model engines."""
+    """Group of backend servers; `engine` is None for a service without model engines.
+
+    A server is cold for `cold_s` seconds after its start, and bears `cold_rate` requests a second meanwhile; 0 for no
+    such limit.
+    """
 
     name: str
     engine: Engine | None = None
+    cold_s: float = 0.0
+    cold_rate: float = 0.0
 
 
 @dataclass(slots=True, frozen=True)
--- a/libs/arbutusrill_site/_engine_loads.py
+++ b/libs/arbutusrill_site/_engine_loads.py
@@ -11,6 +11,7 @@
 
 from sortedcontainers import SortedKeyList
 
+from ._cold_limits import GrantLimit
 from ._configuration import Engine
 from ._memory_forecast import StreamLoad, peak_tokens
 from ._speeds import EngineSpeeds
@@ -83,12 +84,17 @@
     """Index of the engines by service and stage, with the places on each.
 
     `backends` returns the records of the backend servers and `revision` a number that changes with them; without it,
-    the records are read again for each decision.
+    the records are read again for each decision. `limit` bounds what cold engines get.
     """
 
     def __init__(
-        self, backends: Callable[[], list[Any]], speeds: EngineSpeeds, revision: Callable[[], int] | None = None
+        self,
+        backends: Callable[[], list[Any]],
+        speeds: EngineSpeeds,
+        revision: Callable[[], int] | None = None,
+        limit: GrantLimit | None = None,
     ):
+        self._limit = limit
         self._backends = backends
         self._speeds = speeds
         self._revision = revision
@@ -146,6 +152,13 @@
         load = self._load_of(place.backend)
         load.places[number] = place
         self._change(load, place, 1)
+        self.record_grant(place.backend, place.taken_at)
+
+    def record_grant(self, backend: str, now: float) -> None:
+        """Records that a request is to be sent to an engine."""
+        record = self._record_by_id.get(backend)
+        if self._limit is not None and record is not None:
+            self._limit.record(record, now)
 
     def remove(self, number: int, place: Place) -> None:
         """Removes a place."""
@@ -182,6 +195,8 @@
     def _may_serve(self, record: Any, request: Any, now: float) -> bool:
         if self._unresponsive_by_id and not self._is_responsive(record, now):
             return False
+        if self._limit is not None and not self._limit.permits(record, now):
+            return False
         return not request.model or not record.models or any(model.name == request.model for model in record.models)
 
     def choose_decode(self, request: Any, capacity: Engine, now: float) -> Any | None:
--- a/libs/arbutusrill_site/_evacuations.py
+++ b/libs/arbutusrill_site/_evacuations.py
@@ -21,7 +21,8 @@
     """Commits orders to evacuate data centres and tells the followers of them.
 
     `propose` commits a change and returns its outcome. `data_centres` returns those of the backend servers and entry
-    VMs that the leader knows, `is_complete` whether all of them have had time to report to it.
+    VMs that the leader knows, `is_complete` whether all of them have had time to report to it. `taken_back` is called
+    with a data centre before its servers are used again.
     """
 
     def __init__(
@@ -32,7 +33,9 @@
         propose: Callable[[Any], Any],
         data_centres: Callable[[], set[str]],
         is_complete: Callable[[], bool],
+        taken_back: Callable[[str], None] = lambda data_centre: None,
     ):
+        self._taken_back = taken_back
         self._log = log
         self._state = state
         self._changed = changed
@@ -54,6 +57,8 @@
         if (order.data_centre in orders.data_centres) != bool(order.evacuated):
             self._check_data_centre(order.data_centre, known)
             self._raise_feature_level()
+            if not order.evacuated:
+                self._taken_back(order.data_centre)
             outcome = self._propose(messages.PutEvacuation(order.data_centre, bool(order.evacuated)))
             if not outcome.accepted:
                 raise messages.Refused(outcome.code, outcome.message)
--- a/libs/arbutusrill_site/_follower.py
+++ b/libs/arbutusrill_site/_follower.py
@@ -13,6 +13,7 @@
 from arbutusrill_wire import messages
 
 from ._backends import is_newer
+from ._cold_limits import ColdServers
 from ._prompt_bars import PromptBars, decode_prompt_bars
 
 __all__ = ["SiteFollower", "SiteView"]
@@ -40,6 +41,7 @@
         self.prompt_bars = PromptBars()
         self.evacuated_data_centres: frozenset[str] = frozenset()
         self.evacuations_revision = -1
+        self.cold_servers = ColdServers()
         self.other_vms_requests_by_backend: dict[str, int] = {}
         self.other_vms_tokens_by_backend: dict[str, int] = {}
         self.last_poll_sent_at = float("-inf")
@@ -72,7 +74,9 @@
             if record.revision <= self.evacuations_revision:
                 return
             known = self.evacuated_data_centres
-            self.evacuated_data_centres = frozenset(record.data_centres or ())
+            evacuated = frozenset(record.data_centres or ())
+            self.cold_servers.take_back(known - evacuated, self._clock.monotonic())
+            self.evacuated_data_centres = evacuated
             self.evacuations_revision = record.revision
             self._changed.notify_all()
         if known != self.evacuated_data_centres:
@@ -215,6 +219,7 @@
         if has_document:
             self._apply_document(reply.term)
         if reply.backends is not None:
+            self._learn_cold(reply.backends)
             view.backends_by_id = self._updated_backends(view.backends_by_id, reply)
         if reply.entries is not None:
             entries = {record.id: record for record in reply.entries}
@@ -233,6 +238,12 @@
             self.on_change()
             view.notify()
 
+    def _learn_cold(self, records: list[Any]) -> None:
+        now, cold_servers = self._clock.monotonic(), self.view.cold_servers
+        for record in records:
+            cold_servers.learn(record, now)
+        cold_servers.keep(self.view.backends_by_id, now)
+
     def _receive_document(self, reply: Any) -> bool:
         """Stores the document of a reply, whole or as patches; returns whether it is newer than the one before.
 
--- a/libs/arbutusrill_site/_placement.py
+++ b/libs/arbutusrill_site/_placement.py
@@ -12,6 +12,7 @@
 from arbutusrill_base import EventLog
 from arbutusrill_wire import messages
 
+from ._cold_limits import GrantLimit
 from ._configuration import Engine
 from ._engine_loads import EngineLoads, Place
 from ._local_prefills import LocalPrefills
@@ -37,7 +38,8 @@
 
     Each event (a request that polls, a released place, a report) is followed by one pass over the waiting requests,
     which ends at the first one without an engine. A place granted between two polls of its request waits for the next
-    one. `engine_of` returns the capacity of each engine of a service, None for a service without engines.
+    one. `engine_of` returns the capacity of each engine of a service, None for a service without engines; `limit`
+    bounds what cold engines get.
     """
 
     def __init__(
@@ -45,10 +47,11 @@
         backends: Callable[[], list[Any]],
         engine_of: Callable[[str], Engine | None],
         revision: Callable[[], int] | None = None,
+        limit: GrantLimit | None = None,
     ):
         self._engine_of = engine_of
         self.speeds = EngineSpeeds()
-        self._loads = EngineLoads(backends, self.speeds, revision)
+        self._loads = EngineLoads(backends, self.speeds, revision, limit)
         self._local_prefills = LocalPrefills(self.speeds)
         self._waiting_queue = WaitingQueue()
         self._place_numbers = itertools.count(1)
@@ -180,6 +183,7 @@
             self._local_prefills.record_start(decode.id, request.prompt_tokens, now)
             return ""
         self.speeds.unit_time_of(best.id, "prefill").add_prompt(request.prompt_tokens, now)
+        self._loads.record_grant(best.id, now)
         return best.id
 
     def _prefers_local_prefill(self, request: Any, decode: Any, prefill_end: float, now: float) -> bool:
--- a/libs/arbutusrill_site/_places.py
+++ b/libs/arbutusrill_site/_places.py
@@ -12,6 +12,7 @@
 from arbutusrill_base import Clock
 from arbutusrill_wire import messages
 
+from ._cold_limits import GrantLimit
 from ._configuration import Engine
 from ._placement import PlacementScheduler
 from ._speeds import EngineSpeeds
@@ -27,7 +28,7 @@
     arrival, so that large requests do not starve. An event wakes only the requests that it grants a place.
     `backends` returns the records of the backend servers, `revision` a number that changes with them, `engine_of` the
     capacity of each engine of a service, `is_complete` whether all running engines have had time to announce
-    themselves.
+    themselves. `limit` bounds what cold engines get.
     """
 
     def __init__(
@@ -37,12 +38,13 @@
         engine_of: Callable[[str], Engine | None],
         is_complete: Callable[[], bool] = lambda: True,
         revision: Callable[[], int] | None = None,
+        limit: GrantLimit | None = None,
     ):
         self._clock = clock
         self._engine_of = engine_of
         self._is_complete = is_complete
         self._lock = threading.Lock()
-        self._scheduler = PlacementScheduler(backends, engine_of, revision)
+        self._scheduler = PlacementScheduler(backends, engine_of, revision, limit)
         self._granted_by_ticket: dict[Ticket, threading.Event] = {}  # of the requests in a long poll
 
     @property
--- a/libs/arbutusrill_site/_service.py
+++ b/libs/arbutusrill_site/_service.py
@@ -15,7 +15,8 @@
 from arbutusrill_wire import decode, encode, messages
 
 from ._backends import BackendRegistry
-from ._configuration import Engine, SiteConfiguration
+from ._cold_limits import ColdRules, GrantLimit
+from ._configuration import Engine, Service, SiteConfiguration
 from ._entries import EntryRegistry
 from ._evacuations import EvacuationLedger
 from ._membership import MembershipManager
@@ -49,7 +50,7 @@
 
     `decode_document` decodes the parts of a configuration document. `make_stage_balancer` builds the balancer from the
     registry of engines and the statistics of their work. `rate_slack` is the number of tokens by which a workspace may
-    briefly exceed its bucket.
+    briefly exceed its bucket, `cold_rules` bounds what cold servers get.
     """
 
     def __init__(
@@ -63,6 +64,7 @@
         membership_manager: MembershipManager,
         make_stage_balancer: Callable[[EngineRegistry, EngineStatistics], StageBalancer],
         rate_slack: float,
+        cold_rules: ColdRules | None = None,
     ):
         self._log = log
         self._state = state
@@ -79,6 +81,7 @@
             self._propose,
             lambda: self.backends.data_centres() | self.entries.data_centres(),
             lambda: self.backends.complete and self.entries.complete,
+            lambda data_centre: self.backends.cold_servers.take_back([data_centre], clock.monotonic()),
         )
         self._buckets = FleetBuckets(self._limits_of, clock, rate_slack)
         self.places = PlaceLedger(
@@ -87,6 +90,7 @@
             self._engine_of,
             lambda: self.backends.complete,
             lambda: (self.backends.revision, self.evacuations.revision),
+            cold_rules and GrantLimit(cold_rules, self.backends.cold_servers, self._service_of),
         )
         self.prompts = PromptLedger(
             clock,
@@ -398,9 +402,12 @@
         workspace_config = configuration.workspaces_by_name.get(workspace) if configuration else None
         return workspace_config.limits if workspace_config else None
 
-    def _engine_of(self, service: str) -> Engine | None:
+    def _service_of(self, service: str) -> Service | None:
         configuration = self._configuration()
-        service_config = configuration.services_by_name.get(service) if configuration else None
+        return configuration.services_by_name.get(service) if configuration else None
+
+    def _engine_of(self, service: str) -> Engine | None:
+        service_config = self._service_of(service)
         return service_config.engine if service_config else None
 
     def _require_leadership(self) -> None:
--- a/libs/arbutusrill_wire/arbutusrill.thrift
+++ b/libs/arbutusrill_wire/arbutusrill.thrift
@@ -147,7 +147,8 @@
   9: string stage = "",          // prefill, decode, or empty for a plain service
   10: list<LoadedModel> models,
   11: string software = "",
-  12: string ordered_stage = ""   // set by the leader: the stage that the engine was ordered to change to
+  12: string ordered_stage = "",  // set by the leader: the stage that the engine was ordered to change to
+  50: i32 cold_ms = 0            // time for which the server stays cold, from its announcement on
 }
 
 // Departure of a backend server: announcements of that start up to `sequence` are ignored.
