homes: requests run only in the regions that their route and workspace allow

Cause: allowedRegions of routes and tenants was ignored: a request could reach a server in any region, and the directory named entry VMs of all regions to its caller.

Regions come with the settings (region_by_data_centre). Without homes, the pool is used as before.

--- a/libs/arbutusrill_gateway/_backends.py
+++ b/libs/arbutusrill_gateway/_backends.py
@@ -120,6 +120,7 @@
         model: str = "",
         exclude: frozenset[str] | set[str] = frozenset(),
         kv_data_centre: str = "",
+        data_centres: frozenset[str] | None = None,
     ) -> Candidate | None:
         """Returns the backend server of `service` with the lowest cost for a request of `tokens`, or None.
 
@@ -127,11 +128,16 @@
         which holds the request's KV cache (by default this VM's data centre). Backend servers that drain, are quiet or
         are evacuated are not chosen; those that are avoided after a failure only if there is no other. Random jitter
         spreads requests over servers of similar cost. Each choice counts as a request where the server may be cold.
+        With `data_centres`, only servers there are chosen.
         """
         now = self._clock.monotonic()
         ranked = []
         with self._lock:
-            listed = [record for record in self._view.backends_by_id.values() if record.service_name == service.name]
+            listed = [
+                record
+                for record in self._view.backends_by_id.values()
+                if record.service_name == service.name and (data_centres is None or record.data_centre in data_centres)
+            ]
             usable = [
                 record
                 for record in listed
@@ -181,20 +187,41 @@
         return self._line_by_service_and_stage.setdefault(key, WaitingLine()) if line is None else line
 
     def permitted_in_s(
-        self, service: Service, stage: str, model: str, exclude: frozenset[str] | set[str] = frozenset()
+        self,
+        service: Service,
+        stage: str,
+        model: str,
+        exclude: frozenset[str] | set[str] = frozenset(),
+        data_centres: frozenset[str] | None = None,
     ) -> float | None:
         """Returns the seconds until a backend server may be used that is quiet now, None if one may be used now.
 
-        Infinite if all of them drain or are evacuated. None as well if the service has none outside `exclude`.
+        Infinite if all of them drain, are evacuated or are outside `data_centres`. None as well if the service has none
+        outside `exclude`.
         """
-        records = [record for record in self._serving(service, stage, model) if record.id not in exclude]
+        serving = self._serving(service, stage, model)
+        here = [record for record in serving if data_centres is None or record.data_centre in data_centres]
+        if serving and not here:
+            return math.inf
+        records = [record for record in here if record.id not in exclude]
         with self._lock:
             return self._availability.permitted_in_s(records, self._clock.monotonic())
 
-    def retry_in_s(self, service: Service, stage: str, model: str) -> float | None:
+    def retry_in_s(
+        self, service: Service, stage: str, model: str, data_centres: frozenset[str] | None = None
+    ) -> float | None:
         """Returns the seconds until a retry may succeed if backend servers are quiet, None if it may succeed now."""
         with self._lock:
-            return self._availability.retry_in_s(self._serving(service, stage, model), self._clock.monotonic())
+            records = [
+                record
+                for record in self._serving(service, stage, model)
+                if data_centres is None or record.data_centre in data_centres
+            ]
+            return self._availability.retry_in_s(records, self._clock.monotonic())
+
+    def ids_outside(self, data_centres: frozenset[str]) -> list[str]:
+        """Returns the ids of the backend servers outside some data centres."""
+        return [record.id for record in self._view.backends_by_id.values() if record.data_centre not in data_centres]
 
     def _serving(self, service: Service, stage: str, model: str) -> list[Any]:
         return [
--- a/libs/arbutusrill_gateway/_gateway.py
+++ b/libs/arbutusrill_gateway/_gateway.py
@@ -5,7 +5,7 @@
 import math
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any
 
 from arbutusrill_base import EventLog, FailureError, RetryBudget, Verdict
@@ -15,6 +15,7 @@
 
 from ._backends import BackendPool
 from ._exchange import Exchange
+from ._home_pool import pool_within
 from ._metrics import GatewayMetrics
 from ._placement import PlacementClient
 from ._plain import relay_plain
@@ -55,6 +56,7 @@
         max_view_age_s: float | None = None,
         prompt_guard: PromptGuard | None = None,
         body_budget: BodyBudget | None = None,
+        region_by_data_centre: Callable[[], Mapping[str, str]] = dict,
     ):
         self._view = view
         self._pool = pool
@@ -66,6 +68,7 @@
         self._retry_reserve = retry_reserve
         self._max_view_age_s = max_view_age_s
         self._prompt_guard = prompt_guard
+        self._regions = region_by_data_centre
         self._body_budget = body_budget or BodyBudget(None)
         self._lock = threading.Lock()
         self._budget_by_service: dict[str, RetryBudget] = {}
@@ -173,6 +176,7 @@
         memory: BodyReservation,
     ) -> None:
         service = configuration.services_by_name[route.pick_service()]
+        homes = configuration.homes_of(route, workspace)
         limit_s = _time_limit_s(route, request)
         budget = self._retry_budget(service.name)
         budget.record_request()
@@ -183,7 +187,7 @@
             service,
             workspace,
             self._protocol,
-            self._pool,
+            pool_within(self._pool, homes, self._regions()),
             self._placements,
             budget,
             started + limit_s,
--- a/libs/arbutusrill_site/__init__.py
+++ b/libs/arbutusrill_site/__init__.py
@@ -38,6 +38,7 @@
     number_field,
     require,
     text_field,
+    texts_field,
 )
 from ._entries import EntryRegistry
 from ._follower import SiteFollower, SiteView
@@ -58,6 +59,7 @@
     "number_field",
     "require",
     "text_field",
+    "texts_field",
     "AnnouncementError",
     "BackendRegistry",
     "announced_address",
--- a/libs/arbutusrill_site/_configuration.py
+++ b/libs/arbutusrill_site/_configuration.py
@@ -49,7 +49,7 @@
 
     `max_attempts` bounds the number of backend servers that one request is sent to. A `resumable` stream may continue
     at another backend server. Requests of a `public` route need no API key. `event_gap_s` is the longest pause between
-    events that callers accept.
+    events that callers accept. `homes` are the regions in which its requests may run, empty for all.
     """
 
     name: str
@@ -64,6 +64,7 @@
     resumable: bool = False
     event_gap_s: float = 0.0
     priority: int = 5
+    homes: frozenset[str] = frozenset()
 
     @property
     def repeatable(self) -> bool:
@@ -109,13 +110,14 @@
     """Customer to which callers belong.
 
     `limits` is None for an unlimited rate. `plain_tokens` is the charge for a request without token counts. `priority`
-    is the rank of its requests, where 0 is the most urgent, or None if the route decides.
+    is the rank of its requests, where 0 is the most urgent, or None if the route decides. `homes` are as for a route.
     """
 
     name: str
     limits: Limits | None = None
     plain_tokens: float = 1.0
     priority: int | None = None
+    homes: frozenset[str] = frozenset()
 
 
 @dataclass(slots=True, frozen=True)
@@ -274,6 +276,18 @@
             return workspace.priority
         return route.priority
 
+    @staticmethod
+    def homes_of(route: Route, workspace: Workspace | None) -> frozenset[str] | None:
+        """Returns the regions in which a request may run, None for any; those of route and workspace both bind."""
+        homes = [each.homes for each in (route, workspace) if each is not None and each.homes]
+        return frozenset.intersection(*homes) if homes else None
+
+    def homes_of_host(self, host: str) -> frozenset[str] | None:
+        """Returns the regions in which the requests of all routes of a host may run, None if none of them has homes."""
+        routes = self.routes_by_host.get(host.partition(":")[0].lower())
+        homes = [route.homes for route in routes.by_prefix.values() if route.homes] if routes is not None else []
+        return frozenset.intersection(*homes) if homes else None
+
     def route_of(self, host: str, path: str) -> Route | None:
         """Returns the route with the longest prefix of `path` among those of `host`."""
         hostname = host.partition(":")[0].lower()
--- a/libs/arbutusrill_site/_document_fields.py
+++ b/libs/arbutusrill_site/_document_fields.py
@@ -20,6 +20,7 @@
     "number_field",
     "require",
     "text_field",
+    "texts_field",
 ]
 
 MAX_DURATION_S = 86_400.0
@@ -37,6 +38,16 @@
     return json_object[field]
 
 
+def texts_field(json_object: dict[str, Any], field: str, location: str) -> frozenset[str]:
+    """Returns the texts of a list; none if it is missing or null."""
+    value = json_object.get(field)
+    require(
+        value is None or (isinstance(value, list) and all(isinstance(text, str) for text in value)),
+        f"{location}: {field} must be a list of texts",
+    )
+    return frozenset(value or ())
+
+
 def number_field(json_object: dict[str, Any], field: str, location: str, default: float | None = None) -> float:
     """Returns a number from 0 to `MAX_INTEGER`."""
     value = json_object.get(field, default)
