cold servers: a line and a gauge for choices that pass over one

Cause: nothing told why a VM did not use a server that comes back cold.

Ruled out: a line for each choice.

--- a/libs/arbutusrill_gateway/_backends.py
+++ b/libs/arbutusrill_gateway/_backends.py
@@ -285,6 +285,11 @@
             until_ms = self._clock.wall_ms() + quiet_ms
             _events.emit("backend_quiet", request=request_id, quiet_ms=quiet_ms, until_ms=until_ms, **told_by)
 
+    @property
+    def cold_skip_count(self) -> int:
+        """Number of choices so far that passed over a server since it was cold."""
+        return 0 if self._cold_limit is None else self._cold_limit.skip_count
+
     def restricted_counts(self) -> tuple[int, int]:
         """Returns the number of backend servers that said they drain, and of those that are quiet."""
         with self._lock:
--- a/libs/arbutusrill_gateway/_metrics.py
+++ b/libs/arbutusrill_gateway/_metrics.py
@@ -58,6 +58,11 @@
             "Data centres to whose backend servers this VM sends nothing more.",
             registry=self.registry,
         )
+        self._cold_skips = Gauge(
+            "arbutusrill_cold_skips",
+            "Choices since the start that passed over a backend server since it was cold.",
+            registry=self.registry,
+        )
         self._add_http_gauges()
 
     def _add_http_gauges(self) -> None:
@@ -115,6 +120,7 @@
         draining_count, quiet_count = pool.restricted_counts()
         self._draining_backends.set(draining_count)
         self._quiet_backends.set(quiet_count)
+        self._cold_skips.set(pool.cold_skip_count)
 
     def record_request(self, route: str, status: int, took_s: float, first_event_s: float | None) -> None:
         """Counts a finished request; `status` 0 means that its connection was closed without a response."""
--- a/libs/arbutusrill_site/_cold_limits.py
+++ b/libs/arbutusrill_site/_cold_limits.py
@@ -15,6 +15,7 @@
 from typing import Any
 
 import xxhash
+from arbutusrill_base import EventLog
 
 from ._configuration import Service
 
@@ -30,6 +31,8 @@
 _NEW_LEADER_DOUBT_S = 2.0  # until the servers have announced to it whether they are cold
 _EXTENSION_S = 0.5  # an end of the cold time that is later by less is the same one, seen through a slower network
 _MAX_COLD_S = 600.0
+_REPORT_INTERVAL_S = 1.0
+_events = EventLog("cold")
 
 
 @dataclass(slots=True, frozen=True)
@@ -135,6 +138,22 @@
             del self._times_by_id[backend]
 
 
+class _SkipLog:
+    """Counts the choices that passed over a cold server, and logs them once a second at most."""
+
+    def __init__(self) -> None:
+        self.count = 0
+        self._logged_count = 0
+        self._logged_at = float("-inf")
+
+    def record(self, record: Any, bound: int, now: float) -> None:
+        """Counts one choice that passed over a server."""
+        self.count += 1
+        if now - self._logged_at >= _REPORT_INTERVAL_S:
+            skips, self._logged_count, self._logged_at = self.count - self._logged_count, self.count, now
+            _events.emit("cold_skipped", backend=record.id, service=record.service_name, bound=bound, skips=skips)
+
+
 class GrantLimit:
     """Limits the places and prefills that the leader grants on cold engines. Calls must not overlap.
 
@@ -146,6 +165,7 @@
         self._servers = servers
         self._service_of = service_of
         self._windows = _Windows()
+        self._skips = _SkipLog()
 
     def permits(self, record: Any, now: float) -> bool:
         """Returns whether one more request may be granted on an engine."""
@@ -153,7 +173,10 @@
         bound = self._rules.bound(service)
         if bound is None or not self._servers.is_cold(record, service.cold_s, now):
             return True
-        return self._windows.has_room(record.id, int(bound * _GRANTED_FRACTION), now)
+        has_room = self._windows.has_room(record.id, int(bound * _GRANTED_FRACTION), now)
+        if not has_room:
+            self._skips.record(record, bound, now)
+        return has_room
 
     def record(self, record: Any, now: float) -> None:
         """Records a request that was granted on an engine."""
@@ -205,9 +228,15 @@
         self._vms = vms
         self._view_age_s = view_age_s
         self._windows = _Windows()
+        self._skips = _SkipLog()
         self._share_by_server: dict[tuple[str, int], int] = {}
         self._shared_by: frozenset[str] = frozenset()
 
+    @property
+    def skip_count(self) -> int:
+        """Number of choices so far that passed over a cold server."""
+        return self._skips.count
+
     def permits(self, record: Any, service: Service, now: float) -> bool:
         """Returns whether one more request may be sent to a server."""
         bound = self._rules.bound(service)
@@ -215,7 +244,10 @@
             return True
         if self._view_age_s() <= _MAX_VIEW_AGE_S and not self._servers.is_cold(record, service.cold_s, now):
             return True
-        return self._windows.has_room(record.id, self._share(bound, service, record.id), now)
+        has_room = self._windows.has_room(record.id, self._share(bound, service, record.id), now)
+        if not has_room:
+            self._skips.record(record, bound, now)
+        return has_room
 
     def record(self, record: Any, service: Service, now: float) -> None:
         """Records a request that was sent to a server."""
