--- a/libs/arbutusrill_gateway/_backends.py
+++ b/libs/arbutusrill_gateway/_backends.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from arbutusrill_base import Clock, EventLog
-from arbutusrill_site import Service, SiteView
+from arbutusrill_site import ColdRules, LocalLimit, Service, SiteView
 from arbutusrill_wire import messages
 
 from ._availability import BackendAvailability
@@ -71,20 +71,25 @@
     """Selects backend servers and tracks their speed and failures.
 
     The load of a backend server is this VM's own plus what the other entry VMs reported last. `is_stopping` says if
-    `stop_waiting` has been called.
+    `stop_waiting` has been called. `cold_rules` bounds what cold servers get; it needs the name of this VM.
     """
 
-    def __init__(self, view: SiteView, data_centre: str, clock: Clock):
+    def __init__(
+        self, view: SiteView, data_centre: str, clock: Clock, cold_rules: ColdRules | None = None, vm: str = ""
+    ):
         self._view = view
         self._data_centre = data_centre
         self._clock = clock
         self._lock = threading.Lock()
         self._stats_by_id: dict[str, _BackendStats] = {}
-        self._availability = BackendAvailability()
+        self._availability = BackendAvailability(lambda: view.evacuated_data_centres)
         self._line_by_service_and_stage: dict[tuple[str, str], WaitingLine] = {}
         self._requests_by_id: dict[str, int] = {}
         self._tokens_by_id: dict[str, int] = {}
         self.is_stopping = False
+        self._cold_limit = cold_rules and LocalLimit(
+            cold_rules, view.cold_servers, vm, lambda: view.entries_by_id, view.age_s
+        )
 
     def current_load(self) -> list[Any]:
         """Returns this VM's load on each backend server as `BackendUse` messages."""
@@ -118,23 +123,32 @@
         exclude: frozenset[str] | set[str] = frozenset(),
         kv_data_centre: str = "",
         is_connected: Callable[[Any], bool] | None = None,
+        data_centres: frozenset[str] | None = None,
     ) -> Candidate | None:
         """Returns the backend server of `service` with the lowest cost for a request of `tokens`, or None.
 
         The cost is the expected duration plus penalties for failures and for other data centres than `kv_data_centre`,
-        which holds the request's KV cache (by default this VM's data centre). Backend servers that drain or are quiet
-        are not chosen; those that are avoided after a failure only if there is no other. Random jitter spreads requests
-        over servers of similar cost. Those are preferred for which `is_connected` says that a connection is kept.
+        which holds the request's KV cache (by default this VM's data centre). Backend servers that drain, are quiet or
+        are evacuated are not chosen; those that are avoided after a failure only if there is no other. Random jitter
+        spreads requests over servers of similar cost. Each choice counts as a request where the server may be cold.
+        With `data_centres`, only servers there are chosen; those are
+        preferred for which `is_connected` says that a connection is kept.
         """
         now = self._clock.monotonic()
         ranked = []
         with self._lock:
-            listed = [record for record in self._view.backends_by_id.values() if record.service_name == service.name]
+            listed = [
+                record
+                for record in self._view.backends_by_id.values()
+                if record.service_name == service.name and (data_centres is None or record.data_centre in data_centres)
+            ]
             usable = [
                 record
                 for record in listed
                 if _serves(record, stage, model) and record.id not in exclude and self._permits(record, now)
             ]
+            if self._cold_limit is not None:
+                usable = [record for record in usable if self._cold_limit.permits(record, service, now)]
             mean_s = self._mean_unit_s(listed, stage)
             for record in usable:
                 expected_s = self._expected_s(record, service, stage, tokens, mean_s, now)
@@ -147,9 +161,11 @@
                 if is_connected is not None and is_connected(record):
                     cost -= _KEPT_CONNECTION_GAIN_S
                 ranked.append(((avoided, not fits, cost), record, expected_s))
-        if not ranked:
-            return None
-        _, record, expected_s = min(ranked, key=lambda entry: entry[0])
+            if not ranked:
+                return None
+            _, record, expected_s = min(ranked, key=lambda entry: entry[0])
+            if self._cold_limit is not None:
+                self._cold_limit.record(record, service, now)
         return Candidate(record, expected_s)
 
     def wait_for_backends(self, service: Service, timeout_s: float) -> bool:
@@ -177,20 +193,41 @@
         return self._line_by_service_and_stage.setdefault(key, WaitingLine()) if line is None else line
 
     def permitted_in_s(
-        self, service: Service, stage: str, model: str, exclude: frozenset[str] | set[str] = frozenset()
+        self,
+        service: Service,
+        stage: str,
+        model: str,
+        exclude: frozenset[str] | set[str] = frozenset(),
+        data_centres: frozenset[str] | None = None,
     ) -> float | None:
-        """Returns the seconds until a backend server may be used that is quiet now, infinite if all of them drain.
+        """Returns the seconds until a backend server may be used that is quiet now, None if one may be used now.
 
-        None if one may be used now, or if the service has none outside `exclude`.
+        Infinite if all of them drain, are evacuated or are outside `data_centres`. None as well if the service has none
+        outside `exclude`.
         """
-        records = [record for record in self._serving(service, stage, model) if record.id not in exclude]
+        serving = self._serving(service, stage, model)
+        here = [record for record in serving if data_centres is None or record.data_centre in data_centres]
+        if serving and not here:
+            return math.inf
+        records = [record for record in here if record.id not in exclude]
         with self._lock:
             return self._availability.permitted_in_s(records, self._clock.monotonic())
 
-    def retry_in_s(self, service: Service, stage: str, model: str) -> float | None:
+    def retry_in_s(
+        self, service: Service, stage: str, model: str, data_centres: frozenset[str] | None = None
+    ) -> float | None:
         """Returns the seconds until a retry may succeed if backend servers are quiet, None if it may succeed now."""
         with self._lock:
-            return self._availability.retry_in_s(self._serving(service, stage, model), self._clock.monotonic())
+            records = [
+                record
+                for record in self._serving(service, stage, model)
+                if data_centres is None or record.data_centre in data_centres
+            ]
+            return self._availability.retry_in_s(records, self._clock.monotonic())
+
+    def ids_outside(self, data_centres: frozenset[str]) -> list[str]:
+        """Returns the ids of the backend servers outside some data centres."""
+        return [record.id for record in self._view.backends_by_id.values() if record.data_centre not in data_centres]
 
     def _serving(self, service: Service, stage: str, model: str) -> list[Any]:
         return [
@@ -209,13 +246,16 @@
         return set(random.sample(ids, max(0, len(ids) - size)))
 
     def avoided_ids(self) -> list[str]:
-        """Returns the ids of backend servers that drain, are quiet, or failed recently or often."""
+        """Returns the ids of backend servers that drain, are quiet or evacuated, or failed recently or often."""
         now = self._clock.monotonic()
         with self._lock:
             failing = (
                 id_ for id_, stats in self._stats_by_id.items() if self._failure_rate(stats, now) > _AVOID_FAILURE_RATE
             )
-            return sorted(self._availability.restricted_ids(now).union(failing))
+            evacuated = (
+                record.id for record in self._view.backends_by_id.values() if self._availability.is_evacuated(record)
+            )
+            return sorted(self._availability.restricted_ids(now).union(failing, evacuated))
 
     def is_avoided(self, record: Any) -> bool:
         """Returns whether a backend server is avoided after a failure."""
@@ -223,7 +263,7 @@
             return self._availability.is_avoided(record, self._clock.monotonic())
 
     def is_usable(self, record: Any) -> bool:
-        """Returns whether a backend server is still listed, has not restarted, is not draining and not quiet."""
+        """Returns whether a backend server is still listed, has not restarted, is not draining, quiet or evacuated."""
         current = self._view.backends_by_id.get(record.id)
         if current is None or current.started_ms != record.started_ms or current.draining:
             return False
@@ -231,7 +271,7 @@
             return self._permits(record, self._clock.monotonic())
 
     def _permits(self, record: Any, now: float) -> bool:
-        """Returns whether a backend server neither drains nor is quiet; reports the choices that this changes."""
+        """Returns whether a backend server neither drains nor is quiet or evacuated; reports choices this changes."""
         if self._availability.is_permitted(record, now):
             return True
         skipped_count = self._availability.record_skip(record, now)
@@ -260,6 +300,11 @@
             until_ms = self._clock.wall_ms() + quiet_ms
             _events.emit("backend_quiet", request=request_id, quiet_ms=quiet_ms, until_ms=until_ms, **told_by)
 
+    @property
+    def cold_skip_count(self) -> int:
+        """Number of choices so far that passed over a server since it was cold."""
+        return 0 if self._cold_limit is None else self._cold_limit.skip_count
+
     def restricted_counts(self) -> tuple[int, int]:
         """Returns the number of backend servers that said they drain, and of those that are quiet."""
         with self._lock:
@@ -355,6 +400,8 @@
         """Drops the observations of backend servers that are no longer listed, and restrictions that are over."""
         with self._lock:
             self._availability.prune(self._view.backends_by_id, self._clock.monotonic())
+            if self._cold_limit is not None:
+                self._cold_limit.drop_old(self._view.backends_by_id, self._clock.monotonic())
             for backend in [id_ for id_ in self._stats_by_id if id_ not in self._view.backends_by_id]:
                 del self._stats_by_id[backend]
 
--- a/libs/arbutusrill_gateway/_gateway.py
+++ b/libs/arbutusrill_gateway/_gateway.py
@@ -5,7 +5,7 @@
 import math
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any
 
 from arbutusrill_base import EventLog, FailureError, RetryBudget, Verdict
@@ -16,6 +16,7 @@
 from ._backends import BackendPool
 from ._connections import BackendConnections
 from ._exchange import Exchange
+from ._home_pool import pool_within
 from ._metrics import GatewayMetrics
 from ._placement import PlacementClient
 from ._plain import relay_plain
@@ -58,6 +59,7 @@
         prompt_guard: PromptGuard | None = None,
         body_budget: BodyBudget | None = None,
         connections: BackendConnections | None = None,
+        region_by_data_centre: Callable[[], Mapping[str, str]] = dict,
     ):
         self._view = view
         self._pool = pool
@@ -70,6 +72,7 @@
         self._max_view_age_s = max_view_age_s
         self._prompt_guard = prompt_guard
         self._ranks = ServiceRanks()
+        self._regions = region_by_data_centre
         self._body_budget = body_budget or BodyBudget(None)
         self._connections = connections
         self._lock = threading.Lock()
@@ -179,6 +182,7 @@
     ) -> None:
         service = configuration.services_by_name[route.pick_service()]
         rank = configuration.rank_of(route, workspace)
+        homes = configuration.homes_of(route, workspace)
         limit_s = _time_limit_s(route, request)
         budget = self._retry_budget(service.name)
         budget.record_request()
@@ -189,7 +193,7 @@
             service,
             workspace,
             self._protocol,
-            self._pool,
+            pool_within(self._pool, homes, self._regions()),
             self._placements,
             budget,
             started + limit_s,
--- a/libs/arbutusrill_gateway/_metrics.py
+++ b/libs/arbutusrill_gateway/_metrics.py
@@ -54,6 +54,16 @@
             "Backend servers that this VM sends nothing for the time that they asked for.",
             registry=self.registry,
         )
+        self._evacuated_data_centres = Gauge(
+            "arbutusrill_evacuated_data_centres",
+            "Data centres to whose backend servers this VM sends nothing more.",
+            registry=self.registry,
+        )
+        self._cold_skips = Gauge(
+            "arbutusrill_cold_skips",
+            "Choices since the start that passed over a backend server since it was cold.",
+            registry=self.registry,
+        )
         self._add_http_gauges()
         self._add_connection_gauges()
 
@@ -128,6 +138,7 @@
     def _record_view(self, view: SiteView) -> None:
         """Sets the gauges of the configuration in force and of the parts of prompts that crash engines."""
         self._version.set(view.version)
+        self._evacuated_data_centres.set(len(view.evacuated_data_centres))
         self._view_age.set(view.age_s() if view.version else -1)
         self._barred_part_sets.set(len(view.prompt_bars.barred))
         self._suspected_parts.set(len(view.prompt_bars.suspected))
@@ -137,6 +148,7 @@
         draining_count, quiet_count = pool.restricted_counts()
         self._draining_backends.set(draining_count)
         self._quiet_backends.set(quiet_count)
+        self._cold_skips.set(pool.cold_skip_count)
 
     def record_request(self, route: str, status: int, took_s: float, first_event_s: float | None) -> None:
         """Counts a finished request; `status` 0 means that its connection was closed without a response."""
--- a/libs/arbutusrill_gateway/tests/test_kept_connections.py
+++ b/libs/arbutusrill_gateway/tests/test_kept_connections.py
@@ -120,7 +120,11 @@
     def record(name, service, draining=False):
         return messages.BackendRecord(name, 7, 1, service, f"10.0.0.1:{name}", "z", 8, draining, "", [])
 
-    services = {"s": Service("s", None, 520), "small": Service("small", None, 60), "none": Service("none")}
+    services = {
+        "s": Service("s", max_connections=520),
+        "small": Service("small", max_connections=60),
+        "none": Service("none"),
+    }
     records = [record("1", "s"), record("2", "s", True), record("3", "small"), record("4", "none"), record("5", "x")]
     limits = connection_limits(records, services, 66)
     assert limits == {Server("1", "10.0.0.1:1", 7): 3, Server("3", "10.0.0.1:3", 7): 0}
--- a/libs/arbutusrill_site/__init__.py
+++ b/libs/arbutusrill_site/__init__.py
@@ -7,7 +7,15 @@
 
 from typing import Any
 
+from ._announcement_fields import (
+    AnnouncementError,
+    announced_address,
+    announced_number,
+    announced_text,
+    backend_id,
+)
 from ._backends import BackendRegistry, is_newer
+from ._cold_limits import ColdRules, ColdServers, LocalLimit
 from ._configuration import (
     ClientLimits,
     ConfigurationError,
@@ -30,7 +38,9 @@
     number_field,
     require,
     text_field,
+    texts_field,
 )
+from ._document_writer import DocumentWriter
 from ._entries import EntryRegistry
 from ._follower import SiteFollower, SiteView
 from ._membership import GroupJoinClient, MembershipManager
@@ -50,20 +60,30 @@
     "number_field",
     "require",
     "text_field",
+    "texts_field",
+    "AnnouncementError",
     "BackendRegistry",
+    "announced_address",
+    "announced_number",
+    "announced_text",
+    "backend_id",
     "BarredSet",
     "ClientLimits",
+    "ColdRules",
+    "ColdServers",
     "ConfigurationDecoder",
     "ConfigurationError",
     "ConfigurationFormat",
     "Engine",
     "EngineRegistry",
     "EngineStatistics",
+    "DocumentWriter",
     "EntryDirectory",
     "EntryRegistry",
     "GroupJoinClient",
     "HostRoutes",
     "LeaderRateAuthority",
+    "LocalLimit",
     "MembershipManager",
     "OrderAnswer",
     "PlaceLedger",
--- a/libs/arbutusrill_site/_follower.py
+++ b/libs/arbutusrill_site/_follower.py
@@ -13,6 +13,7 @@
 from arbutusrill_wire import messages
 
 from ._backends import is_newer
+from ._cold_limits import ColdServers
 from ._prompt_bars import PromptBars, decode_prompt_bars
 
 __all__ = ["SiteFollower", "SiteView"]
@@ -38,6 +39,9 @@
         self.backends_complete = False
         self.entries_by_id: dict[str, Any] = {}
         self.prompt_bars = PromptBars()
+        self.evacuated_data_centres: frozenset[str] = frozenset()
+        self.evacuations_revision = -1
+        self.cold_servers = ColdServers()
         self.other_vms_requests_by_backend: dict[str, int] = {}
         self.other_vms_tokens_by_backend: dict[str, int] = {}
         self.last_poll_sent_at = float("-inf")
@@ -64,6 +68,21 @@
         if [barred.parts for barred in known.barred] != [barred.parts for barred in bars.barred]:
             _events.emit("bars_applied", sets=len(bars.barred), suspected=len(bars.suspected), revision=bars.revision)
 
+    def apply_evacuations(self, record: Any) -> None:
+        """Replaces the evacuated data centres by those in a reply of a leader, unless the reply is older."""
+        with self._changed:
+            if record.revision <= self.evacuations_revision:
+                return
+            known = self.evacuated_data_centres
+            evacuated = frozenset(record.data_centres or ())
+            self.cold_servers.take_back(known - evacuated, self._clock.monotonic())
+            self.evacuated_data_centres = evacuated
+            self.evacuations_revision = record.revision
+            self._changed.notify_all()
+        if known != self.evacuated_data_centres:
+            data_centres = sorted(self.evacuated_data_centres)
+            _events.emit("evacuations_applied", data_centres=data_centres, revision=record.revision)
+
     def age_s(self) -> float:
         """Returns the seconds since the start of the last successful poll."""
         return self._clock.monotonic() - self.last_poll_sent_at
@@ -178,6 +197,7 @@
             suspects_revision=self.view.prompt_bars.revision,
             bars_revision=self.view.prompt_bars.bars_revision,
             abandoned_charges=list(report.abandoned),
+            evacuations_revision=self.view.evacuations_revision,
         )
         sent_at = self._clock.monotonic()
         reply = self._client.call("follow_site", request, timeout=_CALL_TIMEOUT_S, try_timeout=wait_ms / 1000 + 0.35)
@@ -194,10 +214,13 @@
             return
         if reply.barred is not None:  # before the document: requests may wait for the first one
             view.apply_prompt_bars(reply)
+        if reply.evacuations is not None:  # before the document, likewise
+            view.apply_evacuations(reply.evacuations)
         has_document = self._receive_document(reply)
         if has_document:
             self._apply_document(reply.term)
         if reply.backends is not None:
+            self._learn_cold(reply.backends)
             view.backends_by_id = self._updated_backends(view.backends_by_id, reply)
         if reply.entries is not None:
             entries = {record.id: record for record in reply.entries}
@@ -216,6 +239,12 @@
             self.on_change()
             view.notify()
 
+    def _learn_cold(self, records: list[Any]) -> None:
+        now, cold_servers = self._clock.monotonic(), self.view.cold_servers
+        for record in records:
+            cold_servers.learn(record, now)
+        cold_servers.keep(self.view.backends_by_id, now)
+
     def _receive_document(self, reply: Any) -> bool:
         """Stores the document of a reply, whole or as patches; returns whether it is newer than the one before.
 
--- a/libs/arbutusrill_site/_placement.py
+++ b/libs/arbutusrill_site/_placement.py
@@ -14,6 +14,7 @@
 from arbutusrill_base import EventLog
 from arbutusrill_wire import messages
 
+from ._cold_limits import GrantLimit
 from ._configuration import Engine
 from ._engine_loads import EngineLoads, Place
 from ._late_room import LateRoom
@@ -46,7 +47,8 @@
     Each event (a request that polls, a released place, a report) is followed by one pass over the waiting requests,
     which ends at the first one without an engine. A late request gets a place only where room is left for those that
     are expected in time. A place granted between two polls of its request waits for the next one. `engine_of` returns
-    the capacity of each engine of a service, None for a service without engines.
+    the capacity of each engine of a service, None for a service without engines.; `limit`
+    bounds what cold engines get.
     """
 
     def __init__(
@@ -54,10 +56,11 @@
         backends: Callable[[], list[Any]],
         engine_of: Callable[[str], Engine | None],
         revision: Callable[[], int] | None = None,
+        limit: GrantLimit | None = None,
     ):
         self._engine_of = engine_of
         self.speeds = EngineSpeeds()
-        self._loads = EngineLoads(backends, self.speeds, revision)
+        self._loads = EngineLoads(backends, self.speeds, revision, limit)
         self._reading = PromptReading(self._loads, self.speeds)
         self._waiting_queue = WaitingQueue()
         self._late_room = LateRoom(self._loads, self._waiting_queue)
--- a/libs/arbutusrill_site/_prompt_reading.py
+++ b/libs/arbutusrill_site/_prompt_reading.py
@@ -133,6 +133,7 @@
         """Records that a prompt is assigned to an engine."""
         if reading.prefill:
             self._speeds.unit_time_of(reading.prefill, "prefill").add_prompt(request.prompt_tokens, now)
+            self._loads.record_grant(reading.prefill, now)
         else:
             self._local_prefills.record_start(decode, request.prompt_tokens, now)
 
