http: clients outside the limits neither take the memory, the processor nor all connections

Cause: 128 KiB of buffers for each connection that no budget counts; a rejected request keeps its body and its share of the memory while its rest is discarded (up to 10 s); three reads of the buffer for each chunk, in as many threads as callers; no way to make room when callers send or read a byte now and then; the reserve of connections takes descriptors uncounted. Change: buffers of 16 KiB; what a rejected request holds is given back first, and its rest is discarded in the kernel; a chunked body is kept once; whole chunks in the buffer are decoded together, equal ones by slices, one thread of a server at a time after the first eight reads; chunk extensions take 64 KiB in all; from 90% of the connections, a new one closes the longest idle or else the slowest caller (SlowConnections: 16 KiB in 3 s, after a rejection 0.2 s); the reserve counts towards the descriptors.

--- a/libs/arbutusrill_http/_handler.py
+++ b/libs/arbutusrill_http/_handler.py
@@ -9,6 +9,7 @@
 import select
 import socket
 import time
+from collections.abc import Callable
 from http import HTTPStatus
 from typing import Any
 
@@ -17,6 +18,7 @@
 
 from ._body_budget import BodyReservation
 from ._request_reader import ChunkedReader, HeadReader, HeadTooLargeError, end_of_input_error
+from ._slow_connections import Stage
 from ._writer import ResponseWriter
 
 __all__ = ["AbortStreamError", "Handler", "error_response"]
@@ -29,6 +31,11 @@
 _IDLE_MARGIN_S = 1.0  # between the idle time that responses state and the limit, for requests on their way
 _MAX_DISCARD_S, _DISCARD_PAUSE_S = 10.0, 1.0  # of input after a rejection: at most, and without any
 _PENDING_INPUT_WAIT_S = 0.001  # for bytes that are already in the receive buffer
+_BUFFER_BYTES = 16 * 1024  # of each connection; larger reads of a body go past it
+# Input that is discarded is not copied, so nothing is ever written here.
+_DISCARD_BUFFER = bytearray(1024 * 1024)
+_MAX_CHUNK_READ_BYTES = 65_536
+_FEW_CHUNK_READS = 8  # decoded without a turn
 _log = PartLog("http")
 
 
@@ -48,6 +55,11 @@
         self.code = code
         self.param = param
 
+    def without_frames(self) -> _RequestError:
+        """Returns the error without the frames that it has passed, which hold what has been read of a body."""
+        self.__context__ = None
+        return self.with_traceback(None)
+
 
 def error_response(status: int, code: str, message: str, param: str | None = None) -> bytes:
     """Returns an encoded error response; its verdict is ``may_have_run`` for status 500 and 502, else ``not_run``."""
@@ -66,8 +78,9 @@
 class _DeadlineSocketReader(io.RawIOBase):
     """Raw socket reader whose reads share one deadline."""
 
-    def __init__(self, connection: socket.socket):
+    def __init__(self, connection: socket.socket, on_progress: Callable[[int], None]):
         self._connection = connection
+        self._on_progress = on_progress
         self.deadline = 0.0
 
     def readable(self) -> bool:
@@ -77,9 +90,11 @@
         # Bytes that have arrived are read even after the deadline, which may have passed while the thread did not run.
         self._connection.settimeout(max(0.0, self.deadline - time.monotonic()))
         try:
-            return self._connection.recv_into(buffer)
+            count = self._connection.recv_into(buffer)
         except BlockingIOError:
             raise TimeoutError("the request did not arrive in time") from None
+        self._on_progress(count)
+        return count
 
 
 class Handler(WSGIRequestHandler):
@@ -91,8 +106,10 @@
     def setup(self) -> None:
         """Replaces the reader by one with a deadline."""
         super().setup()
-        self._socket_reader = _DeadlineSocketReader(self.connection)
-        self.rfile = io.BufferedReader(self._socket_reader, 65_536)
+        slow_connections, connection = self.server.slow_connections, self.connection
+        self.record_progress = lambda byte_count: slow_connections.record_progress(connection, byte_count)
+        self._socket_reader = _DeadlineSocketReader(connection, self.record_progress)
+        self.rfile = io.BufferedReader(self._socket_reader, _BUFFER_BYTES)
         self._is_reserved = self.server.is_reserved(self.connection)
         self._is_first_request = True
         self._stated_idle_s = 0
@@ -109,7 +126,8 @@
             if self._ending == "response":  # reset by the caller after it
                 self._ending = "caller"
         finally:
-            self.server.endings.record(self._ending)
+            is_closed_slow = self.server.is_closed_slow(self.connection)
+            self.server.endings.record("evicted_slow" if is_closed_slow else self._ending)
 
     def handle_one_request(self) -> None:
         """Reads and serves one request; rejects it if it is malformed, too large or too slow."""
@@ -120,27 +138,41 @@
         header_s = min(limits.header_s, _RESERVED_HEADER_TIMEOUT_S) if self._is_reserved else limits.header_s
         self._socket_reader.deadline = time.monotonic() + header_s
         self.command, self.request_version, self.requestline = "", "HTTP/1.1", ""
+        # What a rejected request holds is given back before its rest is discarded, which may take seconds.
+        rejection = None
         with contextlib.ExitStack() as stack:
             try:
-                if not self._read_head():
-                    return
-                self._prepare_environ()
-                owner = self.server.body_owner(self.headers.get("Authorization", ""))
-                body = self._read_body(stack.enter_context(self.server.body_budget.open(owner)))
+                body = self._read_request(stack)
             except _RequestError as error:
-                self._reject(error)
-                return
+                rejection = error.without_frames()
             except TimeoutError:
-                self._reject(_RequestError(408, "request_timeout", "the request did not arrive in time"))
-                return
+                rejection = _RequestError(408, "request_timeout", "the request did not arrive in time")
             except OSError:
                 raise
             except Exception:
                 _log.exception("the request could not be read")
-                self._reject(_RequestError(500, "internal_error", "internal error"))
-                return
-            self.connection.settimeout(None)
-            self._run_application(body)
+                rejection = _RequestError(500, "internal_error", "internal error")
+            else:
+                if body is not None:
+                    self.connection.settimeout(None)
+                    self._run_application(body)
+        if rejection is not None:
+            self._reject(rejection)
+
+    def _read_request(self, stack: contextlib.ExitStack) -> bytes | None:
+        """Reads a request and returns its body, None if there is nothing to serve; `stack` holds its memory."""
+        with self.waiting(Stage.HEAD):
+            if not self._read_head():
+                return None
+        self._prepare_environ()
+        owner = self.server.body_owner(self.headers.get("Authorization", ""))
+        reservation = stack.enter_context(self.server.body_budget.open(owner))
+        with self.waiting(Stage.BODY):
+            return self._read_body(reservation)
+
+    def waiting(self, stage: Stage) -> contextlib.AbstractContextManager:
+        """Marks the connection as waiting for its caller until the context ends."""
+        return self.server.slow_connections.waiting(self.connection, stage)
 
     def _read_head(self) -> bool:
         """Reads request line and headers; returns False if there is nothing to serve."""
@@ -295,18 +327,26 @@
             self.connection.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def _read_chunked(self, limit: int, reservation: BodyReservation) -> bytes:
-        body = bytearray()
+        # Unlike a bytearray, it hands its content over without a copy.
+        body, size, read_count = io.BytesIO(), 0, 0
         reader = ChunkedReader(self.rfile, _RAW_HEADER_FACTOR * self.server.limits.header_bytes)
         try:
-            while chunk := reader.read(65_536):
-                if len(body) + len(chunk) > limit:
+            while True:
+                reader.wait()
+                read_count += 1
+                with self.server.decoding_turn if read_count > _FEW_CHUNK_READS else contextlib.nullcontext():
+                    chunk = reader.read_buffered(_MAX_CHUNK_READ_BYTES)
+                if not chunk and not (chunk := reader.read(_MAX_CHUNK_READ_BYTES)):
+                    break
+                size += len(chunk)
+                if size > limit:
                     raise _RequestError(413, "body_too_large", f"the body exceeds {limit} bytes", "body")
-                self._reserve_chunk(reservation, len(body) + len(chunk), limit)
-                body += chunk
+                self._reserve_chunk(reservation, size, limit)
+                body.write(chunk)
         except ValueError as error:
             raise _RequestError(400, "bad_chunk", f"the chunked body is malformed: {error}", "body") from None
-        reservation.shrink(len(body))
-        return bytes(body)
+        reservation.shrink(size)
+        return body.getvalue()
 
     def _reject(self, error: _RequestError) -> None:
         self.close_connection = True
@@ -324,10 +364,11 @@
         end = time.monotonic() + min(self.server.limits.body_s, _MAX_DISCARD_S)
         try:
             self.connection.shutdown(socket.SHUT_WR)
-            while (now := time.monotonic()) < end:
-                self._socket_reader.deadline = min(end, now + _DISCARD_PAUSE_S)
-                if not self.rfile.read1(65_536):
-                    return
+            with self.waiting(Stage.DISCARD):
+                while (now := time.monotonic()) < end:
+                    self.connection.settimeout(min(end - now, _DISCARD_PAUSE_S))
+                    if not self.connection.recv_into(_DISCARD_BUFFER, 0, socket.MSG_TRUNC):
+                        return
         except OSError:
             pass
 
--- a/libs/arbutusrill_http/_server.py
+++ b/libs/arbutusrill_http/_server.py
@@ -20,6 +20,7 @@
 from ._body_budget import BodyBudget
 from ._endings import ConnectionEndings
 from ._handler import Handler, error_response
+from ._slow_connections import SlowConnections
 from ._sockets import set_dead_peer_timeouts, set_send_timeout
 
 __all__ = ["HttpLimits", "HttpServer"]
@@ -32,6 +33,7 @@
 _MIN_IDLE_S = 0.2  # younger idle connections are not evicted: their next request is probably in flight
 # Descriptors of a connection: its socket, one to wake it or to a backend server, and two of libcurl for its thread.
 _DESCRIPTORS_PER_CONNECTION = 4
+_DESCRIPTORS_PER_RESERVED = 2  # a connection of the reserve has none to a backend server
 _DESCRIPTOR_FRACTION = 0.75  # of the descriptors of the process that connections may take
 _RESET_LINGER = struct.pack("ii", 1, 0)
 _log = PartLog("http")
@@ -76,6 +78,10 @@
         self.body_owner = body_owner
         self.endings = endings
         self.tasks = TaskGroup("http", limits.connections + limits.reserve + 1)
+        self.slow_connections = SlowConnections()
+        # Bodies in many chunks are decoded one at a time: a thread that serves another caller would otherwise wait for
+        # a switch interval of each thread that decodes.
+        self.decoding_turn = threading.Lock()
         self._lock = threading.Lock()
         self._idle_since: dict[socket.socket, float] = {}
         self._reserved_by_connection: dict[socket.socket, bool] = {}  # open connections
@@ -84,6 +90,7 @@
         self._draining = threading.Event()
         self._wake_up_by_idle: dict[socket.socket, int] = {}  # event descriptors
         self._close_when_idle: set[socket.socket] = set()
+        self._closed_slow: set[socket.socket] = set()
         self._reset_on_close: set[socket.socket] = set()
         super().__init__(host, port, app, handler=Handler)
         # Accepted connections inherit the options, which saves system calls for each of them.
@@ -176,7 +183,8 @@
             soft_limit = resource.RLIM_INFINITY
         if soft_limit == resource.RLIM_INFINITY:
             return self.limits.connections
-        by_descriptors = int(_DESCRIPTOR_FRACTION * soft_limit) // _DESCRIPTORS_PER_CONNECTION
+        reserved = _DESCRIPTORS_PER_RESERVED * self.limits.reserve
+        by_descriptors = (int(_DESCRIPTOR_FRACTION * soft_limit) - reserved) // _DESCRIPTORS_PER_CONNECTION
         return max(1, min(self.limits.connections, by_descriptors))
 
     def process_request(self, request: Any, client_address: Any) -> None:
@@ -187,23 +195,42 @@
             if not full:
                 self._reserved_by_connection[request] = reserved
             near_limit = len(self._reserved_by_connection) >= _IDLE_EVICTION_FRACTION * limit
-        if near_limit:
-            self._evict_longest_idle()
+        if near_limit and not self._evict_longest_idle():
+            self._evict_slowest()
         if full or self.tasks.start(self._serve_connection, request, client_address) is None:
             self._remove_connection(request)
             self._reject_connection(request)
 
-    def _evict_longest_idle(self) -> None:
+    def _evict_longest_idle(self) -> bool:
         """Closes the connection that has been idle longest, so that idle callers cannot block new ones."""
         now = time.monotonic()
         with self._lock:
             longest_idle = min(self._idle_since, key=self._idle_since.get, default=None)
             if longest_idle is None or now - self._idle_since[longest_idle] < _MIN_IDLE_S:
-                return
+                return False
             # Excludes the connection from the next call, since its task removes the entry only later.
             self._idle_since[longest_idle] = float("inf")
             self._close_when_idle.add(longest_idle)
             os.eventfd_write(self._wake_up_by_idle[longest_idle], 1)
+        return True
+
+    def _evict_slowest(self) -> None:
+        """Closes the connection whose caller has been slowest, so that slow callers cannot block new ones."""
+        taken = self.slow_connections.take_slowest(self._close_slow)
+        if taken is not None:
+            _, stage = taken
+            self.endings.record_eviction(stage.value)
+
+    def _close_slow(self, connection: socket.socket) -> None:
+        with self._lock:
+            self._closed_slow.add(connection)
+        with contextlib.suppress(OSError):
+            connection.shutdown(socket.SHUT_RDWR)
+
+    def is_closed_slow(self, connection: socket.socket) -> bool:
+        """Returns whether a connection was closed because its caller was slow."""
+        with self._lock:
+            return connection in self._closed_slow
 
     def _reject_connection(self, connection: socket.socket) -> None:
         """Sends a 503 without blocking.
@@ -277,6 +304,7 @@
         with self._lock:
             self._reserved_by_connection.pop(connection, None)
             self._close_when_idle.discard(connection)
+            self._closed_slow.discard(connection)
 
     def log(self, type: str, message: str, *args: Any) -> None:
         _log.info(message.replace("%", "%%") if not args else message, *args)
--- a/libs/arbutusrill_http/_writer.py
+++ b/libs/arbutusrill_http/_writer.py
@@ -6,10 +6,14 @@
 from collections.abc import Callable
 from typing import Any
 
+from ._slow_connections import Stage
+
 __all__ = ["ResponseWriter"]
 
 
-_MAX_JOINED_BYTES = 64 * 1024  # larger parts of a body are sent without a copy that joins them to their head
+# Larger parts of a body are sent without a copy that joins them to their head, and in pieces of this size, so that the
+# progress of their reader is known.
+_MAX_JOINED_BYTES = 64 * 1024
 
 
 class ResponseWriter:
@@ -88,8 +92,18 @@
             self._send(b"0\r\n\r\n")
 
     def _send(self, data: bytes, flags: int = 0) -> None:
+        handler = self._handler
         try:
-            self._handler.connection.sendall(data, flags)
+            if len(data) <= _MAX_JOINED_BYTES:
+                with handler.waiting(Stage.RESPONSE):
+                    handler.connection.sendall(data, flags)
+                return
+            with handler.waiting(Stage.RESPONSE), memoryview(data) as view:
+                for start in range(0, len(data), _MAX_JOINED_BYTES):
+                    piece = view[start : start + _MAX_JOINED_BYTES]
+                    more = flags if start + _MAX_JOINED_BYTES >= len(data) else flags | socket.MSG_MORE
+                    handler.connection.sendall(piece, more)
+                    handler.record_progress(len(piece))
         except OSError as error:
             self.has_failed = True
             if isinstance(error, BlockingIOError):
--- /dev/null
+++ b/libs/arbutusrill_http/tests/test_slow_connections.py
@@ -0,0 +1,85 @@
+"""Guards against callers that send or read slowly and take all connections, and against bodies in very small chunks."""
+
+import io
+
+import pytest
+
+from arbutusrill_http._request_reader import ChunkedReader
+from arbutusrill_http._slow_connections import PROGRESS_BYTES, SlowConnections, Stage
+
+
+class CountingInput(io.BytesIO):
+    """Counts the reads of the input below the buffer."""
+
+    count = 0
+
+    def readinto(self, buffer):
+        self.count += 1
+        return super().readinto(buffer)
+
+
+class CountingReader(io.BufferedReader):
+    """Counts the reads of the buffer."""
+
+    count = 0
+
+    def read(self, size=-1):
+        self.count += 1
+        return super().read(size)
+
+    def readline(self, size=-1):
+        self.count += 1
+        return super().readline(size)
+
+
+def decode(data):
+    stream = CountingReader(io.BytesIO(data), 16_384)
+    reader, body = ChunkedReader(stream, 100), b""
+    while True:
+        reader.wait()
+        if not (part := reader.read_buffered(65_536) or reader.read(65_536)):
+            return body, stream.count
+        body += part
+
+
+@pytest.mark.parametrize("sizes", [[1], [1, 2], [3] * 50 + [1], [65], [16_380, 1], [40_000], [2, 2, 70_000]])
+def test_chunks_of_all_sizes_are_decoded_as_sent(sizes):
+    sizes = sizes * (120_000 // sum(sizes))
+    content = bytes(number % 251 for number in range(sum(sizes)))
+    data, start = bytearray(), 0
+    for size in sizes:
+        data += b"%x\r\n%b\r\n" % (size, content[start : start + size])
+        start += size
+    body, count = decode(bytes(data) + b"0\r\n\r\n")
+    assert body == content
+    # Three reads of each chunk kept a processor busy: 60,000 chunks of one byte took as long as 60 MB in large ones.
+    assert count <= 7 * (len(data) // 16_384 + 2)
+
+
+def test_a_chunk_that_is_longer_than_stated_is_refused_within_a_run():
+    with pytest.raises(ValueError, match="longer than stated"):
+        decode(b"1\r\na\r\n" * 100 + b"1\r\nab\r\n" + b"0\r\n\r\n")
+
+
+def test_extensions_of_all_chunks_are_bounded():
+    # Extensions of 4 kB for each byte of a body kept a processor busy for as long as the body may take.
+    with pytest.raises(ValueError, match="extensions"):
+        decode((b"1;" + b"e" * 4000 + b"\r\nx\r\n") * 17 + b"0\r\n\r\n")
+
+
+def test_the_slowest_caller_is_closed_and_one_that_makes_progress_is_not():
+    now, closed = [0.0], []
+    slow = SlowConnections(lambda: now[0])
+    with slow.waiting("drip", Stage.BODY), slow.waiting("fast", Stage.RESPONSE), slow.waiting("late", Stage.HEAD):
+        for second in range(1, 4):
+            now[0] = second
+            slow.record_progress("drip", 1)
+            slow.record_progress("fast", PROGRESS_BYTES)
+        assert slow.take_slowest(closed.append) == ("drip", Stage.BODY)
+        with slow.waiting("rejected", Stage.DISCARD):
+            now[0] = 3.3
+            slow.record_progress("fast", PROGRESS_BYTES)
+            slow.record_progress("late", PROGRESS_BYTES)
+            assert slow.take_slowest(closed.append) == ("rejected", Stage.DISCARD)
+        assert slow.take_slowest(closed.append) is None
+    assert closed == ["drip", "rejected"]
