http: a body or response without room closes the slowest caller that holds some

Cause: bodies that stop short of their end hold the memory of all large requests for 30 s, slow readers that for responses for as long as they take a byte now and then; others are refused meanwhile. Change: BodyBudget calls back when a body finds no room; each server then closes the slowest of its connections that hold memory and have neither sent nor read 16 KiB within 3 s. `slow_connection_closed` tells the shortage. Before/after: libs/arbutusrill_http/tests/test_slow_connections.py, the last test, needs the change to pass by reading (not run without it).

--- a/libs/arbutusrill_http/_body_budget.py
+++ b/libs/arbutusrill_http/_body_budget.py
@@ -7,6 +7,7 @@
 import threading
 import time
 from collections import deque
+from collections.abc import Callable
 
 from arbutusrill_base import EventLog
 
@@ -98,6 +99,7 @@
         self._held_by_owner: dict[str, int] = {}
         self._large_bytes = self._small_bytes = self._response_bytes = 0
         self.refused_count = self.refused_response_count = 0
+        self.on_shortage: list[Callable[[], None]] = []  # called when a body finds no room; they must not block
 
     @classmethod
     def of_process(cls, memory_mb: float | None) -> BodyBudget:
@@ -133,6 +135,9 @@
                 self._make_large(reservation)
             self._waiting.append(reservation)
             try:
+                if size * _COPIES <= self._large_limit() and not self._has_room(reservation):
+                    for relieve in self.on_shortage:
+                        relieve()
                 while not self._has_room(reservation):
                     remaining_s = deadline - time.monotonic()
                     if remaining_s <= 0 or size * _COPIES > self._large_limit():
--- a/libs/arbutusrill_http/_endings.py
+++ b/libs/arbutusrill_http/_endings.py
@@ -16,8 +16,8 @@
     """Counts the connections of a server that have ended, by reason, and its rejected requests, by code.
 
     Reasons are ``response`` (one with ``Connection: close``), ``caller`` (it closed the connection), ``idle``,
-    ``draining``, ``evicted`` (by another connection near the limit), ``evicted_slow`` (the same, while its caller sent
-    or read slowly), ``rejected`` and ``cut`` (a response was not sent as a whole).
+    ``draining``, ``evicted`` (by another connection near the limit), ``evicted_slow`` (near that limit or for want
+    of memory, while its caller sent or read slowly), ``rejected`` and ``cut`` (a response was not sent as a whole).
 
     >>> endings = ConnectionEndings()
     >>> endings.record("idle")
@@ -41,9 +41,9 @@
             self._count_by_code[code] += 1
         _events.emit("request_rejected", status=status, code=code, caller=caller, request_line=request_line)
 
-    def record_eviction(self, stage: str) -> None:
-        """Logs a connection that is closed near the limit because its caller sends or reads slowly."""
-        _events.emit("slow_connection_closed", stage=stage)
+    def record_eviction(self, stage: str, shortage: str) -> None:
+        """Logs a connection that is closed for want of connections or memory because its caller is slow."""
+        _events.emit("slow_connection_closed", stage=stage, shortage=shortage)
 
     def record_cut(self, has_begun: bool, reason: str, caller: str, request_line: str) -> None:
         """Logs a response that could not be sent as a whole."""
--- a/libs/arbutusrill_http/_handler.py
+++ b/libs/arbutusrill_http/_handler.py
@@ -167,12 +167,14 @@
         self._prepare_environ()
         owner = self.server.body_owner(self.headers.get("Authorization", ""))
         reservation = stack.enter_context(self.server.body_budget.open(owner))
-        with self.waiting(Stage.BODY):
+        with self.waiting(Stage.BODY, lambda: reservation.size > 0):
             return self._read_body(reservation)
 
-    def waiting(self, stage: Stage) -> contextlib.AbstractContextManager:
-        """Marks the connection as waiting for its caller until the context ends."""
-        return self.server.slow_connections.waiting(self.connection, stage)
+    def waiting(
+        self, stage: Stage, holds_memory: Callable[[], bool] = lambda: False
+    ) -> contextlib.AbstractContextManager:
+        """Marks the connection as waiting for its caller until the context ends, see `SlowConnections`."""
+        return self.server.slow_connections.waiting(self.connection, stage, holds_memory)
 
     def _read_head(self) -> bool:
         """Reads request line and headers; returns False if there is nothing to serve."""
--- a/libs/arbutusrill_http/_server.py
+++ b/libs/arbutusrill_http/_server.py
@@ -196,7 +196,7 @@
                 self._reserved_by_connection[request] = reserved
             near_limit = len(self._reserved_by_connection) >= _IDLE_EVICTION_FRACTION * limit
         if near_limit and not self._evict_longest_idle():
-            self._evict_slowest()
+            self.evict_slowest()
         if full or self.tasks.start(self._serve_connection, request, client_address) is None:
             self._remove_connection(request)
             self._reject_connection(request)
@@ -214,12 +214,15 @@
             os.eventfd_write(self._wake_up_by_idle[longest_idle], 1)
         return True
 
-    def _evict_slowest(self) -> None:
-        """Closes the connection whose caller has been slowest, so that slow callers cannot block new ones."""
-        taken = self.slow_connections.take_slowest(self._close_slow)
+    def evict_slowest(self, holding_memory: bool = False) -> None:
+        """Closes the connection whose caller has been slowest, so that slow callers cannot block others.
+
+        With `holding_memory`, only those are considered whose bodies or responses take memory.
+        """
+        taken = self.slow_connections.take_slowest(self._close_slow, holding_memory)
         if taken is not None:
             _, stage = taken
-            self.endings.record_eviction(stage.value)
+            self.endings.record_eviction(stage.value, "memory" if holding_memory else "connections")
 
     def _close_slow(self, connection: socket.socket) -> None:
         with self._lock:
@@ -342,12 +345,17 @@
         self.address = "{}:{}".format(*self._server.server_address[:2])
 
     def __enter__(self) -> HttpServer:
+        self._server.body_budget.on_shortage.append(self._relieve)
         self._server.tasks.start(self._server.serve_forever, _SHUTDOWN_POLL_S)
         return self
 
+    def _relieve(self) -> None:
+        self._server.evict_slowest(holding_memory=True)
+
     def __exit__(self, *_: object) -> None:
         self.stop_listening()
         self._server.tasks.close()
+        self._server.body_budget.on_shortage.remove(self._relieve)
 
     def stop_listening(self) -> None:
         """Closes the listener and idle connections; the others close after their current request."""
--- a/libs/arbutusrill_http/_slow_connections.py
+++ b/libs/arbutusrill_http/_slow_connections.py
@@ -29,10 +29,11 @@
 class _Entry:
     """Since when a connection has made no progress, and the bytes since then."""
 
-    __slots__ = ("byte_count", "since", "stage")
+    __slots__ = ("byte_count", "holds_memory", "since", "stage")
 
-    def __init__(self, stage: Stage, since: float):
+    def __init__(self, stage: Stage, holds_memory: Callable[[], bool], since: float):
         self.stage = stage
+        self.holds_memory = holds_memory
         self.since = since
         self.byte_count = 0
 
@@ -57,10 +58,15 @@
         self._entry_by_connection: dict[Any, _Entry] = {}
 
     @contextmanager
-    def waiting(self, connection: Any, stage: Stage) -> Iterator[None]:
-        """Marks a connection as waiting for its caller until the context ends."""
+    def waiting(
+        self, connection: Any, stage: Stage, holds_memory: Callable[[], bool] = lambda: False
+    ) -> Iterator[None]:
+        """Marks a connection as waiting for its caller until the context ends.
+
+        `holds_memory` returns whether it holds memory for which others may wait.
+        """
         with self._lock:
-            self._entry_by_connection[connection] = _Entry(stage, self._clock())
+            self._entry_by_connection[connection] = _Entry(stage, holds_memory, self._clock())
         try:
             yield
         finally:
@@ -77,9 +83,10 @@
             entry.byte_count = 0
             entry.since = self._clock()
 
-    def take_slowest(self, close: Callable[[Any], None]) -> tuple[Any, Stage] | None:
+    def take_slowest(self, close: Callable[[Any], None], holding_memory: bool = False) -> tuple[Any, Stage] | None:
         """Calls `close` with the slowest connection, and returns it and its stage; None if no connection is slow.
 
+        With `holding_memory`, only those that hold memory are considered.
         A connection that makes progress or ends meanwhile waits until `close` has returned.
         """
         with self._lock:
@@ -88,6 +95,7 @@
                 connection: now - entry.since
                 for connection, entry in self._entry_by_connection.items()
                 if now - entry.since >= (_MIN_DISCARD_S if entry.stage is Stage.DISCARD else _MIN_SLOW_S)
+                and (not holding_memory or entry.holds_memory())
             }
             if not waits:
                 return None
--- a/libs/arbutusrill_http/_writer.py
+++ b/libs/arbutusrill_http/_writer.py
@@ -98,7 +98,7 @@
                 with handler.waiting(Stage.RESPONSE):
                     handler.connection.sendall(data, flags)
                 return
-            with handler.waiting(Stage.RESPONSE), memoryview(data) as view:
+            with handler.waiting(Stage.RESPONSE, lambda: True), memoryview(data) as view:
                 for start in range(0, len(data), _MAX_JOINED_BYTES):
                     piece = view[start : start + _MAX_JOINED_BYTES]
                     more = flags if start + _MAX_JOINED_BYTES >= len(data) else flags | socket.MSG_MORE
--- a/libs/arbutusrill_http/tests/test_slow_connections.py
+++ b/libs/arbutusrill_http/tests/test_slow_connections.py
@@ -1,9 +1,12 @@
 """Guards against callers that send or read slowly and take all connections, and against bodies in very small chunks."""
 
 import io
+import socket
+import time
 
 import pytest
 
+from arbutusrill_http import BodyBudget, HttpLimits, HttpServer
 from arbutusrill_http._request_reader import ChunkedReader
 from arbutusrill_http._slow_connections import PROGRESS_BYTES, SlowConnections, Stage
 
@@ -83,3 +86,22 @@
             assert slow.take_slowest(closed.append) == ("rejected", Stage.DISCARD)
         assert slow.take_slowest(closed.append) is None
     assert closed == ["drip", "rejected"]
+
+
+def test_a_body_that_stops_short_of_its_end_makes_room_for_one_that_waits():
+    # Four bodies without end held the memory of all large requests until their time was over.
+    def app(environ, start_response):
+        start_response("200 OK", [("Content-Length", "2")])
+        return [b"ok"]
+
+    head = b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 900000\r\n\r\n"
+    with HttpServer("127.0.0.1", 0, app, HttpLimits(), BodyBudget(4_000_000)) as server:
+        host, port = server.address.split(":")
+        with socket.create_connection((host, int(port))) as stopped:
+            stopped.sendall(head + bytes(800_000))
+            time.sleep(3.2)  # a caller is slow after 3 s
+            with socket.create_connection((host, int(port))) as whole:
+                whole.sendall(head + bytes(900_000))
+                assert whole.recv(12) == b"HTTP/1.1 200"
+            stopped.settimeout(2.0)
+            assert stopped.recv(1) == b""
