plain services: shared knowledge of servers, admission by load, late requests into spare room

Cause: 66 VMs send about one request a second each to three servers. Each learned alone that a server fails, sent into queues that it could not see, counted the wait in them as the speed of the server, and chose the best server of the same report as all others did. Change: VMs report with follow_site what they saw of the servers of plain services in the last half second and get the sum of the others back (fields from 60; UseTotals on the leader). FleetHealth leaves a server out that breaks for several VMs, ServiceState spreads requests by weight and admits the fraction that the servers can serve in time, callers that return wait for spare room, refusals of servers go to another one. Time of work apart from the wait. Route.max_attempts bounds the servers that may run a request: one that states that it has not run it does not count. Ruled out: a queue on the leader; predicting the number in progress between reports; holding first attempts in a burst. Partial: ranks order only the requests that wait; the fraction that is admitted is the same for all ranks.

--- a/libs/arbutusrill_gateway/_backends.py
+++ b/libs/arbutusrill_gateway/_backends.py
@@ -12,9 +12,10 @@
 
 from arbutusrill_base import Clock, EventLog
 from arbutusrill_site import Service, SiteView
-from arbutusrill_wire import messages
 
 from ._availability import BackendAvailability
+from ._plain_load import ServiceState
+from ._plain_servers import PlainNeed, PlainServers
 from ._protocol import ResponseHead
 from ._waiting_line import WaitingLine
 
@@ -38,10 +39,14 @@
 
 @dataclass(slots=True, frozen=True)
 class Candidate:
-    """A backend server and the expected duration of the request on it, in seconds."""
+    """A backend server and the expected duration of the request on it, in seconds.
+
+    `in_progress` is the number of other requests at a server of a plain service at the time of the choice.
+    """
 
     record: Any
     expected_s: float
+    in_progress: float = 0.0
 
     @property
     def id(self) -> str:
@@ -69,7 +74,7 @@
     """Selects backend servers and tracks their speed and failures.
 
     The load of a backend server is this VM's own plus what the other entry VMs reported last. `is_stopping` says if
-    `stop_waiting` has been called.
+    `stop_waiting` has been called. `plain` holds what is known of the servers of plain services.
     """
 
     def __init__(self, view: SiteView, data_centre: str, clock: Clock):
@@ -83,14 +88,13 @@
         self._requests_by_id: dict[str, int] = {}
         self._tokens_by_id: dict[str, int] = {}
         self.is_stopping = False
+        self.plain = PlainServers(view, data_centre, clock, lambda: len(view.entries_by_id))
 
     def current_load(self) -> list[Any]:
-        """Returns this VM's load on each backend server as `BackendUse` messages."""
+        """Returns this VM's load on each backend server, and what it has seen of them, as `BackendUse` messages."""
         with self._lock:
-            return [
-                messages.BackendUse(id_, count, self._tokens_by_id.get(id_, 0))
-                for id_, count in self._requests_by_id.items()
-            ]
+            load_by_id = {id_: (count, self._tokens_by_id.get(id_, 0)) for id_, count in self._requests_by_id.items()}
+        return self.plain.use_messages(load_by_id)
 
     @contextlib.contextmanager
     def track_request(self, backend: str, tokens: int) -> Iterator[None]:
@@ -115,13 +119,16 @@
         model: str = "",
         exclude: frozenset[str] | set[str] = frozenset(),
         kv_data_centre: str = "",
+        need: PlainNeed | None = None,
+        may_try: bool = False,
     ) -> Candidate | None:
         """Returns the backend server of `service` with the lowest cost for a request of `tokens`, or None.
 
         The cost is the expected duration plus penalties for failures and for other data centres than `kv_data_centre`,
         which holds the request's KV cache (by default this VM's data centre). Backend servers that drain or are quiet
         are not chosen; those that are avoided after a failure only if there is no other. Random jitter spreads requests
-        over servers of similar cost.
+        over servers of similar cost. With `need`, the servers of a plain service that is busy, or of which some fail,
+        are chosen by what all VMs know of them (see `PlainServers.choose`).
         """
         now = self._clock.monotonic()
         ranked = []
@@ -133,6 +140,10 @@
                 if _serves(record, stage, model) and record.id not in exclude and self._permits(record, now)
             ]
             mean_s = self._mean_unit_s(listed, stage)
+            if need is not None and usable:
+                candidate = self._choose_plain(service, usable, need, may_try, now)
+                if candidate is not None:
+                    return candidate
             for record in usable:
                 expected_s = self._expected_s(record, service, stage, tokens, mean_s, now)
                 stats = self._stats_of(record)
@@ -145,7 +156,30 @@
         if not ranked:
             return None
         _, record, expected_s = min(ranked, key=lambda entry: entry[0])
-        return Candidate(record, expected_s)
+        return Candidate(record, expected_s, self._request_count(record.id))
+
+    def _choose_plain(
+        self, service: Service, usable: list[Any], need: PlainNeed, may_try: bool, now: float
+    ) -> Candidate | None:
+        sound = [record for record in usable if not self._availability.is_avoided(record, now)] or usable
+        state = self.plain.state(service.name, sound, self._requests_by_id)
+        chosen = self.plain.choose(state, need, may_try)
+        if chosen is None:
+            return None
+        record = next(record for record in sound if record.id == chosen)
+        load = next(server for server in state.servers if server.id == chosen)
+        return Candidate(record, load.expected_s, load.in_progress)
+
+    def plain_state(self, service: Service, exclude: set[str]) -> ServiceState:
+        """Returns the load of a plain service on the servers outside `exclude` that may be used."""
+        now = self._clock.monotonic()
+        with self._lock:
+            records = [
+                record
+                for record in self._serving(service, "", "")
+                if record.id not in exclude and self._availability.is_permitted(record, now)
+            ]
+            return self.plain.state(service.name, records, self._requests_by_id)
 
     def wait_for_backends(self, service: Service, timeout_s: float) -> bool:
         """Returns whether `service` has a backend server; waits for one while the list is still incomplete.
@@ -324,6 +358,12 @@
             stats.failures = 0
             self._availability.set_avoided(record, float("-inf"), now)
 
+    def record_plain_answer(self, candidate: Candidate, service: Service, took_s: float) -> None:
+        """Records an answer of a server of a plain service, without its expected wait behind other requests."""
+        self.plain.record_answer(candidate.record, service.name, took_s, candidate.in_progress, is_error=False)
+        waits = max(1.0, (candidate.in_progress + 1) / max(1, candidate.record.slots))
+        self.record_success(candidate.record, took_s / waits)
+
     def record_failure(self, record: Any, reason: str, avoid: bool = True) -> None:
         """Records a failed request; `avoid` also avoids the backend server, with exponential backoff."""
         now = self._clock.monotonic()
@@ -343,6 +383,7 @@
             self._availability.prune(self._view.backends_by_id, self._clock.monotonic())
             for backend in [id_ for id_ in self._stats_by_id if id_ not in self._view.backends_by_id]:
                 del self._stats_by_id[backend]
+        self.plain.prune()
 
 
 def _serves(record: Any, stage: str, model: str) -> bool:
--- a/libs/arbutusrill_gateway/_exchange.py
+++ b/libs/arbutusrill_gateway/_exchange.py
@@ -33,7 +33,8 @@
     """One caller's request with its route, its workspace and the results of its attempts so far.
 
     `deadline` and `started` are on the monotonic clock. `attempt_count` is the number of attempts that count towards
-    the route's maximum; prefills and connection failures that are retried at once do not. `verdict` combines the
+    the route's maximum; prefills and connection failures that are retried at once do not, and neither do refusals by
+    servers of plain services, which `refused_count` counts. `verdict` combines the
     verdicts of all attempts, `tried` holds the ids of backend servers to exclude, and `trail` lists every attempt for
     the request log. `memory` holds what is reserved for the body of the response. `rank` is 0 for the most urgent.
     """
@@ -50,6 +51,7 @@
     deadline: float
     started: float
     attempt_count: int = 0
+    refused_count: int = 0
     verdict: Verdict = Verdict.NOT_RUN
     tried: set[str] = field(default_factory=set)
     trail: list[str] = field(default_factory=list)
--- a/libs/arbutusrill_gateway/_metrics.py
+++ b/libs/arbutusrill_gateway/_metrics.py
@@ -53,6 +53,17 @@
             "Backend servers that this VM sends nothing for the time that they asked for.",
             registry=self.registry,
         )
+        self._plain_decisions = Gauge(
+            "arbutusrill_plain_decisions",
+            "Decisions for plain services since the start: waits, refusals by code, trials, servers left out.",
+            ["decision"],
+            registry=self.registry,
+        )
+        self._out_backends = Gauge(
+            "arbutusrill_backends_out",
+            "Servers of plain services that are left out since sends to them fail.",
+            registry=self.registry,
+        )
         self._add_http_gauges()
 
     def _add_http_gauges(self) -> None:
@@ -109,6 +120,9 @@
         draining_count, quiet_count = pool.restricted_counts()
         self._draining_backends.set(draining_count)
         self._quiet_backends.set(quiet_count)
+        self._out_backends.set(len(pool.plain.out_ids()))
+        for decision, count in pool.plain.counts_by_decision().items():
+            self._plain_decisions.labels(decision).set(count)
 
     def record_request(self, route: str, status: int, took_s: float, first_event_s: float | None) -> None:
         """Counts a finished request; `status` 0 means that its connection was closed without a response."""
--- a/libs/arbutusrill_gateway/_plain.py
+++ b/libs/arbutusrill_gateway/_plain.py
@@ -11,14 +11,17 @@
 from ._attempt import AttemptResult, BodyReceiver, Outcome, send_attempt
 from ._backends import Candidate
 from ._exchange import Exchange
+from ._plain_servers import PlainNeed
 from ._protocol import ResponseHead
 from ._quiet_wait import wait_for_permitted
+from ._room_wait import admit, refuse_full, wait_for_spare_room
 
 __all__ = ["relay_plain"]
 
 _MAX_BUFFERED_BYTES = 1_048_576  # a larger response is forwarded while it arrives and cannot be retried
 _MAX_REFUSAL_BYTES = 64 * 1024  # of the body of a statement that the request has not run, which is not kept
 _MAX_UNREACHED = 4  # unreachable backend servers per request
+_MAX_REFUSED = 3  # servers that state of one request that they have not run it
 _RETRY_AFTER_S = 0.1
 # Fractions of the remaining time: for the wait while a new leader collects the backend servers or while all of them are
 # quiet, and for the silence after which a request is sent to another one.
@@ -117,20 +120,12 @@
 
 def relay_plain(exchange: Exchange) -> None:
     """Sends a request to a backend server, and to others after failures as far as the route allows retries."""
+    if not admit(exchange):
+        return
     unreached = 0
     while True:
-        if not exchange.has_time():
-            exchange.refuse_not_run("no_time", "the time limit has passed", _RETRY_AFTER_S)
-            return
-        if not wait_for_permitted(exchange, _BACKEND_WAIT_FRACTION * exchange.remaining_s()):
-            exchange.refuse_not_run("backends_quiet", "all backend servers are quiet or drain", _RETRY_AFTER_S)
-            return
-        candidate = exchange.pool.pick(exchange.service, exclude=exchange.tried)
-        if candidate is None and not exchange.tried:
-            exchange.pool.wait_for_backends(exchange.service, _BACKEND_WAIT_FRACTION * exchange.remaining_s())
-            candidate = exchange.pool.pick(exchange.service)
+        candidate = _choose(exchange)
         if candidate is None:
-            exchange.refuse_not_run("no_backend", "no backend server is available", _RETRY_AFTER_S)
             return
         result = _send(exchange, candidate)
         exchange.tried.add(candidate.id)
@@ -139,16 +134,42 @@
             raise exchange.caller_gone_error()
         if result.outcome is Outcome.UNREACHED:
             exchange.pool.record_failure(candidate.record, result.detail)
+            exchange.pool.plain.record_failure(candidate.record)
             unreached += 1
             if unreached >= _MAX_UNREACHED:
                 exchange.refuse_not_run("no_backend", "no backend server can be reached", _RETRY_AFTER_S)
                 return
             continue
+        if result.outcome is Outcome.REJECTED:
+            exchange.refused_count += 1
+            if _settle_refusal(exchange, candidate, result):
+                return
+            continue
         exchange.attempt_count += 1
         if _deliver_or_retry(exchange, candidate, result):
             return
 
 
+def _choose(exchange: Exchange) -> Candidate | None:
+    """Returns the server for the next attempt; None after a refusal, if there is none or no time."""
+    if not exchange.has_time():
+        exchange.refuse_not_run("no_time", "the time limit has passed", _RETRY_AFTER_S)
+        return None
+    if not wait_for_permitted(exchange, _BACKEND_WAIT_FRACTION * exchange.remaining_s()):
+        exchange.refuse_not_run("backends_quiet", "all backend servers are quiet or drain", _RETRY_AFTER_S)
+        return None
+    pool, route = exchange.pool, exchange.route
+    need = PlainNeed(route.kind is not RouteKind.IDEMPOTENT, route.objective_s)
+    may_try = not exchange.tried and exchange.attempt_count + 1 < route.max_attempts
+    candidate = pool.pick(exchange.service, exclude=exchange.tried, need=need, may_try=may_try)
+    if candidate is None and not exchange.tried:
+        pool.wait_for_backends(exchange.service, _BACKEND_WAIT_FRACTION * exchange.remaining_s())
+        candidate = pool.pick(exchange.service, need=need)
+    if candidate is None:
+        exchange.refuse_not_run("no_backend", "no backend server is available", _RETRY_AFTER_S)
+    return candidate
+
+
 def _send(exchange: Exchange, candidate: Candidate) -> AttemptResult:
     timeout_s = exchange.remaining_s()
     stall_s = _STALL_FRACTION * timeout_s if exchange.route.kind is RouteKind.IDEMPOTENT else None
@@ -162,6 +183,7 @@
 
     exchange.memory.shrink(0)
     relay = _ResponseRelay(exchange, candidate)
+    exchange.pool.plain.record_sent(candidate.record)
     backend_request = exchange.backend_request(candidate)
     try:
         with exchange.pool.track_request(candidate.id, 0):
@@ -183,28 +205,69 @@
     return result
 
 
+def _settle_refusal(exchange: Exchange, candidate: Candidate, result: AttemptResult) -> bool:
+    """Decides after a statement that a request has not run; returns whether it was refused.
+
+    It goes to another server if the retry budget allows it. If the load explains the refusals of all servers, it waits
+    for spare room first.
+    """
+    pool = exchange.pool
+    pool.record_failure(candidate.record, result.detail, avoid=False)
+    pool.plain.record_refusal(candidate.record)
+    state = pool.plain_state(exchange.service, set())
+    if state.servers and exchange.refused_count < _MAX_REFUSED and exchange.has_time():
+        has_other = any(server.id not in exchange.tried for server in state.used)
+        if has_other and exchange.acquire_retry():
+            return False
+        if not has_other and not state.has_idle_slots and exchange.verdict is Verdict.NOT_RUN:
+            exchange.tried.clear()
+            if wait_for_spare_room(exchange) and exchange.acquire_retry():
+                return False
+    refuse_full(exchange, "backend_full", "the backend server has not run the request", state)
+    return True
+
+
 def _deliver_or_retry(exchange: Exchange, candidate: Candidate, result: AttemptResult) -> bool:
     """Responds to the caller, or takes a retry from the budget; returns whether a response was sent."""
     pool, response = exchange.pool, result.response
     if exchange.responder.status:
         if result.outcome is not Outcome.ANSWERED:
             pool.record_failure(candidate.record, result.detail, avoid=False)
+            pool.plain.record_failure(candidate.record)
             raise AbortStreamError(f"backend_failed: {result.detail}")
-        pool.record_success(candidate.record, result.took_s)
+        pool.record_plain_answer(candidate, exchange.service, result.took_s)
         return True
     if result.outcome is Outcome.ANSWERED and response.status < 500:
-        pool.record_success(candidate.record, result.took_s)
+        pool.record_plain_answer(candidate, exchange.service, result.took_s)
         exchange.responder.send_response(response.status, response.headers, result.body)
         return True
     is_avoided = result.outcome is Outcome.TIMEOUT or result.is_faulty
     pool.record_failure(candidate.record, result.detail, avoid=is_avoided)
-    may_repeat = result.outcome is Outcome.REJECTED or exchange.route.kind is RouteKind.IDEMPOTENT
+    is_error = result.outcome is Outcome.ANSWERED
+    if is_error:
+        pool.plain.record_answer(
+            candidate.record, exchange.service.name, result.took_s, candidate.in_progress, is_error=True
+        )
+    elif not result.lacks_memory:
+        pool.plain.record_failure(candidate.record)
+    may_repeat = exchange.route.kind is RouteKind.IDEMPOTENT and (not is_error or _is_retry_worthwhile(exchange))
     if may_repeat and exchange.acquire_retry():
         return False
-    if result.outcome is Outcome.ANSWERED:
+    if is_error:
         exchange.responder.send_response(response.status, response.headers, result.body)
-    elif result.outcome is Outcome.REJECTED:
-        exchange.refuse_not_run("backend_full", "the backend server has not run the request", _RETRY_AFTER_S)
     else:
         exchange.refuse_uncertain("backend_failed", f"no whole answer: {result.detail}")
     return True
+
+
+def _is_retry_worthwhile(exchange: Exchange) -> bool:
+    """Returns whether an answer with an error is worth another send.
+
+    In time it is admitted like any request, late only while slots are idle.
+    """
+    state = exchange.pool.plain_state(exchange.service, exchange.tried)
+    if not state.servers or state.has_idle_slots:
+        return True
+    expected_s = min(server.expected_s for server in state.used)
+    is_in_time = exchange.objective_remaining_s() > expected_s
+    return is_in_time and exchange.pool.plain.is_admitted(state, exchange.route.objective_s)
--- a/libs/arbutusrill_gateway/_waiting_line.py
+++ b/libs/arbutusrill_gateway/_waiting_line.py
@@ -15,11 +15,11 @@
 
 
 class Position:
-    """Place of one request in a line; positions sort by arrival."""
+    """Place of one request in a line; positions sort by rank, then by arrival."""
 
     __slots__ = ("_line", "_order", "_turn")
 
-    def __init__(self, line: WaitingLine, order: tuple[float, int]):
+    def __init__(self, line: WaitingLine, order: tuple[int, float, int]):
         self._line = line
         self._order = order
         self._turn = threading.Event()
@@ -42,7 +42,7 @@
 
 
 class WaitingLine:
-    """A line of requests in order of their arrival, which is not the order in which they join it."""
+    """A line of requests by rank and in order of their arrival, which is not the order in which they join it."""
 
     def __init__(self) -> None:
         self._lock = threading.Lock()
@@ -54,9 +54,9 @@
         return len(self._positions)
 
     @contextlib.contextmanager
-    def join(self, arrived_at: float) -> Iterator[Position]:
-        """Holds a position in the line while the context is open."""
-        position = Position(self, (arrived_at, next(self._numbers)))
+    def join(self, arrived_at: float, rank: int = 0) -> Iterator[Position]:
+        """Holds a position in the line while the context is open; a lower rank goes first."""
+        position = Position(self, (rank, arrived_at, next(self._numbers)))
         with self._lock:
             bisect.insort(self._positions, position)
         try:
@@ -69,6 +69,11 @@
             if first is not None:
                 first.wake()
 
+    @property
+    def released_at(self) -> float:
+        """When a position was last given up, on the monotonic clock."""
+        return self._released_at
+
     def turn_in_s(self, position: Position) -> float | None:
         """Returns the seconds until a position may leave, None if it is not the first."""
         with self._lock:
--- a/libs/arbutusrill_gateway/tests/test_faulty_backends.py
+++ b/libs/arbutusrill_gateway/tests/test_faulty_backends.py
@@ -9,7 +9,7 @@
 import pytest
 from arbutusrill_base import RetryBudget, SystemClock, Verdict
 from arbutusrill_http import AbortStreamError, BodyBudget
-from arbutusrill_site import Engine, Route, RouteKind, Service, Target
+from arbutusrill_site import Engine, FleetReport, Route, RouteKind, Service, Target
 from arbutusrill_wire import messages
 
 from arbutusrill_gateway import BackendPool, BackendProtocol, CallerRequest, ResponseHead
@@ -176,6 +176,7 @@
         self.backends_by_id = backends_by_id
         self.backends_complete = True
         self.other_vms_requests_by_backend = self.other_vms_tokens_by_backend = {}
+        self.entries_by_id, self.fleet = {}, FleetReport()
 
     def wait_for(self, condition, timeout_s):
         return condition()
--- a/libs/arbutusrill_site/__init__.py
+++ b/libs/arbutusrill_site/__init__.py
@@ -32,7 +32,7 @@
     text_field,
 )
 from ._entries import EntryRegistry
-from ._follower import SiteFollower, SiteView
+from ._follower import FleetReport, SiteFollower, SiteView
 from ._membership import GroupJoinClient, MembershipManager
 from ._placement import PlacementScheduler
 from ._places import PlaceLedger
@@ -61,6 +61,7 @@
     "EngineStatistics",
     "EntryDirectory",
     "EntryRegistry",
+    "FleetReport",
     "GroupJoinClient",
     "HostRoutes",
     "LeaderRateAuthority",
--- a/libs/arbutusrill_site/_configuration.py
+++ b/libs/arbutusrill_site/_configuration.py
@@ -47,7 +47,7 @@
 class Route:
     """Handling of the requests with one host and path prefix. Times are in seconds.
 
-    `max_attempts` bounds the number of backend servers that one request is sent to. A `resumable` stream may continue
+    `max_attempts` bounds the number of backend servers that may run one request. A `resumable` stream may continue
     at another backend server. Requests of a `public` route need no API key. `event_gap_s` is the longest pause between
     events that callers accept.
     """
--- a/libs/arbutusrill_site/_follower.py
+++ b/libs/arbutusrill_site/_follower.py
@@ -5,6 +5,7 @@
 import threading
 import time
 from collections.abc import Callable
+from dataclasses import dataclass, field
 from typing import Any
 
 from arbutusrill_base import Clock, EventLog, TaskGroup
@@ -15,7 +16,7 @@
 from ._backends import is_newer
 from ._prompt_bars import PromptBars, decode_prompt_bars
 
-__all__ = ["SiteFollower", "SiteView"]
+__all__ = ["FleetReport", "SiteFollower", "SiteView"]
 
 _LONG_POLL_MS = 250  # longest wait of the leader for a change
 _CALL_TIMEOUT_S = 1.0
@@ -23,6 +24,19 @@
 _events = EventLog("follower")
 
 
+@dataclass(slots=True, frozen=True)
+class FleetReport:
+    """What the other entry VMs together reported last; `received_at` is on the monotonic clock.
+
+    `uses_by_backend` has the `BackendUse` messages of servers that they used within a second before their reports,
+    `load_by_service` the `ServiceLoad` messages of plain services.
+    """
+
+    uses_by_backend: dict[str, Any] = field(default_factory=dict)
+    load_by_service: dict[str, Any] = field(default_factory=dict)
+    received_at: float = float("-inf")
+
+
 class SiteView:
     """State of the site as known to an entry VM. Fields are replaced as whole values and read without a lock.
 
@@ -40,6 +54,7 @@
         self.prompt_bars = PromptBars()
         self.other_vms_requests_by_backend: dict[str, int] = {}
         self.other_vms_tokens_by_backend: dict[str, int] = {}
+        self.fleet = FleetReport()
         self.last_poll_sent_at = float("-inf")
         self._changed = threading.Condition()
 
@@ -74,8 +89,9 @@
 
     `entry` is the record of this entry VM. `decode` decodes the parts of a configuration document. `backend_loads`
     returns the load of this VM on backend servers, `places` the places that it holds, `seeds` the configured addresses
-    of control VMs. The document never reverts to an older version, and one that cannot be decoded leaves the previous
-    one in force. Lists that a new leader marks as incomplete are merged with the known ones.
+    of control VMs, `service_loads` its requests for plain services. The document never reverts to an older version, and
+    one that cannot be decoded leaves the previous one in force. Lists that a new leader marks as incomplete are merged
+    with the known ones.
     """
 
     def __init__(
@@ -90,6 +106,7 @@
         backend_loads: Callable[[], list[Any]],
         places: Callable[[], list[Any]],
         seeds: Callable[[], list[str]],
+        service_loads: Callable[[], list[Any]] = list,
     ):
         self.view = view
         self._entry = entry
@@ -102,6 +119,7 @@
         self._backend_loads = backend_loads
         self._places = places
         self._seeds = seeds
+        self._service_loads = service_loads
         self._term = 0
         # The latest document, also if it could not be decoded; version 0 asks for a whole one.
         self._received_version = 0
@@ -177,6 +195,7 @@
             accepts_patches=True,
             suspects_revision=self.view.prompt_bars.revision,
             bars_revision=self.view.prompt_bars.bars_revision,
+            services=self._service_loads(),
         )
         sent_at = self._clock.monotonic()
         reply = self._client.call("follow_site", request, timeout=_CALL_TIMEOUT_S, try_timeout=wait_ms / 1000 + 0.35)
@@ -211,6 +230,9 @@
         self._entries_revision = reply.entries_revision
         view.other_vms_requests_by_backend = {use.id: use.requests for use in reply.uses or []}
         view.other_vms_tokens_by_backend = {use.id: use.tokens for use in reply.uses or []}
+        uses_by_backend = {use.id: use for use in reply.uses or [] if use.observing_vms}
+        load_by_service = {load.name: load for load in reply.services or []}
+        view.fleet = FleetReport(uses_by_backend, load_by_service, self._clock.monotonic())
         if has_document or reply.backends is not None:
             self.on_change()
             view.notify()
--- a/libs/arbutusrill_site/_service.py
+++ b/libs/arbutusrill_site/_service.py
@@ -99,7 +99,7 @@
     def follow_site(self, request: Any) -> Any:
         """Long poll: waits for a change that the entry VM has not seen; returns the changes and the token levels."""
         self._require_leadership()
-        self.entries.record_heartbeat(request.entry, request.incarnation, request.uses or [])
+        self.entries.record_heartbeat(request.entry, request.incarnation, request.uses or [], request.services)
         self.places.reconcile_places(request.entry.id, request.incarnation, request.places or [])
         term = self._term
         if request.term == term and self._wait_for_change(request, term):
@@ -130,6 +130,7 @@
             None,
             levels.is_reporter_known,
         )
+        reply.services = self.entries.loads_of_others(request.entry.id)
         self._add_document(reply, request)
         self._add_lists(reply, backends, entries)
         self.prompts.add_to_reply(reply, request.suspects_revision if same_term else min(request.suspects_revision, 0))
--- a/libs/arbutusrill_site/tests/test_registry.py
+++ b/libs/arbutusrill_site/tests/test_registry.py
@@ -161,3 +161,23 @@
     clock.advance(2)
     entries.expire()
     assert not entries.uses_of_others("vm0")
+
+
+def test_observations_of_other_vms_come_with_their_number_and_end_with_them():
+    # Failures that one VM saw must not look like failures for all, and must not stay after the VM is gone.
+    clock = ManualClock()
+    entries = EntryRegistry(clock, 1.5, threading.Condition())
+    for vm, failed in (("vm0", 0), ("vm1", 5), ("vm2", 0)):
+        use = messages.BackendUse("b", 0, 0, sent=6, answered=6 - failed, failed=failed, work_s=0.5)
+        record = SimpleNamespace(id=vm, address="", state="ready")
+        entries.record_heartbeat(record, 1, [use], [messages.ServiceLoad("app", 7, 1)])
+    (use,) = entries.uses_of_others("vm0")
+    assert (use.sent, use.failed, use.observing_vms, use.failing_vms, use.work_s) == (12, 5, 2, 1, 1.0)
+    assert [(load.offered, load.waiting) for load in entries.loads_of_others("vm0")] == [(14, 2)]
+    (use,) = entries.uses_of_others("vm1")
+    assert (use.failed, use.failing_vms) == (0, 0)
+    entries.record_heartbeat(SimpleNamespace(id="vm1", address="", state="ready"), 1, [])
+    assert entries.uses_of_others("vm0")[0].failed == 0
+    clock.advance(2)
+    entries.expire()
+    assert not entries.uses_of_others("vm0") and not entries.loads_of_others("vm0")
--- a/libs/arbutusrill_wire/arbutusrill.thrift
+++ b/libs/arbutusrill_wire/arbutusrill.thrift
@@ -439,8 +439,26 @@
 // Entry VM in the directory.
 struct EntryRecord { 1: string id, 2: string address, 3: string data_centre, 4: string state }  // ready or draining
 
-// Load of one entry VM on a backend server.
-struct BackendUse { 1: string id, 2: i32 requests, 3: i64 tokens }
+// Load of one entry VM, or of several, on a backend server. The fields from 60 on count requests of plain services within
+// the last half second; `sent` may include requests that have not ended.
+struct BackendUse {
+  1: string id,
+  2: i32 requests,
+  3: i64 tokens,
+  60: i32 sent = 0,
+  61: i32 answered = 0,                // whole answers, with `errors`
+  62: i32 failed = 0,                  // no whole answer
+  63: i32 refused = 0,                 // not run
+  64: i32 errors = 0,                  // status 500 or more
+  65: i32 worked = 0,
+  66: double work_s = 0,               // sum over `worked` answers, without the wait at the server
+  67: i32 observing_vms = 0,           // in replies: entry VMs that have used the server
+  68: i32 failing_vms = 0              // in replies: entry VMs with failures
+}
+
+// Requests for a plain service at one entry VM, or at several: those that came within the last second, also if they were not
+// sent, and those that wait now until a server has room.
+struct ServiceLoad { 1: string name, 2: i32 offered = 0, 3: i32 waiting = 0 }
 
 // Reservation ("place") of an entry VM on a decode engine.
 struct HeldPlace {
@@ -471,7 +489,8 @@
   15: bool accepts_deltas = false,     // lists may be sent as changes since the revisions above
   16: bool accepts_patches = false,    // the document may be sent as patches of `document_version`
   20: i64 suspects_revision = -1,      // -1: the follower does not know barred parts of prompts
-  21: i64 bars_revision = -1
+  21: i64 bars_revision = -1,
+  60: list<ServiceLoad> services
 }
 
 // Parts of prompts that crash engines: a request whose prompt has all of them is not sent to an engine.
@@ -502,7 +521,8 @@
   20: i64 suspects_revision = 0,       // changes with `barred` and `suspected`
   21: i64 bars_revision = 0,           // changes with `barred`
   22: list<BarredParts> barred,        // omitted, like `suspected`, if the follower has their revision
-  23: list<string> suspected           // parts whose successes the leader wants to know
+  23: list<string> suspected,          // parts whose successes the leader wants to know
+  60: list<ServiceLoad> services       // of the other entry VMs
 }
 
 // Measured speed of an engine: `took_s` seconds for `units` tokens or events.
