--- a/libs/arbutusrill_gateway/_observations.py
+++ b/libs/arbutusrill_gateway/_observations.py
@@ -60,11 +60,6 @@
         """Fraction of the sends that ended without a whole answer."""
         return self.failed / self.ended if self.ended else 0.0
 
-    @property
-    def error_share(self) -> float:
-        """Fraction of the answers that are errors."""
-        return self.errors / self.answered if self.answered else 0.0
-
     def is_empty(self) -> bool:
         """Returns whether nothing was counted."""
         return not any(getattr(self, field.name) for field in fields(self))
--- a/libs/arbutusrill_gateway/_plain_load.py
+++ b/libs/arbutusrill_gateway/_plain_load.py
@@ -9,10 +9,10 @@
 
 __all__ = ["ServerLoad", "ServiceState"]
 
-# Time in which the number in progress is steered to its target. It must exceed the age of reports, up to half a second:
-# otherwise the VMs together overshoot and send to one server after the other.
-_CONTROL_S = 0.7
-_TARGET_FRACTION = 0.45  # of the objective for the wait and the mean work; the rest covers slow moments and the network
+# Time in which the number in progress is steered to its target. It must exceed the usual age of reports: otherwise the
+# VMs together overshoot and send to one server after the other.
+_CONTROL_S = 0.5
+_TARGET_FRACTION = 0.4  # of the objective for the wait and the mean work; the rest covers slow moments and the network
 _CAPACITY_FRACTION = 0.9  # of the objective, within which the last request in a full queue is to end
 _SPARE_FRACTION = 0.9  # of the rate of work that late requests may fill
 _MIN_ADMITTED = 0.05
--- a/libs/arbutusrill_gateway/_plain_servers.py
+++ b/libs/arbutusrill_gateway/_plain_servers.py
@@ -18,19 +18,16 @@
 from ._fleet_health import FleetHealth, SharedCounts, trial_probability
 from ._observations import ServerCounts, ServerObservations
 from ._plain_load import ServerLoad, ServiceState
+from ._server_history import MIN_WORK_S, ServerHistory
 from ._waiting_line import WaitingLine
 
 __all__ = ["PlainNeed", "PlainServers"]
 
 _MAX_FLEET_AGE_S = 1.5  # of a reply of the leader; with an older one a VM relies on its own observations
-_OFFERED_WINDOW_S = 1.0
+_OFFERED_WINDOW_S = 0.5
 _SEEN_WINDOW_S = 0.5  # short, so that an outage does not hide behind the answers before it
-_MIN_WORKED = 4  # answers from which the time of work of a server is taken
-_PRIOR_ENDED = 4.0  # weight of the assumption that a server fails nothing
-_SMOOTHING_FACTOR = 0.2  # of the time of work, with each report
 _MAX_WORK_RATIO = 2.5  # of one answer to the known time of work: longer ones have waited unseen
 _DEFAULT_WORK_S = 0.03
-_MIN_WORK_S = 0.0005
 _events = EventLog("plain")
 
 
@@ -67,7 +64,7 @@
         self._health = FleetHealth()
         self._returns = CallerReturns()
         self._late_line_by_service: dict[str, WaitingLine] = {}
-        self._work_s_by_id: dict[str, float] = {}
+        self._history_by_id: dict[str, ServerHistory] = {}
         self._waiting_by_service: Counter[str] = Counter()
         self._answer_times_by_service: dict[str, AnswerTimes] = {}
         self._count_by_decision: Counter[str] = Counter()
@@ -82,7 +79,7 @@
                 counts, record = self._counts(id_, now), self._view.backends_by_id.get(id_)
                 self._update_health(id_, counts, now)
                 if record is not None:
-                    self._learn_work(record, counts.total)
+                    self._history(id_, now).learn(counts.total, max(1, record.slots), _SEEN_WINDOW_S, now)
         uses = []
         for id_ in {**load_by_id, **counts_by_id}:
             use = messages.BackendUse(id_, *load_by_id.get(id_, (0, 0)))
@@ -149,13 +146,12 @@
         The time of work is the time of the answer without the expected wait behind the others.
         """
         now = self._clock.monotonic()
-        work_s = max(_MIN_WORK_S, took_s / max(1.0, (in_progress + 1) / max(1, record.slots)))
+        work_s = max(MIN_WORK_S, took_s / max(1.0, (in_progress + 1) / max(1, record.slots)))
         with self._lock:
-            known_s = self._work_s_by_id.get(record.id, work_s)
-            work_s = min(work_s, _MAX_WORK_RATIO * known_s)
+            history = self._history(record.id, now)
+            work_s = min(work_s, _MAX_WORK_RATIO * (history.work_s or work_s))
             self._observations.record(record.id, now, answered=1, errors=int(is_error), worked=1, work_s=work_s)
-            if record.id not in self._work_s_by_id:
-                self._work_s_by_id[record.id] = work_s
+            history.work_s = history.work_s or work_s
             if not is_error:
                 self._answer_times_by_service.setdefault(service, AnswerTimes()).record(took_s, now)
 
@@ -175,17 +171,11 @@
             times = self._answer_times_by_service.get(service)
             return None if times is None else times.quantile(fraction)
 
-    def _learn_work(self, record: Any, total: ServerCounts) -> None:
-        """Moves the time of work of a server towards the mean of all VMs over the last moments.
-
-        It cannot exceed what the number of answers in that time shows: estimates from single answers are too long
-        while more requests wait at a server than the reports show.
-        """
-        if total.worked < _MIN_WORKED:
-            return
-        mean_s = min(total.work_s / total.worked, max(1, record.slots) * _SEEN_WINDOW_S / total.answered)
-        known_s = self._work_s_by_id.get(record.id, mean_s)
-        self._work_s_by_id[record.id] = max(_MIN_WORK_S, known_s + _SMOOTHING_FACTOR * (mean_s - known_s))
+    def _history(self, backend: str, now: float) -> ServerHistory:
+        history = self._history_by_id.get(backend)
+        if history is None:
+            history = self._history_by_id[backend] = ServerHistory(now)
+        return history
 
     def _fleet_age_s(self, now: float) -> float:
         return now - self._view.fleet.received_at
@@ -205,20 +195,21 @@
             counts_by_id = {record.id: self._counts(record.id, now) for record in records}
             for id_, counts in counts_by_id.items():
                 self._update_health(id_, counts, now)
-            totals = [counts.total for counts in counts_by_id.values()]
-            usual_error_share = min((total.error_share for total in totals if total.answered), default=0.0)
-            known = [self._work_s_by_id[record.id] for record in records if record.id in self._work_s_by_id]
+            histories = [self._history(record.id, now) for record in records]
+            usual_error_share = min((history.error_share for history in histories), default=0.0)
+            known = [history.work_s for history in histories if history.work_s]
             mean_work_s = sum(known) / len(known) if known else _DEFAULT_WORK_S
             servers = [
                 self._server_load(
                     record,
-                    counts_by_id[record.id],
+                    history,
+                    counts_by_id[record.id].total,
                     own_by_id.get(record.id, 0),
                     mean_work_s,
                     usual_error_share,
                     fleet_known,
                 )
-                for record in records
+                for record, history in zip(records, histories, strict=True)
             ]
             own_offered = self._offered.recent(service, now).sent
             own_waiting = self._waiting_by_service[service]
@@ -238,20 +229,19 @@
     def _server_load(
         self,
         record: Any,
-        counts: SharedCounts,
+        history: ServerHistory,
+        recent: ServerCounts,
         own: int,
         mean_work_s: float,
         usual_error_share: float,
         fleet_known: bool,
     ) -> ServerLoad:
-        total = counts.total
         slots = max(1, record.slots)
-        work_s = self._work_s_by_id.get(record.id, mean_work_s)
+        work_s = history.work_s or mean_work_s
         in_progress = float(own)
         if fleet_known:
             in_progress += self._view.other_vms_requests_by_backend.get(record.id, 0)
-        unusual_errors = max(0.0, total.errors - usual_error_share * total.answered)
-        failure_share = (total.failed + unusual_errors) / (total.ended + _PRIOR_ENDED)
+        failure_share = history.failure_share(recent, usual_error_share)
         is_near = record.data_centre == self._data_centre
         is_out = self._health.is_out(record.id)
         return ServerLoad(record.id, slots, in_progress, own, work_s, failure_share, is_out, is_near)
@@ -299,5 +289,5 @@
         with self._lock:
             self._observations.prune(listed)
             self._health.prune(listed)
-            for backend in [id_ for id_ in self._work_s_by_id if id_ not in listed]:
-                del self._work_s_by_id[backend]
+            for backend in [id_ for id_ in self._history_by_id if id_ not in listed]:
+                del self._history_by_id[backend]
--- a/libs/arbutusrill_wire/arbutusrill.thrift
+++ b/libs/arbutusrill_wire/arbutusrill.thrift
@@ -456,7 +456,7 @@
   68: i32 failing_vms = 0              // in replies: entry VMs with failures
 }
 
-// Requests for a plain service at one entry VM, or at several: those that came within the last second, also if they were not
+// Requests for a plain service at one entry VM, or at several: those that came within the last half second, also if not
 // sent, and those that wait now until a server has room.
 struct ServiceLoad { 1: string name, 2: i32 offered = 0, 3: i32 waiting = 0 }
 
