plain services: servers that announce no slots have no limit

Cause: a server without announced slots counted as one slot, so that two requests in progress would have been its whole capacity.

--- a/libs/arbutusrill_gateway/_plain_servers.py
+++ b/libs/arbutusrill_gateway/_plain_servers.py
@@ -28,6 +28,7 @@
 _SEEN_WINDOW_S = 0.5  # short, so that an outage does not hide behind the answers before it
 _MAX_WORK_RATIO = 2.5  # of one answer to the known time of work: longer ones have waited unseen
 _DEFAULT_WORK_S = 0.03
+_UNKNOWN_SLOTS = 100_000
 _events = EventLog("plain")
 
 
@@ -79,7 +80,7 @@
                 counts, record = self._counts(id_, now), self._view.backends_by_id.get(id_)
                 self._update_health(id_, counts, now)
                 if record is not None:
-                    self._history(id_, now).learn(counts.total, max(1, record.slots), _SEEN_WINDOW_S, now)
+                    self._history(id_, now).learn(counts.total, _slots(record), _SEEN_WINDOW_S, now)
         uses = []
         for id_ in {**load_by_id, **counts_by_id}:
             use = messages.BackendUse(id_, *load_by_id.get(id_, (0, 0)))
@@ -146,7 +147,7 @@
         The time of work is the time of the answer without the expected wait behind the others.
         """
         now = self._clock.monotonic()
-        work_s = max(MIN_WORK_S, took_s / max(1.0, (in_progress + 1) / max(1, record.slots)))
+        work_s = max(MIN_WORK_S, took_s / max(1.0, (in_progress + 1) / _slots(record)))
         with self._lock:
             history = self._history(record.id, now)
             work_s = min(work_s, _MAX_WORK_RATIO * (history.work_s or work_s))
@@ -236,7 +237,7 @@
         usual_error_share: float,
         fleet_known: bool,
     ) -> ServerLoad:
-        slots = max(1, record.slots)
+        slots = _slots(record)
         work_s = history.work_s or mean_work_s
         in_progress = float(own)
         if fleet_known:
@@ -291,3 +292,8 @@
             self._health.prune(listed)
             for backend in [id_ for id_ in self._history_by_id if id_ not in listed]:
                 del self._history_by_id[backend]
+
+
+def _slots(record: Any) -> int:
+    """Returns the slots of a server; one that announces none is taken to have room for everything."""
+    return record.slots if record.slots > 0 else _UNKNOWN_SLOTS
--- a/libs/arbutusrill_gateway/tests/test_plain_fleet.py
+++ b/libs/arbutusrill_gateway/tests/test_plain_fleet.py
@@ -112,6 +112,14 @@
     assert plain.state(SERVICE, records, {"a": 2, "b": 2}).admitted_fraction(0.3) == 0.0
 
 
+def test_servers_that_announce_no_slots_have_no_limit():
+    plain, view, clock, records = plain_servers(slots=0)
+    busy = {id_: messages.BackendUse(id_, 500, 0, sent=300, observing_vms=9) for id_ in "ab"}
+    view.fleet = FleetReport(busy, {SERVICE: messages.ServiceLoad(SERVICE, 900)}, clock.monotonic())
+    view.other_vms_requests_by_backend = dict.fromkeys("ab", 500)
+    assert plain.state(SERVICE, records, {}).admitted_fraction(0.3) == 1.0
+
+
 def test_wait_behind_other_requests_is_not_the_speed_of_a_server():
     plain, _, _, records = plain_servers()
     for _ in range(5):
