--- a/libs/arbutusrill_site/_use_totals.py
+++ b/libs/arbutusrill_site/_use_totals.py
@@ -9,7 +9,7 @@
 
 __all__ = ["UseTotals"]
 
-_SUMMED_FIELDS = ("requests", "tokens", "sent", "answered", "failed", "refused", "errors", "worked", "work_s")
+_OBSERVED_FIELDS = ("sent", "answered", "failed", "refused", "errors", "worked", "work_s")
 _MIN_SUM = 1e-9  # rounding errors of sums that are kept as they change
 
 
@@ -54,12 +54,13 @@
 
     def _add(self, sign: int, use: Any) -> None:
         totals = self._totals_by_backend.setdefault(use.id, Counter())
-        for name in _SUMMED_FIELDS:
-            value = getattr(use, name)
-            if value:
-                totals[name] += sign * value
-        totals["observing_vms"] += sign * _observes(use)
-        totals["failing_vms"] += sign * _sees_failures(use)
+        totals["requests"] += sign * use.requests
+        totals["tokens"] += sign * use.tokens
+        if _observes(use):
+            for name in _OBSERVED_FIELDS:
+                totals[name] += sign * getattr(use, name)
+            totals["observing_vms"] += sign
+            totals["failing_vms"] += sign * _sees_failures(use)
         if not any(value > _MIN_SUM for value in totals.values()):
             del self._totals_by_backend[use.id]
 
@@ -68,17 +69,20 @@
         own = {use.id: use for use in self._uses_by_vm.get(vm, ())}
         others = []
         for id_, totals in self._totals_by_backend.items():
-            use = messages.BackendUse(id_, totals["requests"], totals["tokens"])
-            for name in (*_SUMMED_FIELDS[2:], "observing_vms", "failing_vms"):
-                setattr(use, name, totals[name])
             reported = own.get(id_)
+            requests, tokens = totals["requests"], totals["tokens"]
             if reported is not None:
-                for name in _SUMMED_FIELDS:
-                    setattr(use, name, getattr(use, name) - getattr(reported, name))
-                use.observing_vms -= _observes(reported)
-                use.failing_vms -= _sees_failures(reported)
-            if use.requests or use.observing_vms:
-                others.append(use)
+                requests, tokens = requests - reported.requests, tokens - reported.tokens
+            # Engines, which are most of the servers, have no observations.
+            observing_vms = totals["observing_vms"]
+            if observing_vms and reported is not None:
+                observing_vms -= _observes(reported)
+            if not (requests or observing_vms):
+                continue
+            use = messages.BackendUse(id_, requests, tokens)
+            if observing_vms:
+                _add_observations(use, totals, reported)
+            others.append(use)
         return others
 
     def loads_of_others(self, vm: str) -> list[Any]:
@@ -95,6 +99,14 @@
         return others
 
 
+def _add_observations(use: Any, totals: Counter[str], reported: Any | None) -> None:
+    """Sets the observations of `use` to the sums without those that its receiver has `reported`."""
+    for name in _OBSERVED_FIELDS:
+        setattr(use, name, totals[name] - (getattr(reported, name) if reported is not None else 0))
+    use.observing_vms = totals["observing_vms"] - (reported is not None and _observes(reported))
+    use.failing_vms = totals["failing_vms"] - (reported is not None and _sees_failures(reported))
+
+
 def _observes(use: Any) -> bool:
     return bool(use.sent or use.answered or use.failed or use.refused)
 
