--- a/libs/arbutusrill_gateway/_backends.py
+++ b/libs/arbutusrill_gateway/_backends.py
@@ -12,9 +12,10 @@
 
 from arbutusrill_base import Clock, EventLog
 from arbutusrill_site import ColdRules, LocalLimit, Service, SiteView
-from arbutusrill_wire import messages
 
 from ._availability import BackendAvailability
+from ._plain_load import ServiceState
+from ._plain_servers import PlainNeed, PlainServers
 from ._protocol import ResponseHead
 from ._waiting_line import WaitingLine
 
@@ -40,10 +41,14 @@
 
 @dataclass(slots=True, frozen=True)
 class Candidate:
-    """A backend server and the expected duration of the request on it, in seconds."""
+    """A backend server and the expected duration of the request on it, in seconds.
+
+    `in_progress` is the number of other requests at a server of a plain service at the time of the choice.
+    """
 
     record: Any
     expected_s: float
+    in_progress: float = 0.0
 
     @property
     def id(self) -> str:
@@ -71,7 +76,8 @@
     """Selects backend servers and tracks their speed and failures.
 
     The load of a backend server is this VM's own plus what the other entry VMs reported last. `is_stopping` says if
-    `stop_waiting` has been called. `cold_rules` bounds what cold servers get; it needs the name of this VM.
+    `stop_waiting` has been called. `cold_rules` bounds what cold servers get; it needs the name of this VM. `plain` holds
+    what is known of the servers of plain services.
     """
 
     def __init__(
@@ -90,14 +96,13 @@
         self._cold_limit = cold_rules and LocalLimit(
             cold_rules, view.cold_servers, vm, lambda: view.entries_by_id, view.age_s
         )
+        self.plain = PlainServers(view, data_centre, clock, lambda: len(view.entries_by_id))
 
     def current_load(self) -> list[Any]:
-        """Returns this VM's load on each backend server as `BackendUse` messages."""
+        """Returns this VM's load on each backend server, and what it has seen of them, as `BackendUse` messages."""
         with self._lock:
-            return [
-                messages.BackendUse(id_, count, self._tokens_by_id.get(id_, 0))
-                for id_, count in self._requests_by_id.items()
-            ]
+            load_by_id = {id_: (count, self._tokens_by_id.get(id_, 0)) for id_, count in self._requests_by_id.items()}
+        return self.plain.use_messages(load_by_id)
 
     @contextlib.contextmanager
     def track_request(self, backend: str, tokens: int) -> Iterator[None]:
@@ -124,6 +129,8 @@
         kv_data_centre: str = "",
         is_connected: Callable[[Any], bool] | None = None,
         data_centres: frozenset[str] | None = None,
+        need: PlainNeed | None = None,
+        may_try: bool = False,
     ) -> Candidate | None:
         """Returns the backend server of `service` with the lowest cost for a request of `tokens`, or None.
 
@@ -132,7 +139,9 @@
         are evacuated are not chosen; those that are avoided after a failure only if there is no other. Random jitter
         spreads requests over servers of similar cost. Each choice counts as a request where the server may be cold.
         With `data_centres`, only servers there are chosen; those are
-        preferred for which `is_connected` says that a connection is kept.
+        preferred for which `is_connected` says that a connection is kept. With
+        `need`, the servers of a plain service that is busy, or of which some fail, are chosen by what all VMs know of them
+        (see `PlainServers.choose`).
         """
         now = self._clock.monotonic()
         ranked = []
@@ -150,6 +159,12 @@
             if self._cold_limit is not None:
                 usable = [record for record in usable if self._cold_limit.permits(record, service, now)]
             mean_s = self._mean_unit_s(listed, stage)
+            if need is not None and usable:
+                candidate = self._choose_plain(service, usable, need, may_try, now)
+                if candidate is not None:
+                    if self._cold_limit is not None:
+                        self._cold_limit.record(candidate.record, service, now)
+                    return candidate
             for record in usable:
                 expected_s = self._expected_s(record, service, stage, tokens, mean_s, now)
                 stats = self._stats_of(record)
@@ -166,7 +181,34 @@
             _, record, expected_s = min(ranked, key=lambda entry: entry[0])
             if self._cold_limit is not None:
                 self._cold_limit.record(record, service, now)
-        return Candidate(record, expected_s)
+        return Candidate(record, expected_s, self._request_count(record.id))
+
+    def _choose_plain(
+        self, service: Service, usable: list[Any], need: PlainNeed, may_try: bool, now: float
+    ) -> Candidate | None:
+        sound = [record for record in usable if not self._availability.is_avoided(record, now)] or usable
+        state = self.plain.state(service.name, sound, self._requests_by_id)
+        chosen = self.plain.choose(state, need, may_try)
+        if chosen is None:
+            return None
+        record = next(record for record in sound if record.id == chosen)
+        load = next(server for server in state.servers if server.id == chosen)
+        return Candidate(record, load.expected_s, load.in_progress)
+
+    def plain_state(
+        self, service: Service, exclude: set[str], data_centres: frozenset[str] | None = None
+    ) -> ServiceState:
+        """Returns the load of a plain service on the servers outside `exclude` that may be used, see `pick`."""
+        now = self._clock.monotonic()
+        with self._lock:
+            records = [
+                record
+                for record in self._serving(service, "", "")
+                if record.id not in exclude
+                and (data_centres is None or record.data_centre in data_centres)
+                and self._availability.is_permitted(record, now)
+            ]
+            return self.plain.state(service.name, records, self._requests_by_id)
 
     def wait_for_backends(self, service: Service, timeout_s: float) -> bool:
         """Returns whether `service` has a backend server; waits for one while the list is still incomplete.
@@ -383,6 +425,12 @@
             stats.failures = 0
             self._availability.set_avoided(record, float("-inf"), now)
 
+    def record_plain_answer(self, candidate: Candidate, service: Service, took_s: float) -> None:
+        """Records an answer of a server of a plain service, without its expected wait behind other requests."""
+        self.plain.record_answer(candidate.record, service.name, took_s, candidate.in_progress, is_error=False)
+        waits = max(1.0, (candidate.in_progress + 1) / max(1, candidate.record.slots))
+        self.record_success(candidate.record, took_s / waits)
+
     def record_failure(self, record: Any, reason: str, avoid: bool = True) -> None:
         """Records a failed request; `avoid` also avoids the backend server, with exponential backoff."""
         now = self._clock.monotonic()
@@ -404,6 +452,7 @@
                 self._cold_limit.drop_old(self._view.backends_by_id, self._clock.monotonic())
             for backend in [id_ for id_ in self._stats_by_id if id_ not in self._view.backends_by_id]:
                 del self._stats_by_id[backend]
+        self.plain.prune()
 
 
 def _serves(record: Any, stage: str, model: str) -> bool:
--- a/libs/arbutusrill_gateway/_home_pool.py
+++ b/libs/arbutusrill_gateway/_home_pool.py
@@ -8,6 +8,7 @@
 from arbutusrill_site import Service
 
 from ._backends import BackendPool, Candidate
+from ._plain_load import ServiceState
 
 __all__ = ["HomePool", "pool_within"]
 
@@ -38,6 +39,10 @@
         """Like `BackendPool.pick`, within the data centres."""
         return self._pool.pick(service, *arguments, **options, data_centres=self._data_centres)
 
+    def plain_state(self, service: Service, exclude: set[str]) -> ServiceState:
+        """Like `BackendPool.plain_state`, within the data centres."""
+        return self._pool.plain_state(service, exclude, self._data_centres)
+
     def is_usable(self, record: Any) -> bool:
         """Like `BackendPool.is_usable`, within the data centres."""
         return record.data_centre in self._data_centres and self._pool.is_usable(record)
--- a/libs/arbutusrill_site/__init__.py
+++ b/libs/arbutusrill_site/__init__.py
@@ -42,7 +42,7 @@
 )
 from ._document_writer import DocumentWriter
 from ._entries import EntryRegistry
-from ._follower import SiteFollower, SiteView
+from ._follower import FleetReport, SiteFollower, SiteView
 from ._membership import GroupJoinClient, MembershipManager
 from ._placement import PlacementScheduler
 from ._places import PlaceLedger
@@ -80,6 +80,7 @@
     "DocumentWriter",
     "EntryDirectory",
     "EntryRegistry",
+    "FleetReport",
     "GroupJoinClient",
     "HostRoutes",
     "LeaderRateAuthority",
