--- a/libs/arbutusrill_gateway/_backends.py
+++ b/libs/arbutusrill_gateway/_backends.py
@@ -76,8 +76,8 @@
     """Selects backend servers and tracks their speed and failures.
 
     The load of a backend server is this VM's own plus what the other entry VMs reported last. `is_stopping` says if
-    `stop_waiting` has been called. `cold_rules` bounds what cold servers get; it needs the name of this VM. `plain` holds
-    what is known of the servers of plain services.
+    `stop_waiting` has been called. `cold_rules` bounds what cold servers get; it needs the name of this VM. `plain`
+    holds what is known of the servers of plain services.
     """
 
     def __init__(
@@ -138,10 +138,9 @@
         which holds the request's KV cache (by default this VM's data centre). Backend servers that drain, are quiet or
         are evacuated are not chosen; those that are avoided after a failure only if there is no other. Random jitter
         spreads requests over servers of similar cost. Each choice counts as a request where the server may be cold.
-        With `data_centres`, only servers there are chosen; those are
-        preferred for which `is_connected` says that a connection is kept. With
-        `need`, the servers of a plain service that is busy, or of which some fail, are chosen by what all VMs know of them
-        (see `PlainServers.choose`).
+        With `data_centres`, only servers there are chosen; those are preferred for which `is_connected` says that a
+        connection is kept. With `need`, the servers of a plain service that is busy, or of which some fail, are chosen
+        by what all VMs know of them (see `PlainServers.choose`).
         """
         now = self._clock.monotonic()
         ranked = []
--- a/libs/arbutusrill_gateway/_fleet_health.py
+++ b/libs/arbutusrill_gateway/_fleet_health.py
@@ -18,6 +18,7 @@
 # Trials of a server that is out, by all VMs together. A request that may be repeated loses little by a failed trial.
 _TRIALS_PER_S = 4.0
 _ONCE_ONLY_TRIALS_PER_S = 0.7
+_MAX_TRIAL_SHARE = 0.2  # of the requests, where few come
 
 
 @dataclass(slots=True, frozen=True)
@@ -102,16 +103,15 @@
     `requests_per_s` is the rate of requests of all VMs for the service: together they make a few trials a second.
 
     >>> trial_probability(100.0, may_repeat=True), trial_probability(1.0, may_repeat=False)
-    (0.04, 0.7)
+    (0.04, 0.2)
     """
     trials_per_s = _TRIALS_PER_S if may_repeat else _ONCE_ONLY_TRIALS_PER_S
-    return min(1.0, trials_per_s / max(1.0, requests_per_s))
+    return min(_MAX_TRIAL_SHARE, trials_per_s / max(1.0, requests_per_s))
 
 
 def _fails_for_all(counts: SharedCounts, total: ServerCounts) -> bool:
-    vms = counts.other_vms + (counts.own.ended > 0)
     failing_vms = counts.other_failing_vms + (counts.own.failed > 0)
-    agreed = failing_vms >= min(_AGREEING_VMS, max(1, vms))
+    agreed = failing_vms >= _AGREEING_VMS or counts.own.failed > 0
     return agreed and total.failed >= _MIN_FAILURES and total.failure_share >= _OUT_SHARE
 
 
--- a/libs/arbutusrill_gateway/_plain_load.py
+++ b/libs/arbutusrill_gateway/_plain_load.py
@@ -12,7 +12,7 @@
 # Time in which the number in progress is steered to its target. It must exceed the usual age of reports: otherwise the
 # VMs together overshoot and send to one server after the other.
 _CONTROL_S = 0.5
-_TARGET_FRACTION = 0.4  # of the objective for the wait and the mean work; the rest covers slow moments and the network
+_TARGET_FRACTION = 0.7  # of the objective for the wait and the mean work; the rest covers slow moments and the network
 _CAPACITY_FRACTION = 0.9  # of the objective, within which the last request in a full queue is to end
 _SPARE_FRACTION = 0.9  # of the rate of work that late requests may fill
 _MIN_ADMITTED = 0.05
@@ -84,6 +84,11 @@
     fleet_known: bool = True
     vm_count: int = 1
 
+    @property
+    def fleet_offered_per_s(self) -> float:
+        """Rate of requests at all VMs, from the own rate while nothing is heard of the others."""
+        return self.offered_per_s if self.fleet_known else self.own_offered_per_s * self.vm_count
+
     @property
     def used(self) -> list[ServerLoad]:
         """Servers that are in use; all of them if all are out."""
--- a/libs/arbutusrill_gateway/_plain_servers.py
+++ b/libs/arbutusrill_gateway/_plain_servers.py
@@ -266,7 +266,7 @@
         `may_try` says whether a failure of this send may be followed by another one.
         """
         out = [server.id for server in state.servers if server.is_out]
-        trial_share = trial_probability(state.offered_per_s, may_try and not need.once_only)
+        trial_share = trial_probability(state.fleet_offered_per_s, may_try and not need.once_only)
         if 0 < len(out) < len(state.servers) and self._rng.random() < trial_share:
             self.record_decision("trial")
             return self._rng.choice(out)
--- a/libs/arbutusrill_gateway/_prefill.py
+++ b/libs/arbutusrill_gateway/_prefill.py
@@ -85,7 +85,7 @@
 def _may_repeat(exchange: Exchange, result: AttemptResult, tries: int) -> bool:
     """Whether another prefill engine follows after a prefill that reached an engine and failed.
 
-    A second prefill counts as a retry, which is taken from the budget; after a slow first one no time is left for it.
+    A second prefill counts as an attempt and as a retry; after a slow first one no time is left for it.
     """
     if result.outcome not in _UNCOUNTED_FAILURES:
         if not exchange.budget.try_acquire():
@@ -95,8 +95,10 @@
         result.outcome is Outcome.BROKEN
         and tries < _MAX_TRIES
         and exchange.has_time()
+        and exchange.attempt_count + 1 < exchange.route.max_attempts
         and exchange.budget.try_acquire()
     )
+    exchange.attempt_count += is_repeated
     _events.emit("prefill_failed", request=exchange.request.id, detail=result.detail, repeated=is_repeated)
     return is_repeated
 
--- a/libs/arbutusrill_site/_cold_limits.py
+++ b/libs/arbutusrill_site/_cold_limits.py
@@ -126,8 +126,10 @@
         return limit > 0 and (len(times) < limit or now - times[-limit] >= _WINDOW_S)
 
     def record(self, backend: str, bound: int, now: float) -> None:
-        """Records a request."""
+        """Records a request; one before the last is passed over, since entry VMs report places that they had before."""
         times = self._times_by_id.get(backend)
+        if times and now < times[-1]:
+            return
         if times is None or times.maxlen != max(1, bound):
             times = self._times_by_id[backend] = deque(times or (), max(1, bound))
         times.append(now)
--- a/libs/arbutusrill_site/_engine_loads.py
+++ b/libs/arbutusrill_site/_engine_loads.py
@@ -242,6 +242,12 @@
             max(0, min(capacity.slots - len(load.places), int((usable - load.tokens) // tokens))) for load in loads
         )
 
+    def used_fraction(self, service: str, capacity: Engine) -> float:
+        """Returns the fraction of the places of the decode engines that is taken, by memory or slots."""
+        loads = self._decode_by_service.get(service, ())
+        used = sum(max(load.tokens / capacity.kv_tokens, len(load.places) / capacity.slots) for load in loads)
+        return used / max(1, len(loads))
+
     def _connected_decode(self, request: Any, best: EngineLoad, capacity: Engine, now: float) -> Any | None:
         """Returns a decode engine of `request.connected` whose rank is close to that of the best one, or None."""
         max_rank = best.rank + _CONNECTED_MAX_REQUESTS_AHEAD * request.memory_tokens
--- a/libs/arbutusrill_site/_evacuations.py
+++ b/libs/arbutusrill_site/_evacuations.py
@@ -49,29 +49,29 @@
         return self._state.evacuations.revision
 
     def order(self, order: Any, known: bool) -> None:
-        """Commits an order unless it holds already; the caller has confirmed the leadership.
+        """Commits an order; the caller has confirmed the leadership.
 
-        Refuses with `unknown_data_centre` if neither the caller nor this leader knows the data centre.
+        One that holds already is committed too: a contrary one may be in the log and not in force yet. Refuses with
+        `unknown_data_centre` if neither the caller nor this leader knows the data centre.
         """
-        orders = self._state.evacuations
-        if (order.data_centre in orders.data_centres) != bool(order.evacuated):
-            self._check_data_centre(order.data_centre, known)
-            self._raise_feature_level()
-            if not order.evacuated:
-                self._taken_back(order.data_centre)
-            outcome = self._propose(messages.PutEvacuation(order.data_centre, bool(order.evacuated)))
-            if not outcome.accepted:
-                raise messages.Refused(outcome.code, outcome.message)
-            with self._changed:
-                self._changed.notify_all()
-            _events.emit(
-                "evacuation_committed",
-                data_centre=order.data_centre,
-                evacuated=bool(order.evacuated),
-                revision=orders.revision,
-            )
-        elif not order.evacuated:
-            self._check_data_centre(order.data_centre, known)
+        orders, revision = self._state.evacuations, self._state.evacuations.revision
+        self._check_data_centre(order.data_centre, known)
+        self._raise_feature_level()
+        if not order.evacuated and order.data_centre in orders.data_centres:
+            self._taken_back(order.data_centre)
+        outcome = self._propose(messages.PutEvacuation(order.data_centre, bool(order.evacuated)))
+        if not outcome.accepted:
+            raise messages.Refused(outcome.code, outcome.message)
+        if orders.revision == revision:
+            return
+        with self._changed:
+            self._changed.notify_all()
+        _events.emit(
+            "evacuation_committed",
+            data_centre=order.data_centre,
+            evacuated=bool(order.evacuated),
+            revision=orders.revision,
+        )
 
     def _check_data_centre(self, data_centre: str, known: bool) -> None:
         if known or data_centre in self._state.evacuations.data_centres or data_centre in self._data_centres():
--- a/libs/arbutusrill_site/_local_prefills.py
+++ b/libs/arbutusrill_site/_local_prefills.py
@@ -46,6 +46,10 @@
         pause_s = self._speeds.local_prefill_s(prompt_tokens, backend) + self._speeds.event_s(backend)
         return pause_s > shortest_s * _MAX_GAP_FRACTION
 
+    def is_busy(self, backend: str, now: float) -> bool:
+        """Whether a decode engine reads a prompt."""
+        return self._busy_until_by_backend.get(backend, now) > now
+
     def record_start(self, backend: str, prompt_tokens: int, now: float) -> None:
         """Records that a prefill is assigned to a decode engine; `_PROMPT_SPACING_S` is added to its expected end."""
         ends_at = now + self._speeds.local_prefill_s(prompt_tokens, backend) + _PROMPT_SPACING_S
--- a/libs/arbutusrill_site/_placement.py
+++ b/libs/arbutusrill_site/_placement.py
@@ -29,6 +29,9 @@
 _MAX_ENGINES_EXAMINED = 8  # decode engines with room that are examined for the reading of one prompt
 _MAX_LATE_MODELS = 4  # models of late requests for which a smaller request than the first is looked for
 _MAX_TICKETS_EXAMINED = 32  # waiting requests that are examined while no engine can read the prompt of the first
+# Below this fraction of the room of all engines, a prompt that no engine can read without pauses is read where it
+# pauses the fewest streams: a refusal would leave its caller without any answer although engines are free.
+_SPARE_FRACTION = 0.55
 _events = EventLog("places")
 
 
@@ -180,6 +183,9 @@
             if choice is None:
                 return None
             decode, reading = choice
+            if reading is None and self._loads.used_fraction(service, capacity) < _SPARE_FRACTION:
+                decodes = self._loads.decode_with_room(ticket.request, capacity, now)
+                decode, reading = self._reading.choose_spare(decodes, now)
             if reading is not None:
                 return ticket, decode, reading
             is_reading_refused = True
--- a/libs/arbutusrill_site/_prompt_reading.py
+++ b/libs/arbutusrill_site/_prompt_reading.py
@@ -15,7 +15,7 @@
 FIRST_EVENT_DELAY_S = 0.12  # from the end of the prefill to the first event at the caller
 # A decode engine whose streams accept it reads the prompt if no prefill engine is expected to end within this time.
 _MAX_PREFILL_S = 0.75
-_MAX_QUEUED_PREFILL_S = 1.2  # below the time after which an entry VM gives a prefill up
+_MAX_QUEUED_PREFILL_S = 0.6  # leaves time for the stream, and for a second engine if the first one is slow
 _QUEUE_SAFETY_FACTOR = 1.15  # by which the wait at a prefill engine may exceed its estimate
 _MAX_LATE_DELAY_S = 0.2  # longest wait at a prefill engine of a request that is late, so that it delays few others
 # Added to the expected end of a prefill outside the decode engine's data centre; a prefill engine in the same one is
@@ -30,7 +30,8 @@
     """Engine that reads a prompt: the ID of a prefill engine, or empty for the decode engine, with the reason.
 
     The reason is ``sooner`` if the decode engine ends first, ``busy`` if the prefill engines are, ``none`` without
-    prefill engines, and ``resumed`` for a stream that goes on at another engine.
+    prefill engines, ``spare`` if all engines would pause streams but most of their room is free, and ``resumed`` for a
+    stream that goes on at another engine.
     """
 
     prefill: str
@@ -76,6 +77,14 @@
             return None
         return first, None if request.prefill else Reading("", "resumed")
 
+    def choose_spare(self, decodes: Iterable[Any], now: float) -> tuple[Any, Reading] | tuple[None, None]:
+        """Returns the one of `decodes` on which a prompt pauses the fewest streams; None if each reads one already."""
+        idle = [record for record in decodes if not self._local_prefills.is_busy(record.id, now)]
+        if not idle:
+            return None, None
+        paused_count = {record.id: sum(gap_s > 0 for gap_s in self._loads.event_gaps_s(record.id)) for record in idle}
+        return min(idle, key=lambda record: paused_count[record.id]), Reading("", "spare")
+
     def _prefill_ends(self, request: Any, now: float) -> list[tuple[float, Any]]:
         eligible = self._loads.eligible_prefill(request, now)
         preferred = [record for record in eligible if record.id not in (request.avoid or ())]
--- a/libs/arbutusrill_site/_return_schedule.py
+++ b/libs/arbutusrill_site/_return_schedule.py
@@ -32,9 +32,8 @@
         """
         limit_s = limit_s or _DEFAULT_LIMIT_S
         earliest_s = min(max(_MIN_RETURN_S, first_s), limit_s / 2)
-        moment = max(self._next_at, now + earliest_s)
-        self._next_at = moment + 1 / max(_MIN_RATE_PER_S, rate)
-        after_s = moment - now
+        after_s = max(self._next_at - now, earliest_s)
         if after_s >= limit_s:
             after_s = earliest_s + (after_s - earliest_s) % (limit_s - earliest_s)
+        self._next_at = now + after_s + 1 / max(_MIN_RATE_PER_S, rate)
         return after_s
--- a/libs/arbutusrill_site/_service_line.py
+++ b/libs/arbutusrill_site/_service_line.py
@@ -18,7 +18,7 @@
 _RATE_WINDOW_S = 4.0  # window over which released places are counted for expected waits
 _FORECAST_WINDOW_S = 1.0  # short, so that room is not kept for a burst that has ended
 _LARGEST_INTERVAL = 8  # one grant in this number goes to the largest request within its deadline
-_STARVED_INTERVAL = 8  # one grant in this number goes to the line that is served least often, if it starves
+_STARVED_INTERVAL = 4  # one grant in this number goes to the line that is served least often, if it starves
 _STARVED_TURN = 3  # which one of them, so that it is not the turn of the largest
 # A line starves below this fraction of the places per request of the whole service.
 _STARVED_FRACTION = 0.5
@@ -134,6 +134,9 @@
         ahead = 0
         for key, line in self.in_time_by_class.items():
             if key == ticket.line_class:
-                return ahead + line.tickets.bisect_left(ticket), 0
+                within = line.tickets.bisect_left(ticket)
+                if self.served_classes.is_starved(key, _STARVED_FRACTION):
+                    return min(ahead + within, (within + 1) * _STARVED_INTERVAL), 0
+                return ahead + within, 0
             ahead += len(line.tickets)
         return ahead, 0
--- a/libs/arbutusrill_site/_waiting_queue.py
+++ b/libs/arbutusrill_site/_waiting_queue.py
@@ -52,7 +52,7 @@
         """Sets whether the request is late, while it is in no order."""
         self.is_late = is_late
         if is_late:
-            self.sort_key = not self.continued, not self.is_returned, self.rank, self.number
+            self.sort_key = not self.continued, self.rank, not self.is_returned, self.number
         else:
             self.sort_key = self.job_size, self.number
 
