--- a/libs/arbutusrill_site/_waiting_queue.py
+++ b/libs/arbutusrill_site/_waiting_queue.py
@@ -174,6 +174,9 @@
         line = self._line(ticket.request.service_name)
         line.remove(ticket)
         line.record_grant(ticket, now)
+        attempt = self._attempt_by_content.get(ticket.request.content)
+        if attempt is not None:  # another request with the same content is not one that returns
+            attempt.refused_number = 0
 
     def drop_expired(self, now: float) -> list[Ticket]:
         """Removes and returns the tickets whose last poll ended more than `_TICKET_EXPIRY_S` ago."""
--- a/libs/arbutusrill_site/tests/test_order.py
+++ b/libs/arbutusrill_site/tests/test_order.py
@@ -126,6 +126,22 @@
     assert "10" in replay.first_event_at and "9" not in replay.first_event_at
 
 
+def test_request_with_the_content_of_one_that_returned_and_was_served_has_no_precedence():
+    queue = WaitingQueue()
+
+    def arrive(name):
+        return queue.enqueue(
+            messages.PlaceRequest("vm", 1, name, "model", "", 3200, 3900, 400, 900, content=8), 0.0, 0.2
+        )
+
+    first = arrive("first")
+    queue.refuse(first)
+    second = arrive("second")
+    assert second.is_returned and second.number == first.number
+    queue.set_granted(second, messages.PlaceReply(1), 0.5)
+    assert not arrive("same content").is_returned
+
+
 def test_no_room_is_kept_for_a_burst_that_has_ended():
     # Engines were a third empty for five seconds after a burst while late requests waited and were refused.
     queue = WaitingQueue()
