site: ranks of routes decide among workspaces of the same rank

Order and urgency by rank had no effect.

Change: `rank_of` is ten times the workspace's rank, or the route's without one, plus the route's.

--- a/libs/arbutusrill_gateway/_service_ranks.py
+++ b/libs/arbutusrill_gateway/_service_ranks.py
@@ -33,14 +33,14 @@
 
 def _ranks_by_service(configuration: SiteConfiguration) -> dict[str, list[int]]:
     """Returns the sorted ranks of each service with engines."""
-    workspace_ranks = {workspace.priority for workspace in configuration.workspace_by_key.values()} - {None}
+    workspaces = {workspace.priority: workspace for workspace in configuration.workspace_by_key.values()}
     found: dict[str, set[int]] = {}
     for host_routes in configuration.routes_by_host.values():
         for route in host_routes.by_prefix.values():
             for target in route.targets:
-                found.setdefault(target.service, set()).add(route.priority)
-    return {
-        service: sorted(ranks | workspace_ranks)
-        for service, ranks in found.items()
-        if configuration.services_by_name[service].engine is not None
-    }
+                if configuration.services_by_name[target.service].engine is not None:
+                    ranks = found.setdefault(target.service, set())
+                    ranks.update(
+                        configuration.rank_of(route, workspace) for workspace in (workspaces or {0: None}).values()
+                    )
+    return {service: sorted(ranks) for service, ranks in found.items()}
--- a/libs/arbutusrill_site/_configuration.py
+++ b/libs/arbutusrill_site/_configuration.py
@@ -23,6 +23,10 @@
 ]
 
 
+_MAX_RANK = 1_000_000  # messages hold 32 bits
+_ROUTE_RANKS = 10  # ranks of routes that are told apart within one rank of workspaces
+
+
 class ConfigurationError(ValueError):
     """Inconsistent configuration; the message names the route and the fault."""
 
@@ -263,10 +267,16 @@
 
     @staticmethod
     def rank_of(route: Route, workspace: Workspace | None) -> int:
-        """Returns the rank of a request, where 0 is the most urgent: that of its workspace goes before its route's."""
-        if workspace is not None and workspace.priority is not None:
-            return workspace.priority
-        return route.priority
+        """Returns the rank of a request, where 0 is the most urgent.
+
+        That of its workspace goes before its route's, which decides among workspaces of the same rank.
+
+        >>> route = Route("r", "h", "/", RouteKind.STREAM, 1.0, 0.1, (Target("s", 1.0),), priority=2)
+        >>> [SiteConfiguration.rank_of(route, Workspace("w", priority=priority)) for priority in (None, 1, 2)]
+        [22, 12, 22]
+        """
+        first = route.priority if workspace is None or workspace.priority is None else workspace.priority
+        return min(first, _MAX_RANK) * _ROUTE_RANKS + min(route.priority, _ROUTE_RANKS - 1)
 
     def route_of(self, host: str, path: str) -> Route | None:
         """Returns the route with the longest prefix of `path` among those of `host`."""
