http: a kept connection that falls silent closes the idle ones that have not been used since

Cause: connections of a VM can go silent together, without a reset; each was then found by a request of its own.

Change: a kept connection that brings nothing for 1 s and fails closes them.

--- a/libs/arbutusrill_http/_connection_pool.py
+++ b/libs/arbutusrill_http/_connection_pool.py
@@ -26,7 +26,6 @@
 # power since then does not accept a new connection, which proves that nothing was sent, but a kept one tells nothing.
 _ONCE_IDLE_FRACTION = 0.5
 _MAX_ONCE_IDLE_S = 3.0
-_SILENCE_S = 1.5  # connections used within this time before a silent one is found are not taken for silent
 _LOG_INTERVAL_S = 1.0  # for connections that ended without a response
 _KEEP_ALIVE_TIMEOUT = re.compile(r"(?:^|[,;\s])timeout\s*=\s*([0-9]{1,9})(?![0-9.])", re.IGNORECASE)
 _events = EventLog("connections")
@@ -184,14 +183,17 @@
             self._leave(connection.server)
         self._close([(connection, reason)])
 
-    def report_lost(self, connection: KeptConnection, is_silent: bool) -> None:
-        """Logs that a connection that was used again ended without a response, at most once a second.
+    def distrust(self, silent_s: float) -> None:
+        """Closes the idle connections that were not used in the last `silent_s` seconds.
 
-        If it was silent, what caused it may have made others silent: those that were last used before it are closed.
+        A connection that was used again was silent for so long: what caused it may have made others silent.
         """
         now = self._clock.monotonic()
-        if is_silent:
-            self._close_if(lambda idle: idle.used_at <= now - _SILENCE_S, "silent")
+        self._close_if(lambda idle: idle.used_at <= now - silent_s, "silent")
+
+    def report_lost(self, connection: KeptConnection) -> None:
+        """Logs that a connection that was used again ended without a response, at most once a second."""
+        now = self._clock.monotonic()
         with self._lock:
             self._unlogged_count += 1
             if now < self._logged_at + _LOG_INTERVAL_S:
@@ -204,7 +206,6 @@
             idle_ms=round((now - connection.used_at) * 1000),
             stated_s=connection.stated_s,
             uses=connection.use_count,
-            silent=is_silent,
             count=count,
         )
 
--- a/libs/arbutusrill_http/_socket_transfer.py
+++ b/libs/arbutusrill_http/_socket_transfer.py
@@ -24,6 +24,7 @@
 
 _UNACKNOWLEDGED_S = 2.0
 _MAX_POLL_S = 0.25  # interval at which `should_stop`, `stall_s` and `timeout_s` are checked at the latest
+_MIN_SILENCE_S = 1.0  # a kept connection that brings nothing for this time may have gone silent, and others with it
 _READ_BYTES = 64 * 1024
 _BODY_METHODS = ("POST", "PUT", "PATCH")
 _OWN_FIELDS = ("connection", "content-length", "transfer-encoding", "expect")
@@ -47,7 +48,8 @@
     def __init__(self, transfer: Transfer, result: TransferResult):
         super().__init__(transfer, result)
         self._connections = transfer.connections
-        self._deadline = time.monotonic() + transfer.timeout_s
+        self._started = time.monotonic()
+        self._deadline = self._started + transfer.timeout_s
         self._request = memoryview(_encode_request(transfer))
         self._sent_bytes = 0
         self._can_send = True
@@ -55,7 +57,6 @@
         self._previous_id = ""  # of the request before this one on the connection
         self._drops = False  # whether the response that arrives belongs to that request
         self._has_dropped = False
-        self._is_unacknowledged = False
         self._parser = ResponseParser(self, transfer.method)
         self._caller = -1 if transfer.caller_connection is None else transfer.caller_connection.fileno()
 
@@ -79,9 +80,8 @@
         """Gives the connection back to the pool, or closes it."""
         transfer, pool, headers_by_name = self.transfer, self._connections.pool, self.result.headers_by_name
         if self.result.verdict is not Verdict.RAN:
-            if connection.use_count and self.result.error == "broken" and not self._has_input:
-                self.result.lost_reused = True
-                pool.report_lost(connection, self._is_unacknowledged)
+            if connection.use_count and not self._has_input:
+                self._report_lost(connection)
             pool.discard(connection, self.result.error or "callback")
         elif not self._parser.is_reusable or self._sent_bytes < len(self._request) or self._has_dropped:
             pool.discard(connection, "not_reusable")
@@ -90,6 +90,15 @@
         else:
             pool.give_back(connection, stated_idle_s(headers_by_name), self._answered_id())
 
+    def _report_lost(self, connection: KeptConnection) -> None:
+        """Reports a connection that was used again and has brought no byte of a response."""
+        pool, silent_s = self._connections.pool, time.monotonic() - self._started
+        if self.result.error == "broken":
+            self.result.lost_reused = True
+            pool.report_lost(connection)
+        if silent_s >= _MIN_SILENCE_S and self.result.error in ("broken", "stall", "timeout"):
+            pool.distrust(silent_s)
+
     def _answered_id(self) -> str:
         answer_id = self.transfer.answer_id
         return "" if answer_id is None else answer_id(self.result.status, self.result.headers_by_name)
@@ -194,7 +203,6 @@
         except BlockingIOError:
             return
         except OSError as error:
-            self._is_unacknowledged = error.errno == errno.ETIMEDOUT
             raise _EndedError("broken", str(error)) from None
         if data:
             self._has_input = True
--- a/libs/arbutusrill_http/tests/test_kept_connections.py
+++ b/libs/arbutusrill_http/tests/test_kept_connections.py
@@ -224,13 +224,11 @@
 def test_connections_that_may_be_silent_too_are_closed_with_a_silent_one():
     server = KeepingServer(answers(WHOLE))
     client = Client(server)
-    old, lost, new = [
-        client.pool.add(client.server, socket.create_connection(server.address.split(":"))) for _ in "abc"
-    ]
+    old, new = [client.pool.add(client.server, socket.create_connection(server.address.split(":"))) for _ in "ab"]
     client.pool.give_back(old, 15.0, "a")
     client.clock.advance(2.0)
     client.pool.give_back(new, 15.0, "c")
-    client.pool.report_lost(lost, is_silent=True)
+    client.pool.distrust(1.5)
     assert (client.pool.idle_count(), client.pool.closed_by_reason()) == (1, {"silent": 1})
     assert client.pool.take(client.server, is_once=True) is new
 
@@ -249,12 +247,17 @@
     assert connections_used(server) == [0, 1]
 
 
-def test_silent_connection_ends_at_the_time_limit():
+def test_silent_connection_ends_at_the_time_limit_and_idle_ones_are_closed_with_it():
     server = KeepingServer(lambda server, connection, number: answers(WHOLE)(server, connection, number))
     client = Client(server)
     client.send("a")
-    result = client.send("b", timeout_s=0.3)
+    first = client.pool.take(client.server, is_once=True)
+    client.send("c")
+    client.pool.give_back(first, 5.0, "a")
+    client.clock.advance(2.0)
+    result = client.send("b", timeout_s=1.2)
     assert (result.error, result.verdict, client.pool.idle_count()) == ("timeout", Verdict.MAY_HAVE_RUN, 0)
+    assert client.pool.closed_by_reason() == {"timeout": 1, "silent": 1}
 
 
 def test_connection_is_closed_unless_the_response_may_be_trusted():
