--- a/libs/arbutusrill_http/__init__.py
+++ b/libs/arbutusrill_http/__init__.py
@@ -12,6 +12,7 @@
 from ._endings import ConnectionEndings
 from ._handler import AbortStreamError
 from ._json import error_body, failure_response, json_response
+from ._metrics_app import MetricsApp
 from ._server import HttpLimits, HttpServer
 from ._sockets import peer_closed
 
@@ -23,6 +24,7 @@
     "ConnectionPool",
     "HttpLimits",
     "HttpServer",
+    "MetricsApp",
     "Server",
     "ServerConnections",
     "Transfer",
