site: limit and delay of second sends, learned over all VMs; gateway: which of two answers counts

Cause: a few slow answers of services whose requests may be repeated spoil the users' figures; nothing sends a second one. Change: the leader learns answer times from the VMs' polls, tells the delay and grants second sends up to a fraction of the requests. The decisions are apart from the relays, which do not use them yet; off without the setting.

--- a/libs/arbutusrill_base/_budget.py
+++ b/libs/arbutusrill_base/_budget.py
@@ -42,10 +42,10 @@
             self._reserve = reserve
             self._tokens = min(self._tokens, reserve)
 
-    def try_acquire(self) -> bool:
-        """Takes one retry from the budget; returns False if less than one is left."""
+    def try_acquire(self, spare: float = 0.0) -> bool:
+        """Takes one retry from the budget; returns False if less than one is left, or less than `spare` after it."""
         with self._lock:
-            if self._tokens < 1 - 1e-9:
+            if self._tokens < 1 + spare - 1e-9:
                 return False
             self._tokens -= 1
             return True
--- /dev/null
+++ b/libs/arbutusrill_gateway/_second_sends.py
@@ -0,0 +1,162 @@
+"""When a request that may be repeated is sent once more to another server, and which of the two answers counts.
+
+Nothing here has a thread or a clock of its own; calls from several threads may overlap.
+"""
+
+from __future__ import annotations
+
+import enum
+import threading
+from typing import Any
+
+from ._attempt import AttemptResult, Outcome
+
+__all__ = ["AnswerTimes", "Race", "SecondSendPolicy", "Sender"]
+
+_MAX_KEPT_ANSWERS = 50  # times of answers by service between two reports
+_REFUSAL_MEMORY_S = 1.0  # after a server has turned a request of a service away, none of it is sent twice
+_MIN_REMAINING_FACTOR = 2.0  # of the usual time: with less left, a second answer would come too late
+SPARE_RETRIES = 1.0  # what a second send leaves in the retry budget, for requests that failed
+
+
+class AnswerTimes:
+    """Counts the requests of each service that may be repeated, and keeps the times of their good answers.
+
+    >>> times = AnswerTimes()
+    >>> times.record_request("lookups")
+    >>> times.record_answer("lookups", 0.021)
+    >>> times.take_report()
+    {'lookups': (1, [21])}
+    """
+
+    def __init__(self):
+        self._lock = threading.Lock()
+        self._total_by_service: dict[str, int] = {}
+        self._answer_ms_by_service: dict[str, list[int]] = {}
+
+    def record_request(self, service: str) -> None:
+        """Counts a request."""
+        with self._lock:
+            self._total_by_service[service] = self._total_by_service.get(service, 0) + 1
+
+    def record_answer(self, service: str, took_s: float) -> None:
+        """Keeps the time from a send to its good answer, in seconds."""
+        with self._lock:
+            kept = self._answer_ms_by_service.setdefault(service, [])
+            if len(kept) < _MAX_KEPT_ANSWERS:
+                kept.append(max(1, round(took_s * 1000)))
+
+    def take_report(self) -> dict[str, tuple[int, list[int]]]:
+        """Returns totals and new answer times in milliseconds by service, and forgets the times."""
+        with self._lock:
+            answers, self._answer_ms_by_service = self._answer_ms_by_service, {}
+            return {service: (total, answers.get(service, [])) for service, total in self._total_by_service.items()}
+
+
+class SecondSendPolicy:
+    """Decides whether a slow request may be sent once more, and after which time. Times are on the monotonic clock.
+
+    None is sent while servers of the service turn work away: a copy would take the place of a request.
+
+    >>> policy = SecondSendPolicy()
+    >>> policy.set_delays({"lookups": 80})
+    >>> policy.delay_s("lookups", remaining_s=2.0, now=5.0)
+    0.08
+    >>> policy.record_refusal("lookups", now=5.0)
+    >>> policy.delay_s("lookups", remaining_s=2.0, now=5.5) is None
+    True
+    """
+
+    __slots__ = ("_delay_ms_by_service", "_refused_at_by_service")
+
+    def __init__(self):
+        self._delay_ms_by_service: dict[str, int] = {}
+        self._refused_at_by_service: dict[str, float] = {}
+
+    def set_delays(self, delay_ms_by_service: dict[str, int]) -> None:
+        """Sets what the leader has learned from all VMs; services without a delay have no second sends."""
+        self._delay_ms_by_service = dict(delay_ms_by_service)
+
+    def record_refusal(self, service: str, now: float) -> None:
+        """Records that a server has turned a request away."""
+        self._refused_at_by_service[service] = now
+
+    def delay_s(self, service: str, remaining_s: float, now: float) -> float | None:
+        """Returns the time without an answer after which a second send is due, None if there is to be none."""
+        delay_ms = self._delay_ms_by_service.get(service)
+        if delay_ms is None or self.is_short(service, now):
+            return None
+        delay_s = delay_ms / 1000
+        return delay_s if remaining_s > _MIN_REMAINING_FACTOR * delay_s else None
+
+    def is_short(self, service: str, now: float) -> bool:
+        """Whether servers of a service have turned work away lately."""
+        return now - self._refused_at_by_service.get(service, float("-inf")) < _REFUSAL_MEMORY_S
+
+
+class Sender(enum.Enum):
+    """Which of the two sends of a request."""
+
+    FIRST = "first"
+    SECOND = "second"
+
+
+class Race:
+    """Decides between the answers of two sends of one request: the first good one counts, and only that one.
+
+    A good answer is a complete one that is no error of the server. While the other send goes on, an answer that is not
+    good waits for it. What a send that has lost brings is dropped, so that no two answers are mixed.
+
+    >>> race = Race()
+    >>> race.start_second()
+    True
+    >>> failed = AttemptResult(Outcome.BROKEN, None, b"", "reset", 0.1)
+    >>> race.finish(Sender.FIRST, None, failed), race.winner
+    (False, None)
+    """
+
+    __slots__ = ("_lock", "_result_by_sender", "has_second", "winner")
+
+    def __init__(self):
+        self._lock = threading.Lock()
+        self._result_by_sender: dict[Sender, tuple[Any, AttemptResult]] = {}
+        self.has_second = False
+        self.winner: Sender | None = None
+
+    def start_second(self) -> bool:
+        """Begins the second send; returns False if the request has an answer or was sent twice already."""
+        with self._lock:
+            if self.has_second or self.winner is not None or Sender.FIRST in self._result_by_sender:
+                return False
+            self.has_second = True
+            return True
+
+    def claim(self, sender: Sender) -> bool:
+        """Decides for a send whose answer is about to be forwarded while it arrives; returns whether it may be."""
+        with self._lock:
+            if self.winner is None:
+                self.winner = sender
+            return self.winner is sender
+
+    def finish(self, sender: Sender, candidate: Any, result: AttemptResult) -> bool:
+        """Records the end of a send; returns whether the race is decided."""
+        with self._lock:
+            self._result_by_sender[sender] = (candidate, result)
+            if self.winner is None and _is_good(result):
+                self.winner = sender
+            if self.winner is None and (not self.has_second or len(self._result_by_sender) == len(Sender)):
+                self.winner = Sender.FIRST  # neither is good: what the first server said counts
+            return self.winner is not None
+
+    def has_lost(self, sender: Sender) -> bool:
+        """Whether the other send has won, so that this one is to be cancelled."""
+        return self.winner is not None and self.winner is not sender
+
+    def outcome(self) -> tuple[Any, AttemptResult]:
+        """Returns the server and the result of the send that counts."""
+        with self._lock:
+            return self._result_by_sender[self.winner]
+
+
+def _is_good(result: AttemptResult) -> bool:
+    return result.outcome is Outcome.ANSWERED and result.response.status < 500
--- /dev/null
+++ b/libs/arbutusrill_gateway/tests/test_second_sends.py
@@ -0,0 +1,85 @@
+"""Decisions on second sends, without a network."""
+
+from types import SimpleNamespace
+
+from arbutusrill_base import RetryBudget
+
+from arbutusrill_gateway._attempt import AttemptResult, Outcome
+from arbutusrill_gateway._second_sends import SPARE_RETRIES, Race, SecondSendPolicy, Sender
+
+
+def answer(status=200):
+    return AttemptResult(Outcome.ANSWERED, SimpleNamespace(status=status), b"", "", 0.1)
+
+
+def broken():
+    return AttemptResult(Outcome.BROKEN, None, b"", "reset", 0.1)
+
+
+def test_first_good_answer_counts_and_the_other_send_has_lost():
+    race = Race()
+    assert race.start_second()
+    assert race.finish(Sender.SECOND, "b", answer())
+    assert race.has_lost(Sender.FIRST)
+    race.finish(Sender.FIRST, "a", answer())
+    assert race.outcome()[0] == "b"
+
+
+def test_failure_of_one_send_waits_for_the_other():
+    """Guards against an error that reaches the caller while a good answer is on its way."""
+    race = Race()
+    race.start_second()
+    assert not race.finish(Sender.FIRST, "a", answer(500))
+    assert race.finish(Sender.SECOND, "b", answer())
+    assert race.outcome()[0] == "b"
+
+
+def test_two_failures_count_as_that_of_the_first_send():
+    race = Race()
+    race.start_second()
+    assert not race.finish(Sender.SECOND, "b", broken())
+    assert race.finish(Sender.FIRST, "a", answer(500))
+    assert race.outcome()[0] == "a"
+
+
+def test_answer_that_is_forwarded_while_it_arrives_is_not_replaced():
+    """Guards against two answers that are mixed."""
+    race = Race()
+    race.start_second()
+    assert race.claim(Sender.FIRST)
+    assert not race.claim(Sender.SECOND)
+    race.finish(Sender.SECOND, "b", answer())
+    assert race.has_lost(Sender.SECOND)
+
+
+def test_no_second_send_after_the_first_has_ended():
+    race = Race()
+    race.finish(Sender.FIRST, "a", broken())
+    assert not race.start_second()
+
+
+def test_one_second_send_at_most():
+    race = Race()
+    assert race.start_second()
+    assert not race.start_second()
+
+
+def test_none_while_servers_turn_work_away():
+    policy = SecondSendPolicy()
+    policy.set_delays({"lookups": 50})
+    policy.record_refusal("lookups", 3.0)
+    assert policy.delay_s("lookups", 1.0, 3.9) is None
+    assert policy.delay_s("lookups", 1.0, 4.1) == 0.05
+
+
+def test_none_without_time_for_a_second_answer():
+    policy = SecondSendPolicy()
+    policy.set_delays({"lookups": 50})
+    assert policy.delay_s("lookups", 0.09, 1.0) is None
+
+
+def test_retry_budget_keeps_room_for_requests_that_failed():
+    budget = RetryBudget(0.1, reserve=2)
+    assert budget.try_acquire(SPARE_RETRIES)
+    assert not budget.try_acquire(SPARE_RETRIES)
+    assert budget.try_acquire()
--- a/libs/arbutusrill_site/_follower.py
+++ b/libs/arbutusrill_site/_follower.py
@@ -74,8 +74,9 @@
 
     `entry` is the record of this entry VM. `decode` decodes the parts of a configuration document. `backend_loads`
     returns the load of this VM on backend servers, `places` the places that it holds, `seeds` the configured addresses
-    of control VMs. The document never reverts to an older version, and one that cannot be decoded leaves the previous
-    one in force. Lists that a new leader marks as incomplete are merged with the known ones.
+    of control VMs, `repeatable_uses` what this VM reports for second sends, whose delays in milliseconds by service
+    `set_second_send_delays` gets. The document never reverts to an older version, and one that cannot be decoded leaves
+    the previous one in force. Lists that a new leader marks as incomplete are merged with the known ones.
     """
 
     def __init__(
@@ -90,6 +91,8 @@
         backend_loads: Callable[[], list[Any]],
         places: Callable[[], list[Any]],
         seeds: Callable[[], list[str]],
+        repeatable_uses: Callable[[], list[Any]] = list,
+        set_second_send_delays: Callable[[dict[str, int]], None] = lambda delays: None,
     ):
         self.view = view
         self._entry = entry
@@ -102,6 +105,8 @@
         self._backend_loads = backend_loads
         self._places = places
         self._seeds = seeds
+        self._repeatable_uses = repeatable_uses
+        self._set_second_send_delays = set_second_send_delays
         self._term = 0
         # The latest document, also if it could not be decoded; version 0 asks for a whole one.
         self._received_version = 0
@@ -177,6 +182,7 @@
             accepts_patches=True,
             suspects_revision=self.view.prompt_bars.revision,
             bars_revision=self.view.prompt_bars.bars_revision,
+            repeatable_uses=self._repeatable_uses(),
         )
         sent_at = self._clock.monotonic()
         reply = self._client.call("follow_site", request, timeout=_CALL_TIMEOUT_S, try_timeout=wait_ms / 1000 + 0.35)
@@ -184,6 +190,7 @@
             self._apply_reply(reply)
         self._rate_limiter.apply_levels(report, FleetLevels(reply.available or {}, reply.counted))
         self.view.last_poll_sent_at = sent_at
+        self._set_second_send_delays(reply.second_send_after_ms or {})
         self._members = reply.control or self._members
         self._client.set_addresses(self._members)
 
--- /dev/null
+++ b/libs/arbutusrill_site/_second_sends.py
@@ -0,0 +1,166 @@
+"""Limit and delay of second sends, on the leader: the copies of slow requests that may be repeated.
+
+Nothing here has a thread, a lock or a clock of its own: events come in with their time, on the monotonic clock.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import Any
+
+from arbutusrill_base import EventLog
+
+__all__ = ["SecondSends"]
+
+_WINDOW_S = 10.0  # requests of this time can be followed by second sends
+_DELAY_QUANTILE = 95.0  # of the answer times of a service, after which a request counts as slow
+_MIN_SAMPLES = 40  # answers from which the delay of a service counts as known
+_ROTATION_S = 20.0  # answer times are kept for this time at least, for twice as long at most
+_MAX_ANSWER_MS = 60_000
+_SIGNIFICANT_DIGITS = 2
+_LOG_INTERVAL_S = 1.0
+_events = EventLog("second-sends")
+
+
+def _new_histogram() -> Any:
+    from hdrh.histogram import HdrHistogram  # only a leader of a deployment with second sends needs it
+
+    return HdrHistogram(1, _MAX_ANSWER_MS, _SIGNIFICANT_DIGITS)
+
+
+class _ServiceSends:
+    """Answer times, requests and second sends of one service."""
+
+    __slots__ = (
+        "_fraction",
+        "_histograms",
+        "_request_count",
+        "_requests",
+        "_rotated_at",
+        "granted",
+        "refused",
+        "saved",
+    )
+
+    def __init__(self, fraction: float, now: float):
+        self._fraction = fraction
+        self._histograms = (_new_histogram(), _new_histogram())  # of the present and of the previous rotation
+        self._rotated_at = now
+        self._requests: deque[tuple[float, int]] = deque()  # of the window
+        self._request_count = 0
+        self.saved = 0.0  # second sends that may be made now
+        self.granted = self.refused = 0
+
+    def add_requests(self, count: int, now: float) -> None:
+        """Adds requests, each of which allows for a fraction of a second send within the window."""
+        if count > 0:
+            self._requests.append((now, count))
+            self._request_count += count
+            self.saved += count * self._fraction
+        self._bound(now)
+
+    def _bound(self, now: float) -> None:
+        while self._requests and now - self._requests[0][0] > _WINDOW_S:
+            self._request_count -= self._requests.popleft()[1]
+        self.saved = min(self.saved, self._fraction * self._request_count)
+
+    def add_answers(self, answer_ms: list[int], now: float) -> None:
+        """Adds the times in milliseconds that good answers took."""
+        if now - self._rotated_at > _ROTATION_S:
+            self._histograms = (_new_histogram(), self._histograms[0])
+            self._rotated_at = now
+        for took_ms in answer_ms:
+            self._histograms[0].record_value(max(1, min(took_ms, _MAX_ANSWER_MS)))
+
+    def delay_ms(self) -> int | None:
+        """Returns the time after which a request is slower than is usual; None while that is not known."""
+        present, previous = self._histograms
+        if present.get_total_count() + previous.get_total_count() < _MIN_SAMPLES:
+            return None
+        known = present if present.get_total_count() >= _MIN_SAMPLES else previous
+        if known.get_total_count() < _MIN_SAMPLES:
+            known = _new_histogram()
+            known.add(present)
+            known.add(previous)
+        return max(1, int(known.get_value_at_percentile(_DELAY_QUANTILE)))
+
+    def try_take(self, now: float) -> bool:
+        """Takes one second send; returns False if the limit allows none now."""
+        self._bound(now)
+        if self.saved < 1 - 1e-9:
+            self.refused += 1
+            return False
+        self.saved -= 1
+        self.granted += 1
+        return True
+
+
+class SecondSends:
+    """Grants second sends for all VMs together, at most `fraction` of the requests of a service in any ten seconds.
+
+    A VM sees too few requests of a service to learn how long its answers usually take, and a limit for each VM would
+    be less than one second send in the life of a burst. So the VMs report their requests and the times of their good
+    answers, and ask before they send. What a VM has not reported yet allows for nothing: the limit errs on the side of
+    too few. A new leader starts without answer times and without saved second sends.
+
+    >>> sends = SecondSends(fraction=0.1)
+    >>> sends.report("vm-1", 7, "lookups", 0, [], now=0.0)
+    >>> sends.report("vm-1", 7, "lookups", 400, [20] * 50, now=1.0)
+    >>> sends.delay_ms_by_service()
+    {'lookups': 20}
+    >>> [sends.try_take("lookups", now=1.0) for _ in range(41)].count(True)
+    40
+    """
+
+    def __init__(self, fraction: float):
+        self.fraction = fraction
+        self._by_service: dict[str, _ServiceSends] = {}
+        self._reported_by_vm: dict[str, tuple[int, dict[str, int]]] = {}  # incarnation, total by service
+        self._logged_at = float("-inf")
+
+    def begin_term(self) -> None:
+        """Forgets everything at the start of a term."""
+        self._by_service.clear()
+        self._reported_by_vm.clear()
+
+    def report(self, vm: str, incarnation: int, service: str, total: int, answer_ms: list[int], now: float) -> None:
+        """Adds what a VM has seen: `total` requests of a service since its start, and times of good answers.
+
+        The first total of an incarnation only sets where counting begins: an earlier leader may have counted it.
+        """
+        if not self.fraction:
+            return
+        known_incarnation, totals = self._reported_by_vm.get(vm, (incarnation, {}))
+        if known_incarnation != incarnation:
+            totals = {}
+        sends = self._by_service.get(service)
+        if sends is None:
+            sends = self._by_service[service] = _ServiceSends(self.fraction, now)
+        sends.add_requests(total - totals.get(service, total), now)
+        sends.add_answers(answer_ms, now)
+        self._reported_by_vm[vm] = (incarnation, {**totals, service: total})
+
+    def forget(self, vm: str) -> None:
+        """Forgets a VM that has left."""
+        self._reported_by_vm.pop(vm, None)
+
+    def delay_ms_by_service(self) -> dict[str, int]:
+        """Returns for each service the time in milliseconds after which a second send may be asked for."""
+        delays = ((service, sends.delay_ms()) for service, sends in self._by_service.items())
+        return {service: delay for service, delay in delays if delay is not None}
+
+    def try_take(self, service: str, now: float) -> bool:
+        """Grants one second send of a service if the limit allows it."""
+        sends = self._by_service.get(service)
+        is_granted = sends is not None and sends.try_take(now)
+        if sends is not None and now - self._logged_at >= _LOG_INTERVAL_S:
+            self._logged_at = now
+            _events.emit(
+                "second_sends",
+                service=service,
+                granted=sends.granted,
+                refused=sends.refused,
+                saved=round(sends.saved, 2),
+                delay_ms=sends.delay_ms(),
+            )
+        return is_granted
--- a/libs/arbutusrill_site/_service.py
+++ b/libs/arbutusrill_site/_service.py
@@ -21,6 +21,7 @@
 from ._places import PlaceLedger
 from ._prompt_ledger import PromptLedger
 from ._registry import RegistryChanges
+from ._second_send_ledger import SecondSendLedger
 from ._stages import EngineRegistry, EngineStatistics, StageBalancer
 
 __all__ = ["SilenceTimeouts", "SiteService"]
@@ -48,7 +49,7 @@
 
     `decode_document` decodes the parts of a configuration document. `make_stage_balancer` builds the balancer from the
     registry of engines and the statistics of their work. `rate_slack` is the number of tokens by which a workspace may
-    briefly exceed its bucket.
+    briefly exceed its bucket, `second_send_fraction` the share of requests that may be sent a second time.
     """
 
     def __init__(
@@ -62,6 +63,7 @@
         membership_manager: MembershipManager,
         make_stage_balancer: Callable[[EngineRegistry, EngineStatistics], StageBalancer],
         rate_slack: float,
+        second_send_fraction: float = 0.0,
     ):
         self._log = log
         self._state = state
@@ -86,6 +88,7 @@
             lambda record: self._try_to_commit(record, "prompt_suspects_not_saved"),
         )
         self.stage_balancer = make_stage_balancer(_SiteEngineRegistry(self), self.places.speeds)
+        self.second_sends = SecondSendLedger(clock, second_send_fraction)
         self._decoded_document: tuple[int, SiteConfiguration | None] = (0, None)
         self._term: int | None = None
         self._term_lock = threading.Lock()
@@ -130,6 +133,7 @@
             None,
             levels.is_reporter_known,
         )
+        self.second_sends.add_to_reply(reply, request)
         self._add_document(reply, request)
         self._add_lists(reply, backends, entries)
         self.prompts.add_to_reply(reply, request.suspects_revision if same_term else min(request.suspects_revision, 0))
@@ -226,6 +230,11 @@
             raise messages.Refused("unknown_vm", f"{charge.vm} has not told yet what it has spent")
         return wait_s
 
+    def second_send(self, service_name: str) -> bool:
+        """Grants one second send of a slow request if the limit of the deployment allows it."""
+        self._require_leadership()
+        return self.second_sends.try_take(service_name)
+
     def put_document(self, document: Any) -> int:
         """Commits a document if its version is higher than the current one; returns the version in force afterwards."""
         self._confirm_leadership()
@@ -302,6 +311,7 @@
         for entry, incarnation in self.entries.expire():
             self._buckets.drop_reporter(entry, incarnation)
             self.places.free_places_of(entry, incarnation)
+            self.second_sends.forget(entry)
         self.places.tick()
         self.prompts.expire()
 
@@ -350,6 +360,7 @@
                 self._buckets.clear()
                 self.places.begin_term(term)
                 self.prompts.begin_term()
+                self.second_sends.begin_term()
                 _events.emit("leadership_began", term=term, document=self._state.document.version)
             elif term is None and self._term is not None:
                 _events.emit("leadership_ended", term=self._term)
--- a/libs/arbutusrill_wire/arbutusrill.thrift
+++ b/libs/arbutusrill_wire/arbutusrill.thrift
@@ -453,6 +453,10 @@
   7: i32 event_gap_ms = 0              // longest gap between events that the caller accepts; 0 if unknown
 }
 
+// Requests of a service that may be repeated: their number since the start of the VM, and the times of good answers since
+// its last report.
+struct RepeatableUse { 1: string service_name, 2: i64 total, 3: list<i32> answer_ms }
+
 struct SiteFollowRequest {
   1: EntryRecord entry,
   2: i64 incarnation,
@@ -471,7 +475,8 @@
   15: bool accepts_deltas = false,     // lists may be sent as changes since the revisions above
   16: bool accepts_patches = false,    // the document may be sent as patches of `document_version`
   20: i64 suspects_revision = -1,      // -1: the follower does not know barred parts of prompts
-  21: i64 bars_revision = -1
+  21: i64 bars_revision = -1,
+  70: list<RepeatableUse> repeatable_uses
 }
 
 // Parts of prompts that crash engines: a request whose prompt has all of them is not sent to an engine.
@@ -502,7 +507,8 @@
   20: i64 suspects_revision = 0,       // changes with `barred` and `suspected`
   21: i64 bars_revision = 0,           // changes with `barred`
   22: list<BarredParts> barred,        // omitted, like `suspected`, if the follower has their revision
-  23: list<string> suspected           // parts whose successes the leader wants to know
+  23: list<string> suspected,          // parts whose successes the leader wants to know
+  70: map<string, i32> second_send_after_ms   // by service; a request without an answer by then may be sent once more
 }
 
 // Measured speed of an engine: `took_s` seconds for `units` tokens or events.
@@ -575,5 +581,6 @@
   double charge_tokens(1: TokenCharge charge) throws (1: Refused refused),    // 0, or seconds until the tokens are available
   list<string> join(1: string member) throws (1: Refused refused),            // returns the RPC addresses of the group
   PromptReply report_prompts(1: PromptReport report) throws (1: Refused refused),
-  bool leave(1: string member) throws (1: Refused refused)                    // whether the voter is to be replaced now
+  bool leave(1: string member) throws (1: Refused refused),                   // whether the voter is to be replaced now
+  bool second_send(1: string service_name) throws (1: Refused refused)        // whether the limit of the fleet allows one
 }
