--- a/libs/arbutusrill_site/_follower.py
+++ b/libs/arbutusrill_site/_follower.py
@@ -108,9 +108,9 @@
 
     `entry` is the record of this entry VM. `decode` decodes the parts of a configuration document. `backend_loads`
     returns the load of this VM on backend servers, `places` the places that it holds, `seeds` the configured addresses
-    of control VMs, `service_loads` its requests for plain services. The document never reverts to an older version, and
-    one that cannot be decoded leaves the previous one in force. Lists that a new leader marks as incomplete are merged
-    with the known ones.
+    of control VMs, `service_loads` its requests for plain services, `repeatable_uses` what this VM reports for second sends, whose delays in milliseconds by service
+    `set_second_send_delays` gets. The document never reverts to an older version, and one that cannot be decoded leaves
+    the previous one in force. Lists that a new leader marks as incomplete are merged with the known ones.
     """
 
     def __init__(
@@ -126,6 +126,8 @@
         places: Callable[[], list[Any]],
         seeds: Callable[[], list[str]],
         service_loads: Callable[[], list[Any]] = list,
+        repeatable_uses: Callable[[], list[Any]] = list,
+        set_second_send_delays: Callable[[dict[str, int]], None] = lambda delays: None,
     ):
         self.view = view
         self._entry = entry
@@ -139,6 +141,8 @@
         self._places = places
         self._seeds = seeds
         self._service_loads = service_loads
+        self._repeatable_uses = repeatable_uses
+        self._set_second_send_delays = set_second_send_delays
         self._term = 0
         # The latest document, also if it could not be decoded; version 0 asks for a whole one.
         self._received_version = 0
@@ -217,6 +221,7 @@
             abandoned_charges=list(report.abandoned),
             evacuations_revision=self.view.evacuations_revision,
             services=self._service_loads(),
+            repeatable_uses=self._repeatable_uses(),
         )
         sent_at = self._clock.monotonic()
         reply = self._client.call("follow_site", request, timeout=_CALL_TIMEOUT_S, try_timeout=wait_ms / 1000 + 0.35)
@@ -224,6 +229,7 @@
             self._apply_reply(reply)
         self._rate_limiter.apply_levels(report, FleetLevels(reply.available or {}, reply.counted))
         self.view.last_poll_sent_at = sent_at
+        self._set_second_send_delays(reply.second_send_after_ms or {})
         self._members = reply.control or self._members
         self._client.set_addresses(self._members)
 
--- a/libs/arbutusrill_wire/arbutusrill.thrift
+++ b/libs/arbutusrill_wire/arbutusrill.thrift
@@ -480,6 +480,10 @@
   7: i32 event_gap_ms = 0              // longest gap between events that the caller accepts; 0 if unknown
 }
 
+// Requests of a service that may be repeated: their number since the start of the VM, and the times of good answers since
+// its last report.
+struct RepeatableUse { 1: string service_name, 2: i64 total, 3: list<i32> answer_ms }
+
 struct SiteFollowRequest {
   1: EntryRecord entry,
   2: i64 incarnation,
@@ -501,7 +505,8 @@
   21: i64 bars_revision = -1,
   71: list<i64> abandoned_charges,     // numbers of charges whose answer did not arrive in time: not used by the VM
   50: i64 evacuations_revision = -1,   // -1: the follower does not know evacuations
-  60: list<ServiceLoad> services
+  60: list<ServiceLoad> services,
+  70: list<RepeatableUse> repeatable_uses
 }
 
 // Parts of prompts that crash engines: a request whose prompt has all of them is not sent to an engine.
@@ -534,7 +539,8 @@
   22: list<BarredParts> barred,        // omitted, like `suspected`, if the follower has their revision
   23: list<string> suspected,          // parts whose successes the leader wants to know
   50: Evacuations evacuations,         // omitted if the follower has their revision
-  60: list<ServiceLoad> services       // of the other entry VMs
+  60: list<ServiceLoad> services,      // of the other entry VMs
+  70: map<string, i32> second_send_after_ms   // by service; a request without an answer by then may be sent once more
 }
 
 // Measured speed of an engine: `took_s` seconds for `units` tokens or events.
@@ -618,5 +624,6 @@
   bool leave(1: string member) throws (1: Refused refused),                   // whether the voter is to be replaced now
   // `known` tells that the data centre is known to the caller; otherwise the leader must know it.
   void order_evacuation(1: PutEvacuation order, 2: bool known) throws (1: Refused refused),
-  Evacuations read_evacuations() throws (1: Refused refused)
+  Evacuations read_evacuations() throws (1: Refused refused),
+  bool second_send(1: string service_name) throws (1: Refused refused)        // whether the limit of the fleet allows one
 }
