--- a/libs/arbutusrill_gateway/_attempt.py
+++ b/libs/arbutusrill_gateway/_attempt.py
@@ -173,6 +173,7 @@
     on_response: Callable[[ResponseHead], None] | None = None,
     max_body_bytes: int = 0,
     connections: ServerConnections | None = None,
+    wake_up: int | None = None,
 ) -> AttemptResult:
     """Sends `request` to `candidate` and waits for the end of the response, whose body `receiver` gets.
 
--- a/libs/arbutusrill_http/_server.py
+++ b/libs/arbutusrill_http/_server.py
@@ -21,7 +21,7 @@
 from ._endings import ConnectionEndings
 from ._handler import Handler, error_response
 from ._slow_connections import SlowConnections
-from ._sockets import set_dead_peer_timeouts, set_send_timeout
+from ._sockets import acknowledged_bytes, has_input, set_dead_peer_timeouts, set_send_timeout
 
 __all__ = ["HttpLimits", "HttpServer"]
 
@@ -78,7 +78,7 @@
         self.body_owner = body_owner
         self.endings = endings
         self.tasks = TaskGroup("http", limits.connections + limits.reserve + 1)
-        self.slow_connections = SlowConnections()
+        self.slow_connections = SlowConnections(acknowledged_bytes=acknowledged_bytes, has_input=has_input)
         # Bodies in many chunks are decoded one at a time: a thread that serves another caller would otherwise wait for
         # a switch interval of each thread that decodes.
         self.decoding_turn = threading.Lock()
--- a/libs/arbutusrill_http/_slow_connections.py
+++ b/libs/arbutusrill_http/_slow_connections.py
@@ -29,11 +29,12 @@
 class _Entry:
     """Since when a connection has made no progress, and the bytes since then."""
 
-    __slots__ = ("byte_count", "holds_memory", "since", "stage")
+    __slots__ = ("acknowledged", "byte_count", "holds_memory", "since", "stage")
 
     def __init__(self, stage: Stage, holds_memory: Callable[[], bool], since: float):
         self.stage = stage
         self.holds_memory = holds_memory
+        self.acknowledged: int | None = None  # bytes of responses, once the connection has looked slow
         self.since = since
         self.byte_count = 0
 
@@ -42,7 +43,9 @@
     """The connections whose callers have to send or to read, with their progress.
 
     A connection makes progress with each `PROGRESS_BYTES`, not with each byte: a caller that sends or reads a few bytes
-    now and then counts as slow. `clock` returns seconds.
+    now and then counts as slow. `clock` returns seconds. A blocked send returns only once a large part of the send
+    buffer is free, however steadily the caller reads: `acknowledged_bytes` tells how many bytes of a connection have
+    arrived. `has_input` tells whether bytes of the caller wait to be read, so that it is this VM that is slow.
 
     >>> now = [0.0]
     >>> slow = SlowConnections(lambda: now[0])
@@ -52,8 +55,15 @@
     ('a', <Stage.BODY: 'body'>)
     """
 
-    def __init__(self, clock: Callable[[], float] = time.monotonic):
+    def __init__(
+        self,
+        clock: Callable[[], float] = time.monotonic,
+        acknowledged_bytes: Callable[[Any], int] = lambda connection: 0,
+        has_input: Callable[[Any], bool] = lambda connection: False,
+    ):
         self._clock = clock
+        self._acknowledged_bytes = acknowledged_bytes
+        self._has_input = has_input
         self._lock = threading.Lock()
         self._entry_by_connection: dict[Any, _Entry] = {}
 
@@ -94,8 +104,7 @@
             waits = {
                 connection: now - entry.since
                 for connection, entry in self._entry_by_connection.items()
-                if now - entry.since >= (_MIN_DISCARD_S if entry.stage is Stage.DISCARD else _MIN_SLOW_S)
-                and (not holding_memory or entry.holds_memory())
+                if (not holding_memory or entry.holds_memory()) and self._is_slow(connection, entry, now)
             }
             if not waits:
                 return None
@@ -103,3 +112,16 @@
             stage = self._entry_by_connection.pop(slowest).stage
             close(slowest)
             return slowest, stage
+
+    def _is_slow(self, connection: Any, entry: _Entry, now: float) -> bool:
+        """Whether a connection has made no progress for long; a reader is looked at twice."""
+        if now - entry.since < (_MIN_DISCARD_S if entry.stage is Stage.DISCARD else _MIN_SLOW_S):
+            return False
+        if entry.stage in (Stage.HEAD, Stage.BODY):
+            return not self._has_input(connection)
+        if entry.stage is Stage.RESPONSE:
+            acknowledged, before = self._acknowledged_bytes(connection), entry.acknowledged
+            if before is None or acknowledged - before >= PROGRESS_BYTES:
+                entry.acknowledged, entry.since = acknowledged, now
+                return False
+        return True
--- a/libs/arbutusrill_http/_socket_transfer.py
+++ b/libs/arbutusrill_http/_socket_transfer.py
@@ -154,11 +154,13 @@
         poller.register(connection, events)
         if self._caller >= 0:
             poller.register(self._caller, select.POLLRDHUP)
+        if self.transfer.wake_up is not None:
+            poller.register(self.transfer.wake_up, select.POLLIN)
         return poller
 
     def _wait(self, poller: select.poll, connection: socket.socket, until: float) -> tuple[int, bool]:
         """Waits for an event; returns those of the connection and whether the caller has closed its connection."""
-        wait_s = max(0.0, min(_MAX_POLL_S, until - time.monotonic()))
+        wait_s = max(0.0, min(_MAX_POLL_S, until - time.monotonic(), self.stall_check_in_s()))
         mask_by_descriptor = dict(poller.poll(wait_s * 1000))
         return mask_by_descriptor.get(connection.fileno(), 0), self._caller in mask_by_descriptor
 
--- a/libs/arbutusrill_http/_sockets.py
+++ b/libs/arbutusrill_http/_sockets.py
@@ -6,11 +6,12 @@
 import socket
 import struct
 
-__all__ = ["peer_closed", "set_dead_peer_timeouts", "set_send_timeout"]
+__all__ = ["acknowledged_bytes", "has_input", "peer_closed", "set_dead_peer_timeouts", "set_send_timeout"]
 
 _KEEPALIVE_IDLE_S = 10
 _KEEPALIVE_INTERVAL_S = 5
 _KEEPALIVE_PROBES = 3
+_TCP_INFO_BYTES, _BYTES_ACKED_OFFSET = 128, 120  # `tcpi_bytes_acked` of `struct tcp_info` in linux/tcp.h
 
 
 def set_dead_peer_timeouts(connection: socket.socket, unacknowledged_s: float) -> None:
@@ -42,3 +43,19 @@
     poller = select.poll()
     poller.register(connection, select.POLLRDHUP)
     return bool(poller.poll(0))
+
+
+def acknowledged_bytes(connection: socket.socket) -> int:
+    """Returns how many of the bytes that were sent the peer has acknowledged; 0 for a closed connection."""
+    try:
+        info = connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO_BYTES)
+    except OSError:
+        return 0
+    return struct.unpack_from("Q", info, _BYTES_ACKED_OFFSET)[0] if len(info) == _TCP_INFO_BYTES else 0
+
+
+def has_input(connection: socket.socket) -> bool:
+    """Returns whether bytes of the peer have arrived that were not read yet."""
+    poller = select.poll()
+    poller.register(connection, select.POLLIN)
+    return bool(poller.poll(0))
--- a/libs/arbutusrill_http/_transfer.py
+++ b/libs/arbutusrill_http/_transfer.py
@@ -46,7 +46,8 @@
     of the body as it arrives; without it the body is collected, and the transfer fails if it exceeds `max_body_bytes`
     or finds no room in `memory`, which its owner releases. It also fails if the heads exceed 32 KiB, or if there are
     more than 32 interim ones.
-    `should_stop` is polled and cancels the transfer when it returns True. `caller_connection` is the connection of the
+    `should_stop` is polled and cancels the transfer when it returns True; it is also asked when the descriptor `wake_up`
+    becomes readable, after which it has to return True. `caller_connection` is the connection of the
     caller; the transfer is cancelled when the caller closes it.
     `timeout_s` limits the whole transfer, `connect_s` the time to connect and `stall_s` the time without progress.
     Progress is the complete head and any byte of the body, or, with `progress_at`, the time that it returns on the
@@ -68,6 +69,7 @@
     on_any_head: Callable[[int, dict[str, str]], None] | None = None
     on_data: Callable[[bytes], None] | None = None
     should_stop: Callable[[], bool] | None = None
+    wake_up: int | None = None
     progress_at: Callable[[], float] | None = None
     on_stall: Callable[[], bool] | None = None
     max_body_bytes: int = _MAX_COLLECTED_BYTES
@@ -151,13 +153,13 @@
             return _MAX_POLL_MS
         return min(_MAX_POLL_MS, max(0.0, (self._deadline - time.monotonic()) * 1000))
 
-    def run_once(self, caller_descriptor: int) -> bool:
+    def run_once(self, caller_descriptor: int, wake_up: int | None, max_wait_s: float) -> bool:
         """Polls once and passes the events to libcurl; returns whether the caller has closed its connection."""
         peer_closed = False
-        timeout_ms = self._poll_timeout_ms()
+        timeout_ms = min(self._poll_timeout_ms(), max_wait_s * 1000)
         for descriptor, mask in self.poller.poll(timeout_ms):
-            if descriptor == caller_descriptor:
-                peer_closed = True
+            if descriptor in (caller_descriptor, wake_up):
+                peer_closed |= descriptor == caller_descriptor
                 continue
             action = pycurl.CSELECT_IN if mask & (select.POLLIN | select.POLLHUP) else 0
             action |= pycurl.CSELECT_OUT if mask & select.POLLOUT else 0
@@ -184,6 +186,8 @@
         )
         if caller_descriptor >= 0:
             loop.poller.register(caller_descriptor, select.POLLRDHUP)
+        if self.transfer.wake_up is not None:
+            loop.poller.register(self.transfer.wake_up, select.POLLIN)
         loop.multi.add_handle(easy)
         try:
             loop.multi.socket_action(pycurl.SOCKET_TIMEOUT, 0)
@@ -192,13 +196,15 @@
             loop.multi.remove_handle(easy)
             if caller_descriptor >= 0:
                 loop.poller.unregister(caller_descriptor)
+            if self.transfer.wake_up is not None:
+                loop.poller.unregister(self.transfer.wake_up)
             easy.close()
         return self.finish()
 
     def _wait_for_end(self, loop: _EventLoop, easy: pycurl.Curl, caller_descriptor: int) -> None:
         deadline = time.monotonic() + self.transfer.timeout_s
         while not self._has_ended(loop, easy):
-            is_caller_gone = loop.run_once(caller_descriptor)
+            is_caller_gone = loop.run_once(caller_descriptor, self.transfer.wake_up, self.stall_check_in_s())
             # A response that has arrived counts, even if a limit has passed while this thread did not run.
             if self._has_ended(loop, easy):
                 return
--- a/libs/arbutusrill_http/_transfer_state.py
+++ b/libs/arbutusrill_http/_transfer_state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import time
 from collections.abc import Callable
 from typing import TYPE_CHECKING
@@ -110,6 +111,13 @@
             return "stopped", "stopped by this process"
         return None
 
+    def stall_check_in_s(self) -> float:
+        """Returns the seconds until the transfer may have stalled, infinite without a limit."""
+        if self.transfer.stall_s is None:
+            return math.inf
+        check_at = max(self._progress_at() + self.transfer.stall_s, self._next_stall_check)
+        return max(0.0, check_at - time.monotonic())
+
     def _has_stalled(self, now: float) -> bool:
         stall_s, on_stall = self.transfer.stall_s, self.transfer.on_stall
         if stall_s is None or now < max(self._progress_at() + stall_s, self._next_stall_check):
--- a/libs/arbutusrill_http/tests/test_slow_connections.py
+++ b/libs/arbutusrill_http/tests/test_slow_connections.py
@@ -107,3 +107,26 @@
                 assert whole.recv(12) == b"HTTP/1.1 200"
             stopped.settimeout(2.0)
             assert stopped.recv(1) == b""
+
+
+def test_steady_reader_is_not_closed_for_a_send_that_is_blocked_for_long():
+    """Guards against readers inside the limits that are cut: a send to them may block for more than five seconds."""
+    now, acknowledged = [0.0], {"steady": 0, "stuck": 0}
+    slow = SlowConnections(lambda: now[0], acknowledged.get)
+    closed = []
+    with slow.waiting("steady", Stage.RESPONSE), slow.waiting("stuck", Stage.RESPONSE):
+        for _ in range(20):
+            now[0] += 1.0
+            acknowledged["steady"] += 280_000
+            slow.take_slowest(closed.append)
+    assert closed == ["stuck"]
+
+
+def test_caller_whose_bytes_wait_to_be_read_is_not_slow():
+    """Guards against closing a caller for the delays of this VM."""
+    now = [0.0]
+    slow = SlowConnections(lambda: now[0], has_input=lambda connection: connection == "unread")
+    with slow.waiting("unread", Stage.BODY), slow.waiting("idle", Stage.BODY):
+        now[0] = 9.0
+        assert slow.take_slowest(lambda connection: None) == ("idle", Stage.BODY)
+        assert slow.take_slowest(lambda connection: None) is None
--- a/libs/arbutusrill_site/_follower.py
+++ b/libs/arbutusrill_site/_follower.py
@@ -108,9 +108,10 @@
 
     `entry` is the record of this entry VM. `decode` decodes the parts of a configuration document. `backend_loads`
     returns the load of this VM on backend servers, `places` the places that it holds, `seeds` the configured addresses
-    of control VMs, `service_loads` its requests for plain services, `repeatable_uses` what this VM reports for second sends, whose delays in milliseconds by service
-    `set_second_send_delays` gets. The document never reverts to an older version, and one that cannot be decoded leaves
-    the previous one in force. Lists that a new leader marks as incomplete are merged with the known ones.
+    of control VMs, `service_loads` its requests for plain services, `repeatable_uses` what it reports for second sends,
+    whose delays in milliseconds by service `set_second_send_delays` gets. The document never reverts to an older
+    version, and one that cannot be decoded leaves the previous one in force. Lists that a new leader marks as
+    incomplete are merged with the known ones.
     """
 
     def __init__(
--- a/libs/arbutusrill_site/_service.py
+++ b/libs/arbutusrill_site/_service.py
@@ -51,7 +51,7 @@
 
     `decode_document` decodes the parts of a configuration document. `make_stage_balancer` builds the balancer from the
     registry of engines and the statistics of their work. `rate_slack` is the number of tokens by which a workspace may
-    briefly exceed its bucket, `cold_rules` bounds what cold servers get, `second_send_fraction` is the share of requests
+    briefly exceed its bucket, `cold_rules` bounds what cold servers get, `second_send_fraction` the share of requests
     that may be sent a second time.
     """
 
