--- a/libs/arbutusrill_gateway/__init__.py
+++ b/libs/arbutusrill_gateway/__init__.py
@@ -10,6 +10,7 @@
 from ._prompt_guard import PromptBarredError, PromptGuard
 from ._protocol import BackendProtocol, BackendRequest, CallerRequest, KvCacheHandle, ResponseHead
 from ._reply import Refusal, Responder
+from ._second_sender import SecondSender
 
 __all__ = [
     "BackendConnections",
@@ -26,6 +27,7 @@
     "PromptGuard",
     "Refusal",
     "Responder",
+    "SecondSender",
     "ResponseHead",
     "apply_configuration",
     "stop_in_time",
--- a/libs/arbutusrill_gateway/_attempt.py
+++ b/libs/arbutusrill_gateway/_attempt.py
@@ -181,6 +181,7 @@
     after which `on_stall` decides whether the attempt ends. `on_response` gets each head as soon as it is complete,
     also of interim responses. A response whose head is that of no answer is not read any further. With `connections`,
     a kept connection may be used; a request that may run again is sent again on a new one if the server closed it.
+    Once `wake_up` is readable, `receiver` is asked whether the attempt is to stop.
     """
     head_check = _HeadCheck(protocol, request, backend_request, on_response, receiver)
     transfer = Transfer(
@@ -196,6 +197,7 @@
         on_stall=on_stall,
         should_stop=lambda: bool(head_check.problem) or (receiver is not None and receiver.should_stop()),
         max_body_bytes=max_body_bytes,
+        wake_up=wake_up,
         connections=connections,
         may_keep=lambda: _may_keep(head_check, receiver),
     )
--- a/libs/arbutusrill_gateway/_exchange.py
+++ b/libs/arbutusrill_gateway/_exchange.py
@@ -6,7 +6,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from arbutusrill_base import EventLog, Failure, FailureError, RetryBudget, Verdict
 from arbutusrill_http import BodyBudget, BodyReservation, ServerConnections
@@ -20,6 +20,9 @@
 from ._protocol import BackendProtocol, BackendRequest, CallerRequest, ResponseHead
 from ._reply import Refusal, Responder
 
+if TYPE_CHECKING:
+    from ._second_sender import SecondSender
+
 __all__ = ["Exchange"]
 
 _MIN_SEND_S = 0.005  # with less time remaining, no further attempt is sent
@@ -40,6 +43,7 @@
     the request log. `memory` holds what is reserved for the body of the response. `rank` is 0 for the most urgent;
     `urgency` is that of `BackendRequest`. `full` holds the ids of engines that turned the request away.
     `connections` are those that this VM keeps, None if it keeps none.
+    `second_sender` sends slow requests twice, None if that is off.
     """
 
     request: CallerRequest
@@ -66,6 +70,7 @@
     urgency: int | None = None
     full: set[str] = field(default_factory=set)
     connections: BackendConnections | None = None
+    second_sender: SecondSender | None = None
 
     def has_room_for(self, size: int, wait_s: float = 0.0) -> bool:
         """Reserves memory for a body of `size` bytes, in steps that double; returns False if there is none in time."""
--- a/libs/arbutusrill_gateway/_gateway.py
+++ b/libs/arbutusrill_gateway/_gateway.py
@@ -23,6 +23,7 @@
 from ._prompt_guard import PromptGuard
 from ._protocol import MIN_RETRY_AFTER_S, BackendProtocol, CallerRequest
 from ._reply import Refusal, Responder
+from ._second_sender import SecondSender
 from ._service_ranks import ServiceRanks
 from ._stream import relay_stream
 
@@ -60,6 +61,7 @@
         body_budget: BodyBudget | None = None,
         connections: BackendConnections | None = None,
         region_by_data_centre: Callable[[], Mapping[str, str]] = dict,
+        second_sender: SecondSender | None = None,
     ):
         self._view = view
         self._pool = pool
@@ -75,6 +77,7 @@
         self._regions = region_by_data_centre
         self._body_budget = body_budget or BodyBudget(None)
         self._connections = connections
+        self._second_sender = second_sender
         self._lock = threading.Lock()
         self._budget_by_service: dict[str, RetryBudget] = {}
         self._accepts_all_until = self._shutdown_at = math.inf  # finite once `drain` was called
@@ -203,6 +206,7 @@
             rank=rank,
             urgency=self._ranks.urgency(configuration, service.name, rank, time.monotonic()),
             connections=self._connections,
+            second_sender=self._second_sender,
         )
         ending = ""
         try:
--- a/libs/arbutusrill_gateway/_plain.py
+++ b/libs/arbutusrill_gateway/_plain.py
@@ -15,6 +15,8 @@
 from ._protocol import ResponseHead
 from ._quiet_wait import wait_for_permitted
 from ._room_wait import admit, refuse_full, wait_for_spare_room
+from ._second_sender import SecondSend
+from ._second_sends import Race, Sender
 
 __all__ = ["relay_plain"]
 
@@ -40,8 +42,9 @@
     What a server that is avoided sends is not forwarded for want of memory: its answers may have no end.
     """
 
-    def __init__(self, exchange: Exchange, candidate: Candidate):
+    def __init__(self, exchange: Exchange, candidate: Candidate, race: Race):
         self._exchange = exchange
+        self._race = race
         self._candidate = candidate
         self._memory_wait_s = _MEMORY_WAIT_S
         self._response: ResponseHead | None = None
@@ -96,7 +99,9 @@
         return has_room
 
     def should_stop(self) -> bool:
-        """Also ends a response that pauses while it holds memory for which others wait."""
+        """Also ends a response that has lost, or that pauses while it holds memory for which others wait."""
+        if self._race.has_lost(Sender.FIRST):
+            return True
         pause_s = time.monotonic() - self._progress_at
         if not (self.problem or self.begun) and pause_s > _MAX_PAUSE_S and self._exchange.memory.is_contended:
             self.problem = f"no progress for {pause_s:.3g} s while others wait for memory"
@@ -104,7 +109,7 @@
 
     def _end_buffering(self, reason: str, is_suspect: bool = False) -> None:
         """Forwards an answer while it arrives from now on; an error, which may be followed by a retry, ends."""
-        if self._response.status < 500 and not is_suspect:
+        if self._response.status < 500 and not is_suspect and self._race.claim(Sender.FIRST):
             self._exchange.responder.send_head(self._response.status, self._response.headers)
             for chunk in self._chunks:
                 self._exchange.responder.write(chunk)
@@ -120,6 +125,8 @@
 
 def relay_plain(exchange: Exchange) -> None:
     """Sends a request to a backend server, and to others after failures as far as the route allows retries."""
+    if exchange.second_sender is not None:
+        exchange.second_sender.record_request(exchange)
     if not admit(exchange):
         return
     unreached = 0
@@ -127,7 +134,7 @@
         candidate = _choose(exchange)
         if candidate is None:
             return
-        result = _send(exchange, candidate)
+        candidate, result = _send(exchange, candidate)
         exchange.tried.add(candidate.id)
         exchange.record_attempt(candidate, "send", result)
         if result.outcome is Outcome.GONE:
@@ -174,9 +181,36 @@
     return candidate
 
 
-def _send(exchange: Exchange, candidate: Candidate) -> AttemptResult:
+def _send(exchange: Exchange, candidate: Candidate) -> tuple[Candidate, AttemptResult]:
+    """Sends a request, and a copy to another server if it is slow; returns the server and the result that count."""
+    exchange.memory.shrink(0)
+    with SecondSend(exchange.second_sender, exchange, candidate) as second:
+        relay = _ResponseRelay(exchange, candidate, second.race)
+        result = _send_first(exchange, candidate, relay, second)
+        result.body = relay.take_body()
+        if second.delay_s is None:
+            _learn(exchange, result)
+            return candidate, result
+        winner, winning = second.settle(result)
+        _learn(exchange, winning)
+        return winner, winning
+
+
+def _learn(exchange: Exchange, result: AttemptResult) -> None:
+    if exchange.second_sender is not None:
+        exchange.second_sender.record_result(exchange, result)
+
+
+def _send_first(exchange: Exchange, candidate: Candidate, relay: _ResponseRelay, second: SecondSend) -> AttemptResult:
     timeout_s = exchange.remaining_s()
     stall_s = _STALL_FRACTION * timeout_s if exchange.route.kind is RouteKind.IDEMPOTENT else None
+    replace_at = time.monotonic() + (stall_s or timeout_s)
+
+    def on_stall() -> bool:
+        """Starts a second send, or ends the first one for another server if it is silent for long."""
+        if second.delay_s is not None and not relay.begun:
+            second.start()
+        return not second.race.has_second and time.monotonic() >= replace_at and reserve_other_backend()
 
     def reserve_other_backend() -> bool:
         if relay.begun:  # the response cannot be repeated
@@ -186,29 +220,26 @@
         is_sound = other is not None and other.id not in unsound
         return is_sound and exchange.reserve_retry()
 
-    exchange.memory.shrink(0)
-    relay = _ResponseRelay(exchange, candidate)
     exchange.pool.plain.record_sent(candidate.record)
     backend_request = exchange.backend_request(candidate)
     try:
         with exchange.pool.track_request(candidate.id, 0):
-            result = send_attempt(
+            return send_attempt(
                 exchange.protocol,
                 exchange.request,
                 backend_request,
                 candidate,
                 timeout_s,
-                stall_s,
+                stall_s if second.delay_s is None else second.delay_s,
                 relay,
-                reserve_other_backend,
+                reserve_other_backend if second.delay_s is None else on_stall,
                 exchange.response_observer(candidate),
                 connections=exchange.connections_to(candidate, is_once=not exchange.route.repeatable),
+                wake_up=second.wake_up,
             )
     except OSError:  # from the connection of the caller, while a large response is forwarded
         exchange.verdict = exchange.verdict.combine(Verdict.MAY_HAVE_RUN)
         raise exchange.caller_gone_error() from None
-    result.body = relay.take_body()
-    return result
 
 
 def _settle_refusal(exchange: Exchange, candidate: Candidate, result: AttemptResult) -> bool:
--- a/libs/arbutusrill_gateway/_second_sends.py
+++ b/libs/arbutusrill_gateway/_second_sends.py
@@ -115,10 +115,11 @@
     (False, None)
     """
 
-    __slots__ = ("_lock", "_result_by_sender", "has_second", "winner")
+    __slots__ = ("_has_started", "_lock", "_result_by_sender", "has_second", "winner")
 
     def __init__(self):
         self._lock = threading.Lock()
+        self._has_started = False
         self._result_by_sender: dict[Sender, tuple[Any, AttemptResult]] = {}
         self.has_second = False
         self.winner: Sender | None = None
@@ -126,11 +127,18 @@
     def start_second(self) -> bool:
         """Begins the second send; returns False if the request has an answer or was sent twice already."""
         with self._lock:
-            if self.has_second or self.winner is not None or Sender.FIRST in self._result_by_sender:
+            if self._has_started or self.winner is not None or Sender.FIRST in self._result_by_sender:
                 return False
-            self.has_second = True
+            self._has_started = self.has_second = True
             return True
 
+    def withdraw_second(self) -> None:
+        """Takes the second send back before it was sent; the first one is alone again."""
+        with self._lock:
+            self.has_second = False
+            if self.winner is None and Sender.FIRST in self._result_by_sender:
+                self.winner = Sender.FIRST
+
     def claim(self, sender: Sender) -> bool:
         """Decides for a send whose answer is about to be forwarded while it arrives; returns whether it may be."""
         with self._lock:
--- a/libs/arbutusrill_http/_transfer.py
+++ b/libs/arbutusrill_http/_transfer.py
@@ -46,8 +46,8 @@
     of the body as it arrives; without it the body is collected, and the transfer fails if it exceeds `max_body_bytes`
     or finds no room in `memory`, which its owner releases. It also fails if the heads exceed 32 KiB, or if there are
     more than 32 interim ones.
-    `should_stop` is polled and cancels the transfer when it returns True; it is also asked when the descriptor `wake_up`
-    becomes readable, after which it has to return True. `caller_connection` is the connection of the
+    `should_stop` is polled and cancels the transfer when it returns True; it is also asked once the descriptor
+    `wake_up` is readable, and has to return True from then on. `caller_connection` is the connection of the
     caller; the transfer is cancelled when the caller closes it.
     `timeout_s` limits the whole transfer, `connect_s` the time to connect and `stall_s` the time without progress.
     Progress is the complete head and any byte of the body, or, with `progress_at`, the time that it returns on the
