plain services: a VM whose link fails leaves a server out until its own trial is answered

Cause: answers that other VMs got brought a server back for a VM whose own sends to it broke, after half a second. Change: an outage by a VM's own observations ends by its own answers, or after three seconds without a failure. Before/after: the new lines of test_failures_of_one_link_leave_the_server_to_the_other_vms pass; not run without the change.

--- a/libs/arbutusrill_gateway/_fleet_health.py
+++ b/libs/arbutusrill_gateway/_fleet_health.py
@@ -39,6 +39,7 @@
 class _Outage:
     began_at: float
     failed_at: float
+    is_own: bool  # only this VM leaves the server out
 
 
 class FleetHealth:
@@ -65,13 +66,16 @@
         outage = self._outage_by_id.get(backend)
         total = counts.total
         if outage is None:
-            if not (_fails_for_all(counts, total) or _fails_for_this_vm(counts.own)):
+            fails_for_all = _fails_for_all(counts, total)
+            if not (fails_for_all or _fails_for_this_vm(counts.own)):
                 return False
-            self._outage_by_id[backend] = _Outage(now, now)
+            self._outage_by_id[backend] = _Outage(now, now, not fails_for_all)
             return True
-        if total.failed:
+        seen = counts.own if outage.is_own else total  # answers to others say nothing about the link of this VM
+        if seen.failed:
             outage.failed_at = now
-        recovered = total.answered + total.refused >= _BACK_ANSWERS and total.failure_share <= _BACK_SHARE
+        min_answers = 1 if outage.is_own else _BACK_ANSWERS
+        recovered = seen.answered + seen.refused >= min_answers and seen.failure_share <= _BACK_SHARE
         if _fails_for_this_vm(counts.own) or not (recovered or now - outage.failed_at > _MAX_OUT_S):
             return False
         del self._outage_by_id[backend]
--- a/libs/arbutusrill_gateway/tests/test_plain_fleet.py
+++ b/libs/arbutusrill_gateway/tests/test_plain_fleet.py
@@ -82,6 +82,9 @@
     assert not health.update("a", counts(others_failed=9, others_answered=30, failing_vms=5), 0.0)
     # The VM whose link fails sends elsewhere by its own observations.
     assert health.update("a", counts(others_answered=30, failed=3), 0.0) and health.is_out("a")
+    # Answers that the others get do not bring it back for that VM; one of its own trials does.
+    assert not health.update("a", counts(others_answered=30), 1.0)
+    assert health.update("a", counts(others_answered=30, answered=1), 1.5) and not health.is_out("a")
 
 
 def test_only_vm_that_uses_a_server_leaves_it_out_and_tries_it_again():
