--- a/libs/arbutusrill_gateway/_gateway.py
+++ b/libs/arbutusrill_gateway/_gateway.py
@@ -208,6 +208,8 @@
             connections=self._connections,
             second_sender=self._second_sender,
         )
+        if self._second_sender is not None:
+            self._second_sender.record_request(exchange)
         ending = ""
         try:
             (relay_stream if route.kind is RouteKind.STREAM else relay_plain)(exchange)
--- a/libs/arbutusrill_gateway/_metrics.py
+++ b/libs/arbutusrill_gateway/_metrics.py
@@ -75,6 +75,12 @@
             "Servers of plain services that are left out since sends to them fail.",
             registry=self.registry,
         )
+        self._second_sends = Gauge(
+            "arbutusrill_second_sends",
+            "Second sends of slow requests since the start: sent, won, cancelled, failed, or why there was none.",
+            ["outcome"],
+            registry=self.registry,
+        )
         self._add_http_gauges()
         self._add_connection_gauges()
 
@@ -178,8 +184,11 @@
         budget: BodyBudget,
         endings: ConnectionEndings,
         connections: BackendConnections | None = None,
+        second_sends_by_outcome: dict[str, int] | None = None,
     ) -> bytes:
         """Returns the metrics in the Prometheus text format, with the gauges of the present state."""
+        for outcome, count in (second_sends_by_outcome or {}).items():
+            self._second_sends.labels(outcome).set(count)
         if connections is not None:
             self._record_connections(connections)
         self._record_view(view)
--- a/libs/arbutusrill_gateway/_plain.py
+++ b/libs/arbutusrill_gateway/_plain.py
@@ -125,8 +125,6 @@
 
 def relay_plain(exchange: Exchange) -> None:
     """Sends a request to a backend server, and to others after failures as far as the route allows retries."""
-    if exchange.second_sender is not None:
-        exchange.second_sender.record_request(exchange)
     if not admit(exchange):
         return
     unreached = 0
--- a/libs/arbutusrill_gateway/tests/test_faulty_backends.py
+++ b/libs/arbutusrill_gateway/tests/test_faulty_backends.py
@@ -21,6 +21,9 @@
 MIB = 1_048_576
 
 
+keeps_connections = False
+
+
 @pytest.fixture(autouse=True, params=["new connections", "kept connections"])
 def connections(request):
     """Runs each test with and without connections that are kept."""
