gateway: slow requests that may be repeated are sent once more, to another server

Change: after the delay that the leader has learned, a copy goes to another server if the limit of the fleet, the retry budget and the attempts of the route allow it; the first good answer counts, the other send is cancelled.

--- a/libs/arbutusrill_gateway/tests/test_faulty_backends.py
+++ b/libs/arbutusrill_gateway/tests/test_faulty_backends.py
@@ -140,6 +140,8 @@
     kept=None,
     id="r",
     retries=10,
+    second_sender=None,
+    connection=None,
 ):
     """Relays one request to `backends`; returns the caller, the exchange and whether the response was aborted.
 
@@ -163,7 +165,7 @@
             pool.record_success(record, event_s * min(number + 1, 2))
     route = Route("r", "h", "/", kind, deadline_s, 0.9, (Target("s", 1.0),), max_attempts, False, stream, 0.3)
     exchange = Exchange(
-        CallerRequest(id, method, "h", "/x", [], b"body" if method == "POST" else b""),
+        CallerRequest(id, method, "h", "/x", [], b"body" if method == "POST" else b"", connection=connection),
         Responder(caller.start, []),
         route,
         Service("s", None if placements is None else Engine(8, 1000, 0.5)),
@@ -176,6 +178,7 @@
         time.monotonic(),
         prompt_guard=prompt_guard,
         connections=kept or (BackendConnections(view, lambda: 1) if keeps_connections else None),
+        second_sender=second_sender,
     )
     aborted = False
     with (body_budget or BodyBudget(None)).open("clinic", is_response=True) as exchange.memory:
--- /dev/null
+++ b/libs/arbutusrill_gateway/tests/test_second_sender.py
@@ -0,0 +1,124 @@
+"""Tests of second sends with small servers on sockets; the first server is the one that is chosen first."""
+
+import contextlib
+import socket
+import threading
+import time
+from types import SimpleNamespace
+
+import pytest
+from arbutusrill_base import FailureError
+from arbutusrill_site import RouteKind
+
+from arbutusrill_gateway._second_sender import SecondSender
+
+from .test_faulty_backends import WHOLE, Backend, head, relay, sends
+
+FIRST = head(200, "Stamp: 1", "Content-Length: 5") + b"first"
+ERROR = head(500, "Stamp: 1", "Content-Length: 5") + b"error"
+SLOW_S = 1.5
+
+
+def after(seconds, *parts):
+    def script(connection):
+        time.sleep(seconds)
+        sends(*parts)(connection)
+
+    return script
+
+
+def until_closed(connection):
+    """Answers nothing, and ends when the VM closes the connection."""
+    connection.settimeout(5.0)
+    started = time.monotonic()
+    with contextlib.suppress(OSError):
+        connection.recv(1)
+    closed_after_s.append(time.monotonic() - started)
+
+
+closed_after_s = []
+
+
+@pytest.fixture
+def sender():
+    closed_after_s.clear()
+    answers = SimpleNamespace(granted=True)
+    client = SimpleNamespace(call=lambda name, service, timeout, try_timeout: answers.granted)
+    with SecondSender(client) as running:
+        running.policy.set_delays({"s": 100})
+        running.leader = answers
+        yield running
+
+
+def ask(first, second, sender, **options):
+    options = {"kind": RouteKind.IDEMPOTENT, "method": "GET", **options}
+    return relay(first, second, second_sender=sender, **options)
+
+
+def test_slow_request_gets_the_answer_of_another_server(sender):
+    first, second = Backend(until_closed), Backend(sends(WHOLE))
+    started = time.monotonic()
+    caller, exchange, _ = ask(first, second, sender)
+    assert (caller.status, caller.body) == (200, b"whole")
+    assert time.monotonic() - started < SLOW_S
+    assert sender.counts_by_outcome["won"] == 1 and exchange.attempt_count == 2
+
+
+def test_send_that_has_lost_is_cancelled(sender):
+    """Guards against servers that go on working for an answer that nobody gets."""
+    first = Backend(until_closed)
+    ask(first, Backend(sends(WHOLE)), sender)
+    deadline = time.monotonic() + 2.0
+    while not closed_after_s and time.monotonic() < deadline:
+        time.sleep(0.01)
+    assert closed_after_s and closed_after_s[0] < 0.6
+
+
+def test_first_answer_wins_and_the_second_send_is_cancelled(sender):
+    first, second = Backend(after(0.3, FIRST)), Backend(until_closed)
+    caller, _, _ = ask(first, second, sender)
+    assert caller.body == b"first"
+    deadline = time.monotonic() + 2.0
+    while "cancelled" not in sender.counts_by_outcome and time.monotonic() < deadline:
+        time.sleep(0.01)
+    assert sender.counts_by_outcome["cancelled"] == 1
+
+
+def test_error_of_the_first_server_waits_for_the_second_answer(sender):
+    first, second = Backend(after(0.3, ERROR)), Backend(after(0.4, WHOLE))
+    caller, _, _ = ask(first, second, sender)
+    assert (caller.status, caller.body) == (200, b"whole")
+
+
+def test_error_of_the_second_server_does_not_replace_the_first_answer(sender):
+    first, second = Backend(after(0.5, FIRST)), Backend(sends(ERROR))
+    caller, _, _ = ask(first, second, sender)
+    assert (caller.status, caller.body) == (200, b"first")
+
+
+@pytest.mark.parametrize("reason", ["limit", "retry_budget", "route", "kind"])
+def test_there_is_no_second_send(sender, reason):
+    """Guards against second sends that the operators, the retry budget or the route do not allow."""
+    first, second = Backend(after(0.4, FIRST)), Backend(sends(WHOLE))
+    sender.leader.granted = reason != "limit"
+    options = {
+        "limit": {},
+        "retry_budget": {"retries": 1},
+        "route": {"max_attempts": 1},
+        "kind": {"kind": RouteKind.NON_IDEMPOTENT, "method": "POST"},
+    }[reason]
+    caller, _, _ = ask(first, second, sender, **options)
+    assert caller.body == b"first" and not second.requests
+
+
+def test_caller_that_leaves_ends_both_sends(sender):
+    first, second = Backend(until_closed), Backend(until_closed)
+    here, there = socket.socketpair()
+    with here, there:
+        threading.Timer(0.4, there.close).start()
+        with pytest.raises(FailureError):
+            ask(first, second, sender, connection=here)
+    deadline = time.monotonic() + 2.0
+    while len(closed_after_s) < 2 and time.monotonic() < deadline:
+        time.sleep(0.01)
+    assert len(closed_after_s) == 2 and max(closed_after_s) < 1.0
