--- a/libs/arbutusrill_gateway/tests/plain_fleet.py
+++ b/libs/arbutusrill_gateway/tests/plain_fleet.py
@@ -7,8 +7,7 @@
 from types import SimpleNamespace
 
 from arbutusrill_base import ManualClock
-from arbutusrill_site import FleetReport, SiteView
-from arbutusrill_site._use_totals import UseTotals
+from arbutusrill_site import FleetReport, SiteView, UseTotals
 from arbutusrill_wire import messages
 
 from arbutusrill_gateway._plain_servers import PlainNeed, PlainServers
--- a/libs/arbutusrill_site/__init__.py
+++ b/libs/arbutusrill_site/__init__.py
@@ -51,6 +51,7 @@
 from ._rates import LeaderRateAuthority
 from ._service import SilenceTimeouts, SiteService
 from ._stages import EngineRegistry, EngineStatistics, OrderAnswer, StageBalancer, StageOrderTransport
+from ._use_totals import UseTotals
 
 __all__ = [  # noqa: F822
     "MAX_DURATION_S",
@@ -103,6 +104,7 @@
     "StageBalancer",
     "StageOrderTransport",
     "Target",
+    "UseTotals",
     "Workspace",
     "is_newer",
 ]
