gateway, site: answer times of second sends in the histogram that the choice of servers uses

Change: AnswerTimes moves to arbutusrill_base and serves both; the time of an answer counts from the first send.

--- a/libs/arbutusrill_base/__init__.py
+++ b/libs/arbutusrill_base/__init__.py
@@ -1,6 +1,7 @@
 """Common types and helpers: clocks, identifiers, logs, settings, retry budgets and task groups."""
 
 from ._addresses import is_ipv4_address, split_address
+from ._answer_times import AnswerTimes
 from ._blocks import BLOCK_BYTES, prefix_blocks
 from ._budget import RetryBudget, backoff_s
 from ._clock import BootClock, Clock, ManualClock, SystemClock
@@ -15,6 +16,7 @@
 from ._verdict import Failure, FailureError, Verdict
 
 __all__ = [
+    "AnswerTimes",
     "BodyTooLargeError",
     "DecodingGate",
     "CLOCK_DRIFT_S",
--- a/libs/arbutusrill_gateway/_plain.py
+++ b/libs/arbutusrill_gateway/_plain.py
@@ -182,21 +182,16 @@
 def _send(exchange: Exchange, candidate: Candidate) -> tuple[Candidate, AttemptResult]:
     """Sends a request, and a copy to another server if it is slow; returns the server and the result that count."""
     exchange.memory.shrink(0)
+    sent_at = time.monotonic()
     with SecondSend(exchange.second_sender, exchange, candidate) as second:
         relay = _ResponseRelay(exchange, candidate, second.race)
         result = _send_first(exchange, candidate, relay, second)
         result.body = relay.take_body()
-        if second.delay_s is None:
-            _learn(exchange, result)
-            return candidate, result
-        winner, winning = second.settle(result)
-        _learn(exchange, winning)
-        return winner, winning
-
-
-def _learn(exchange: Exchange, result: AttemptResult) -> None:
-    if exchange.second_sender is not None:
-        exchange.second_sender.record_result(exchange, result)
+        if second.delay_s is not None:
+            candidate, result = second.settle(result)
+        if exchange.second_sender is not None:
+            exchange.second_sender.record_result(exchange, result, time.monotonic() - sent_at)
+        return candidate, result
 
 
 def _send_first(exchange: Exchange, candidate: Candidate, relay: _ResponseRelay, second: SecondSend) -> AttemptResult:
--- a/libs/arbutusrill_gateway/_plain_servers.py
+++ b/libs/arbutusrill_gateway/_plain_servers.py
@@ -9,11 +9,10 @@
 from dataclasses import dataclass
 from typing import Any
 
-from arbutusrill_base import Clock, EventLog
+from arbutusrill_base import AnswerTimes, Clock, EventLog
 from arbutusrill_site import SiteView
 from arbutusrill_wire import messages
 
-from ._answer_times import AnswerTimes
 from ._caller_returns import CallerReturns
 from ._fleet_health import FleetHealth, SharedCounts, trial_probability
 from ._observations import ServerCounts, ServerObservations
--- a/libs/arbutusrill_gateway/_second_sender.py
+++ b/libs/arbutusrill_gateway/_second_sender.py
@@ -19,7 +19,7 @@
 from ._attempt import AttemptResult, BodyReceiver, Outcome, send_attempt
 from ._backends import Candidate
 from ._exchange import Exchange
-from ._second_sends import SPARE_RETRIES, AnswerTimes, Race, SecondSendPolicy, Sender
+from ._second_sends import SPARE_RETRIES, Race, RepeatableRequests, SecondSendPolicy, Sender
 
 __all__ = ["SecondSend", "SecondSender"]
 
@@ -41,7 +41,7 @@
         self._client = client
         self._threads = ThreadPoolExecutor(_THREADS, "second-send")
         self._lock = threading.Lock()
-        self._times = AnswerTimes()
+        self._requests = RepeatableRequests()
         self.policy = SecondSendPolicy()
         self.counts_by_outcome: dict[str, int] = {}
 
@@ -55,20 +55,23 @@
         """Returns the requests and answer times since the last report as `RepeatableUse` messages."""
         return [
             messages.RepeatableUse(service, total, answer_ms)
-            for service, (total, answer_ms) in self._times.take_report().items()
+            for service, (total, answer_ms) in self._requests.take_report().items()
         ]
 
     def record_request(self, exchange: Exchange) -> None:
         """Counts a request that may be sent twice."""
         if _may_repeat(exchange):
-            self._times.record_request(exchange.service.name)
+            self._requests.record_request(exchange.service.name)
 
-    def record_result(self, exchange: Exchange, result: AttemptResult) -> None:
-        """Learns from the end of a send that was not cancelled."""
+    def record_result(self, exchange: Exchange, result: AttemptResult, took_s: float) -> None:
+        """Learns from the end of a send that was not cancelled; `took_s` counts from the first send of the request.
+
+        Otherwise the delay would shrink with each slow answer that a second send has replaced.
+        """
         if result.outcome is Outcome.REJECTED:
             self.policy.record_refusal(exchange.service.name, time.monotonic())
         elif result.outcome is Outcome.ANSWERED and result.response.status < 500 and _may_repeat(exchange):
-            self._times.record_answer(exchange.service.name, result.took_s)
+            self._requests.record_answer(exchange.service.name, took_s)
 
     def delay_s(self, exchange: Exchange) -> float | None:
         """Returns the time after which a second send of a request is due, None if there is to be none."""
@@ -249,7 +252,7 @@
         self._wake_if_decided()
 
     def _record_failure(self, other: Candidate, result: AttemptResult) -> None:
-        self._sender.record_result(self._exchange, result)
+        self._sender.record_result(self._exchange, result, result.took_s)
         if result.outcome is Outcome.REJECTED:
             self._exchange.pool.plain.record_refusal(other.record)
         self._exchange.pool.record_failure(other.record, result.detail, avoid=False)
--- a/libs/arbutusrill_gateway/_second_sends.py
+++ b/libs/arbutusrill_gateway/_second_sends.py
@@ -11,7 +11,7 @@
 
 from ._attempt import AttemptResult, Outcome
 
-__all__ = ["AnswerTimes", "Race", "SecondSendPolicy", "Sender"]
+__all__ = ["Race", "RepeatableRequests", "SecondSendPolicy", "Sender"]
 
 _MAX_KEPT_ANSWERS = 50  # times of answers by service between two reports
 _REFUSAL_MEMORY_S = 1.0  # after a server has turned a request of a service away, none of it is sent twice
@@ -19,13 +19,13 @@
 SPARE_RETRIES = 1.0  # what a second send leaves in the retry budget, for requests that failed
 
 
-class AnswerTimes:
+class RepeatableRequests:
     """Counts the requests of each service that may be repeated, and keeps the times of their good answers.
 
-    >>> times = AnswerTimes()
-    >>> times.record_request("lookups")
-    >>> times.record_answer("lookups", 0.021)
-    >>> times.take_report()
+    >>> requests = RepeatableRequests()
+    >>> requests.record_request("lookups")
+    >>> requests.record_answer("lookups", 0.021)
+    >>> requests.take_report()
     {'lookups': (1, [21])}
     """
 
--- a/libs/arbutusrill_gateway/tests/test_plain_fleet.py
+++ b/libs/arbutusrill_gateway/tests/test_plain_fleet.py
@@ -3,11 +3,10 @@
 from collections import Counter
 
 import pytest
-from arbutusrill_base import ManualClock
+from arbutusrill_base import AnswerTimes, ManualClock
 from arbutusrill_site import FleetReport, SiteView
 from arbutusrill_wire import messages
 
-from arbutusrill_gateway._answer_times import AnswerTimes
 from arbutusrill_gateway._caller_returns import CallerReturns
 from arbutusrill_gateway._fleet_health import FleetHealth, SharedCounts
 from arbutusrill_gateway._observations import ServerCounts
--- a/libs/arbutusrill_site/_second_sends.py
+++ b/libs/arbutusrill_site/_second_sends.py
@@ -6,46 +6,26 @@
 from __future__ import annotations
 
 from collections import deque
-from typing import Any
 
-from arbutusrill_base import EventLog
+from arbutusrill_base import AnswerTimes, EventLog
 
 __all__ = ["SecondSends"]
 
 _WINDOW_S = 10.0  # requests of this time can be followed by second sends
-_DELAY_QUANTILE = 95.0  # of the answer times of a service, after which a request counts as slow
+_DELAY_QUANTILE = 0.95  # of the answer times of a service, after which a request counts as slow
 _MIN_SAMPLES = 40  # answers from which the delay of a service counts as known
-_ROTATION_S = 20.0  # answer times are kept for this time at least, for twice as long at most
-_MAX_ANSWER_MS = 60_000
-_SIGNIFICANT_DIGITS = 2
 _LOG_INTERVAL_S = 1.0
 _events = EventLog("second-sends")
 
 
-def _new_histogram() -> Any:
-    from hdrh.histogram import HdrHistogram  # only a leader of a deployment with second sends needs it
-
-    return HdrHistogram(1, _MAX_ANSWER_MS, _SIGNIFICANT_DIGITS)
-
-
 class _ServiceSends:
     """Answer times, requests and second sends of one service."""
 
-    __slots__ = (
-        "_fraction",
-        "_histograms",
-        "_request_count",
-        "_requests",
-        "_rotated_at",
-        "granted",
-        "refused",
-        "saved",
-    )
-
-    def __init__(self, fraction: float, now: float):
+    __slots__ = ("_answer_times", "_fraction", "_request_count", "_requests", "granted", "refused", "saved")
+
+    def __init__(self, fraction: float):
         self._fraction = fraction
-        self._histograms = (_new_histogram(), _new_histogram())  # of the present and of the previous rotation
-        self._rotated_at = now
+        self._answer_times = AnswerTimes()
         self._requests: deque[tuple[float, int]] = deque()  # of the window
         self._request_count = 0
         self.saved = 0.0  # second sends that may be made now
@@ -66,23 +46,14 @@
 
     def add_answers(self, answer_ms: list[int], now: float) -> None:
         """Adds the times in milliseconds that good answers took."""
-        if now - self._rotated_at > _ROTATION_S:
-            self._histograms = (_new_histogram(), self._histograms[0])
-            self._rotated_at = now
         for took_ms in answer_ms:
-            self._histograms[0].record_value(max(1, min(took_ms, _MAX_ANSWER_MS)))
+            self._answer_times.record(took_ms / 1000, now)
 
     def delay_ms(self) -> int | None:
         """Returns the time after which a request is slower than is usual; None while that is not known."""
-        present, previous = self._histograms
-        if present.get_total_count() + previous.get_total_count() < _MIN_SAMPLES:
+        if self._answer_times.count < _MIN_SAMPLES:
             return None
-        known = present if present.get_total_count() >= _MIN_SAMPLES else previous
-        if known.get_total_count() < _MIN_SAMPLES:
-            known = _new_histogram()
-            known.add(present)
-            known.add(previous)
-        return max(1, int(known.get_value_at_percentile(_DELAY_QUANTILE)))
+        return max(1, round(1000 * self._answer_times.quantile(_DELAY_QUANTILE)))
 
     def try_take(self, now: float) -> bool:
         """Takes one second send; returns False if the limit allows none now."""
@@ -107,7 +78,7 @@
     >>> sends.report("vm-1", 7, "lookups", 0, [], now=0.0)
     >>> sends.report("vm-1", 7, "lookups", 400, [20] * 50, now=1.0)
     >>> sends.delay_ms_by_service()
-    {'lookups': 20}
+    {'lookups': 23}
     >>> [sends.try_take("lookups", now=1.0) for _ in range(41)].count(True)
     40
     """
@@ -135,7 +106,7 @@
             totals = {}
         sends = self._by_service.get(service)
         if sends is None:
-            sends = self._by_service[service] = _ServiceSends(self.fraction, now)
+            sends = self._by_service[service] = _ServiceSends(self.fraction)
         sends.add_requests(total - totals.get(service, total), now)
         sends.add_answers(answer_ms, now)
         self._reported_by_vm[vm] = (incarnation, {**totals, service: total})
