--- a/libs/arbutusrill_base/_budget.py
+++ b/libs/arbutusrill_base/_budget.py
@@ -42,10 +42,16 @@
             self._reserve = reserve
             self._tokens = min(self._tokens, reserve)
 
-    def try_acquire(self, spare: float = 0.0) -> bool:
-        """Takes one retry from the budget; returns False if less than one is left, or less than `spare` after it."""
+    @property
+    def is_short(self) -> bool:
+        """Whether less than half of the budget is left."""
         with self._lock:
-            if self._tokens < 1 + spare - 1e-9:
+            return self._tokens <= 0 or self._tokens < self._reserve / 2
+
+    def try_acquire(self) -> bool:
+        """Takes one retry from the budget; returns False if less than one is left."""
+        with self._lock:
+            if self._tokens < 1 - 1e-9:
                 return False
             self._tokens -= 1
             return True
--- a/libs/arbutusrill_gateway/_second_sender.py
+++ b/libs/arbutusrill_gateway/_second_sender.py
@@ -19,7 +19,7 @@
 from ._attempt import AttemptResult, BodyReceiver, Outcome, send_attempt
 from ._backends import Candidate
 from ._exchange import Exchange
-from ._second_sends import SPARE_RETRIES, Race, RepeatableRequests, SecondSendPolicy, Sender
+from ._second_sends import Race, RepeatableRequests, SecondSendPolicy, Sender
 
 __all__ = ["SecondSend", "SecondSender"]
 
@@ -33,8 +33,8 @@
 class SecondSender:
     """Second sends of one entry VM; a context manager that ends its threads.
 
-    `counts_by_outcome` holds the sent, won, cancelled and failed ones since the start, and those that the limit, the
-    retry budget or the lack of another server did not allow.
+    `counts_by_outcome` holds the sent, won, cancelled and failed ones since the start, and those that the limit, a
+    short retry budget or the lack of another server did not allow.
     """
 
     def __init__(self, client: ControlClient):
@@ -202,14 +202,14 @@
             self._release()
 
     def _reserve(self) -> tuple[Candidate | None, str]:
-        """Returns another server with a grant and a retry; None and the reason if there is none."""
+        """Returns another server with a grant; None and the reason if there is none."""
         exchange, pool = self._exchange, self._exchange.pool
         other = pool.pick(exchange.service, exclude={*exchange.tried, self._first.id})
         if other is None or other.id in {*pool.avoided_ids(), *pool.plain.out_ids()}:
             return None, "no_server"
         if self.race.winner is not None:
             return None, "answered"
-        if not exchange.budget.try_acquire(SPARE_RETRIES):
+        if exchange.budget.is_short:
             return None, "retry_budget"
         if not self._sender.is_granted(exchange.service.name):
             return None, "limit"
--- a/libs/arbutusrill_gateway/_second_sends.py
+++ b/libs/arbutusrill_gateway/_second_sends.py
@@ -16,7 +16,6 @@
 _MAX_KEPT_ANSWERS = 50  # times of answers by service between two reports
 _REFUSAL_MEMORY_S = 1.0  # after a server has turned a request of a service away, none of it is sent twice
 _MIN_REMAINING_FACTOR = 2.0  # of the usual time: with less left, a second answer would come too late
-SPARE_RETRIES = 1.0  # what a second send leaves in the retry budget, for requests that failed
 
 
 class RepeatableRequests:
