--- a/libs/arbutusrill_site/tests/test_cold_limits.py
+++ b/libs/arbutusrill_site/tests/test_cold_limits.py
@@ -150,7 +150,7 @@
             times.setdefault(granted.decode, []).append(now)
             times.setdefault(granted.prefill, []).append(now)
             scheduler.free(
-                SimpleNamespace(vm="vm", incarnation=1, place=granted.place, speeds=[], unresponsive=[]), now
+                SimpleNamespace(vm="vm", incarnation=1, place=granted.place, speeds=[], unresponsive=[], broken=[]), now
             )
         scheduler._waiting_queue.remove(ticket) if granted is None else None
     return times
