--- a/libs/arbutusrill_http/_writer.py
+++ b/libs/arbutusrill_http/_writer.py
@@ -91,12 +91,21 @@
         if self._chunked:
             self._send(b"0\r\n\r\n")
 
+    def _send_now(self, data: bytes, flags: int) -> int:
+        """Sends what the send buffer takes at once, for most callers all of it; returns the number of bytes."""
+        try:
+            return self._handler.connection.send(data, flags | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return 0
+
     def _send(self, data: bytes, flags: int = 0) -> None:
         handler = self._handler
         try:
             if len(data) <= _MAX_JOINED_BYTES:
-                with handler.waiting(Stage.RESPONSE):
-                    handler.connection.sendall(data, flags)
+                sent = self._send_now(data, flags)
+                if sent < len(data):
+                    with handler.waiting(Stage.RESPONSE):
+                        handler.connection.sendall(memoryview(data)[sent:], flags)
                 return
             with handler.waiting(Stage.RESPONSE, lambda: True), memoryview(data) as view:
                 for start in range(0, len(data), _MAX_JOINED_BYTES):
