gateway: answer times by service are no longer kept twice

Cause: each VM kept a histogram of answer times for each plain service, filled under a lock with every answer, and nothing read it: second sends use the leader's, which is learned over all VMs. Change: the histogram and its accessor go; the tests of AnswerTimes stay. record_answer keeps its parameter service, now unused. Before/after: no behaviour changes; tests of the plain fleet and of second sends pass (24).

--- a/libs/arbutusrill_gateway/_plain_servers.py
+++ b/libs/arbutusrill_gateway/_plain_servers.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from arbutusrill_base import AnswerTimes, Clock, EventLog
+from arbutusrill_base import Clock, EventLog
 from arbutusrill_site import SiteView
 from arbutusrill_wire import messages
 
@@ -66,7 +66,6 @@
         self._late_line_by_service: dict[str, WaitingLine] = {}
         self._history_by_id: dict[str, ServerHistory] = {}
         self._waiting_by_service: Counter[str] = Counter()
-        self._answer_times_by_service: dict[str, AnswerTimes] = {}
         self._count_by_decision: Counter[str] = Counter()
 
     def use_messages(self, load_by_id: dict[str, tuple[int, int]]) -> list[Any]:
@@ -152,8 +151,6 @@
             work_s = min(work_s, _MAX_WORK_RATIO * (history.work_s or work_s))
             self._observations.record(record.id, now, answered=1, errors=int(is_error), worked=1, work_s=work_s)
             history.work_s = history.work_s or work_s
-            if not is_error:
-                self._answer_times_by_service.setdefault(service, AnswerTimes()).record(took_s, now)
 
     def record_failure(self, record: Any) -> None:
         """Records a send without a whole answer."""
@@ -165,12 +162,6 @@
         with self._lock:
             self._observations.record(record.id, self._clock.monotonic(), refused=1)
 
-    def answer_time_s(self, service: str, fraction: float) -> float | None:
-        """Returns the time within which `fraction` of the recent answers of a service came, None if unknown."""
-        with self._lock:
-            times = self._answer_times_by_service.get(service)
-            return None if times is None else times.quantile(fraction)
-
     def _history(self, backend: str, now: float) -> ServerHistory:
         history = self._history_by_id.get(backend)
         if history is None:
