gateway: callers that return to a busy plain service leave the room to requests that can be in time

Change: a late request waits for spare room whatever the VMs admit, and does not count as offered. The decision is one of PlainServers (Admission), which the replay uses too.

--- a/libs/arbutusrill_gateway/_plain_servers.py
+++ b/libs/arbutusrill_gateway/_plain_servers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 import random
 import threading
 from collections import Counter
@@ -20,7 +21,7 @@
 from ._server_history import MIN_WORK_S, ServerHistory
 from ._waiting_line import WaitingLine
 
-__all__ = ["PlainNeed", "PlainServers"]
+__all__ = ["Admission", "PlainNeed", "PlainServers"]
 
 _MAX_FLEET_AGE_S = 1.5  # of a reply of the leader; with an older one a VM relies on its own observations
 _OFFERED_WINDOW_S = 0.5
@@ -39,6 +40,14 @@
     objective_s: float
 
 
+class Admission(enum.Enum):
+    """What is done with a request of a plain service."""
+
+    SEND = "send"
+    WAIT = "wait"
+    REFUSE = "refuse"
+
+
 class PlainServers:
     """Shared knowledge of the servers of plain services, which `BackendPool` asks for its choices.
 
@@ -104,15 +113,17 @@
                 for name in names
             ]
 
-    def record_offered(self, service: str) -> None:
-        """Counts a request of a caller for a service."""
-        with self._lock:
-            self._offered.record(service, self._clock.monotonic(), sent=1)
+    def record_arrival(self, service: str, route: str, deadline_s: float | None) -> bool:
+        """Counts a request of a caller for a service; returns whether it is late, as its caller was refused before.
 
-    def is_return(self, route: str, deadline_s: float | None) -> bool:
-        """Returns whether a request with this time limit likely comes from a caller that was refused before."""
+        A late one is recognized by its time limit. It does not count as offered: it waits for what the others leave.
+        """
+        now = self._clock.monotonic()
         with self._lock:
-            return self._returns.observe(route, deadline_s, self._clock.monotonic())
+            is_late = self._returns.observe(route, deadline_s, now)
+            if not is_late:
+                self._offered.record(service, now, sent=1)
+            return is_late
 
     def late_line(self, service: str) -> WaitingLine:
         """Returns the line of requests of a service that are late already and wait for spare room."""
@@ -265,6 +276,18 @@
         weights = [server.weight(need.objective_s, need.once_only) for server in state.used]
         return self._rng.choices(state.used, weights)[0].id
 
+    def admission(self, state: ServiceState, objective_s: float, is_late: bool) -> Admission:
+        """Returns what is to be done with a request.
+
+        One that is late waits for spare room whatever the VMs admit: in a burst and after it, it would take the place
+        of a request that can still be in time.
+        """
+        if not state.servers:
+            return Admission.SEND
+        if is_late:
+            return Admission.WAIT
+        return Admission.SEND if self.is_admitted(state, objective_s) else Admission.REFUSE
+
     def is_admitted(self, state: ServiceState, objective_s: float) -> bool:
         """Returns whether a request is sent at once, at random by the fraction that all VMs admit."""
         return self._rng.random() < state.admitted_fraction(objective_s)
--- a/libs/arbutusrill_gateway/_room_wait.py
+++ b/libs/arbutusrill_gateway/_room_wait.py
@@ -10,6 +10,7 @@
 
 from ._exchange import Exchange
 from ._plain_load import ServiceState
+from ._plain_servers import Admission
 from ._waiting_line import Position, WaitingLine
 
 __all__ = ["admit", "refuse_full", "wait_for_spare_room"]
@@ -26,15 +27,15 @@
     """Returns whether a request may be sent now; otherwise it has been refused.
 
     A first attempt is sent or refused at once. One that is late already, since its caller was refused before, waits for
-    spare room instead.
+    spare room, which it has at once while the servers are not busy.
     """
-    plain = exchange.pool.plain
-    plain.record_offered(exchange.service.name)
-    is_return = plain.is_return(exchange.route.name, exchange.request.deadline_s)
+    plain, objective_s = exchange.pool.plain, exchange.route.objective_s
+    is_late = plain.record_arrival(exchange.service.name, exchange.route.name, exchange.request.deadline_s)
     state = exchange.pool.plain_state(exchange.service, exchange.tried)
-    if not state.servers or plain.is_admitted(state, exchange.route.objective_s):
+    admission = plain.admission(state, objective_s, is_late or exchange.objective_remaining_s() <= 0)
+    if admission is Admission.SEND:
         return True
-    if is_return or exchange.objective_remaining_s() <= 0:
+    if admission is Admission.WAIT:
         if wait_for_spare_room(exchange):
             return True
         refuse_full(exchange, "no_room_in_time", "no server had room in time", state)
--- a/libs/arbutusrill_gateway/tests/plain_fleet.py
+++ b/libs/arbutusrill_gateway/tests/plain_fleet.py
@@ -10,7 +10,7 @@
 from arbutusrill_site import FleetReport, SiteView, UseTotals
 from arbutusrill_wire import messages
 
-from arbutusrill_gateway._plain_servers import PlainNeed, PlainServers
+from arbutusrill_gateway._plain_servers import Admission, PlainNeed, PlainServers
 
 SERVICE, SLOTS, QUEUE = "app", 6, 24
 POLL_S, NETWORK_S, CHECK_S = 0.25, 0.002, 0.05
@@ -43,7 +43,7 @@
             for n in range(3)
         ]
         self.vms = [self.make_vm(number, vms) for number in range(vms)]
-        self.results, self.sends, self.broken_at = Counter(), Counter(), []
+        self.results, self.sends, self.broken_at, self.in_time_of = Counter(), Counter(), [], []
         self.events, self.numbers, self.now = [], itertools.count(), 0.0
 
     def make_vm(self, number, vms):
@@ -84,12 +84,12 @@
     def enter(self, request):
         vm = self.rng.choice(self.vms)
         request.limit = min(self.now + TIMEOUT_S, request.began + DEADLINE_S)
-        vm.plain.record_offered(SERVICE)
-        is_return = vm.plain.is_return("r", DEADLINE_S - (self.now - request.began))
+        is_late = vm.plain.record_arrival(SERVICE, "r", DEADLINE_S - (self.now - request.began))
         state = vm.plain.state(SERVICE, self.records, vm.own)
-        if self.legacy or vm.plain.is_admitted(state, self.objective_s):
+        admission = Admission.SEND if self.legacy else vm.plain.admission(state, self.objective_s, is_late)
+        if admission is Admission.SEND:
             self.send(vm, request)
-        elif is_return:
+        elif admission is Admission.WAIT:
             vm.plain.add_waiting(SERVICE, 1)
             vm.late.append(request)
             self.check_late(vm, request)
@@ -164,7 +164,10 @@
         server, record = self.servers[number], self.records[number]
         vm.own[record.id] -= 1
         vm.plain.record_answer(record, SERVICE, self.now - sent_at, in_progress, False)
-        self.results["in time" if self.now - request.began <= self.objective_s else "late"] += 1
+        is_in_time = self.now - request.began <= self.objective_s
+        self.results["in time" if is_in_time else "late"] += 1
+        if is_in_time:
+            self.in_time_of.append(request.began)
         if server.queue:
             self.at(self.now + server.work(self.now), self.finish, *server.queue.pop(0))
         else:
--- a/libs/arbutusrill_gateway/tests/test_room_wait.py
+++ b/libs/arbutusrill_gateway/tests/test_room_wait.py
@@ -60,7 +60,7 @@
 def test_request_that_returns_in_vain_is_refused_before_its_time_ends_and_leaves_the_line():
     view, clock = busy_view(in_progress=60, offered=100_000)
     pool = BackendPool(view, "z", clock)
-    pool.plain.is_return("r", 4.0)
+    pool.plain.record_arrival("s", "r", 4.0)
     results = [admit(exchange_at(pool, 0.5)[0]) for _ in range(3)]
     assert False in results
     assert not [load.waiting for load in pool.plain.load_messages() if load.waiting]
