--- a/libs/arbutusrill_gateway/tests/test_second_send_replay.py
+++ b/libs/arbutusrill_gateway/tests/test_second_send_replay.py
@@ -3,7 +3,7 @@
 import random
 
 import pytest
-from arbutusrill_site._second_sends import SecondSends
+from arbutusrill_site import SecondSends
 
 from arbutusrill_gateway._second_sends import SecondSendPolicy
 
