site: findings about a configuration, and its differences from another version

Cause: operators learn of a mistake in a configuration after it is in force: the decoder refuses what is inconsistent, but not a route that no request can match, a service without requests, or limits that contradict each other. Change: checks on SiteConfiguration, one class for each kind of mistake; check_document decodes a document once, records the names and routes that the indexes of SiteConfiguration collapse, and compares it by name with the version in force. Nothing is imported until it is used, so that control VMs start as before. Before/after: a new part, no behaviour of the router changes. libs/arbutusrill_site and platform/tests/test_check_command.py: 348 passed.

--- a/libs/arbutusrill_site/__init__.py
+++ b/libs/arbutusrill_site/__init__.py
@@ -1,10 +1,12 @@
 """Shared state of a site: its configuration, backend servers and entry VMs, and the allocation of model engines.
 
-`SiteMetrics` is imported on first use, so that the imports of a starting control VM do not delay the election.
+`SiteMetrics` and the check of a document are imported on first use, so that the imports of a starting control VM do not
+delay the election.
 """
 
 from __future__ import annotations
 
+import importlib
 from typing import Any
 
 from ._announcement_fields import (
@@ -78,6 +80,7 @@
     "Engine",
     "EngineRegistry",
     "EngineStatistics",
+    "DocumentReport",
     "DocumentWriter",
     "EntryDirectory",
     "EntryRegistry",
@@ -106,13 +109,21 @@
     "Target",
     "UseTotals",
     "Workspace",
+    "check_document",
     "is_newer",
+    "printable",
 ]
 
 
+_MODULE_BY_LAZY_NAME = {
+    "DocumentReport": "._document_check",
+    "SiteMetrics": "._metrics",
+    "check_document": "._document_check",
+    "printable": "._configuration_findings",
+}
+
+
 def __getattr__(name: str) -> Any:
-    if name != "SiteMetrics":
+    if name not in _MODULE_BY_LAZY_NAME:
         raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
-    from ._metrics import SiteMetrics
-
-    return SiteMetrics
+    return getattr(importlib.import_module(_MODULE_BY_LAZY_NAME[name], __name__), name)
