--- a/libs/arbutusrill_gateway/tests/test_second_sender.py
+++ b/libs/arbutusrill_gateway/tests/test_second_sender.py
@@ -96,13 +96,16 @@
     assert (caller.status, caller.body) == (200, b"first")
 
 
-@pytest.mark.parametrize("reason", ["limit", "retry_budget", "route", "kind"])
+@pytest.mark.parametrize("reason", ["limit", "retry_budget", "route", "kind", "no_gain"])
 def test_there_is_no_second_send(sender, reason):
-    """Guards against second sends that the operators, the retry budget or the route do not allow."""
+    """Guards against second sends that the operators, the retry budget or the route do not allow, or that come late."""
     first, second = Backend(after(0.4, FIRST)), Backend(sends(WHOLE))
     sender.leader.granted = reason != "limit"
+    if reason == "no_gain":
+        sender.policy.set_delays({"s": 1})
     options = {
         "limit": {},
+        "no_gain": {},
         "retry_budget": {"retries": 0},
         "route": {"max_attempts": 1},
         "kind": {"kind": RouteKind.NON_IDEMPOTENT, "method": "POST"},
