gateway: requests that return find room on a VM that stops, and a share of it on one that hears nothing

On a VM that stops the wait ended before it looked for room, so that the request was refused although servers were idle and first attempts were sent. A VM that hears nothing of the others took all slots that it did not use itself for idle: three servers with six slots and five requests of the VM at each gave 185 late requests a second. Change: the end of the VM's waits comes after the look for room; without reports, a VM has its share of the slots. Before/after: both tests failed first.

--- a/libs/arbutusrill_gateway/_plain_load.py
+++ b/libs/arbutusrill_gateway/_plain_load.py
@@ -129,9 +129,17 @@
         share = server.capacity(objective_s) / max(1, self.vm_count)
         return server.own_in_progress < max(_MIN_OWN_SHARE, share)
 
+    def _own_idle(self, server: ServerLoad) -> float:
+        return max(0.0, max(_MIN_OWN_SHARE, server.slots / max(1, self.vm_count)) - server.own_in_progress)
+
     def spare_per_s(self) -> float:
-        """Returns the rate at which this VM may send requests that are late already: its share of the spare room."""
+        """Returns the rate at which this VM may send requests that are late already: its share of the spare room.
+
+        A VM that hears nothing of the others has its share of the slots.
+        """
         used = self.used
+        if not self.fleet_known:
+            return sum(self._own_idle(server) for server in used) / _CONTROL_S
         idle = sum(server.slots - server.in_progress for server in used)
         if idle <= 0:
             return 0.0
--- a/libs/arbutusrill_gateway/_room_wait.py
+++ b/libs/arbutusrill_gateway/_room_wait.py
@@ -95,12 +95,14 @@
         if exchange.remaining_s() <= max(_ANSWER_RESERVE_S, _ANSWER_RESERVE_FACTOR * expected_s):
             objective_s = exchange.route.objective_s
             return any(server.in_progress < server.target(objective_s) for server in state.used)
-        if exchange.pool.is_stopping or not state.servers:
+        if not state.servers:
             return False
         is_first = position.turn_in_s() is not None
         spare_per_s = state.spare_per_s()
         if is_first and spare_per_s > 0 and (now - line.released_at) * spare_per_s >= 1:
             return True
+        if exchange.pool.is_stopping:
+            return False
         if connection is not None and now - checked_at >= _CONNECTION_CHECK_INTERVAL_S:
             checked_at = now
             if peer_closed(connection):
--- a/libs/arbutusrill_gateway/tests/test_room_wait.py
+++ b/libs/arbutusrill_gateway/tests/test_room_wait.py
@@ -9,6 +9,7 @@
 
 from arbutusrill_gateway import BackendPool, CallerRequest
 from arbutusrill_gateway._exchange import Exchange
+from arbutusrill_gateway._plain_load import ServerLoad, ServiceState
 from arbutusrill_gateway._reply import Responder
 from arbutusrill_gateway._room_wait import admit
 
@@ -66,6 +67,34 @@
     assert not [load.waiting for load in pool.plain.load_messages() if load.waiting]
 
 
+def test_request_that_returns_to_idle_servers_is_sent_while_the_vm_stops():
+    # It was refused, since it counted as one that waits, while first attempts were still sent.
+    view, clock = busy_view(in_progress=0, offered=5)
+    pool = BackendPool(view, "z", clock)
+    assert admit(exchange_at(pool, 4.0)[0])
+    pool.is_stopping = True
+    assert admit(exchange_at(pool, 2.8)[0])
+
+
+def test_vm_that_hears_nothing_sends_late_requests_within_its_share_of_the_slots():
+    # Each VM took all slots that it did not use itself for idle.
+    def spare_per_s(own):
+        servers = [ServerLoad(id_, 6, own, own, 0.09) for id_ in "abc"]
+        return ServiceState(servers, 1.0, 1.0, own_waiting=1, fleet_known=False, vm_count=60).spare_per_s()
+
+    assert spare_per_s(0) > 0
+    assert spare_per_s(2) == 0
+
+
+def test_request_that_returns_does_not_count_as_offered():
+    # Fewer first attempts were admitted while callers returned.
+    view, clock = busy_view(in_progress=0, offered=5)
+    pool = BackendPool(view, "z", clock)
+    for deadline_s in (4.0, 2.8, 4.0, 2.8):
+        admit(exchange_at(pool, deadline_s)[0])
+    assert [(load.name, load.offered) for load in pool.plain.load_messages()] == [("s", 2)]
+
+
 def test_once_only_request_that_a_server_has_not_run_goes_to_another_one():
     # It was refused to its caller although other servers had room, since it may be sent to one server only.
     full, sound = Backend(sends(head(503, *REFUSAL_FIELDS))), Backend(sends(WHOLE))
