gateway: callers with a short time limit of their own are not taken for ones that return

Cause: a caller that returns is told by a time limit below 0.9 of the longest of its route. Since such a caller waits behind all others while the slots are taken, so callers with a shorter limit of their own (less than half of a route) were late throughout. Change: limits of times in which no server was busy for as long as callers wait show whether short ones are usual on the route; there nobody is taken for one that returns, nor in such a time.

--- a/libs/arbutusrill_gateway/_plain_servers.py
+++ b/libs/arbutusrill_gateway/_plain_servers.py
@@ -72,6 +72,7 @@
         self._offered = ServerObservations(_OFFERED_WINDOW_S)  # by service, in the field `sent`
         self._health = FleetHealth()
         self._returns = CallerReturns()
+        self._busy_at_by_service: dict[str, float] = {}
         self._late_line_by_service: dict[str, WaitingLine] = {}
         self._history_by_id: dict[str, ServerHistory] = {}
         self._waiting_by_service: Counter[str] = Counter()
@@ -120,7 +121,9 @@
         """
         now = self._clock.monotonic()
         with self._lock:
-            is_late = self._returns.observe(route, deadline_s, now)
+            is_late = self._returns.observe(
+                route, deadline_s, now, self._busy_at_by_service.get(service, float("-inf"))
+            )
             if not is_late:
                 self._offered.record(service, now, sent=1)
             return is_late
@@ -218,7 +221,7 @@
         load = self._view.fleet.load_by_service.get(service) if fleet_known else None
         offered = own_offered + (load.offered if load is not None else 0)
         others_waiting = load.waiting if load is not None else 0
-        return ServiceState(
+        state = ServiceState(
             servers,
             offered / _OFFERED_WINDOW_S,
             own_offered / _OFFERED_WINDOW_S,
@@ -227,6 +230,9 @@
             fleet_known,
             max(1, self._vm_count()),
         )
+        if not (fleet_known and state.has_idle_slots):
+            self._busy_at_by_service[service] = now
+        return state
 
     def _server_load(
         self,
--- a/libs/arbutusrill_gateway/tests/test_plain_fleet.py
+++ b/libs/arbutusrill_gateway/tests/test_plain_fleet.py
@@ -160,10 +160,22 @@
 
 def test_caller_that_returns_is_told_by_its_shorter_time_limit():
     returns = CallerReturns()
-    assert not any(returns.observe("r", 4.0, now / 10) for now in range(20))
-    assert returns.observe("r", 2.9, 2.0) and not returns.observe("r", None, 2.0)
+    assert not any(returns.observe("r", 4.0, now / 10, now / 10) for now in range(20))
+    assert returns.observe("r", 2.9, 2.0, 2.0) and not returns.observe("r", None, 2.0, 2.0)
     # Where time limits differ by themselves nobody is taken for one that returns.
-    assert not any([returns.observe("mixed", 1.0 + now % 3, now / 10) for now in range(100)][50:])
+    assert not any([returns.observe("mixed", 1.0 + now % 3, now / 10, now / 10) for now in range(100)][50:])
+
+
+def test_short_limit_that_is_usual_while_nobody_is_refused_is_no_return():
+    # Callers with a shorter limit of their own waited behind all others while servers were busy.
+    plain, _, clock, records = plain_servers()
+    for number in range(40):
+        clock.advance(0.5)
+        plain.record_arrival(SERVICE, "own", 4.0 if number % 3 else 2.0)
+        plain.record_arrival(SERVICE, "same", 4.0)
+    assert plain.state(SERVICE, records, {"a": 60, "b": 60}).has_idle_slots is False
+    assert not plain.record_arrival(SERVICE, "own", 2.0)
+    assert plain.record_arrival(SERVICE, "same", 2.0)
 
 
 def test_trials_of_a_server_that_is_out_are_few_over_all_vms():
