--- a/libs/arbutusrill_gateway/_second_sender.py
+++ b/libs/arbutusrill_gateway/_second_sender.py
@@ -144,6 +144,7 @@
         self._ended = threading.Event()  # of the second send, or that there is none
         self._lock = threading.Lock()
         self._user_count = 1
+        self._began_at = time.monotonic()
         self.race = Race()
         self.delay_s = None if sender is None else sender.delay_s(exchange)
         self.wake_up = None if self.delay_s is None else os.eventfd(0, os.EFD_NONBLOCK)
@@ -169,12 +170,23 @@
                 os.eventfd_write(self.wake_up, 1)
 
     def start(self) -> None:
-        """Starts the second send, once; it asks for its grant on its own thread."""
-        if self.delay_s is None or not self.race.start_second():
+        """Starts the second send, once; it asks for its grant on its own thread.
+
+        While no other server is expected to be sooner, it does nothing: a later call may start the second send.
+        """
+        if self.delay_s is None or not self.race.may_start_second:
+            return
+        exchange = self._exchange
+        other = exchange.pool.pick(exchange.service, exclude={*exchange.tried, self._first.id})
+        took_s = time.monotonic() - self._began_at
+        if other is not None and not self._sender.policy.is_sooner(other.expected_s, took_s):
+            self._sender.count("no_gain")
+            return
+        if not self.race.start_second():
             return
         with self._lock:
             self._user_count += 1
-        if not self._sender.submit(self._run):
+        if not self._sender.submit(lambda: self._run(other)):
             self._release()
             self._withdraw("stopping")
 
@@ -188,10 +200,10 @@
         if self.race.winner is not None:
             self._wake()
 
-    def _run(self) -> None:
+    def _run(self, other: Candidate | None) -> None:
         try:
-            other, reason = self._reserve()
-            if other is None:
+            reason = self._obstacle(other)
+            if reason:
                 self._withdraw(reason)
             else:
                 self._send(other)
@@ -201,21 +213,16 @@
         finally:
             self._release()
 
-    def _reserve(self) -> tuple[Candidate | None, str]:
-        """Returns another server with a grant; None and the reason if there is none."""
+    def _obstacle(self, other: Candidate | None) -> str:
+        """Returns why there is no second send to a server; empty after a grant of the leader."""
         exchange, pool = self._exchange, self._exchange.pool
-        other = pool.pick(exchange.service, exclude={*exchange.tried, self._first.id})
         if other is None or other.id in {*pool.avoided_ids(), *pool.plain.out_ids()}:
-            return None, "no_server"
-        if not self._sender.policy.is_sooner(other.expected_s, self.delay_s):
-            return None, "no_gain"
+            return "no_server"
         if self.race.winner is not None:
-            return None, "answered"
+            return "answered"
         if exchange.budget.is_short:
-            return None, "retry_budget"
-        if not self._sender.is_granted(exchange.service.name):
-            return None, "limit"
-        return other, ""
+            return "retry_budget"
+        return "" if self._sender.is_granted(exchange.service.name) else "limit"
 
     def _send(self, other: Candidate) -> None:
         exchange, answer = self._exchange, _SecondAnswer(self.race)
--- a/libs/arbutusrill_gateway/_second_sends.py
+++ b/libs/arbutusrill_gateway/_second_sends.py
@@ -88,12 +88,12 @@
         delay_s = delay_ms / 1000
         return delay_s if remaining_s > _MIN_REMAINING_FACTOR * delay_s else None
 
-    def is_sooner(self, expected_s: float, delay_s: float) -> bool:
+    def is_sooner(self, expected_s: float, took_s: float) -> bool:
         """Whether another server is expected to answer in less time than the first one has had.
 
         While all servers have long queues, a copy waits as long as its request and makes others wait longer.
         """
-        return expected_s < delay_s
+        return expected_s < took_s
 
     def is_short(self, service: str, now: float) -> bool:
         """Whether servers of a service have turned work away lately."""
@@ -130,10 +130,15 @@
         self.has_second = False
         self.winner: Sender | None = None
 
+    @property
+    def may_start_second(self) -> bool:
+        """Whether a second send may begin: the request has no answer yet and was not sent twice."""
+        return not self._has_started and self.winner is None and Sender.FIRST not in self._result_by_sender
+
     def start_second(self) -> bool:
         """Begins the second send; returns False if the request has an answer or was sent twice already."""
         with self._lock:
-            if self._has_started or self.winner is not None or Sender.FIRST in self._result_by_sender:
+            if not self.may_start_second:
                 return False
             self._has_started = self.has_second = True
             return True
