site: a prompt that an engine had kept does not count as its speed

Cause: the shortest time of a prefill replaced the estimate of its engine and was forgotten at 2% a prefill. Change: an estimate falls to the time that three of the latest eight prefills did not exceed; the first one lowers it by a third at most.

--- a/libs/arbutusrill_site/_speeds.py
+++ b/libs/arbutusrill_site/_speeds.py
@@ -22,6 +22,11 @@
 _CONTENTION_FACTOR = 1.1  # the estimate follows the shortest times; concurrent streams lengthen them
 _MAX_PENDING_PROMPT_AGE_S = 3.0  # older prompts count as processed
 _ASSIGNMENT_TOLERANCE_S = 0.05  # by which a prefill may seem to begin before its assignment
+# A prefill that is far shorter than the others says little of its engine, which may have had most of the prompt: the
+# estimate falls to a time that this many of the latest prefills did not exceed.
+_MIN_SHORT_PREFILLS = 3
+_LATEST_PREFILLS = 8
+_MAX_FIRST_FALL_FACTOR = 2 / 3  # by which the first prefill may lower the estimate
 _LOCAL_PREFILL_FACTOR = 2.0  # time of a prefill on a decode engine, as a multiple of that on a prefill engine
 
 
@@ -68,7 +73,8 @@
 class UnitTimeEstimate:
     """Estimated seconds per prompt token (prefill) or stream event (decode) on one engine.
 
-    Shorter times replace the estimate and longer ones move it slowly, since queueing and contention only add time.
+    Shorter times replace the estimate and longer ones move it slowly, since queueing and contention only add time. A
+    short prefill must be confirmed by others, since the engine may have kept a part of its prompt.
     """
 
     unit_s: float
@@ -76,6 +82,7 @@
     recent_s: float = 0.0  # moving average of the times, with queueing and contention; 0 before the first
     busy_until: float = 0.0  # when the engine is expected to be able to start another prefill
     _pending: deque[_PendingPrompt] = field(default_factory=deque)  # oldest first
+    _latest_s: deque[float] = field(default_factory=lambda: deque(maxlen=_LATEST_PREFILLS))  # of prefills, any wait
 
     def ends_at(self, tokens: int, now: float) -> float:
         """Returns the expected end of a prefill that is assigned to the engine now."""
@@ -98,8 +105,7 @@
         """
         index = self._index_of(tokens, now - took_s)
         if index is None:
-            if took_s / tokens < self.unit_s:
-                self.add(took_s / tokens)
+            self._add_prefill(took_s / tokens, has_waited=True)
             return
         prompt = self._pending[index]
         for _ in range(index + 1):
@@ -108,8 +114,20 @@
         self.busy_until += delay_s
         for newer in self._pending:
             newer.expected_end += delay_s
-        if not prompt.queued or took_s / tokens < self.unit_s:
-            self.add(took_s / tokens)
+        self._add_prefill(took_s / tokens, has_waited=prompt.queued)
+
+    def _add_prefill(self, observed_s: float, has_waited: bool) -> None:
+        """Adds the time per token of a prefill; one that may have waited counts only if it is shorter."""
+        self._latest_s.append(observed_s)
+        if has_waited and observed_s >= self.unit_s:
+            return
+        self.count += 1
+        if self.count == 1:
+            self.unit_s = max(observed_s, self.unit_s * _MAX_FIRST_FALL_FACTOR)
+        elif observed_s >= self.unit_s:
+            self.unit_s += _SLOWER_SMOOTHING_FACTOR * (observed_s - self.unit_s)
+        elif len(self._latest_s) >= _MIN_SHORT_PREFILLS:
+            self.unit_s = min(self.unit_s, sorted(self._latest_s)[_MIN_SHORT_PREFILLS - 1])
 
     def _index_of(self, tokens: int, assigned_by: float) -> int | None:
         """Returns the position of the oldest pending prompt of `tokens`; None if it was not assigned here."""
--- a/libs/arbutusrill_site/tests/test_order.py
+++ b/libs/arbutusrill_site/tests/test_order.py
@@ -28,6 +28,8 @@
         self.prefill_ends, self.prefills = {}, []
         self.streams_by_engine, self.local_end_by_engine = {}, {}
         self.paused = set()  # IDs of streams that paused for longer than their callers accept
+        self.kept_interval = 0  # one prompt in this number is read in a quarter of its time, as the engine has its rest
+        self.prefill_count = 0
 
     def poll(self, now, request, arrived_at):
         self.requests.setdefault(request.request_id, request)
@@ -61,7 +63,10 @@
             if ends_at - now + EVENT_S > GAP["event_gap_ms"] / 1000:
                 self.paused |= self.streams_by_engine.get(reply.decode, set())
             return ends_at
-        ends_at = max(now, self.prefill_ends.get(reply.prefill, 0.0)) + tokens * PREFILL_S_PER_TOKEN
+        self.prefill_count += 1
+        is_kept = self.kept_interval and self.prefill_count % self.kept_interval == 0
+        read_s = tokens * PREFILL_S_PER_TOKEN / (4 if is_kept else 1)
+        ends_at = max(now, self.prefill_ends.get(reply.prefill, 0.0)) + read_s
         self.prefill_ends[reply.prefill] = ends_at
         self.prefills.append((ends_at, messages.EngineSpeed(reply.prefill, ends_at + NETWORK_S - now, tokens)))
         return ends_at
@@ -111,6 +116,22 @@
     assert replay.peak_tokens <= replay.capacity_tokens
 
 
+@pytest.mark.parametrize("factor", [0.8, 1.5, 2.5])
+def test_prompts_that_engines_have_kept_make_no_others_late(factor):
+    # One short time was taken for the speed of the engine, which then got more prompts than it could read in time.
+    in_time = {}
+    for kept_interval in (0, 25, 60):
+        replays = [ScarceReplay(seed, decode=12, prefill=3) for seed in range(4)]
+        for replay in replays:
+            replay.kept_interval = kept_interval
+            for start, end, rate in ((0, 5, 26), (5, 9, 33 * factor), (9, 20, 26)):
+                replay.load(rate * 0.7, start, end, prompt_tokens=2400, output_tokens=500, **GAP)
+                replay.load(rate * 0.3, start, end, prompt_tokens=5500, output_tokens=900, **GAP)
+            replay.run(60)
+        in_time[kept_interval] = sum(replay.in_time_fraction(0, 20) for replay in replays) / len(replays)
+    assert min(in_time.values()) > in_time[0] - 0.02
+
+
 def test_large_late_request_keeps_no_smaller_one_from_the_room():
     # Engines were a quarter empty for four seconds after a burst, while a late request too large for any of them was
     # the first of 70.
--- a/libs/arbutusrill_site/tests/test_speeds.py
+++ b/libs/arbutusrill_site/tests/test_speeds.py
@@ -67,3 +67,17 @@
         speeds.unit_time_of("engine-1", "prefill").add_prompt(3000, 10.0 + number * 0.05)
         speeds.learn_prefill("engine-1", 0.3 + number * 0.02, 3000, 10.3 + number * 0.07)
     assert speeds.relative_speed("engine-1", "prefill") > 0.9
+
+
+def test_prompt_that_an_engine_had_kept_does_not_raise_its_speed():
+    # 3233 tokens in 40 ms set an engine of 42 us a token to 12: in the next burst, 8 of its 18 prompts timed out.
+    speeds = EngineSpeeds()
+    estimate = speeds.unit_time_of("engine-1", "prefill")
+    for start, took_s in enumerate((0.126, 0.13, 0.04, 0.126, 0.135, 0.13)):
+        estimate.add_prompt(3000, start)
+        speeds.learn_prefill("engine-1", took_s, 3000, start + took_s)
+    assert estimate.unit_s > 0.00004
+    for start in range(10, 13):
+        estimate.add_prompt(3000, start)
+        speeds.learn_prefill("engine-1", 0.06, 3000, start + 0.06)
+    assert estimate.unit_s < 0.000021
