gateway, http: a buffered response is held once, not in parts that are joined

Cause: a response of a plain service was kept in parts of 16 KiB and joined at its end, so that it took its size twice, and the parts left gaps in the heaps of the threads. Test that failed first: test_response_relay.py, 1,811,115 bytes traced for a body of 900,000, now below 1,260,000. The bound is not kept by this alone: parts of responses that wait for each other remain.

--- a/libs/arbutusrill_gateway/_plain.py
+++ b/libs/arbutusrill_gateway/_plain.py
@@ -5,7 +5,7 @@
 import time
 
 from arbutusrill_base import Verdict
-from arbutusrill_http import AbortStreamError
+from arbutusrill_http import AbortStreamError, BodyBuffer
 from arbutusrill_site import RouteKind
 
 from ._attempt import AttemptResult, BodyReceiver, Outcome, send_attempt
@@ -48,7 +48,7 @@
         self._candidate = candidate
         self._memory_wait_s = _MEMORY_WAIT_S
         self._response: ResponseHead | None = None
-        self._chunks: list[bytes] = []
+        self._body = BodyBuffer(_MAX_BUFFERED_BYTES)
         self._size_bytes = 0
         self._progress_at = time.monotonic()
 
@@ -58,11 +58,9 @@
         return bool(self._exchange.responder.status)
 
     def take_body(self) -> bytes:
-        """Returns the buffered body and drops its parts; empty once the response to the caller has begun."""
+        """Returns the buffered body and drops it; empty once the response to the caller has begun."""
         self._exchange.memory.shrink(self._size_bytes)
-        body = b"".join(self._chunks)
-        self._chunks.clear()
-        return body
+        return self._body.take()
 
     def on_head(self, status: int, headers_by_name: dict[str, str]) -> None:
         """Stores the head."""
@@ -82,7 +80,7 @@
             if self._size_bytes > _MAX_REFUSAL_BYTES:
                 self.problem = f"a refusal with a body of more than {_MAX_REFUSAL_BYTES} bytes"
             return
-        self._chunks.append(data)
+        self._body.add(data)
         if self._size_bytes > _MAX_BUFFERED_BYTES:
             self._end_buffering(f"status {self._response.status} with a body of more than {_MAX_BUFFERED_BYTES} bytes")
         elif not self._has_room():
@@ -111,11 +109,10 @@
         """Forwards an answer while it arrives from now on; an error, which may be followed by a retry, ends."""
         if self._response.status < 500 and not is_suspect and self._race.claim(Sender.FIRST):
             self._exchange.responder.send_head(self._response.status, self._response.headers)
-            for chunk in self._chunks:
-                self._exchange.responder.write(chunk)
+            self._exchange.responder.write(self._body.take())
         else:
             self.problem = reason
-        self._chunks.clear()
+        self._body.take()
         self._exchange.memory.shrink(0)
 
     def progress_at(self) -> float:
--- a/libs/arbutusrill_http/__init__.py
+++ b/libs/arbutusrill_http/__init__.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from ._body_budget import BodyBudget, BodyReservation
+from ._body_buffer import BodyBuffer
 from ._connection_pool import ConnectionPool, Server, ServerConnections
 from ._endings import ConnectionEndings
 from ._handler import AbortStreamError
@@ -18,6 +19,7 @@
 
 __all__ = [  # noqa: F822
     "AbortStreamError",
+    "BodyBuffer",
     "BodyBudget",
     "BodyReservation",
     "ConnectionEndings",
