gateway: responses of a stated size take memory for the whole body or wait with their first part

Cause: each response grew its share in steps that double, up to the budget; ten responses held half of a body each and waited for more until all of them were forwarded, while their parts, and those of the ones behind them, stayed in memory. Change: with a Content-Length of up to 1 MiB, the first part takes room for the whole body. Bodies without a stated size grow in steps as before. Test that failed first: test_responses_of_stated_size_do_not_hold_parts_that_block_each_other.

--- a/libs/arbutusrill_gateway/_plain.py
+++ b/libs/arbutusrill_gateway/_plain.py
@@ -50,6 +50,7 @@
         self._response: ResponseHead | None = None
         self._body = BodyBuffer(_MAX_BUFFERED_BYTES)
         self._size_bytes = 0
+        self._stated_bytes = 0  # size of the body in the head, 0 if it is not stated or too large to be buffered
         self._progress_at = time.monotonic()
 
     @property
@@ -65,6 +66,9 @@
     def on_head(self, status: int, headers_by_name: dict[str, str]) -> None:
         """Stores the head."""
         self._response = self._exchange.protocol.decode_response(status, headers_by_name)
+        length = headers_by_name.get("content-length", "")
+        if length.isascii() and length.isdigit() and len(length) <= len(str(_MAX_BUFFERED_BYTES)):
+            self._stated_bytes = int(length) if int(length) <= _MAX_BUFFERED_BYTES else 0
         self._progress_at = time.monotonic()
 
     def on_data(self, data: bytes) -> None:
@@ -89,8 +93,12 @@
             self._end_buffering(reason, self._exchange.pool.is_avoided(self._candidate.record))
 
     def _has_room(self) -> bool:
+        """Reserves memory for the whole body if its size is stated: parts of bodies would block each other."""
         wait_s = min(self._memory_wait_s, _MEMORY_WAIT_FRACTION * self._exchange.remaining_s())
-        has_room = self._exchange.has_room_for(self._size_bytes, wait_s)
+        if self._size_bytes <= self._stated_bytes:
+            has_room = self._exchange.memory.grow(self._stated_bytes, wait_s)
+        else:
+            has_room = self._exchange.has_room_for(self._size_bytes, wait_s)
         now = time.monotonic()
         self._memory_wait_s = max(0.0, self._memory_wait_s - (now - self._progress_at))
         self._progress_at = now
--- a/libs/arbutusrill_gateway/tests/test_response_relay.py
+++ b/libs/arbutusrill_gateway/tests/test_response_relay.py
@@ -1,4 +1,4 @@
-"""Guards against responses of plain services that take more memory than their size until they are delivered."""
+"""Guards against responses of plain services that take more memory than their size, or keep it from each other."""
 
 import tracemalloc
 from types import SimpleNamespace
@@ -7,29 +7,62 @@
 
 from arbutusrill_gateway._plain import _ResponseRelay
 
-SIZE = 900_000
+SIZE, PART = 900_000, 10_000
+LENGTH = {"content-length": str(SIZE)}
 
 
-def test_response_is_held_once_when_its_end_has_arrived():
-    # Its parts and the whole body were held together, and the gaps that the parts left in the heap stayed.
+def new_relay(budget, headers_by_name):
+    """Returns a relay whose head has arrived, and the parts that it has forwarded to its caller."""
     response = SimpleNamespace(status=200, headers=[], not_run=False)
-    memory = BodyBudget(64 * 2**20).open("", is_response=True)
+    memory, forwarded = budget.open("", is_response=True), []
+    responder = SimpleNamespace(status=0, write=forwarded.append)
+    responder.send_head = lambda status, headers: setattr(responder, "status", status)
     exchange = SimpleNamespace(
         protocol=SimpleNamespace(decode_response=lambda status, headers_by_name: response),
-        responder=SimpleNamespace(status=0),
+        responder=responder,
         memory=memory,
         has_room_for=lambda size, wait_s: memory.grow(size, wait_s),
-        remaining_s=lambda: 1.0,
+        remaining_s=lambda: 0.0,
+        pool=SimpleNamespace(is_avoided=lambda record: False),
     )
-    relay = _ResponseRelay(exchange, None, None)
-    relay.on_head(200, {})
+    race = SimpleNamespace(claim=lambda sender: True)
+    relay = _ResponseRelay(exchange, SimpleNamespace(record=None), race)
+    relay.on_head(200, headers_by_name)
+    return relay, forwarded
+
+
+def test_response_is_held_once_when_its_end_has_arrived():
+    # Its parts and the whole body were held together, and the parts left gaps in the heap.
+    relay, _ = new_relay(BodyBudget(64 * 2**20), {})
     tracemalloc.start()
     try:
-        for _ in range(SIZE // 10_000):
-            relay.on_data(bytes(bytearray(10_000)))  # a new object, as each read returns
+        for _ in range(SIZE // PART):
+            relay.on_data(bytes(bytearray(PART)))  # a new object, as each read returns
         body = relay.take_body()
         _, peak = tracemalloc.get_traced_memory()
     finally:
         tracemalloc.stop()
     assert len(body) == SIZE
     assert peak < 1.4 * SIZE
+
+
+def test_responses_of_stated_size_do_not_hold_parts_that_block_each_other():
+    # Each held a part of the memory and waited for more, until all of them were forwarded for want of it.
+    budget = BodyBudget(4 * SIZE)  # responses may take half of it, and each takes its size twice for a moment
+    relays = [new_relay(budget, LENGTH) for _ in range(3)]
+    for _ in range(SIZE // PART):
+        for relay, _ in relays:
+            relay.on_data(bytes(PART))
+    assert [sum(map(len, forwarded)) for _, forwarded in relays] == [0, SIZE, SIZE]
+    assert budget.refused_response_count == 2
+    assert len(relays[0][0].take_body()) == SIZE
+
+
+def test_response_beyond_its_stated_size_is_not_held_without_room():
+    # Only libcurl and the parser of responses see that a body does not fit its head.
+    budget = BodyBudget(4 * SIZE)
+    relay, forwarded = new_relay(budget, LENGTH)
+    for _ in range(SIZE // PART + 1):
+        relay.on_data(bytes(PART))
+    assert sum(map(len, forwarded)) == SIZE + PART
+    assert budget.held_bytes == 0
