gateway: a plain server is back after two answers one after the other

Cause: a server that is out of use came back after two answers within half a second, or after three seconds without a failure.

Change: a second answer that is seen a second after the first one, without a failure between them, counts too.

test_server_is_back_after_two_answers_one_after_the_other failed before.

--- a/libs/arbutusrill_gateway/_fleet_health.py
+++ b/libs/arbutusrill_gateway/_fleet_health.py
@@ -14,6 +14,7 @@
 _AGREEING_VMS = 3  # failures of one VM's link must not take a server from all
 _BACK_ANSWERS = 2
 _BACK_SHARE = 0.5
+_ANSWER_SPACING_S = 1.0  # after which an answer that is seen is another one: counts of half a second, reported late
 _MAX_OUT_S = 3.0  # without a failure: nobody may have a request with which to try the server
 # Trials of a server that is out, by all VMs together. A request that may be repeated loses little by a failed trial.
 _TRIALS_PER_S = 4.0
@@ -41,6 +42,7 @@
     began_at: float
     failed_at: float
     is_own: bool  # only this VM leaves the server out
+    answered_at: float | None = None  # first answer that was seen since the last failure
 
 
 class FleetHealth:
@@ -74,9 +76,8 @@
             return True
         seen = counts.own if outage.is_own else total  # answers to others say nothing about the link of this VM
         if seen.failed:
-            outage.failed_at = now
-        min_answers = 1 if outage.is_own else _BACK_ANSWERS
-        recovered = seen.answered + seen.refused >= min_answers and seen.failure_share <= _BACK_SHARE
+            outage.failed_at, outage.answered_at = now, None
+        recovered = _has_recovered(outage, seen, now)
         if _fails_for_this_vm(counts.own) or not (recovered or now - outage.failed_at > _MAX_OUT_S):
             return False
         del self._outage_by_id[backend]
@@ -113,6 +114,18 @@
     return min(_MAX_TRIAL_SHARE, trials_per_s / max(1.0, requests_per_s))
 
 
+def _has_recovered(outage: _Outage, seen: ServerCounts, now: float) -> bool:
+    """Whether trials were answered: two, at once or one after the other without a failure between them."""
+    answers = seen.answered + seen.refused
+    if not answers or seen.failure_share > _BACK_SHARE:
+        return False
+    if outage.is_own or answers >= _BACK_ANSWERS:
+        return True
+    if not seen.failed and outage.answered_at is None:
+        outage.answered_at = now
+    return outage.answered_at is not None and now - outage.answered_at >= _ANSWER_SPACING_S
+
+
 def _fails_for_all(counts: SharedCounts, total: ServerCounts) -> bool:
     failing_vms = counts.other_failing_vms + (counts.own.failed > 0)
     agreed = failing_vms >= _AGREEING_VMS or counts.own.failed > 0
--- a/libs/arbutusrill_gateway/tests/test_plain_fleet.py
+++ b/libs/arbutusrill_gateway/tests/test_plain_fleet.py
@@ -101,6 +101,17 @@
     assert not health.update("a", counts(vms=0), 2.0) and health.update("a", counts(vms=0), 3.5)
 
 
+def test_server_is_back_after_two_answers_one_after_the_other():
+    # With a trial a second, two answers hardly ever came within the half second that is counted.
+    health = FleetHealth()
+    assert health.update("a", counts(others_failed=5, failing_vms=4), 0.0)
+    assert not health.update("a", counts(others_answered=1), 1.0)
+    assert not health.update("a", counts(others_answered=1), 1.5)
+    assert not health.update("a", counts(others_failed=1, failing_vms=1), 1.8)
+    assert not health.update("a", counts(others_answered=1), 2.5)
+    assert health.update("a", counts(others_answered=1), 3.5) and not health.is_out("a")
+
+
 def plain_servers(vm_count=30, slots=6):
     clock = ManualClock()
     view = SiteView(clock)
