gateway: prefills of once-only streams name all their connections to the leader

Cause: a stream that may not be resumed names only servers to which its decode may use a connection, idle for at most 3 s.

Change: connections to prefill engines are named by the idle time that a repeatable request may use.

test_prefill_of_a_once_only_request_is_offered_connections_that_its_decode_may_not_use failed before.

--- a/libs/arbutusrill_gateway/_connections.py
+++ b/libs/arbutusrill_gateway/_connections.py
@@ -59,8 +59,19 @@
         return self.pool.is_ready(_server_of(record), is_once)
 
     def ready_ids(self, is_once: bool) -> list[str]:
-        """Returns the ids of the servers to which a request may use a kept connection now, the latest used first."""
-        return [server.id for server in self.pool.ready_servers(is_once)[:_MAX_REPORTED]]
+        """Returns the ids of the servers to which a request may use a kept connection now, the latest used first.
+
+        A prefill may always run again, also that of a request whose decode may not.
+        """
+        ready = self.pool.ready_servers(False)
+        if is_once:
+            ready_once = set(self.pool.ready_servers(True))
+            ready = [server for server in ready if server in ready_once or self._is_prefill(server)]
+        return [server.id for server in ready[:_MAX_REPORTED]]
+
+    def _is_prefill(self, server: Server) -> bool:
+        record = self._view.backends_by_id.get(server.id)
+        return record is not None and record.stage == "prefill" and not record.ordered_stage
 
 
 def _server_of(record: Any) -> Server:
--- a/libs/arbutusrill_gateway/tests/test_kept_connections.py
+++ b/libs/arbutusrill_gateway/tests/test_kept_connections.py
@@ -1,12 +1,13 @@
 """Requests on kept connections that backend servers end, spoil or leave silent: once-only ones run at most once."""
 
+import contextlib
 import socket
 import time
 
 import pytest
-from arbutusrill_base import Verdict
+from arbutusrill_base import ManualClock, Verdict
 from arbutusrill_http import ConnectionPool, Server
-from arbutusrill_site import RouteKind, Service
+from arbutusrill_site import RouteKind, Service, SiteView
 from arbutusrill_wire import messages
 
 from arbutusrill_gateway import BackendConnections
@@ -129,3 +130,25 @@
     limits = connection_limits(records, services, 66)
     assert limits == {Server("1", "10.0.0.1:1", 7): 3, Server("3", "10.0.0.1:3", 7): 0}
     assert connection_limits(records, services, 6)[Server("3", "10.0.0.1:3", 7)] == 5
+
+
+def test_prefill_of_a_once_only_request_is_offered_connections_that_its_decode_may_not_use():
+    # They were not named to the leader, which then chose another engine for the prefill.
+    clock = ManualClock()
+    view = SiteView(clock)
+    kept = BackendConnections(view, lambda: 1, ConnectionPool(clock))
+    for stage in ("prefill", "decode"):
+        record = messages.BackendRecord(stage, 1, 1, "s", f"{stage}:1", "z", 8, False, stage, [])
+        view.backends_by_id = {**view.backends_by_id, stage: record}
+    servers = [Server(record.id, record.address, 1) for record in view.backends_by_id.values()]
+    kept.pool.retain(dict.fromkeys(servers, 2))
+    with contextlib.ExitStack() as stack:
+        for server in servers:
+            ends = socket.socketpair()
+            stack.enter_context(ends[0])
+            stack.enter_context(ends[1])
+            kept.pool.give_back(kept.pool.add(server, ends[0]), 9.0, "a")
+        assert set(kept.ready_ids(is_once=True)) == {"prefill", "decode"}
+        clock.advance(4.0)
+        assert kept.ready_ids(is_once=True) == ["prefill"]
+        assert set(kept.ready_ids(is_once=False)) == {"prefill", "decode"}
