--- a/libs/arbutusrill_gateway/tests/test_plain_fleet.py
+++ b/libs/arbutusrill_gateway/tests/test_plain_fleet.py
@@ -63,6 +63,22 @@
     assert results["turned away by servers"] < 0.05 * results["offered"] and not results["refused"]
 
 
+def test_requests_of_a_calm_load_mostly_go_where_a_connection_is_kept():
+    # The server was drawn without regard to kept connections: 37% of the sends opened one, since each VM sends few.
+    shared, _ = play(rate=lambda now: 60.0, vms=56)
+    assert shared["new connections"] < 0.25 * shared["offered"]
+    assert shared["in time"] > 0.96 * shared["offered"]
+
+
+def test_kept_connection_does_not_count_where_slots_are_taken_or_sends_fail():
+    idle, busy, failing = (
+        ServerLoad("a", 6, in_progress, 0, 0.06, failure_share)
+        for in_progress, failure_share in ((1.0, 0.0), (6.0, 0.0), (1.0, 0.3))
+    )
+    assert idle.weight(0.3, True, is_connected=True) > 4 * idle.weight(0.3, True)
+    assert all(load.weight(0.3, True, is_connected=True) == load.weight(0.3, True) for load in (busy, failing))
+
+
 def test_server_that_resets_everything_is_out_for_all_within_a_second_and_comes_back():
     fleet = Fleet(rate=lambda now: 100.0, failing=resets)
     fleet.run(15.0)
@@ -101,6 +117,17 @@
     assert not health.update("a", counts(vms=0), 2.0) and health.update("a", counts(vms=0), 3.5)
 
 
+def test_server_is_back_after_two_answers_one_after_the_other():
+    # With a trial a second, two answers hardly ever came within the half second that is counted.
+    health = FleetHealth()
+    assert health.update("a", counts(others_failed=5, failing_vms=4), 0.0)
+    assert not health.update("a", counts(others_answered=1), 1.0)
+    assert not health.update("a", counts(others_answered=1), 1.5)
+    assert not health.update("a", counts(others_failed=1, failing_vms=1), 1.8)
+    assert not health.update("a", counts(others_answered=1), 2.5)
+    assert health.update("a", counts(others_answered=1), 3.5) and not health.is_out("a")
+
+
 def plain_servers(vm_count=30, slots=6):
     clock = ManualClock()
     view = SiteView(clock)
