site: the first requests of a load are not refused for want of releases

Cause: the expected wait follows the releases of the last 4 s, or one a second for each engine. At the start of a load none have come: with an engine of 16 slots and streams of 0.4 s, requests that would have had a place within 0.6 s were refused at once. Change: in the first 4 s of a load, a request that can be in time expects the places held since, divided by the mean time for which places are held (that of a nominal stream before one was released), after the first release. Late ones keep the former estimate.

--- a/libs/arbutusrill_site/_placement.py
+++ b/libs/arbutusrill_site/_placement.py
@@ -250,7 +250,8 @@
         """Frees a place; learns from the decoding times and the unresponsive engines that its holder reports."""
         place = self._remove_place((freed.vm, freed.incarnation), freed.place)
         if place is not None:
-            self._waiting_queue.record_release(place.service, now)
+            held_s = None if place.queued_at_engine else now - place.taken_at
+            self._waiting_queue.record_release(place.service, now, held_s)
             for measured in freed.speeds or []:
                 self.speeds.learn_decode(
                     measured.id, place.service, measured.took_s, measured.units, place.output_tokens
--- a/libs/arbutusrill_site/_service_line.py
+++ b/libs/arbutusrill_site/_service_line.py
@@ -12,11 +12,15 @@
 from ._rate_window import RateWindow
 from ._return_schedule import ReturnSchedule
 from ._served_shares import ServedShares
+from ._speeds import nominal_stream_s
 
 __all__ = ["ServiceLine"]
 
 _RATE_WINDOW_S = 4.0  # window over which released places are counted for expected waits
 _FORECAST_WINDOW_S = 1.0  # short, so that room is not kept for a burst that has ended
+_MIN_HOLD_S = 0.5  # shortest mean time for which places are expected to be held
+_FIRST_RELEASE_FRACTION = 0.7  # of that mean time, from the start of a load to its first release
+_MEAN_HOLD_SAMPLES = 15  # window of the mean time for which places are held
 _LARGEST_INTERVAL = 8  # one grant in this number goes to the largest request within its deadline
 _STARVED_INTERVAL = 4  # one grant in this number goes to the line that is served least often, if it starves
 _STARVED_TURN = 3  # which one of them, so that it is not the turn of the largest
@@ -55,6 +59,10 @@
         self.releases = RateWindow(_RATE_WINDOW_S)
         self.recent_releases = RateWindow(_FORECAST_WINDOW_S)
         self.late_grants = RateWindow(_RATE_WINDOW_S)
+        self._load_began_at = float("-inf")  # first grant after a time without any
+        self._active_at = float("-inf")  # latest grant or release
+        self._held_count = 0  # places granted and not released since the load began
+        self._mean_hold_s, self._hold_count = 0.0, 0  # of released places; a nominal time counts as the first
         self.returns = ReturnSchedule()
         self.served_classes = ServedShares()
         self.served_workspaces = ServedShares()
@@ -97,8 +105,36 @@
             self.in_time_by_class[ticket.line_class].tickets.discard(ticket)
             self.by_deadline.discard(ticket)
 
+    def young_release_rate(self, now: float) -> float:
+        """Returns the places expected to be released per second while a load is too young to show it, else 0."""
+        if now - self._load_began_at >= _RATE_WINDOW_S:
+            return 0.0
+        return self._held_count / max(_MIN_HOLD_S, self._mean_hold_s)
+
+    def first_release_s(self, now: float) -> float:
+        """Returns the seconds until a load that began a moment ago is expected to release its first place."""
+        return max(0.0, self._load_began_at + _FIRST_RELEASE_FRACTION * self._mean_hold_s - now)
+
+    def record_release(self, now: float, held_s: float | None) -> None:
+        """Records that a place was released after `held_s` seconds, None if it was in the queue of an engine."""
+        self.releases.add(now)
+        self.recent_releases.add(now)
+        self._active_at = now
+        if held_s is None:
+            return
+        self._held_count = max(0, self._held_count - 1)
+        self._hold_count += 1
+        self._mean_hold_s += (held_s - self._mean_hold_s) / min(self._hold_count, _MEAN_HOLD_SAMPLES)
+
     def record_grant(self, ticket: Any, now: float) -> None:
         """Records that a ticket, already removed, got a place."""
+        if now - self._active_at >= _RATE_WINDOW_S:
+            self._load_began_at, self._held_count = now, 0
+        self._active_at = now
+        self._held_count += 1
+        if not self._hold_count:
+            output_tokens = ticket.request.memory_tokens - ticket.request.prompt_tokens
+            self._mean_hold_s, self._hold_count = nominal_stream_s(output_tokens), 1
         self.served_classes.record_place(ticket.line_class)
         if ticket.request.workspace:
             self.served_workspaces.record_place(ticket.request.workspace)
--- a/libs/arbutusrill_site/_speeds.py
+++ b/libs/arbutusrill_site/_speeds.py
@@ -8,7 +8,7 @@
 
 from ._stages import EngineStatistics
 
-__all__ = ["EngineSpeeds", "UnitTimeEstimate"]
+__all__ = ["EngineSpeeds", "UnitTimeEstimate", "nominal_stream_s"]
 
 _SLOWER_SMOOTHING_FACTOR = 0.02  # weight of an observation that is longer than the estimate; a shorter one replaces it
 _RECENT_SMOOTHING_FACTOR = 0.2  # weight of the latest observation in the moving average
@@ -36,6 +36,15 @@
 _LOCAL_PREFILL_FACTOR = 2.0  # time of a prefill on a decode engine, as a multiple of that on a prefill engine
 
 
+def nominal_stream_s(output_tokens: int) -> float:
+    """Returns the seconds of a stream on a nominal engine, before streams were observed.
+
+    >>> nominal_stream_s(600)
+    2.4
+    """
+    return output_tokens / _ASSUMED_TOKENS_PER_EVENT * _NOMINAL_DECODE_S_PER_EVENT
+
+
 @dataclass(slots=True)
 class _MovingAverage:
     """Exponential moving average that starts as the mean of the first `_MIN_REQUEST_SAMPLES` observations."""
--- a/libs/arbutusrill_site/_waiting_queue.py
+++ b/libs/arbutusrill_site/_waiting_queue.py
@@ -200,11 +200,12 @@
             if ticket.is_polled(now):
                 yield ticket
 
-    def record_release(self, service: str, now: float) -> None:
-        """Records the release of a place, for the release rate of its service."""
-        line = self._line(service)
-        line.releases.add(now)
-        line.recent_releases.add(now)
+    def record_release(self, service: str, now: float, held_s: float | None) -> None:
+        """Records the release of a place for the release rate of its service.
+
+        `held_s` is the time for which it was held, None if it was in the queue of an engine.
+        """
+        self._line(service).record_release(now, held_s)
 
     def expected_wait_s(self, ticket: Ticket, now: float, engines: int) -> float:
         """Returns the expected seconds until the ticket gets a place, from its position and the release rate.
@@ -215,13 +216,13 @@
         line.move_late(now)
         rate = self._release_rate(line, now, engines)
         in_time_ahead, late_ahead = line.position(ticket)
-        wait_s = (in_time_ahead + 1) / rate
         if not ticket.is_late:
+            wait_s = line.first_release_s(now) + (in_time_ahead + 1) / max(rate, line.young_release_rate(now))
             if now + wait_s <= ticket.placement_deadline:
                 return wait_s
             late_ahead = len(line.late)
         if ticket.continued:
-            return wait_s + late_ahead / rate
+            return (in_time_ahead + 1 + late_ahead) / rate
         return in_time_ahead / rate + (late_ahead + 1) / self._late_rate(line, now, engines)
 
     @staticmethod
--- a/libs/arbutusrill_site/tests/test_order.py
+++ b/libs/arbutusrill_site/tests/test_order.py
@@ -191,7 +191,7 @@
     for number in range(15):
         arrive(200 + number, 2 + number / 10)
     for number in range(70):
-        queue.record_release("model", number / 20)
+        queue.record_release("model", number / 20, 2.4)
     assert queue.reserve_from_late(ticket, 3.5) < 6
 
 
@@ -207,6 +207,18 @@
     assert sum(held_s <= OBJECTIVE_S / 8 for held_s in held) > 0.5 * len(held)
 
 
+@pytest.mark.parametrize("seed", range(3))
+def test_first_requests_of_a_load_are_not_refused_before_any_stream_can_have_ended(seed):
+    # With no release in four seconds, one place per second was expected of an engine with 16 slots: all that waited
+    # were refused at once, although each would have had a place within 0.6 s.
+    replay = ScarceReplay(seed, decode=1, prefill=1)
+    replay.stream_s = 0.4
+    replay.load(70, 0, 0.4, prompt_tokens=20, output_tokens=5)
+    replay.run(20)
+    assert replay.arrived > 20
+    assert replay.refused == 0 and max(replay.waits) < 0.6
+
+
 @pytest.mark.parametrize("seed", range(3))
 def test_more_urgent_requests_go_first_and_no_rank_or_workspace_starves(seed):
     replay = ScarceReplay(seed, prefill=5)
--- a/libs/arbutusrill_site/tests/test_placement.py
+++ b/libs/arbutusrill_site/tests/test_placement.py
@@ -33,6 +33,7 @@
         self.waits, self.refused, self.wakeups, self.tokens_by_engine = [], 0, 0, {}
         self.peak_tokens = 0
         self.arrived = 0
+        self.stream_s = STREAM_S  # mean time for which a place is held
         self.connected = []  # engines to which the entry VM has a connection
 
     @staticmethod
@@ -97,7 +98,7 @@
         used = self.tokens_by_engine.get(reply.decode, 0) + request.prompt_tokens
         self.tokens_by_engine[reply.decode] = used
         self.peak_tokens = max(self.peak_tokens, used)
-        self.at(now + STREAM_S * self.rng.uniform(0.7, 1.3), self.end_stream, reply, request)
+        self.at(now + self.stream_s * self.rng.uniform(0.7, 1.3), self.end_stream, reply, request)
 
     def end_stream(self, now, reply, request):
         self.tokens_by_engine[reply.decode] -= request.prompt_tokens
