gateway: `PlainServers.record_answer` no longer takes the name of the service

Cause: the parameter was not used. Change: it is dropped, also from `BackendPool.record_plain_answer`.

--- a/libs/arbutusrill_gateway/_backends.py
+++ b/libs/arbutusrill_gateway/_backends.py
@@ -431,9 +431,9 @@
             stats.failures = 0
             self._availability.set_avoided(record, float("-inf"), now)
 
-    def record_plain_answer(self, candidate: Candidate, service: Service, took_s: float) -> None:
+    def record_plain_answer(self, candidate: Candidate, took_s: float) -> None:
         """Records an answer of a server of a plain service, without its expected wait behind other requests."""
-        self.plain.record_answer(candidate.record, service.name, took_s, candidate.in_progress, is_error=False)
+        self.plain.record_answer(candidate.record, took_s, candidate.in_progress, is_error=False)
         waits = max(1.0, (candidate.in_progress + 1) / max(1, candidate.record.slots))
         self.record_success(candidate.record, took_s / waits)
 
--- a/libs/arbutusrill_gateway/_plain.py
+++ b/libs/arbutusrill_gateway/_plain.py
@@ -265,19 +265,17 @@
             pool.record_failure(candidate.record, result.detail, avoid=False)
             pool.plain.record_failure(candidate.record)
             raise AbortStreamError(f"backend_failed: {result.detail}")
-        pool.record_plain_answer(candidate, exchange.service, result.took_s)
+        pool.record_plain_answer(candidate, result.took_s)
         return True
     if result.outcome is Outcome.ANSWERED and response.status < 500:
-        pool.record_plain_answer(candidate, exchange.service, result.took_s)
+        pool.record_plain_answer(candidate, result.took_s)
         exchange.responder.send_response(response.status, response.headers, result.body)
         return True
     is_avoided = result.outcome is Outcome.TIMEOUT or result.is_faulty
     pool.record_failure(candidate.record, result.detail, avoid=is_avoided)
     is_error = result.outcome is Outcome.ANSWERED
     if is_error:
-        pool.plain.record_answer(
-            candidate.record, exchange.service.name, result.took_s, candidate.in_progress, is_error=True
-        )
+        pool.plain.record_answer(candidate.record, result.took_s, candidate.in_progress, is_error=True)
     elif not result.lacks_memory:
         pool.plain.record_failure(candidate.record)
     may_repeat = exchange.route.kind is RouteKind.IDEMPOTENT and (not is_error or _is_retry_worthwhile(exchange))
--- a/libs/arbutusrill_gateway/_plain_servers.py
+++ b/libs/arbutusrill_gateway/_plain_servers.py
@@ -150,7 +150,7 @@
         with self._lock:
             self._observations.record(record.id, self._clock.monotonic(), sent=1)
 
-    def record_answer(self, record: Any, service: str, took_s: float, in_progress: float, is_error: bool) -> None:
+    def record_answer(self, record: Any, took_s: float, in_progress: float, is_error: bool) -> None:
         """Records a whole answer to a request that was sent when `in_progress` others were at the server.
 
         The time of work is the time of the answer without the expected wait behind the others.
--- a/libs/arbutusrill_gateway/tests/plain_fleet.py
+++ b/libs/arbutusrill_gateway/tests/plain_fleet.py
@@ -176,7 +176,7 @@
         vm.own[record.id] -= 1
         if len(vm.kept[record.id]) + vm.own[record.id] < KEPT:
             vm.kept[record.id].append(self.now)
-        vm.plain.record_answer(record, SERVICE, self.now - sent_at, in_progress, False)
+        vm.plain.record_answer(record, self.now - sent_at, in_progress, False)
         is_in_time = self.now - request.began <= self.objective_s
         self.results["in time" if is_in_time else "late"] += 1
         if is_in_time:
--- a/libs/arbutusrill_gateway/tests/test_plain_fleet.py
+++ b/libs/arbutusrill_gateway/tests/test_plain_fleet.py
@@ -161,7 +161,7 @@
 def test_wait_behind_other_requests_is_not_the_speed_of_a_server():
     plain, _, _, records = plain_servers()
     for _ in range(5):
-        plain.record_answer(records[0], SERVICE, 0.24, in_progress=23, is_error=False)
+        plain.record_answer(records[0], 0.24, in_progress=23, is_error=False)
     plain.use_messages({})
     assert plain.state(SERVICE, records, {}).servers[0].work_s == pytest.approx(0.06)
 
