--- a/libs/arbutusrill_gateway/_plain.py
+++ b/libs/arbutusrill_gateway/_plain.py
@@ -22,7 +22,6 @@
 
 _MAX_BUFFERED_BYTES = 1_048_576  # a larger response is forwarded while it arrives and cannot be retried
 _MAX_REFUSAL_BYTES = 64 * 1024  # of the body of a statement that the request has not run, which is not kept
-_SOUND_ANSWER_FACTOR = 5.0  # of the expected time, within which nearly all answers of a sound server arrive
 _MAX_UNREACHED = 4  # unreachable backend servers per request
 _MAX_REFUSED = 3  # servers that state of one request that they have not run it
 _RETRY_AFTER_S = 0.1
@@ -272,14 +271,13 @@
         pool.record_plain_answer(candidate, result.took_s)
         exchange.responder.send_response(response.status, response.headers, result.body)
         return True
+    is_avoided = result.outcome is Outcome.TIMEOUT or result.is_faulty
+    pool.record_failure(candidate.record, result.detail, avoid=is_avoided)
     is_error = result.outcome is Outcome.ANSWERED
-    if not _is_cut_short(exchange, candidate, result):
-        is_avoided = result.outcome is Outcome.TIMEOUT or result.is_faulty
-        pool.record_failure(candidate.record, result.detail, avoid=is_avoided)
-        if is_error:
-            pool.plain.record_answer(candidate.record, result.took_s, candidate.in_progress, is_error=True)
-        elif not result.lacks_memory:
-            pool.plain.record_failure(candidate.record)
+    if is_error:
+        pool.plain.record_answer(candidate.record, result.took_s, candidate.in_progress, is_error=True)
+    elif not result.lacks_memory:
+        pool.plain.record_failure(candidate.record)
     may_repeat = exchange.route.kind is RouteKind.IDEMPOTENT and (not is_error or _is_retry_worthwhile(exchange))
     if may_repeat and exchange.acquire_retry():
         return False
@@ -290,15 +288,6 @@
     return True
 
 
-def _is_cut_short(exchange: Exchange, candidate: Candidate, result: AttemptResult) -> bool:
-    """Returns whether the time of a request ended before a sound server would have answered for sure.
-
-    A request that has waited for room is sent with little time left. Its time limit tells nothing about the server.
-    """
-    is_at_end = result.outcome is Outcome.TIMEOUT and not exchange.has_time()
-    return is_at_end and result.took_s < _SOUND_ANSWER_FACTOR * candidate.expected_s
-
-
 def _is_retry_worthwhile(exchange: Exchange) -> bool:
     """Returns whether an answer with an error is worth another send.
 
--- a/libs/arbutusrill_gateway/tests/test_room_wait.py
+++ b/libs/arbutusrill_gateway/tests/test_room_wait.py
@@ -3,7 +3,6 @@
 import threading
 import time
 
-import pytest
 from arbutusrill_base import RetryBudget, SystemClock, Verdict
 from arbutusrill_site import FleetReport, Route, RouteKind, Service, SiteView, Target
 from arbutusrill_wire import messages
@@ -73,14 +72,3 @@
     caller, exchange, _ = relay(full, sound, kind=RouteKind.NON_IDEMPOTENT, max_attempts=1)
     assert (caller.status, caller.body, exchange.verdict) == (200, b"whole", Verdict.RAN)
     assert len(full.requests) == len(sound.requests) == 1
-
-
-@pytest.mark.parametrize(("left_s", "failures"), [(0.3, 0), (0.7, 1)])
-def test_time_limit_soon_after_the_send_is_no_failure_of_the_server(left_s, failures):
-    # Requests that had waited for room were sent with little time left: their limits took sound servers out of use.
-    silent = Backend(sends(b"", pause_s=1.0))
-    caller, exchange, _ = relay(silent, event_s=0.1, deadline_s=left_s)
-    assert caller.status == 504 and exchange.verdict is Verdict.MAY_HAVE_RUN
-    failed = sum(use.failed for use in exchange.pool.current_load())
-    record = exchange.pool._view.backends_by_id["0"]
-    assert (failed, exchange.pool.is_avoided(record)) == (failures, bool(failures))
