gateway: callers that return to a busy plain service are admitted as before

Cause: let late requests wait for spare room also while first attempts are admitted. Spare room is none while one server has a queue longer than the idle slots of the others.

--- a/libs/arbutusrill_gateway/_plain_servers.py
+++ b/libs/arbutusrill_gateway/_plain_servers.py
@@ -117,15 +117,14 @@
     def record_arrival(self, service: str, route: str, deadline_s: float | None) -> bool:
         """Counts a request of a caller for a service; returns whether it is late, as its caller was refused before.
 
-        A late one is recognized by its time limit. It does not count as offered: it waits for what the others leave.
+        A late one is recognized by its time limit.
         """
         now = self._clock.monotonic()
         with self._lock:
             is_late = self._returns.observe(
                 route, deadline_s, now, self._busy_at_by_service.get(service, float("-inf"))
             )
-            if not is_late:
-                self._offered.record(service, now, sent=1)
+            self._offered.record(service, now, sent=1)
             return is_late
 
     def late_line(self, service: str) -> WaitingLine:
@@ -286,16 +285,10 @@
         return self._rng.choices(state.used, weights)[0].id
 
     def admission(self, state: ServiceState, objective_s: float, is_late: bool) -> Admission:
-        """Returns what is to be done with a request.
-
-        One that is late waits for spare room whatever the VMs admit: in a burst and after it, it would take the place
-        of a request that can still be in time.
-        """
-        if not state.servers:
+        """Returns what is to be done with a request: one that is late waits for spare room if it is not admitted."""
+        if not state.servers or self.is_admitted(state, objective_s):
             return Admission.SEND
-        if is_late:
-            return Admission.WAIT
-        return Admission.SEND if self.is_admitted(state, objective_s) else Admission.REFUSE
+        return Admission.WAIT if is_late else Admission.REFUSE
 
     def is_admitted(self, state: ServiceState, objective_s: float) -> bool:
         """Returns whether a request is sent at once, at random by the fraction that all VMs admit."""
--- a/libs/arbutusrill_gateway/_room_wait.py
+++ b/libs/arbutusrill_gateway/_room_wait.py
@@ -27,7 +27,7 @@
     """Returns whether a request may be sent now; otherwise it has been refused.
 
     A first attempt is sent or refused at once. One that is late already, since its caller was refused before, waits for
-    spare room, which it has at once while the servers are not busy.
+    spare room instead.
     """
     plain, objective_s = exchange.pool.plain, exchange.route.objective_s
     is_late = plain.record_arrival(exchange.service.name, exchange.route.name, exchange.request.deadline_s)
