--- a/platform/arbutusrill_platform/check_command.py
+++ b/libs/arbutusrill_check/_command.py
@@ -10,9 +10,15 @@
 
 from arbutusrill_base import load_json
 from arbutusrill_http import Transfer, fetch
-from arbutusrill_site import ConfigurationError, DocumentReport, SiteConfiguration, check_document, printable
-
-from .documents import PlatformFormat, decode_configuration
+from arbutusrill_site import (
+    ConfigurationDecoder,
+    ConfigurationError,
+    ConfigurationFormat,
+    DocumentReport,
+    SiteConfiguration,
+    check_document,
+    printable,
+)
 
 __all__ = ["run"]
 
@@ -27,9 +33,12 @@
     """A document cannot be read, or is no JSON object."""
 
 
-def run(arguments: list[str]) -> int:
-    """Checks the document that the arguments name, prints what was found and returns the exit code."""
-    parser = argparse.ArgumentParser("arbutusrill_platform check-config", epilog=_EPILOG)
+def run(arguments: list[str], format_: ConfigurationFormat, path: str) -> int:
+    """Checks the document that the arguments name, prints what was found and returns the exit code.
+
+    `format_` decodes documents; `path` is that of the version in force on a control VM.
+    """
+    parser = argparse.ArgumentParser("check-config", epilog=_EPILOG)
     parser.add_argument("file", metavar="FILE", help="the configuration to check")
     parser.add_argument(
         "--against", metavar="ADDRESS|FILE", help="the version in force: IP:PORT of a control VM, or a file"
@@ -38,11 +47,11 @@
     options = parser.parse_args(arguments)
     try:
         body = _read_file(options.file)
-        in_force = _read_version_in_force(options.against) if options.against else None
+        in_force = _read_version_in_force(options.against, format_, path) if options.against else None
     except _UnreadableError as error:
         print(printable(f"arbutusrill: {error}"), file=sys.stderr)
         return EXIT_UNREADABLE
-    report = check_document(PlatformFormat(), body, in_force)
+    report = check_document(format_, body, in_force)
     print_report = _print_json if options.json else _print_lines
     print_report(report)
     return EXIT_FOUND if report.findings else EXIT_NOTHING_FOUND
@@ -55,17 +64,17 @@
         raise _UnreadableError(f"{name}: {error.strerror}") from None
 
 
-def _read_version_in_force(source: str) -> SiteConfiguration:
+def _read_version_in_force(source: str, format_: ConfigurationFormat, path: str) -> SiteConfiguration:
     is_address = _ADDRESS.fullmatch(source) and not Path(source).exists()
-    body = _read_address(source) if is_address else _read_file(source)
+    body = _read_address(source, path) if is_address else _read_file(source)
     try:
-        return decode_configuration(body)
+        return ConfigurationDecoder(format_).decode_whole(body)
     except ConfigurationError as error:
         raise _UnreadableError(f"{source}: no valid configuration: {error}") from None
 
 
-def _read_address(address: str) -> bytes:
-    url = f"http://{address}/config"
+def _read_address(address: str, path: str) -> bytes:
+    url = f"http://{address}{path}"
     result = fetch(Transfer("GET", url, timeout_s=_TIMEOUT_S, max_body_bytes=_MAX_DOCUMENT_BYTES))
     if not result.is_complete:
         raise _UnreadableError(f"{address}: {result.detail or result.error}")
