gateway: the log line of a stream holds its longest pause

Change: EventRelay measures the longest time between two new events, whatever their attempt; the request line has it.

--- a/libs/arbutusrill_gateway/_event_relay.py
+++ b/libs/arbutusrill_gateway/_event_relay.py
@@ -41,6 +41,7 @@
         self._attempt_event_count = 0
         self._first_event_at = self._progress_at  # of this attempt
         self._is_prompt_sound = False
+        self._event_at = self._progress_at  # of the last new event, whatever its attempt
         self.last_id: int | None = None
         self.forwarded_count = 0
         self.non_stream_body: list[bytes] = []  # chunks of a response that is not a stream, such as an error
@@ -135,11 +136,17 @@
                 self.last_id = event_id
             events.append(event)
             self.forwarded_count += 1
-            self._progress_at = time.monotonic()
+            self._record_event_time()
         del self._buffer[:start]
         self._scanned_bytes = len(self._buffer)
         return events
 
+    def _record_event_time(self) -> None:
+        now = time.monotonic()
+        if self.forwarded_count > 1:
+            self._exchange.longest_pause_s = max(self._exchange.longest_pause_s, now - self._event_at)
+        self._event_at = self._progress_at = now
+
     def progress_at(self) -> float:
         """Returns when the last new event was complete, or when the head arrived."""
         return self._progress_at
--- a/libs/arbutusrill_gateway/_exchange.py
+++ b/libs/arbutusrill_gateway/_exchange.py
@@ -63,6 +63,7 @@
     tried: set[str] = field(default_factory=set)
     trail: list[str] = field(default_factory=list)
     first_event_s: float | None = None
+    longest_pause_s: float = 0.0  # between two events of a stream
     is_retry_reserved: bool = False
     prompt_guard: PromptGuard | None = None
     memory: BodyReservation = field(default_factory=lambda: BodyBudget(None).open("", is_response=True))
--- a/libs/arbutusrill_gateway/_gateway.py
+++ b/libs/arbutusrill_gateway/_gateway.py
@@ -281,6 +281,7 @@
             fields["verdict"] = exchange.verdict.value
             if exchange.first_event_s is not None:
                 fields["first_event_ms"] = round(exchange.first_event_s * 1000, 1)
+                fields["longest_pause_ms"] = round(exchange.longest_pause_s * 1000, 1)
         _events.emit("request", **fields)
 
 
