gateway: a timeout after a longer wait for room is no failure of the server

Cause: a request that waits for spare room is sent with the rest of its time. When that ended, the VM avoided the server and reported a failure, for which all VMs sent it less.

Change: a timeout counts if the server had at least as long for the answer as the request has waited for room.

Test: of a timeout after 0.4 s, the one that waited 1.6 s counted before; those that waited 0 and 0.2 s count still. Ruled out: comparing with the expected time of the answer. A silent server takes more requests meanwhile, so that its expected time grows and no timeout would count.

--- a/libs/arbutusrill_gateway/_exchange.py
+++ b/libs/arbutusrill_gateway/_exchange.py
@@ -59,6 +59,7 @@
     started: float
     attempt_count: int = 0
     refused_count: int = 0
+    waited_s: float = 0.0  # for room at the servers
     verdict: Verdict = Verdict.NOT_RUN
     tried: set[str] = field(default_factory=set)
     trail: list[str] = field(default_factory=list)
--- a/libs/arbutusrill_gateway/_plain.py
+++ b/libs/arbutusrill_gateway/_plain.py
@@ -276,12 +276,15 @@
         pool.record_plain_answer(candidate, result.took_s)
         exchange.responder.send_response(response.status, response.headers, result.body)
         return True
-    is_avoided = result.outcome is Outcome.TIMEOUT or result.is_faulty
-    pool.record_failure(candidate.record, result.detail, avoid=is_avoided)
     is_error = result.outcome is Outcome.ANSWERED
+    # The server had less time than the request has waited for it.
+    is_cut_short = result.outcome is Outcome.TIMEOUT and result.took_s < exchange.waited_s
+    if not is_cut_short:
+        is_avoided = result.outcome is Outcome.TIMEOUT or result.is_faulty
+        pool.record_failure(candidate.record, result.detail, avoid=is_avoided)
     if is_error:
         pool.plain.record_answer(candidate.record, result.took_s, candidate.in_progress, is_error=True)
-    elif not result.lacks_memory:
+    elif not (result.lacks_memory or is_cut_short):
         pool.plain.record_failure(candidate.record)
     may_repeat = exchange.route.kind is RouteKind.IDEMPOTENT and (not is_error or _is_retry_worthwhile(exchange))
     if may_repeat and exchange.acquire_retry():
--- a/libs/arbutusrill_gateway/_room_wait.py
+++ b/libs/arbutusrill_gateway/_room_wait.py
@@ -77,7 +77,9 @@
             has_room = _wait_for_turn(exchange, line, position)
     finally:
         plain.add_waiting(service, -1)
-    waited_ms = round((time.monotonic() - began_at) * 1000, 1)
+    waited_s = time.monotonic() - began_at
+    exchange.waited_s += waited_s
+    waited_ms = round(waited_s * 1000, 1)
     _events.emit("waited", request=exchange.request.id, waited_ms=waited_ms, has_room=has_room)
     return has_room
 
--- a/libs/arbutusrill_gateway/tests/test_room_wait.py
+++ b/libs/arbutusrill_gateway/tests/test_room_wait.py
@@ -3,12 +3,16 @@
 import threading
 import time
 
+import pytest
 from arbutusrill_base import RetryBudget, SystemClock, Verdict
 from arbutusrill_site import FleetReport, Route, RouteKind, Service, SiteView, Target
 from arbutusrill_wire import messages
 
 from arbutusrill_gateway import BackendPool, CallerRequest
+from arbutusrill_gateway._attempt import AttemptResult, Outcome
+from arbutusrill_gateway._backends import Candidate
 from arbutusrill_gateway._exchange import Exchange
+from arbutusrill_gateway._plain import _deliver_or_retry
 from arbutusrill_gateway._plain_load import ServerLoad, ServiceState
 from arbutusrill_gateway._reply import Responder
 from arbutusrill_gateway._room_wait import admit
@@ -76,6 +80,20 @@
     assert admit(exchange_at(pool, 2.8)[0])
 
 
+@pytest.mark.parametrize(("waited_s", "is_failure"), [(0.0, True), (0.2, True), (1.6, False)])
+def test_timeout_of_a_request_that_waited_longer_for_room_is_no_failure_of_the_server(waited_s, is_failure):
+    # The VM avoided a sound server, and all VMs sent it less, since a request came to it with too little time.
+    view, clock = busy_view(in_progress=5, offered=40)
+    pool, record = BackendPool(view, "z", clock), view.backends_by_id["a"]
+    exchange, caller = exchange_at(pool, 4.0)
+    exchange.waited_s, exchange.verdict = waited_s, Verdict.MAY_HAVE_RUN
+    result = AttemptResult(Outcome.TIMEOUT, None, b"", "no whole answer in 0.4 s", took_s=0.4)
+    assert _deliver_or_retry(exchange, Candidate(record, 0.1), result)
+    assert caller.status in (502, 504)
+    assert pool.is_avoided(record) is is_failure
+    assert [use.failed for use in pool.plain.use_messages({}) if use.failed] == [1] * is_failure
+
+
 def test_vm_that_hears_nothing_sends_late_requests_within_its_share_of_the_slots():
     # Each VM took all slots that it did not use itself for idle.
     def spare_per_s(own):
