gateway: a timeout after twice the objective is a failure of the server after any wait

Cause: a timeout was ignored whenever the request had waited longer than the server had for the answer. After a wait of 1 s that is up to three times an objective of 0.3 s, and a silent server was neither avoided nor reported by such requests. Change: it is ignored only if the server also had less than twice the objective. Test: a timeout after 0.95 s at an objective of 0.3 s and a wait of 1 s was not counted before. The three cases of the test beside it are unchanged.

--- a/libs/arbutusrill_gateway/_plain.py
+++ b/libs/arbutusrill_gateway/_plain.py
@@ -29,6 +29,7 @@
 # quiet, and for the silence after which a request is sent to another one.
 _BACKEND_WAIT_FRACTION = 0.4
 _STALL_FRACTION = 0.5
+_ENOUGH_OBJECTIVES = 2.0  # time without an answer, in objectives, from which on a timeout is a failure of the server
 # A response that holds memory for which others wait ends after a pause that is longer than those of a sound server,
 # which may be silent for a second. Others wait longer, unread: by then it is known whether the server is to be avoided.
 _MAX_PAUSE_S = 1.5
@@ -277,8 +278,9 @@
         exchange.responder.send_response(response.status, response.headers, result.body)
         return True
     is_error = result.outcome is Outcome.ANSWERED
-    # The server had less time than the request has waited for it.
-    is_cut_short = result.outcome is Outcome.TIMEOUT and result.took_s < exchange.waited_s
+    # The server had little time for the answer, and less than the request has waited for it.
+    enough_s = min(exchange.waited_s, _ENOUGH_OBJECTIVES * exchange.route.objective_s)
+    is_cut_short = result.outcome is Outcome.TIMEOUT and result.took_s < enough_s
     if not is_cut_short:
         is_avoided = result.outcome is Outcome.TIMEOUT or result.is_faulty
         pool.record_failure(candidate.record, result.detail, avoid=is_avoided)
--- a/libs/arbutusrill_gateway/tests/test_room_wait.py
+++ b/libs/arbutusrill_gateway/tests/test_room_wait.py
@@ -94,6 +94,18 @@
     assert [use.failed for use in pool.plain.use_messages({}) if use.failed] == [1] * is_failure
 
 
+def test_timeout_after_a_longer_wait_is_a_failure_if_the_server_had_three_times_the_objective():
+    # A silent server was neither avoided nor reported by requests that had waited for longer than it stayed silent.
+    view, clock = busy_view(in_progress=5, offered=40)
+    pool, record = BackendPool(view, "z", clock), view.backends_by_id["a"]
+    exchange, _ = exchange_at(pool, 4.0)
+    exchange.waited_s, exchange.verdict = 1.0, Verdict.MAY_HAVE_RUN
+    result = AttemptResult(Outcome.TIMEOUT, None, b"", "no whole answer in 0.95 s", took_s=0.95)
+    assert _deliver_or_retry(exchange, Candidate(record, 0.1), result)
+    assert pool.is_avoided(record)
+    assert [use.failed for use in pool.plain.use_messages({}) if use.failed] == [1]
+
+
 def test_request_behind_others_in_the_line_keeps_its_objective_for_the_answer():
     # It looked at its time each 0.25 s only, and was sent with half of its objective left.
     view, clock = busy_view(in_progress=10, offered=1000)
