raft: ask members for their formats at the same time

Cause: before the first order to evacuate a data centre, the leader asked the members that it had not asked before one after the other; each silent one took the time limit of a call. Change: they are asked at the same time, also before a document is committed. Ruled out: passing over members by the age of their last reply: a leader that has begun just now knows none. Test: libs/arbutusrill_raft/tests/test_formats.py::test_silent_members_are_asked_at_the_same_time failed before.

--- a/libs/arbutusrill_raft/_membership_changes.py
+++ b/libs/arbutusrill_raft/_membership_changes.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from concurrent.futures import Future
+from concurrent.futures import Future, ThreadPoolExecutor
 
 from arbutusrill_base import PartLog
 from arbutusrill_wire import messages
@@ -39,30 +39,33 @@
 
     def is_format_refused(self, log_format: int) -> bool:
         """Returns whether a member that has answered reads only older formats of log entries than `log_format`."""
-        _, known = self._ask_formats(must_be_whole=False)
+        _, known = self._ask_formats()
         return any(at < log_format for at in known.values())
 
-    def _ask_formats(self, must_be_whole: bool = True) -> tuple[list[str], dict[str, int]]:
+    def _ask_formats(self) -> tuple[list[str], dict[str, int]]:
         """Returns the other members, and the formats of those that have answered.
 
-        With `must_be_whole`, ends at the first one that does not answer.
+        Those not asked before are asked at the same time, so that silent ones cost `Timing.call_timeout_s` in all.
         """
         core = self._core
         with core.lock:
-            others = [member for member in core.membership.members if member != core.own_id] if core.membership else []
+            others = [member for member in core.membership.members if member != core.own_id] if core.membership else ()
         known = {member: at for member, at in self._log_format_by_member.items() if member in others}
-        for member in others:
-            if member not in known:
-                try:
-                    reply = self._transport.call(address_of(member), "hello", core.own_id, core.timing.call_timeout_s)
-                except (OSError, messages.Refused):
-                    if must_be_whole:
-                        break
-                    continue
-                if reply.member == member:
-                    known[member] = reply.log_format
+        if unknown := [member for member in others if member not in known]:
+            with ThreadPoolExecutor(len(unknown), "raft-formats") as pool:
+                formats = zip(unknown, pool.map(self._ask_format, unknown), strict=True)
+                known |= {member: at for member, at in formats if at is not None}
         self._log_format_by_member = known
-        return others, known
+        return list(others), known
+
+    def _ask_format(self, member: str) -> int | None:
+        """Returns the highest format of log entries that a member reads, None if it does not answer."""
+        core = self._core
+        try:
+            reply = self._transport.call(address_of(member), "hello", core.own_id, core.timing.call_timeout_s)
+        except (OSError, messages.Refused):
+            return None
+        return reply.log_format if reply.member == member else None
 
     def add_learner(self, address: str, timeout: float) -> str:
         """Adds the replica at an RPC address as a learner and returns its member ID."""
--- a/libs/arbutusrill_raft/_replica.py
+++ b/libs/arbutusrill_raft/_replica.py
@@ -258,14 +258,14 @@
     def log_format(self) -> int:
         """Returns the highest format of log entries that all members are known to read, 0 if one does not answer.
 
-        Blocks for at most `Timing.call_timeout_s` for a member that has not answered before.
+        Blocks for at most `Timing.call_timeout_s` in all for members that have not answered before.
         """
         return self._membership_changes.log_format()
 
     def is_format_refused(self, log_format: int) -> bool:
         """Returns whether a member is known to read only older formats of log entries than `log_format`.
 
-        Members that do not answer are passed over, each after `Timing.call_timeout_s`.
+        Members that do not answer are passed over, after `Timing.call_timeout_s` in all.
         """
         return self._membership_changes.is_format_refused(log_format)
 
--- a/libs/arbutusrill_raft/tests/test_formats.py
+++ b/libs/arbutusrill_raft/tests/test_formats.py
@@ -9,12 +9,19 @@
 from arbutusrill_raft._membership_changes import MembershipChanges
 
 
-def changes(format_by_address):
-    """Returns the membership changes of a replica ``a`` whose other members reply with their formats, None for not."""
+def refuse():
+    raise OSError("no route")
+
+
+def changes(format_by_address, silent=refuse):
+    """Returns the membership changes of a replica ``a`` whose other members reply with their formats, None for not.
+
+    `silent` is called for those that do not reply.
+    """
 
     def hello(address, name, request, timeout):
         if format_by_address[address] is None:
-            raise OSError("no route")
+            silent()
         return messages.HelloReply(f"{address}/disk", "", "", format_by_address[address])
 
     members = ["a/disk", *(f"{address}/disk" for address in format_by_address)]
@@ -41,3 +48,16 @@
 def test_silent_member_is_neither_taken_for_a_current_nor_for_an_old_one(formats, log_format, refused):
     assert changes(formats).log_format() == log_format
     assert changes(formats).is_format_refused(2) == refused
+
+
+def test_silent_members_are_asked_at_the_same_time():
+    # One after the other, three of them took 1.2 s of the first evacuation order that a leader commits.
+    all_asked = threading.Barrier(3)
+
+    def wait_and_fail():
+        all_asked.wait(2.0)
+        raise OSError("no answer in time")
+
+    asked = changes(dict.fromkeys("bcd"), silent=wait_and_fail)
+    assert not asked.is_format_refused(2) and not all_asked.broken
+    assert asked.log_format() == 0 and not all_asked.broken
