site: an order for a data centre that was delayed never follows a later one

Cause: a control VM that was frozen read an evacuation after its thaw and committed it, although the operator had sent it to another VM meanwhile and withdrawn it there. The time limit of the call began after the thaw. Change: EvacuationWriter reads the leader's number of orders, then checks that the caller's connection is open, then sends the order; the leader refuses it if another one has begun since, in its term or in a later one, and the VM reads again. The number is soft state of a term, so the log and its formats are unchanged; callers and leaders of earlier versions work as before. Ruled out: the revision of the state as what is compared, since a withdrawal without effect does not change it; a number in the replicated entry, which replicas of earlier versions would pass over. Conclusion: a caller whose close does not reach the VM, because its link is cut, is still taken for one that waits.

--- a/libs/arbutusrill_site/__init__.py
+++ b/libs/arbutusrill_site/__init__.py
@@ -44,6 +44,7 @@
 )
 from ._document_writer import DocumentWriter
 from ._entries import EntryRegistry
+from ._evacuation_writer import EvacuationWriter
 from ._follower import FleetReport, SiteFollower, SiteView
 from ._membership import GroupJoinClient, MembershipManager
 from ._placement import PlacementScheduler
@@ -85,6 +86,7 @@
     "DocumentWriter",
     "EntryDirectory",
     "EntryRegistry",
+    "EvacuationWriter",
     "FleetReport",
     "GroupJoinClient",
     "HostRoutes",
--- a/libs/arbutusrill_site/_evacuations.py
+++ b/libs/arbutusrill_site/_evacuations.py
@@ -42,21 +42,39 @@
         self._propose = propose
         self._data_centres = data_centres
         self._is_complete = is_complete
+        self._lock = threading.Lock()
+        self._order_number = 0
+        self._orders_under_way = 0
 
     @property
     def revision(self) -> int:
         """Revision of the orders, see `EvacuationOrders`."""
         return self._state.evacuations.revision
 
-    def order(self, order: Any, known: bool) -> None:
+    def order(self, order: Any, known: bool, term: int = 0, order_number: int = -1) -> None:
         """Commits an order; the caller has confirmed the leadership.
 
         One that holds already is committed too: a contrary one may be in the log and not in force yet. Refuses with
-        `unknown_data_centre` if neither the caller nor this leader knows the data centre.
+        `unknown_data_centre` if neither the caller nor this leader knows the data centre, and with `superseded` if
+        another order has begun since `read` returned `term` and `order_number`; -1 stands for no such condition.
         """
-        orders, revision = self._state.evacuations, self._state.evacuations.revision
         self._check_data_centre(order.data_centre, known)
         self._raise_feature_level()
+        with self._lock:
+            if order_number >= 0 and (
+                self._orders_under_way or (term, order_number) != (self._log.leading_term(), self._order_number)
+            ):
+                raise messages.Refused("superseded", "another order has begun since the orders were read")
+            self._order_number += 1
+            self._orders_under_way += 1
+        try:
+            self._commit(order)
+        finally:
+            with self._lock:
+                self._orders_under_way -= 1
+
+    def _commit(self, order: Any) -> None:
+        orders, revision = self._state.evacuations, self._state.evacuations.revision
         if not order.evacuated and order.data_centre in orders.data_centres:
             self._taken_back(order.data_centre)
         outcome = self._propose(messages.PutEvacuation(order.data_centre, bool(order.evacuated)))
@@ -96,6 +114,13 @@
         """Returns the orders as an `Evacuations` message."""
         return self._state.evacuations.record()
 
+    def read(self) -> Any:
+        """Like `record`, with what `order` compares; the caller has confirmed the leadership."""
+        with self._lock:
+            record = self.record()
+            record.term, record.order_number = self._log.leading_term() or 0, self._order_number
+            return record
+
     def is_behind(self, request: Any) -> bool:
         """Returns whether the follower that sent `request` lacks a change."""
         return 0 <= request.evacuations_revision < self.revision
--- a/libs/arbutusrill_site/_service.py
+++ b/libs/arbutusrill_site/_service.py
@@ -277,16 +277,19 @@
             raise messages.Refused("stale_base", f"the version in force is {in_force}")
         return in_force
 
-    def order_evacuation(self, order: Any, known: bool) -> None:
-        """Commits that nothing more is sent to the backend servers of a data centre, or the end of that."""
+    def order_evacuation(self, order: Any, known: bool, term: int, order_number: int) -> None:
+        """Commits that nothing more is sent to the backend servers of a data centre, or the end of that.
+
+        Refuses with `superseded` an order that was decided before others, see `EvacuationLedger.order`.
+        """
         self._confirm_leadership()
         self._require_leadership()
-        self.evacuations.order(order, known)
+        self.evacuations.order(order, known, term, order_number)
 
     def read_evacuations(self) -> Any:
         """Returns the data centres that are evacuated as a linearizable read."""
         self._confirm_leadership()
-        return self.evacuations.record()
+        return self.evacuations.read()
 
     def _commit_document(self, change: Any, size: int, is_patch: bool) -> int:
         current_version = self._state.document.version
--- a/libs/arbutusrill_site/tests/test_evacuations.py
+++ b/libs/arbutusrill_site/tests/test_evacuations.py
@@ -5,10 +5,10 @@
 
 import pytest
 from arbutusrill_base import ManualClock
-from arbutusrill_state import EVACUATION_LEVEL, SharedState, make_command
+from arbutusrill_state import EVACUATION_LEVEL, ControlUnavailableError, SharedState, make_command
 from arbutusrill_wire import decode, encode, messages
 
-from arbutusrill_site import Engine, PlacementScheduler, SiteView
+from arbutusrill_site import Engine, EvacuationWriter, PlacementScheduler, SiteView
 from arbutusrill_site._evacuations import EvacuationLedger
 
 from .test_follower import follow, reply
@@ -20,7 +20,8 @@
     def __init__(self, *data_centres, complete=True, old_member=False):
         self.state = SharedState()
         self.proposed = []
-        log = SimpleNamespace(is_format_refused=lambda log_format: old_member)
+        self.term = 3
+        log = SimpleNamespace(is_format_refused=lambda log_format: old_member, leading_term=lambda: self.term)
         self.ledger = EvacuationLedger(
             log, self.state, threading.Condition(), self.propose, lambda: set(data_centres), lambda: complete
         )
@@ -61,6 +62,65 @@
     assert group.ledger.record().data_centres == ["a"]
 
 
+class DelayedClient:
+    """Client of the leader `group`; `meanwhile` runs once, between the read of the orders and the order."""
+
+    def __init__(self, group, meanwhile=lambda: None):
+        self.group = group
+        self.meanwhile = meanwhile
+
+    def call(self, name, *arguments, timeout, try_timeout):
+        if name == "read_evacuations":
+            return self.group.ledger.read()
+        meanwhile, self.meanwhile = self.meanwhile, lambda: None
+        meanwhile()
+        return self.group.ledger.order(*arguments)
+
+
+@pytest.mark.parametrize("later", ["withdrawal", "withdrawal with no effect", "a new leader's withdrawal"])
+def test_order_that_was_delayed_on_its_way_never_follows_a_later_one(later):
+    # A control VM that was frozen carried out an evacuation after its withdrawal had been acknowledged.
+    group = Group("a")
+    if later == "withdrawal":
+        group.order("a")
+    given_up = threading.Event()
+
+    def withdraw():
+        given_up.set()
+        if "leader" in later:
+            group.term, group.ledger._order_number = 4, -1  # the count of another process, which is equal after one
+        group.order("a", evacuated=False)
+
+    writer = EvacuationWriter(DelayedClient(group, withdraw))
+    with pytest.raises(ControlUnavailableError):
+        writer.write("a", True, True, given_up.is_set, 0.9)
+    assert group.ledger.record().data_centres == []
+
+
+def test_order_is_repeated_for_a_caller_that_waits_when_another_one_came_between():
+    group = Group("a", "b")
+    EvacuationWriter(DelayedClient(group, lambda: group.order("b"))).write("a", True, True, lambda: False, 0.9)
+    assert group.ledger.record().data_centres == ["a", "b"]
+
+
+def test_order_is_not_begun_while_another_one_is_committed():
+    # The order in which the two would be appended to the log is open.
+    group, seen = Group("a"), []
+    commit = group.propose
+
+    def propose(change):
+        if type(change).__name__ == "PutEvacuation" and not seen:
+            read = group.ledger.read()
+            with pytest.raises(messages.Refused) as refused:
+                group.ledger.order(messages.PutEvacuation("a", False), True, read.term, read.order_number)
+            seen.append(refused.value.code)
+        return commit(change)
+
+    group.ledger._propose = propose
+    group.order("a")
+    assert seen == ["superseded"] and group.ledger.record().data_centres == ["a"]
+
+
 @pytest.mark.parametrize("evacuated", [True, False])
 def test_order_for_a_data_centre_that_nobody_knows_is_refused_and_changes_nothing(evacuated):
     group = Group("a")
--- a/libs/arbutusrill_wire/arbutusrill.thrift
+++ b/libs/arbutusrill_wire/arbutusrill.thrift
@@ -177,7 +177,8 @@
 struct PutEvacuation { 1: string data_centre, 2: bool evacuated }
 
 // Data centres to whose backend servers nothing more is sent. `revision` increases with each change and is never reset.
-struct Evacuations { 1: i64 revision = 0, 2: list<string> data_centres }
+// A leader adds its term and the number of orders that it has begun to commit in this term; earlier versions send no number.
+struct Evacuations { 1: i64 revision = 0, 2: list<string> data_centres, 3: i64 term = 0, 4: i64 order_number = -1 }
 
 struct JournalBegin {
   1: string workspace, 2: string key, 3: binary digest, 4: string vm, 5: i64 incarnation
@@ -622,8 +623,10 @@
   list<string> join(1: string member) throws (1: Refused refused),            // returns the RPC addresses of the group
   PromptReply report_prompts(1: PromptReport report) throws (1: Refused refused),
   bool leave(1: string member) throws (1: Refused refused),                   // whether the voter is to be replaced now
-  // `known` tells that the data centre is known to the caller; otherwise the leader must know it.
-  void order_evacuation(1: PutEvacuation order, 2: bool known) throws (1: Refused refused),
+  // `known` tells that the data centre is known to the caller; otherwise the leader must know it. Refused with `superseded` if
+  // orders have begun since `read_evacuations` returned `term` and `order_number`; number -1: no such condition.
+  void order_evacuation(1: PutEvacuation order, 2: bool known, 3: i64 term = 0, 4: i64 order_number = -1)
+    throws (1: Refused refused),
   Evacuations read_evacuations() throws (1: Refused refused),
   bool second_send(1: string service_name) throws (1: Refused refused)        // whether the limit of the fleet allows one
 }
