site: a control VM that stops is not made a voter

Cause: only voters told the leader that they stop. The request to join of a spare VM stayed valid for 3 s, within which the leader could put the stopping VM in the place of a voter that was silent or stopped too. A request to join that arrived after the request to leave counted again, and one that was withdrawn during another admission was still followed. Change: every control VM calls `leave`; a VM that is no voter waits only while it is being admitted, and 1 s for a leader. The leader passes over requests to join that arrive within 1 s after a request to leave. Before/after: three tests of libs/arbutusrill_site/tests/test_membership.py fail before and pass; the nine of the file and platform/tests/test_control.py pass. Not measured: the promotion on real processes; the time between the signal and the exit of a spare VM is short.

--- a/libs/arbutusrill_site/_membership.py
+++ b/libs/arbutusrill_site/_membership.py
@@ -38,19 +38,28 @@
         self._requested_at_by_member: dict[str, float] = {}
         self._leave_requested_at_by_member: dict[str, float] = {}
         self._leading_since: float | None = None
+        self._admitted = ""  # the member that is being made a voter
 
     def record_join_request(self, member: str) -> None:
-        """Records a request to join by the VM with the member ID `member`."""
+        """Records a request to join by the VM with the member ID `member`.
+
+        One that was sent before a request to leave may arrive after it and is passed over.
+        """
         with self._lock:
-            self._requested_at_by_member[member] = self._clock.monotonic()
+            if member not in self._recent(self._leave_requested_at_by_member, _LEAVE_REQUEST_TTL_S):
+                self._requested_at_by_member[member] = self._clock.monotonic()
 
     def record_leave_request(self, member: str) -> bool:
-        """Records that the voter with the ID `member` stops; returns whether a VM asks to join that may replace it."""
+        """Records that the VM with the member ID `member` stops, and drops its request to join.
+
+        Returns whether it has to wait: a VM asks to join that may replace it as a voter, or it is being admitted.
+        """
         with self._lock:
             self._requested_at_by_member.pop(member, None)
             self._leave_requested_at_by_member[member] = self._clock.monotonic()
             is_requested = any(self._recent(self._requested_at_by_member, _JOIN_REQUEST_TTL_S))
-        return is_requested and member in self._log.status().voters
+            is_admitted = member == self._admitted
+        return is_admitted or (is_requested and member in self._log.status().voters)
 
     def _recent(self, requested_at_by_member: dict[str, float], ttl_s: float) -> dict[str, float]:
         now = self._clock.monotonic()
@@ -74,11 +83,18 @@
             self._leave_requested_at_by_member = self._recent(self._leave_requested_at_by_member, _LEAVE_REQUEST_TTL_S)
             requesting = sorted(self._requested_at_by_member)
         for member in requesting:
+            with self._lock:
+                if member not in self._requested_at_by_member:
+                    continue  # it has begun to stop meanwhile
+                self._admitted = member
             try:
                 if self._admit(member):
                     return
             except (NotLeaderError, LogUnavailableError, MembershipError) as error:
                 _events.emit("membership_change_failed", member=member, reason=str(error))
+            finally:
+                with self._lock:
+                    self._admitted = ""
 
     def _admit(self, requesting: str) -> bool:
         """Makes the VM with the ID `requesting` a voter if there is room or a voter to replace.
@@ -130,23 +146,26 @@
         """Lets another VM that asks to join replace this one if it is a voter; asks to join no more.
 
         Returns once this VM is replaced, or at once if no other VM asks to join: the group does not shrink. Until then
-        it votes and stores entries as before, so that a planned stop takes nothing from what the group tolerates.
+        it votes and stores entries as before, so that a planned stop takes nothing from what the group tolerates. A VM
+        that is no voter withdraws its request to join, and waits only while it is being made a voter.
         """
         self._is_stopping = True
         started = time.monotonic()
-        is_voter = waits = self._is_voter()
-        reason = ""
+        was_voter = self._is_voter()
+        waits, reason = True, ""
+        call_timeout = timeout if was_voter else _JOIN_TIMEOUT_S
         while waits and (remaining := started + timeout - time.monotonic()) > 0:
             try:
-                waits = self._client.call("leave", self._log.status().replica, timeout=remaining, try_timeout=0.5)
+                member, call_s = self._log.status().replica, min(remaining, call_timeout)
+                waits = self._client.call("leave", member, timeout=call_s, try_timeout=0.5)
             except (ControlUnavailableError, messages.Refused) as error:
                 reason = str(error)
                 break
             if waits:
                 time.sleep(_LEAVE_INTERVAL_S)
-                waits = self._is_voter()
+                waits = self._is_voter() or not was_voter
         took_ms = round((time.monotonic() - started) * 1000, 1)
-        _events.emit("left", was_voter=is_voter, waits=waits, reason=reason, took_ms=took_ms)
+        _events.emit("left", was_voter=was_voter, waits=waits, reason=reason, took_ms=took_ms)
 
     def _is_voter(self) -> bool:
         status = self._log.status()
