gateway: a planned stop ends the wait for the first configuration

Cause: a request at a VM without a configuration waits for up to 1 s, which the end of a planned stop did not end; refusals are sent 0.75 s before the connections are closed at most. Change: `stop_waiting` ends that wait too, and such a request is refused as not run. Before/after: libs/arbutusrill_gateway/tests/test_start.py, two requests around `stop_waiting`: 2.0 s -> under 0.7 s (test).

--- a/libs/arbutusrill_gateway/_gateway.py
+++ b/libs/arbutusrill_gateway/_gateway.py
@@ -80,6 +80,7 @@
         self._second_sender = second_sender
         self._lock = threading.Lock()
         self._budget_by_service: dict[str, RetryBudget] = {}
+        self._is_stopping = False
         self._accepts_all_until = self._shutdown_at = math.inf  # finite once `drain` was called
 
     def drain(self, accept_all_s: float, shutdown_s: float) -> None:
@@ -91,7 +92,8 @@
         self._shutdown_at, self._accepts_all_until = now + shutdown_s, now + accept_all_s
 
     def stop_waiting(self) -> None:
-        """Refuses the requests that wait for a backend server, since the VM stops before they could be answered."""
+        """Refuses the requests that wait for a backend server or the first configuration, since the VM stops first."""
+        self._is_stopping = True
         self._placements.stop_waiting()
         self._pool.stop_waiting()
 
@@ -138,7 +140,8 @@
                 if request.deadline_s is None
                 else _CONFIGURATION_WAIT_FRACTION * request.deadline_s
             )
-            view.wait_for(lambda: view.document is not None, min(_MAX_CONFIGURATION_WAIT_S, max_wait_s))
+            max_wait_s = min(_MAX_CONFIGURATION_WAIT_S, max_wait_s)
+            view.wait_for(lambda: self._is_stopping or view.document is not None, max_wait_s)
         return view.document
 
     def _authorize(
--- a/libs/arbutusrill_gateway/tests/test_start.py
+++ b/libs/arbutusrill_gateway/tests/test_start.py
@@ -2,6 +2,7 @@
 
 import threading
 import time
+from types import SimpleNamespace
 
 from arbutusrill_base import ManualClock, SystemClock
 from arbutusrill_site import Service, SiteView
@@ -22,9 +23,13 @@
     threading.Thread(target=run).start()
 
 
-def response_status(view, **fields):
+def make_gateway(view, pool=None, placements=None):
+    return Gateway(view, pool, placements, None, None, Metrics(), 0.1, lambda: 1.0)
+
+
+def response_status(view, gateway=None, **fields):
     statuses = []
-    gateway = Gateway(view, None, None, None, None, Metrics(), 0.1, lambda: 1.0)
+    gateway = gateway or make_gateway(view)
     request = CallerRequest("1", "GET", "host", "/none/", [], b"", **fields)
     gateway.serve(request, Responder(lambda status, headers: statuses.append(status) or len, []))
     return statuses[0]
@@ -52,6 +57,18 @@
     assert time.monotonic() - started < 0.3
 
 
+def test_request_that_waits_for_the_first_configuration_is_refused_when_the_vm_stops():
+    # It waited for up to 1 s: with a short grace period, its connection was closed without an answer.
+    view = SiteView(SystemClock())
+    placements = SimpleNamespace(stop_waiting=lambda: None)
+    gateway = make_gateway(view, BackendPool(view, "z1", SystemClock()), placements)
+    change_later(view, gateway.stop_waiting)
+    started = time.monotonic()
+    assert response_status(view, gateway, deadline_s=20.0).startswith("503")
+    assert response_status(view, gateway, deadline_s=20.0).startswith("503")  # one that comes after that
+    assert time.monotonic() - started < 0.7
+
+
 def test_request_waits_for_a_backend_server_while_the_list_is_incomplete():
     view = SiteView(ManualClock())
     pool = BackendPool(view, "z1", ManualClock())
