entry: the end of a drain answers calls that may not be repeated

Cause: such a call is not ended when its caller seems to leave, which is how the end of a drain cancels requests. Its connection was closed 0.4 s later without an answer, and nothing recorded that its outcome is unknown. Before that, sent calls are not aborted, as before.

--- a/libs/arbutusrill_entry/_context.py
+++ b/libs/arbutusrill_entry/_context.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+import threading
 from collections.abc import Iterable
 from contextlib import ExitStack
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from arbutusrill_base import Clock, RetryBudget
 from arbutusrill_http import BodyBudget
@@ -22,7 +23,10 @@
 
 @dataclass(slots=True, frozen=True)
 class EntryContext:
-    """Replicated configuration, clients, limits and background jobs of one entry VM."""
+    """Replicated configuration, clients, limits and background jobs of one entry VM.
+
+    `drain_over` is set when the requests in progress end because the VM stops.
+    """
 
     follower: Follower
     control: ControlClient
@@ -35,6 +39,7 @@
     retry_budget: RetryBudget
     meters: Meters
     body_budget: BodyBudget
+    drain_over: threading.Event = field(default_factory=threading.Event)
 
     def try_acquire_retry(self) -> bool:
         """Takes one retry from the retry budget; returns False if none is left.
--- a/libs/arbutusrill_entry/_drain.py
+++ b/libs/arbutusrill_entry/_drain.py
@@ -60,6 +60,7 @@
 
     def _abort(self) -> int:
         """Ends the requests in progress; those without a response get one that says so."""
+        self._context.drain_over.set()
         count = self._server.cancel_requests()
         deadline = time.monotonic() + _REFUSE_S
         while self._server.open_connections() and time.monotonic() < deadline:
--- a/libs/arbutusrill_entry/_services.py
+++ b/libs/arbutusrill_entry/_services.py
@@ -208,6 +208,9 @@
             # Only repeatable calls may be aborted: the outcome of any other aborted call would be unknown.
             transfer.caller_connection = self._caller
             transfer.should_stop = self._key_refused
+        else:
+            # The process ends soon: the caller is told in time that the outcome is unknown.
+            transfer.should_stop = lambda: self._context.drain_over.is_set() and not answer.begun
         return transfer
 
     def _key_refused(self) -> bool:
--- a/libs/arbutusrill_entry/tests/test_services.py
+++ b/libs/arbutusrill_entry/tests/test_services.py
@@ -12,6 +12,8 @@
 from arbutusrill_wire import messages
 from werkzeug.wrappers import Request, Response
 
+from arbutusrill_entry import Drain
+
 from .rig import KEY, entry_rig, eventually
 
 BOOK = "/services/seats/bookings"
@@ -303,6 +305,19 @@
     assert b" 502 " in answer and b"may_have_run" in answer
 
 
+def test_call_that_may_not_be_repeated_is_answered_at_the_end_of_a_drain(rig, service):
+    # Its connection was closed without an answer, and its end was not recorded.
+    service.wait.clear()
+    with rig.send("POST", BOOK, b"{}", IDEMPOTENT) as connection:
+        eventually(lambda: service.seen)
+        drain = Drain(rig.context, rig.app, rig.server, threading.Event())
+        assert drain._abort() == 1
+        answer = connection.makefile("rb").read()
+    service.wait.set()
+    assert b" 502 " in answer and b"may_have_run" in answer
+    assert recorded_finishes(rig)[0].status == "unknown"
+
+
 def test_queued_call_of_a_disconnected_caller_is_recorded_as_not_run(rig):
     rig.pools.acquire_reply = messages.AcquireReply("pending")
     connection = rig.send("POST", BOOK, b"{}", IDEMPOTENT)
