site: orders for other data centres do not hold an order up

Cause: an order was refused as superseded while an order for any data centre was committed, and after any that had begun since its read. Change: the leader compares the number of the latest order for the same data centre, and waits only for orders for it. The calls are unchanged. Test: test_orders_for_several_data_centres_at_the_same_time_are_all_acknowledged of libs/arbutusrill_site/tests/test_evacuations.py.

--- a/libs/arbutusrill_site/_evacuation_writer.py
+++ b/libs/arbutusrill_site/_evacuation_writer.py
@@ -19,7 +19,8 @@
 
     An operator that gives an order up closes its connection before it sends the next one, to any control VM. The
     number of the latest order is therefore read first, then the connection is checked, and the leader refuses the
-    order if others have begun since the read. A process may be paused for any time between these steps.
+    order if others for the data centre have begun since the read. A process may be paused for any time between these
+    steps.
     """
 
     def __init__(self, client: ControlClient):
--- a/libs/arbutusrill_site/_evacuations.py
+++ b/libs/arbutusrill_site/_evacuations.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import threading
+from collections import Counter
 from collections.abc import Callable, Iterable
 from typing import Any
 
@@ -44,7 +45,8 @@
         self._is_complete = is_complete
         self._lock = threading.Lock()
         self._order_number = 0
-        self._orders_under_way = 0
+        self._order_number_by_data_centre: dict[str, int] = {}
+        self._orders_under_way: Counter[str] = Counter()  # by data centre
 
     @property
     def revision(self) -> int:
@@ -56,22 +58,27 @@
 
         One that holds already is committed too: a contrary one may be in the log and not in force yet. Refuses with
         `unknown_data_centre` if neither the caller nor this leader knows the data centre, and with `superseded` if
-        another order has begun since `read` returned `term` and `order_number`; -1 stands for no such condition.
+        another order for the data centre has begun since `read` returned `term` and `order_number`, or is not committed
+        yet; -1 stands for no such condition.
         """
         self._check_data_centre(order.data_centre, known)
         self._raise_feature_level()
+        data_centre = order.data_centre
         with self._lock:
             if order_number >= 0 and (
-                self._orders_under_way or (term, order_number) != (self._log.leading_term(), self._order_number)
+                self._orders_under_way[data_centre]
+                or term != self._log.leading_term()
+                or order_number < self._order_number_by_data_centre.get(data_centre, 0)
             ):
                 raise messages.Refused("superseded", "another order has begun since the orders were read")
             self._order_number += 1
-            self._orders_under_way += 1
+            self._order_number_by_data_centre[data_centre] = self._order_number
+            self._orders_under_way[data_centre] += 1
         try:
             self._commit(order)
         finally:
             with self._lock:
-                self._orders_under_way -= 1
+                self._orders_under_way[data_centre] -= 1
 
     def _commit(self, order: Any) -> None:
         orders, revision = self._state.evacuations, self._state.evacuations.revision
--- a/libs/arbutusrill_site/tests/test_evacuations.py
+++ b/libs/arbutusrill_site/tests/test_evacuations.py
@@ -1,6 +1,7 @@
 """Tests of the leader's part in evacuations, of its choice of engines and of what entry VMs learn of them."""
 
 import threading
+import time
 from types import SimpleNamespace
 
 import pytest
@@ -103,6 +104,33 @@
     assert group.ledger.record().data_centres == ["a", "b"]
 
 
+def test_orders_for_several_data_centres_at_the_same_time_are_all_acknowledged():
+    # Each was refused as superseded while another one was committed, until its time was over.
+    centres = [f"z{number}" for number in range(10)]
+    group, lock = Group(*centres), threading.Lock()
+    group.order("z0", evacuated=False)  # raises the feature level
+    commit, failed = group.propose, []
+
+    def propose(change):
+        time.sleep(0.2)  # commits of several changes overlap
+        with lock:
+            return commit(change)
+
+    def order(data_centre):
+        try:
+            EvacuationWriter(DelayedClient(group)).write(data_centre, True, True, lambda: False, 0.9)
+        except ControlUnavailableError as error:
+            failed.append((data_centre, str(error)))
+
+    group.ledger._propose = propose
+    threads = [threading.Thread(target=order, args=(data_centre,)) for data_centre in centres]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    assert failed == [] and group.ledger.record().data_centres == sorted(centres)
+
+
 def test_order_is_not_begun_while_another_one_is_committed():
     # The order in which the two would be appended to the log is open.
     group, seen = Group("a"), []
--- a/libs/arbutusrill_wire/arbutusrill.thrift
+++ b/libs/arbutusrill_wire/arbutusrill.thrift
@@ -624,7 +624,7 @@
   PromptReply report_prompts(1: PromptReport report) throws (1: Refused refused),
   bool leave(1: string member) throws (1: Refused refused),                   // whether the voter is to be replaced now
   // `known` tells that the data centre is known to the caller; otherwise the leader must know it. Refused with `superseded` if
-  // orders have begun since `read_evacuations` returned `term` and `order_number`; number -1: no such condition.
+  // orders for it have begun since `read_evacuations` returned `term` and `order_number`; number -1: no such condition.
   void order_evacuation(1: PutEvacuation order, 2: bool known, 3: i64 term = 0, 4: i64 order_number = -1)
     throws (1: Refused refused),
   Evacuations read_evacuations() throws (1: Refused refused),
