entry: once-only calls that were not sent are refused as not run at the end of a drain

A call that got its server after the end of the drain was sent and ended at once, with an unknown outcome. Change: both get 503 with `not_run`. Tests: two of libs/arbutusrill_entry/tests/test_services.py fail before and pass; a third, of a call that is being connected, passes before too.

--- a/libs/arbutusrill_entry/_services.py
+++ b/libs/arbutusrill_entry/_services.py
@@ -48,7 +48,13 @@
             service_call = _ServiceCall(
                 self._context, request, start_response, name, path, route.repeatable, guard, call, memory
             )
-            return close_after(self._serve_charged(service_call, guard), stack)
+            try:
+                return close_after(self._serve_charged(service_call, guard), stack)
+            except AbortStreamError:
+                # The end of a drain looks like a caller that has left to a call that waits.
+                if service_call.verdict is Verdict.NOT_RUN and self._context.drain_over.is_set():
+                    raise FailureError(_draining_failure(Verdict.NOT_RUN)) from None
+                raise
 
     def _serve_charged(self, service_call: _ServiceCall, guard: KeyGuard) -> Iterable[bytes]:
         request = service_call.request
@@ -173,6 +179,8 @@
             memory=self._memory,
         )
         transfer = self._make_transfer(reservation, answer)
+        if self._context.drain_over.is_set():
+            raise FailureError(_draining_failure(self.verdict))
         if self._journaled is not None:
             self._journaled.check_send(self.requirements.deadline)
         earlier_verdict = self.verdict
@@ -235,6 +243,10 @@
         return FailureError(Failure(failure.code, failure.message, verdict, failure.status, failure.retry_after))
 
 
+def _draining_failure(verdict: Verdict) -> Failure:
+    return Failure("draining", "this VM stops, use another one", verdict, 503, 1.0)
+
+
 def _service_failure(name: str, result: TransferResult, verdict: Verdict) -> Failure:
     message = f"the service {name!r} did not answer: {result.detail}"
     return Failure("service_unavailable", message, verdict, 502, 1.0 if verdict is Verdict.NOT_RUN else None)
--- a/libs/arbutusrill_entry/tests/test_services.py
+++ b/libs/arbutusrill_entry/tests/test_services.py
@@ -5,6 +5,7 @@
 import socket
 import threading
 import time
+from contextlib import ExitStack
 
 import pytest
 from arbutusrill_http import BodyBudget, HttpServer
@@ -318,6 +319,46 @@
     assert recorded_finishes(rig)[0].status == "unknown"
 
 
+def end_drain(rig):
+    Drain(rig.context, rig.app, rig.server, threading.Event())._abort()
+
+
+def test_once_only_call_that_waits_at_the_end_of_a_drain_is_refused_as_not_run(rig):
+    # Its caller was told that it may have run, although it was never sent.
+    rig.pools.acquire_reply = messages.AcquireReply("pending")
+    with rig.send("POST", BOOK, b"{}", IDEMPOTENT) as connection:
+        eventually(lambda: rig.pools.messages_named("acquire"))
+        end_drain(rig)
+        answer = connection.makefile("rb").read()
+    assert b" 503 " in answer and b"not_run" in answer
+    assert recorded_finishes(rig)[0].status == "not_run"
+
+
+def test_once_only_call_is_not_sent_after_the_end_of_a_drain(rig, service):
+    # It was sent and ended at once, with an unknown outcome.
+    rig.context.drain_over.set()
+    answer = rig.call("POST", BOOK, b"{}", IDEMPOTENT)
+    assert (answer[0], error_of(answer)["verdict"]) == (503, "not_run")
+    assert not service.seen and recorded_finishes(rig)[0].status == "not_run"
+
+
+def test_once_only_call_that_is_being_connected_at_the_end_of_a_drain_is_refused_as_not_run(rig):
+    with ExitStack() as stack:
+        listener = stack.enter_context(socket.create_server(("127.0.0.1", 0), backlog=0))
+        for _ in range(4):  # no further connection is accepted
+            waiting = stack.enter_context(socket.socket())
+            waiting.setblocking(False)
+            waiting.connect_ex(listener.getsockname())
+        rig.pools.servers.append(("full", "http://{}:{}".format(*listener.getsockname())))
+        connection = stack.enter_context(rig.send("POST", BOOK, b"{}", IDEMPOTENT))
+        eventually(lambda: rig.pools.messages_named("acquire"))
+        time.sleep(0.2)
+        end_drain(rig)
+        answer = connection.makefile("rb").read()
+    assert b"not_run" in answer and b"may_have_run" not in answer
+    assert recorded_finishes(rig)[0].status == "not_run"
+
+
 def test_queued_call_of_a_disconnected_caller_is_recorded_as_not_run(rig):
     rig.pools.acquire_reply = messages.AcquireReply("pending")
     connection = rig.send("POST", BOOK, b"{}", IDEMPOTENT)
