site, control: the limit of second sends holds in any ten seconds and counts the slack of the retry budget

Cause: saved second sends and those of the next ten seconds added up to twice the limit, and a new leader granted once more what the one before it had granted. A new leader grants none for ten seconds. `SecondSendLimit` holds the three figures. Tests: test_limit_holds_for_all_vms_together_in_any_ten_seconds allowed twice the limit and now allows it once; `begin_term` needs the time, and the test of a new leader gives it. Replays build the limit in place of the fraction. Ruled out: new leaders that ask the VMs what they have sent lately (a VM that is not heard of must be waited for as long).

--- a/libs/arbutusrill_gateway/tests/test_second_send_replay.py
+++ b/libs/arbutusrill_gateway/tests/test_second_send_replay.py
@@ -3,7 +3,7 @@
 import random
 
 import pytest
-from arbutusrill_site import SecondSends
+from arbutusrill_site import SecondSendLimit, SecondSends
 
 from arbutusrill_gateway._second_sends import SecondSendPolicy
 
@@ -25,7 +25,7 @@
 
 def late_and_sent(fraction, seed, is_slow, servers=3):
     """Returns the numbers of late answers and of second sends."""
-    rng, sends, policy = random.Random(seed), SecondSends(fraction), SecondSendPolicy()
+    rng, sends, policy = random.Random(seed), SecondSends(SecondSendLimit(fraction)), SecondSendPolicy()
     totals, answers_ms = [0] * VMS, [[] for _ in range(VMS)]
     late = sent = 0
     for number in range(SECONDS * RATE_PER_S):
--- a/libs/arbutusrill_site/__init__.py
+++ b/libs/arbutusrill_site/__init__.py
@@ -51,7 +51,7 @@
 from ._prompt_bars import BarredSet, PromptBars
 from ._prompt_suspects import PromptSuspects
 from ._rates import LeaderRateAuthority
-from ._second_sends import SecondSends
+from ._second_sends import SecondSendLimit, SecondSends
 from ._service import SilenceTimeouts, SiteService
 from ._stages import EngineRegistry, EngineStatistics, OrderAnswer, StageBalancer, StageOrderTransport
 from ._use_totals import UseTotals
@@ -99,6 +99,7 @@
     "Route",
     "RouteKind",
     "Service",
+    "SecondSendLimit",
     "SecondSends",
     "SilenceTimeouts",
     "SiteConfiguration",
--- a/libs/arbutusrill_site/_second_send_ledger.py
+++ b/libs/arbutusrill_site/_second_send_ledger.py
@@ -7,23 +7,23 @@
 
 from arbutusrill_base import Clock
 
-from ._second_sends import SecondSends
+from ._second_sends import SecondSendLimit, SecondSends
 
 __all__ = ["SecondSendLedger"]
 
 
 class SecondSendLedger:
-    """Limit of the second sends of all entry VMs, see `SecondSends`; `fraction` 0 allows none."""
+    """Limit of the second sends of all entry VMs, see `SecondSends`; a fraction of 0 allows none."""
 
-    def __init__(self, clock: Clock, fraction: float):
+    def __init__(self, clock: Clock, limit: SecondSendLimit):
         self._clock = clock
         self._lock = threading.Lock()
-        self._sends = SecondSends(fraction)
+        self._sends = SecondSends(limit)
 
     def begin_term(self) -> None:
         """Forgets everything at the start of a term."""
         with self._lock:
-            self._sends.begin_term()
+            self._sends.begin_term(self._clock.monotonic())
 
     def forget(self, vm: str) -> None:
         """Forgets an entry VM that has left."""
@@ -32,7 +32,7 @@
 
     def add_to_reply(self, reply: Any, request: Any) -> None:
         """Learns from what an entry VM reports with its poll, and adds the delays of second sends to the reply."""
-        if not (self._sends.fraction and request.repeatable_uses):
+        if not (self._sends.limit.fraction and request.repeatable_uses):
             return
         now, entry = self._clock.monotonic(), request.entry.id
         with self._lock:
--- a/libs/arbutusrill_site/_second_sends.py
+++ b/libs/arbutusrill_site/_second_sends.py
@@ -5,11 +5,13 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
+from dataclasses import dataclass
 
 from arbutusrill_base import AnswerTimes, EventLog
 
-__all__ = ["SecondSends"]
+__all__ = ["SecondSendLimit", "SecondSends"]
 
 _WINDOW_S = 10.0  # requests of this time can be followed by second sends
 # A request counts as slow after a high quantile of the answer times of its service, at the latest after a multiple of
@@ -21,17 +23,37 @@
 _events = EventLog("second-sends")
 
 
+@dataclass(slots=True, frozen=True)
+class SecondSendLimit:
+    """Limit of the second sends of a service in ten seconds.
+
+    They are at most `fraction` of its requests that may be repeated, which the operators set, and at most
+    `budget_fraction` of these requests and `budget_slack` more: the part of the retry budget that retries leave.
+
+    >>> SecondSendLimit(fraction=0.1, budget_fraction=0.06, budget_slack=5).count(200)
+    17.0
+    """
+
+    fraction: float
+    budget_fraction: float = 0.0
+    budget_slack: float = math.inf
+
+    def count(self, requests: int) -> float:
+        """Returns the number of second sends that `requests` of the last ten seconds allow."""
+        return min(self.fraction * requests, self.budget_fraction * requests + self.budget_slack)
+
+
 class _ServiceSends:
     """Answer times, requests and second sends of one service."""
 
-    __slots__ = ("_answer_times", "_fraction", "_request_count", "_requests", "granted", "refused", "saved")
+    __slots__ = ("_answer_times", "_granted_at", "_limit", "_request_count", "_requests", "granted", "refused")
 
-    def __init__(self, fraction: float):
-        self._fraction = fraction
+    def __init__(self, limit: SecondSendLimit):
+        self._limit = limit
         self._answer_times = AnswerTimes()
         self._requests: deque[tuple[float, int]] = deque()  # of the window
         self._request_count = 0
-        self.saved = 0.0  # second sends that may be made now
+        self._granted_at: deque[float] = deque()  # second sends of the window
         self.granted = self.refused = 0
 
     def add_requests(self, count: int, now: float) -> None:
@@ -39,13 +61,18 @@
         if count > 0:
             self._requests.append((now, count))
             self._request_count += count
-            self.saved += count * self._fraction
         self._bound(now)
 
     def _bound(self, now: float) -> None:
-        while self._requests and now - self._requests[0][0] > _WINDOW_S:
+        while self._requests and now - self._requests[0][0] >= _WINDOW_S:
             self._request_count -= self._requests.popleft()[1]
-        self.saved = min(self.saved, self._fraction * self._request_count)
+        while self._granted_at and now - self._granted_at[0] > _WINDOW_S:
+            self._granted_at.popleft()
+
+    def rest(self, now: float) -> float:
+        """Returns the number of second sends that may be made now."""
+        self._bound(now)
+        return self._limit.count(self._request_count) - len(self._granted_at)
 
     def add_answers(self, answer_ms: list[int], now: float) -> None:
         """Adds the times in milliseconds that good answers took."""
@@ -61,24 +88,23 @@
 
     def try_take(self, now: float) -> bool:
         """Takes one second send; returns False if the limit allows none now."""
-        self._bound(now)
-        if self.saved < 1 - 1e-9:
+        if self.rest(now) < 1 - 1e-9:
             self.refused += 1
             return False
-        self.saved -= 1
+        self._granted_at.append(now)
         self.granted += 1
         return True
 
 
 class SecondSends:
-    """Grants second sends for all VMs together, at most `fraction` of the requests of a service in any ten seconds.
+    """Grants second sends for all VMs together: those of any ten seconds are within `limit`.
 
     A VM sees too few requests of a service to learn how long its answers usually take, and a limit for each VM would
     be less than one second send in the life of a burst. So the VMs report their requests and the times of their good
     answers, and ask before they send. What a VM has not reported yet allows for nothing: the limit errs on the side of
-    too few. A new leader starts without answer times and without saved second sends.
+    too few. A new leader does not know what the one before it has granted, so it grants nothing for ten seconds.
 
-    >>> sends = SecondSends(fraction=0.1)
+    >>> sends = SecondSends(SecondSendLimit(fraction=0.1))
     >>> sends.report("vm-1", 7, "lookups", 0, [], now=0.0)
     >>> sends.report("vm-1", 7, "lookups", 400, [20] * 50, now=1.0)
     >>> sends.delay_ms_by_service()
@@ -87,14 +113,16 @@
     40
     """
 
-    def __init__(self, fraction: float):
-        self.fraction = fraction
+    def __init__(self, limit: SecondSendLimit):
+        self.limit = limit
+        self._grants_from = -math.inf
         self._by_service: dict[str, _ServiceSends] = {}
         self._reported_by_vm: dict[str, tuple[int, dict[str, int]]] = {}  # incarnation, total by service
         self._logged_at = float("-inf")
 
-    def begin_term(self) -> None:
-        """Forgets everything at the start of a term."""
+    def begin_term(self, now: float) -> None:
+        """Forgets everything at the start of a term, and grants nothing until those of earlier terms are past."""
+        self._grants_from = now + _WINDOW_S
         self._by_service.clear()
         self._reported_by_vm.clear()
 
@@ -103,14 +131,14 @@
 
         The first total of an incarnation only sets where counting begins: an earlier leader may have counted it.
         """
-        if not self.fraction:
+        if not self.limit.fraction:
             return
         known_incarnation, totals = self._reported_by_vm.get(vm, (incarnation, {}))
         if known_incarnation != incarnation:
             totals = {}
         sends = self._by_service.get(service)
         if sends is None:
-            sends = self._by_service[service] = _ServiceSends(self.fraction)
+            sends = self._by_service[service] = _ServiceSends(self.limit)
         sends.add_requests(total - totals.get(service, total), now)
         sends.add_answers(answer_ms, now)
         self._reported_by_vm[vm] = (incarnation, {**totals, service: total})
@@ -127,7 +155,7 @@
     def try_take(self, service: str, now: float) -> bool:
         """Grants one second send of a service if the limit allows it."""
         sends = self._by_service.get(service)
-        is_granted = sends is not None and sends.try_take(now)
+        is_granted = sends is not None and now > self._grants_from and sends.try_take(now)
         if sends is not None and now - self._logged_at >= _LOG_INTERVAL_S:
             self._logged_at = now
             _events.emit(
@@ -135,7 +163,7 @@
                 service=service,
                 granted=sends.granted,
                 refused=sends.refused,
-                saved=round(sends.saved, 2),
+                rest=round(sends.rest(now), 2),
                 delay_ms=sends.delay_ms(),
             )
         return is_granted
--- a/libs/arbutusrill_site/_service.py
+++ b/libs/arbutusrill_site/_service.py
@@ -24,6 +24,7 @@
 from ._prompt_ledger import PromptLedger
 from ._registry import RegistryChanges
 from ._second_send_ledger import SecondSendLedger
+from ._second_sends import SecondSendLimit
 from ._stages import EngineRegistry, EngineStatistics, StageBalancer
 
 __all__ = ["SilenceTimeouts", "SiteService"]
@@ -51,8 +52,8 @@
 
     `decode_document` decodes the parts of a configuration document. `make_stage_balancer` builds the balancer from the
     registry of engines and the statistics of their work. `rate_slack` is the number of tokens by which a workspace may
-    briefly exceed its bucket, `cold_rules` bounds what cold servers get, `second_send_fraction` the share of requests
-    that may be sent a second time.
+    briefly exceed its bucket, `cold_rules` bounds what cold servers get, `second_send_limit` the second sends
+    of requests that may be repeated.
     """
 
     def __init__(
@@ -67,7 +68,7 @@
         make_stage_balancer: Callable[[EngineRegistry, EngineStatistics], StageBalancer],
         rate_slack: float,
         cold_rules: ColdRules | None = None,
-        second_send_fraction: float = 0.0,
+        second_send_limit: SecondSendLimit | None = None,
     ):
         self._log = log
         self._state = state
@@ -102,7 +103,7 @@
             lambda record: self._try_to_commit(record, "prompt_suspects_not_saved"),
         )
         self.stage_balancer = make_stage_balancer(_SiteEngineRegistry(self), self.places.speeds)
-        self.second_sends = SecondSendLedger(clock, second_send_fraction)
+        self.second_sends = SecondSendLedger(clock, second_send_limit or SecondSendLimit(0.0))
         self._decoded_document: tuple[int, SiteConfiguration | None] = (0, None)
         self._term: int | None = None
         self._term_lock = threading.Lock()
--- a/libs/arbutusrill_site/tests/test_second_sends.py
+++ b/libs/arbutusrill_site/tests/test_second_sends.py
@@ -1,8 +1,10 @@
 """Replays of the limit of second sends, without a network."""
 
+import random
+
 import pytest
 
-from arbutusrill_site._second_sends import SecondSends
+from arbutusrill_site._second_sends import SecondSendLimit, SecondSends
 
 USUAL_MS = [20, 25, 30, 35, 40] * 20
 
@@ -15,7 +17,7 @@
 
 
 def learned(fraction=0.05):
-    sends = SecondSends(fraction)
+    sends = SecondSends(SecondSendLimit(fraction))
     report(sends, 0.0, 0)
     return sends
 
@@ -29,7 +31,7 @@
         taken += [now] * sum(sends.try_take("lookups", now) for _ in range(20))
     for start in range(50):
         inside = sum(start <= now < start + 10 for now in taken)
-        assert inside <= 2 * 0.05 * 20 * 100  # of the window and of what the one before it left
+        assert inside <= 0.05 * 20 * 100
     assert len(taken) <= 0.05 * 20 * 600
 
 
@@ -64,13 +66,56 @@
 def test_new_leader_counts_no_request_that_an_earlier_one_may_have_counted():
     sends = learned()
     report(sends, 1.0, 4000)
-    sends.begin_term()
+    sends.begin_term(1.1)
     report(sends, 1.2, 4000)
     assert not sends.try_take("lookups", 1.2)
 
 
+def plays_with_changes_of_leader(seed):
+    """Returns the times of grants and of requests of 40 VMs, with lost replies, lost reports and three leaders.
+
+    Calm times end with many slow requests. VMs whose replies are lost ask again; lost reports are sent again.
+    """
+    rng, sends, granted, requested = random.Random(seed), SecondSends(SecondSendLimit(0.1)), [], []
+    totals = [0] * 40
+    for step in range(900):
+        now = step / 20
+        if step in (0, 300, 440):
+            sends.begin_term(now)
+        for _ in range(rng.choice((0, 5, 5, 20))):
+            totals[rng.randrange(40)] += 1
+            requested.append(now)
+        for vm in rng.sample(range(40), 10):
+            for _ in range(1 + (rng.random() < 0.3)):
+                sends.report(f"vm-{vm}", 1, "lookups", totals[vm], USUAL_MS[:1], now)
+        granted += [now] * sum(sends.try_take("lookups", now) for _ in range(8 if now % 20 >= 9 else 0))
+    return granted, requested
+
+
+@pytest.mark.parametrize("seed", range(1, 11))
+def test_limit_holds_in_any_ten_seconds_across_changes_of_leader(seed):
+    """Guards against a new leader that grants once more what the one before it has granted in the same ten seconds."""
+    granted, requested = plays_with_changes_of_leader(seed)
+    assert len(granted) > 50
+    for end in granted:
+        sent = sum(end - 10 <= at <= end for at in granted)
+        reported_late_s = 2.0  # a request counts when its VM reports it
+        assert sent <= 0.1 * sum(end - 10 - reported_late_s <= at <= end for at in requested)
+    for end in granted:
+        assert not any(term < end <= term + 10 for term in (0, 15, 22))
+
+
+def test_retry_budget_bounds_second_sends_with_its_slack():
+    """Guards against sends beyond the retry budget, and against a limit that leaves out what its slack allows."""
+    sends = SecondSends(SecondSendLimit(fraction=0.1, budget_fraction=0.02, budget_slack=5))
+    for at, total in ((0.0, 0), (1.0, 100), (2.0, 1000)):
+        sends.report("vm-1", 1, "lookups", total, [], at)
+        taken = sum(sends.try_take("lookups", at) for _ in range(200))
+        assert taken == {0: 0, 100: 7, 1000: 18}[total]
+
+
 def test_restarted_vm_counts_from_its_own_start():
-    sends = SecondSends(0.5)
+    sends = SecondSends(SecondSendLimit(0.5))
     sends.report("vm-1", 1, "lookups", 0, [], 0.0)
     sends.report("vm-1", 1, "lookups", 100, [], 1.0)
     sends.report("vm-1", 2, "lookups", 4, [], 1.5)
@@ -80,7 +125,7 @@
 
 @pytest.mark.parametrize("service", ["lookups", "unknown"])
 def test_no_second_sends_without_a_limit(service):
-    sends = SecondSends(0.0)
+    sends = SecondSends(SecondSendLimit(0.0))
     sends.report("vm-1", 1, "lookups", 0, [], 0.0)
     sends.report("vm-1", 1, "lookups", 1000, USUAL_MS, 1.0)
     assert not sends.try_take(service, 1.0)
