gateway: second sends go out while they can still be in time, to an idle slot of the soonest server

Of 99 late good lookups, 50 had no second send (8 of them in the first two seconds, before a delay is known), 18 of 75 copies came after the first answer, 15 won and were late. Change: the delay is at the latest twice the expected time of the other server before the objective, and up to there at least three times it. The other server is the soonest with an idle slot by what all VMs know. Between the moment at which a copy would be late and twice the objective none is sent. `second_send_withheld` tells the reason, `second_send` the time that the first send had had.

--- a/libs/arbutusrill_gateway/_second_sender.py
+++ b/libs/arbutusrill_gateway/_second_sender.py
@@ -19,6 +19,7 @@
 from ._attempt import AttemptResult, BodyReceiver, Outcome, send_attempt
 from ._backends import Candidate
 from ._exchange import Exchange
+from ._plain_load import ServerLoad
 from ._second_sends import Race, RepeatableRequests, SecondSendPolicy, Sender
 
 __all__ = ["SecondSend", "SecondSender"]
@@ -34,7 +35,7 @@
     """Second sends of one entry VM; a context manager that ends its threads.
 
     `counts_by_outcome` holds the sent, won, cancelled and failed ones since the start, and those that the limit, a
-    short retry budget or the lack of another server, or of a faster one, did not allow.
+    short retry budget or the lack of another server, of a faster one or of one in time, did not allow.
     """
 
     def __init__(self, client: ControlClient):
@@ -73,11 +74,18 @@
         elif result.outcome is Outcome.ANSWERED and result.response.status < 500 and _may_repeat(exchange):
             self._requests.record_answer(exchange.service.name, took_s)
 
-    def delay_s(self, exchange: Exchange) -> float | None:
-        """Returns the time after which a second send of a request is due, None if there is to be none."""
+    def delay_s(self, exchange: Exchange, first: Candidate) -> float | None:
+        """Returns the time after which a second send of a request to `first` is due, None if there is to be none."""
         if not _may_repeat(exchange) or exchange.attempt_count + 2 > exchange.route.max_attempts:
             return None
-        return self.policy.delay_s(exchange.service.name, exchange.remaining_s(), time.monotonic())
+        others = _others(exchange, first)
+        return self.policy.delay_s(
+            exchange.service.name,
+            exchange.remaining_s(),
+            time.monotonic(),
+            exchange.objective_remaining_s(),
+            others[0].expected_s if others else 0.0,
+        )
 
     def count(self, outcome: str) -> None:
         """Counts the outcome of a second send."""
@@ -104,6 +112,22 @@
     return exchange.route.kind is RouteKind.IDEMPOTENT and exchange.route.max_attempts > 1
 
 
+def _others(exchange: Exchange, first: Candidate) -> list[ServerLoad]:
+    """Returns the sound servers other than `first` with an idle slot, the one first that is expected to answer soonest.
+
+    A copy on a busy server makes other requests wait. The expected times are those that all VMs know: a VM sees too few
+    requests of a service to know them by itself.
+    """
+    avoided = set(exchange.pool.avoided_ids())
+    state = exchange.pool.plain_state(exchange.service, {*exchange.tried, first.id})
+    idle = [
+        server
+        for server in state.servers
+        if server.in_progress < server.slots and not server.is_out and server.id not in avoided
+    ]
+    return sorted(idle, key=lambda server: server.expected_s * (1 + server.failure_share))
+
+
 class _SecondAnswer(BodyReceiver):
     """Collects the answer to a second send."""
 
@@ -145,8 +169,9 @@
         self._lock = threading.Lock()
         self._user_count = 1
         self._began_at = time.monotonic()
+        self._objective_s = max(0.0, exchange.objective_remaining_s())  # at the first send
         self.race = Race()
-        self.delay_s = None if sender is None else sender.delay_s(exchange)
+        self.delay_s = None if sender is None else sender.delay_s(exchange, first)
         self.wake_up = None if self.delay_s is None else os.eventfd(0, os.EFD_NONBLOCK)
 
     def __enter__(self) -> SecondSend:
@@ -177,21 +202,37 @@
         if self.delay_s is None or not self.race.may_start_second:
             return
         exchange = self._exchange
-        other = exchange.pool.pick(exchange.service, exclude={*exchange.tried, self._first.id})
+        others = _others(exchange, self._first)
         took_s = time.monotonic() - self._began_at
-        if other is not None and not self._sender.policy.is_sooner(other.expected_s, took_s):
-            self._sender.count("no_gain")
+        obstacle = "no_server" if not others else self._delay_reason(others[0].expected_s, took_s)
+        if obstacle:
+            self._record_withheld(obstacle)
             return
         if not self.race.start_second():
             return
+        slower = {server.id for server in others[1:]}
+        unsound = {*exchange.pool.avoided_ids(), *exchange.pool.plain.out_ids()}
+        other = exchange.pool.pick(exchange.service, exclude={*exchange.tried, self._first.id, *slower, *unsound})
         with self._lock:
             self._user_count += 1
         if not self._sender.submit(lambda: self._run(other)):
             self._release()
             self._withdraw("stopping")
 
-    def _withdraw(self, reason: str) -> None:
+    def _delay_reason(self, expected_s: float, took_s: float) -> str:
+        """Returns why a copy with an expected time is not worthwhile now, empty if it is."""
+        policy = self._sender.policy
+        if not policy.is_sooner(expected_s, took_s):
+            return "no_gain"
+        return "" if policy.is_in_time(expected_s, took_s, self._objective_s) else "too_late"
+
+    def _record_withheld(self, reason: str) -> None:
         self._sender.count(reason)
+        took_ms = round(1000 * (time.monotonic() - self._began_at), 1)
+        _events.emit("second_send_withheld", request=self._exchange.request.id, reason=reason, after_ms=took_ms)
+
+    def _withdraw(self, reason: str) -> None:
+        self._record_withheld(reason)
         self.race.withdraw_second()
         self._ended.set()
         self._wake_if_decided()
@@ -215,8 +256,8 @@
 
     def _obstacle(self, other: Candidate | None) -> str:
         """Returns why there is no second send to a server; empty after a grant of the leader."""
-        exchange, pool = self._exchange, self._exchange.pool
-        if other is None or other.id in {*pool.avoided_ids(), *pool.plain.out_ids()}:
+        exchange = self._exchange
+        if other is None:
             return "no_server"
         if self.race.winner is not None:
             return "answered"
@@ -256,6 +297,7 @@
             outcome=result.outcome.value,
             won=has_won,
             took_ms=round(result.took_s * 1000, 1),
+            after_ms=round(1000 * (time.monotonic() - self._began_at - result.took_s), 1),
         )
         self._ended.set()
         self._wake_if_decided()
--- a/libs/arbutusrill_gateway/_second_sends.py
+++ b/libs/arbutusrill_gateway/_second_sends.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import enum
+import math
 import threading
 from typing import Any
 
@@ -14,7 +15,21 @@
 __all__ = ["Race", "RepeatableRequests", "SecondSendPolicy", "Sender"]
 
 _MAX_KEPT_ANSWERS = 50  # times of answers by service between two reports
+_VERY_SLOW_FACTOR = 2.0  # of the objective, from which a copy is sent though it is late
 _REFUSAL_MEMORY_S = 1.0  # after a server has turned a request of a service away, none of it is sent twice
+# Multiples of the usual time of an answer: what is left for a copy before the objective, the least with which a copy
+# can be in time, and the time before which no copy is sent for the sake of the objective.
+_COPY_FACTOR = 2.0
+_MIN_COPY_FACTOR = 1.5
+_MIN_DELAY_FACTOR = 1.5
+_SLOW_FACTOR = 2.0  # of the objective, from which a copy is sent though it is late
+_REFUSAL_MEMORY_S = 1.0  # after a server has turned a request of a service away, none of it is sent twice
+# Multiples of the usual time of an answer: within the first, most copies are answered, within the second, half of
+# them; an answer that takes less than the third is not slow.
+_COPY_FACTOR = 2.0
+_MIN_COPY_FACTOR = 1.5
+_MIN_DELAY_FACTOR = 1.5
+_SLOW_FACTOR = 3.0  # of the usual time, after which an answer is slow whatever the other requests of its service take
 _MIN_REMAINING_FACTOR = 2.0  # of the usual time: with less left, a second answer would come too late
 
 
@@ -80,12 +95,22 @@
         """Records that a server has turned a request away."""
         self._refused_at_by_service[service] = now
 
-    def delay_s(self, service: str, remaining_s: float, now: float) -> float | None:
-        """Returns the time without an answer after which a second send is due, None if there is to be none."""
+    def delay_s(
+        self, service: str, remaining_s: float, now: float, objective_s: float = math.inf, usual_s: float = 0.0
+    ) -> float | None:
+        """Returns the time without an answer after which a second send is due, None if there is to be none.
+
+        `objective_s` is what is left of the objective, and `usual_s` the expected time of an answer of another server.
+        A copy is most useful at the last moment at which it is still likely to be in time: an earlier one often
+        replaces an answer that would have been in time too, a later one is late as well.
+        """
         delay_ms = self._delay_ms_by_service.get(service)
         if delay_ms is None or self.is_short(service, now):
             return None
         delay_s = delay_ms / 1000
+        if objective_s >= (_MIN_DELAY_FACTOR + _MIN_COPY_FACTOR) * usual_s:
+            in_time_s = max(_MIN_DELAY_FACTOR * usual_s, objective_s - _COPY_FACTOR * usual_s)
+            delay_s = min(in_time_s, max(delay_s, _SLOW_FACTOR * usual_s))
         return delay_s if remaining_s > _MIN_REMAINING_FACTOR * delay_s else None
 
     def is_sooner(self, expected_s: float, took_s: float) -> bool:
@@ -95,6 +120,13 @@
         """
         return expected_s < took_s
 
+    def is_in_time(self, expected_s: float, took_s: float, objective_s: float) -> bool:
+        """Whether a copy is expected within what is left of the objective, or the request is very slow by now.
+
+        Between the two, a copy would use up the limit for an answer that is late in any case.
+        """
+        return expected_s <= objective_s - took_s or took_s >= _VERY_SLOW_FACTOR * objective_s
+
     def is_short(self, service: str, now: float) -> bool:
         """Whether servers of a service have turned work away lately."""
         return now - self._refused_at_by_service.get(service, float("-inf")) < _REFUSAL_MEMORY_S
--- a/libs/arbutusrill_gateway/tests/test_second_sends.py
+++ b/libs/arbutusrill_gateway/tests/test_second_sends.py
@@ -2,6 +2,7 @@
 
 from types import SimpleNamespace
 
+import pytest
 from arbutusrill_base import RetryBudget
 
 from arbutusrill_gateway._attempt import AttemptResult, Outcome
@@ -94,3 +95,20 @@
     for _ in range(5):
         budget.record_request()
     assert not budget.is_short
+
+
+def test_copy_is_due_while_it_can_still_be_in_time():
+    policy = SecondSendPolicy()
+    policy.set_delays({"lookups": 250})
+    assert policy.delay_s("lookups", 4.0, 1.0, objective_s=0.3, usual_s=0.06) == pytest.approx(0.18)
+    assert policy.delay_s("lookups", 4.0, 1.0, objective_s=0.3, usual_s=0.2) == 0.25
+    policy.set_delays({"lookups": 20})
+    assert policy.delay_s("lookups", 4.0, 1.0, objective_s=2.0, usual_s=0.06) == pytest.approx(0.18)
+
+
+def test_copy_that_would_be_late_waits_until_the_request_is_very_slow():
+    """Guards against copies that use up the limit just after the objective, for answers that are late in any case."""
+    policy = SecondSendPolicy()
+    assert policy.is_in_time(expected_s=0.1, took_s=0.19, objective_s=0.3)
+    assert not policy.is_in_time(expected_s=0.1, took_s=0.25, objective_s=0.3)
+    assert policy.is_in_time(expected_s=0.1, took_s=0.6, objective_s=0.3)
