--- a/libs/arbutusrill_site/_second_sends.py
+++ b/libs/arbutusrill_site/_second_sends.py
@@ -8,12 +8,14 @@
 import math
 from collections import deque
 from dataclasses import dataclass
+from typing import Any
 
 from arbutusrill_base import AnswerTimes, EventLog
 
 __all__ = ["SecondSendLimit", "SecondSends"]
 
 _WINDOW_S = 10.0  # requests of this time can be followed by second sends
+_BUDGET_SHARE = 0.3  # of the retry budget, the part that the retries of the entry VMs leave
 # A request counts as slow after a high quantile of the answer times of its service, at the latest after a multiple of
 # their median: while one of a few servers is slow, the quantile is that of the slow answers.
 _DELAY_QUANTILE = 0.95
@@ -38,6 +40,11 @@
     budget_fraction: float = 0.0
     budget_slack: float = math.inf
 
+    @classmethod
+    def of(cls, fraction: float, bounds: Any) -> SecondSendLimit:
+        """Returns the limit for a fraction of the requests within a budget of `retry_fraction` and `retry_slack`."""
+        return cls(fraction, _BUDGET_SHARE * bounds.retry_fraction, _BUDGET_SHARE * bounds.retry_slack)
+
     def count(self, requests: int) -> float:
         """Returns the number of second sends that `requests` of the last ten seconds allow."""
         return min(self.fraction * requests, self.budget_fraction * requests + self.budget_slack)
--- a/libs/arbutusrill_site/tests/test_second_sends.py
+++ b/libs/arbutusrill_site/tests/test_second_sends.py
@@ -1,6 +1,7 @@
 """Replays of the limit of second sends, without a network."""
 
 import random
+from types import SimpleNamespace
 
 import pytest
 
@@ -114,6 +115,12 @@
         assert taken == {0: 0, 100: 7, 1000: 18}[total]
 
 
+def test_limit_is_within_the_part_of_the_retry_budget_that_retries_leave():
+    limit = SecondSendLimit.of(0.5, SimpleNamespace(retry_fraction=0.2, retry_slack=50))
+    assert limit.count(10) == 5
+    assert limit.count(1000) == pytest.approx(0.3 * (0.2 * 1000 + 50))
+
+
 def test_restarted_vm_counts_from_its_own_start():
     sends = SecondSends(SecondSendLimit(0.5))
     sends.report("vm-1", 1, "lookups", 0, [], 0.0)
