site: the test of a new leader's second sends looks after its ten seconds of silence

Cause: test_new_leader_counts_no_request_that_an_earlier_one_may_have_counted asks 0.1 s after the start of the term, when nothing is granted whatever was counted. Change: a further test asks after the ten seconds, for totals and for answer times. The old one stays as it is.

--- a/libs/arbutusrill_site/tests/test_second_sends.py
+++ b/libs/arbutusrill_site/tests/test_second_sends.py
@@ -72,6 +72,20 @@
     assert not sends.try_take("lookups", 1.2)
 
 
+def test_new_leader_grants_nothing_for_requests_before_its_first_reports():
+    """Guards against a new leader that counts the totals, or keeps the answer times, of an earlier term."""
+    sends = learned()
+    report(sends, 1.0, 4000, answers=USUAL_MS)
+    assert sends.delay_ms_by_service()
+    sends.begin_term(1.1)
+    assert not sends.delay_ms_by_service()
+    report(sends, 11.5, 4000)
+    assert not sends.try_take("lookups", 11.6)
+    sends.report("vm-0", 1, "lookups", 420, [], 11.7)
+    assert sends.try_take("lookups", 11.8)
+    assert not sends.try_take("lookups", 11.8)
+
+
 def plays_with_changes_of_leader(seed):
     """Returns the times of grants and of requests of 40 VMs, with lost replies, lost reports and three leaders.
 
