gateway: copies go to no busy server, and the search for one does not mark its service as busy

Cause: busy servers were left out of the candidates, but not excluded from the choice, which goes by what this VM alone knows, so that a copy could go to a server without an idle slot. The search also asked for the state of the other servers alone: it recorded the service as busy while the first server had idle slots (always with one server), and callers with a short time limit could be taken for late. Constants were defined twice, one name with two values. Change: the choice excludes every server but the one found; the state is that of all servers. The second definitions are gone. Tests: test_busy_server_gets_no_copy_while_another_one_is_idle and test_service_with_an_idle_server_does_not_count_as_busy_for_want_of_another failed first.

--- a/libs/arbutusrill_gateway/_second_sender.py
+++ b/libs/arbutusrill_gateway/_second_sender.py
@@ -118,12 +118,13 @@
     A copy on a busy server makes other requests wait. The expected times are those that all VMs know: a VM sees too few
     requests of a service to know them by itself.
     """
-    avoided = set(exchange.pool.avoided_ids())
-    state = exchange.pool.plain_state(exchange.service, {*exchange.tried, first.id})
+    excluded = {*exchange.tried, first.id, *exchange.pool.avoided_ids()}
+    # All servers are asked for: the state of a part of them would tell whether the service is busy.
+    state = exchange.pool.plain_state(exchange.service, set())
     idle = [
         server
         for server in state.servers
-        if server.in_progress < server.slots and not server.is_out and server.id not in avoided
+        if server.in_progress < server.slots and not server.is_out and server.id not in excluded
     ]
     return sorted(idle, key=lambda server: server.expected_s * (1 + server.failure_share))
 
@@ -210,9 +211,9 @@
             return
         if not self.race.start_second():
             return
-        slower = {server.id for server in others[1:]}
+        listed = {server.id for server in exchange.pool.plain_state(exchange.service, set()).servers}
         unsound = {*exchange.pool.avoided_ids(), *exchange.pool.plain.out_ids()}
-        other = exchange.pool.pick(exchange.service, exclude={*exchange.tried, self._first.id, *slower, *unsound})
+        other = exchange.pool.pick(exchange.service, exclude=(listed - {others[0].id}) | unsound)
         with self._lock:
             self._user_count += 1
         if not self._sender.submit(lambda: self._run(other)):
--- a/libs/arbutusrill_gateway/_second_sends.py
+++ b/libs/arbutusrill_gateway/_second_sends.py
@@ -22,13 +22,6 @@
 _COPY_FACTOR = 2.0
 _MIN_COPY_FACTOR = 1.5
 _MIN_DELAY_FACTOR = 1.5
-_SLOW_FACTOR = 2.0  # of the objective, from which a copy is sent though it is late
-_REFUSAL_MEMORY_S = 1.0  # after a server has turned a request of a service away, none of it is sent twice
-# Multiples of the usual time of an answer: within the first, most copies are answered, within the second, half of
-# them; an answer that takes less than the third is not slow.
-_COPY_FACTOR = 2.0
-_MIN_COPY_FACTOR = 1.5
-_MIN_DELAY_FACTOR = 1.5
 _SLOW_FACTOR = 3.0  # of the usual time, after which an answer is slow whatever the other requests of its service take
 _MIN_REMAINING_FACTOR = 2.0  # of the usual time: with less left, a second answer would come too late
 
--- a/libs/arbutusrill_gateway/tests/test_second_sender.py
+++ b/libs/arbutusrill_gateway/tests/test_second_sender.py
@@ -166,6 +166,35 @@
     assert sender.counts_by_outcome["no_server"] >= 1
 
 
+def test_busy_server_gets_no_copy_while_another_one_is_idle(sender, monkeypatch):
+    """Guards against copies to a server that this VM has found quick and whose slots other VMs have taken."""
+    plain_state = BackendPool.plain_state
+
+    def one_full(pool, service, exclude, data_centres=None):
+        state = plain_state(pool, service, exclude, data_centres)
+        full = {"1": {"in_progress": 99}}
+        return replace(state, servers=[replace(server, **full.get(server.id, {})) for server in state.servers])
+
+    monkeypatch.setattr(BackendPool, "plain_state", one_full)
+    for _ in range(8):
+        first, busy, idle = Backend(until_closed), Backend(sends(WHOLE)), Backend(sends(WHOLE))
+        caller, _, _ = ask(first, busy, idle, sender=sender)
+        assert caller.body == b"whole" and idle.requests and not busy.requests
+
+
+def test_service_with_an_idle_server_does_not_count_as_busy_for_want_of_another(sender, monkeypatch):
+    """Guards against callers that are taken for late since the search for another server left out the idle one."""
+    plain_state = BackendPool.plain_state
+
+    def heard_of_all(pool, service, exclude, data_centres=None):
+        pool.plain._fleet_age_s = lambda now: 0.0
+        return plain_state(pool, service, exclude, data_centres)
+
+    monkeypatch.setattr(BackendPool, "plain_state", heard_of_all)
+    caller, exchange, _ = ask(Backend(sends(WHOLE)), sender=sender)
+    assert caller.body == b"whole" and not exchange.pool.plain._busy_at_by_service
+
+
 def test_caller_that_leaves_ends_both_sends(sender):
     first, second = Backend(until_closed), Backend(until_closed)
     here, there = socket.socketpair()
