order: decide cautiously whether a new request will be in time

A request that would be late did not count those in time that would be late as well, so that each of them expected to be the first; the mean wait was compared with the deadline, which those last in a full line miss half of the time; and more urgent or shorter requests overtook the others. Change: requests in time that will be late count for those that come after them; a new request has to expect to be in time with one standard deviation to spare, and with the recent arrivals that overtake it, the turns of the largest and of starving ranks counted. Polls after the first one are decided as before. Tests: the test of half of the refusals plays three loads with 2 and 5 prefill engines, with the same bound as before.

--- a/libs/arbutusrill_site/_placement.py
+++ b/libs/arbutusrill_site/_placement.py
@@ -92,14 +92,15 @@
         for measured in request.prefills or []:
             self.speeds.learn_prefill(measured.id, measured.took_s, measured.units, now)
         ticket = self._waiting_queue.resume(request, now)
-        if ticket is None:
+        is_new = ticket is None
+        if is_new:
             capacity = self._engine_of(request.service_name)
             self.speeds.learn_request(
                 request.service_name, request.prompt_tokens, output_tokens_of(request), capacity.kv_tokens
             )
             ticket = self._waiting_queue.enqueue(request, now, self._reading.first_event_s(request, now))
         engines = self._loads.decode_count(request.service_name)
-        expected_s = self._waiting_queue.expected_wait_s(ticket, now, engines)
+        expected_s = self._waiting_queue.expected_wait_s(ticket, now, engines, is_new)
         if ticket.is_returned:  # it was refused once and waits to the end of its patience
             expected_s = min(expected_s, request.patience_ms / 1000)
         return ticket, expected_s
--- a/libs/arbutusrill_site/_service_line.py
+++ b/libs/arbutusrill_site/_service_line.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import math
 import operator
 from collections.abc import Iterable, Iterator
 from typing import Any
@@ -10,6 +11,7 @@
 from sortedcontainers import SortedDict, SortedKeyList
 
 from ._rate_window import RateWindow
+from ._recent_arrivals import RecentArrivals
 from ._return_schedule import ReturnSchedule
 from ._served_shares import ServedShares
 from ._speeds import nominal_stream_s
@@ -26,6 +28,9 @@
 _STARVED_TURN = 3  # which one of them, so that it is not the turn of the largest
 # A line starves below this fraction of the places per request of the whole service.
 _STARVED_FRACTION = 0.5
+# Standard deviations of the places ahead of a new request that are added to them. Without them, half of the requests
+# that are last in line when it is full get late.
+_CAUTIOUS_DEVIATIONS = 1.0
 _SORT_KEY = operator.attrgetter("sort_key")
 
 
@@ -54,8 +59,10 @@
         self.in_time_by_class: dict[tuple[int, bool], _Line] = SortedDict()
         self.late = SortedKeyList(key=_SORT_KEY)
         self.by_deadline = SortedKeyList(key=lambda ticket: (ticket.placement_deadline, ticket.number))  # in time
+        self.expected_late: set[Any] = set()  # tickets in time that will not be, by their expected wait
         self.grant_count = 0
         self.arrivals = RateWindow(_FORECAST_WINDOW_S)  # of requests that can be in time
+        self._recent_arrivals = RecentArrivals(_FORECAST_WINDOW_S)  # those that were not refused, by rank and job size
         self.releases = RateWindow(_RATE_WINDOW_S)
         self.recent_releases = RateWindow(_FORECAST_WINDOW_S)
         self.late_grants = RateWindow(_RATE_WINDOW_S)
@@ -72,6 +79,7 @@
         while self.by_deadline and self.by_deadline[0].placement_deadline <= now:
             ticket = self.by_deadline.pop(0)
             self.in_time_by_class[ticket.line_class].tickets.remove(ticket)
+            self.expected_late.discard(ticket)
             ticket.set_late(True)
             self.late.add(ticket)
 
@@ -84,6 +92,7 @@
         self.served_classes.record_request(ticket.line_class)
         if not ticket.is_late:
             self.arrivals.add(now)
+            self._recent_arrivals.add(_position_in_time(ticket), now)
         self.add(ticket)
 
     def add(self, ticket: Any) -> None:
@@ -99,12 +108,17 @@
 
     def remove(self, ticket: Any) -> None:
         """Removes a ticket if it is there."""
+        self.expected_late.discard(ticket)
         if ticket.is_late:
             self.late.discard(ticket)
         elif ticket.line_class in self.in_time_by_class:
             self.in_time_by_class[ticket.line_class].tickets.discard(ticket)
             self.by_deadline.discard(ticket)
 
+    def record_refusal(self, ticket: Any) -> None:
+        """Records that a ticket, already removed, was refused and so overtakes no other one."""
+        self._recent_arrivals.discard(_position_in_time(ticket))
+
     def young_release_rate(self, now: float) -> float:
         """Returns the places expected to be released per second while a load is too young to show it, else 0."""
         if now - self._load_began_at >= _RATE_WINDOW_S:
@@ -171,8 +185,37 @@
         for key, line in self.in_time_by_class.items():
             if key == ticket.line_class:
                 within = line.tickets.bisect_left(ticket)
-                if self.served_classes.is_starved(key, _STARVED_FRACTION):
-                    return min(ahead + within, (within + 1) * _STARVED_INTERVAL), 0
-                return ahead + within, 0
+                return min(ahead + within, self.places_if_starved(ticket)), 0
             ahead += len(line.tickets)
         return ahead, 0
+
+    def places_if_starved(self, ticket: Any) -> float:
+        """Returns the places until the turn of a ticket whose line starves, infinity if it does not."""
+        if len(self.in_time_by_class) == 1 or not self.served_classes.is_starved(ticket.line_class, _STARVED_FRACTION):
+            return math.inf
+        return (self.in_time_by_class[ticket.line_class].tickets.bisect_left(ticket) + 1) * _STARVED_INTERVAL
+
+    def cautious_wait_s(self, ticket: Any, ahead: int, rate: float, now: float) -> float:
+        """Returns a wait in seconds that a new ticket in time rarely exceeds.
+
+        `ahead` is its position, and `rate` the places per second. Requests that arrive and go ahead of it take their
+        part of them; it is infinity if they take all. The turns of the largest and of a line that starves are taken
+        into account.
+        """
+        arrivals, line_class = self._recent_arrivals, ticket.line_class
+        tickets = self.in_time_by_class[line_class].tickets
+        wait_s = _drained_s(ahead + 1, rate - arrivals.rate_ahead_of((line_class, ticket.job_size), now))
+        if math.isfinite(starved_places := self.places_if_starved(ticket)):
+            wait_s = min(wait_s, _drained_s(starved_places, rate))
+        as_large = len(tickets) - tickets.bisect_key_left((ticket.job_size,))  # itself among them
+        rate_of_line = rate - arrivals.rate_ahead_of((line_class,), now)
+        return min(wait_s, _drained_s(as_large * _LARGEST_INTERVAL, rate_of_line))
+
+
+def _drained_s(places: float, rate: float) -> float:
+    """Returns the seconds in which `places`, a Poisson number, are rarely not yet granted at `rate` per second."""
+    return (places + _CAUTIOUS_DEVIATIONS * math.sqrt(places)) / rate if rate > 0 else math.inf
+
+
+def _position_in_time(ticket: Any) -> tuple[tuple[int, bool], float, int]:
+    return ticket.line_class, ticket.job_size, ticket.number
--- a/libs/arbutusrill_site/_waiting_queue.py
+++ b/libs/arbutusrill_site/_waiting_queue.py
@@ -141,6 +141,7 @@
     def refuse(self, ticket: Ticket) -> None:
         """Removes a request that got no place; the next attempt of its caller keeps its turn."""
         self.remove(ticket)
+        self._line(ticket.request.service_name).record_refusal(ticket)
         attempt = self._attempt_by_content.get(ticket.request.content)
         if attempt is not None:
             attempt.refused_number = ticket.number
@@ -207,20 +208,28 @@
         """
         self._line(service).record_release(now, held_s)
 
-    def expected_wait_s(self, ticket: Ticket, now: float, engines: int) -> float:
+    def expected_wait_s(self, ticket: Ticket, now: float, engines: int, is_new: bool = False) -> float:
         """Returns the expected seconds until the ticket gets a place, from its position and the release rate.
 
-        A request that will be late by then waits behind the late ones too, which get what those in time leave.
+        A request that will be late by then waits behind the late ones too, which get what those in time leave, and
+        behind those in time that will be late. Whether a new one will be in time is decided cautiously, with those that
+        will overtake it, so that it is refused now and not later.
         """
         line = self._line(ticket.request.service_name)
         line.move_late(now)
         rate = self._release_rate(line, now, engines)
         in_time_ahead, late_ahead = line.position(ticket)
         if not ticket.is_late:
-            wait_s = line.first_release_s(now) + (in_time_ahead + 1) / max(rate, line.young_release_rate(now))
-            if now + wait_s <= ticket.placement_deadline:
-                return wait_s
-            late_ahead = len(line.late)
+            rate_in_time = max(rate, line.young_release_rate(now))
+            first_s = line.first_release_s(now)
+            expected_s = longest_s = first_s + (in_time_ahead + 1) / rate_in_time
+            if is_new:
+                longest_s = first_s + line.cautious_wait_s(ticket, in_time_ahead, rate_in_time, now)
+            line.expected_late.discard(ticket)
+            if now + longest_s <= ticket.placement_deadline:
+                return expected_s
+            late_ahead = len(line.late) + sum(other.number < ticket.number for other in line.expected_late)
+            line.expected_late.add(ticket)
         if ticket.continued:
             return (in_time_ahead + 1 + late_ahead) / rate
         return in_time_ahead / rate + (late_ahead + 1) / self._late_rate(line, now, engines)
--- a/libs/arbutusrill_site/tests/test_order.py
+++ b/libs/arbutusrill_site/tests/test_order.py
@@ -195,18 +195,64 @@
     assert queue.reserve_from_late(ticket, 3.5) < 6
 
 
-@pytest.mark.parametrize("seed", range(3))
-def test_half_of_the_refusals_come_within_an_eighth_of_the_objective(seed):
-    # Requests that could not be in time waited up to three times their objective and were refused then.
-    replay = ScarceReplay(seed)
+def equal_sizes(replay):
     replay.load(14, 0, 5, **GAP)
     replay.load(70, 5, 11, **GAP)
+
+
+def two_sizes(replay):
+    for start, end, rate in ((0, 5, 22), (5, 9, 75), (9, 20, 22)):
+        replay.load(rate * 0.7, start, end, prompt_tokens=2400, output_tokens=500, **GAP)
+        replay.load(rate * 0.3, start, end, prompt_tokens=5500, output_tokens=900, **GAP)
+
+
+def three_ranks(replay):
+    for rank, rate in enumerate((10, 20, 20)):
+        replay.load(rate, 0, 20, rank=rank, **GAP)
+
+
+@pytest.mark.parametrize("prefill", [2, 5])
+@pytest.mark.parametrize("load", [equal_sizes, two_sizes, three_ranks])
+@pytest.mark.parametrize("seed", range(3))
+def test_half_of_the_refusals_come_within_an_eighth_of_the_objective(seed, load, prefill):
+    # Requests that could not be in time waited up to three times their objective and were refused then. Where sizes or
+    # ranks differ, others overtook them.
+    replay = ScarceReplay(seed, prefill=prefill)
+    load(replay)
     replay.run(40)
     held = [moment - replay.arrived_at[name] for name, moment in replay.refused_at.items()]
     assert len(held) > 50
     assert sum(held_s <= OBJECTIVE_S / 8 for held_s in held) > 0.5 * len(held)
 
 
+def waiting(queue, name, now=0.0, **fields):
+    """Adds a request that is in time if it gets a place within 0.7 s."""
+    request = messages.PlaceRequest("vm", 1, name, "model", "", 3200, 3900, 400, 900, **fields)
+    return queue.enqueue(request, now, 0.2)
+
+
+def test_requests_that_will_be_late_wait_behind_each_other():
+    # Each of those that came during a burst expected to be the first late one, so that too many waited in vain.
+    queue = WaitingQueue()
+    for _ in range(16):
+        queue.record_release("model", 0.0, 2.0)
+    for number in range(4):
+        queue.expected_wait_s(waiting(queue, f"in time {number}", 2.0), 2.0, 4)
+    expected_s = [queue.expected_wait_s(waiting(queue, f"late {number}", 2.0), 2.0, 4) for number in range(8)]
+    assert expected_s[-1] > expected_s[0] + 7.0  # late requests get one place a second at 4 engines
+
+
+def test_new_request_that_others_will_overtake_does_not_expect_to_be_in_time():
+    # It expected a place after the two ahead of it, while more urgent ones arrived as fast as places were free.
+    queue = WaitingQueue()
+    for number in range(30):
+        queue.record_release("model", number / 30, 2.0)
+        queue.set_granted(waiting(queue, f"urgent {number}", number / 30), messages.PlaceReply(number), number / 30)
+    urgent, other = waiting(queue, "urgent", 1.0), waiting(queue, "other", 1.0, rank=1)
+    assert queue.expected_wait_s(urgent, 1.0, 4, is_new=True) < 0.7
+    assert queue.expected_wait_s(other, 1.0, 4, is_new=True) > 0.7
+
+
 @pytest.mark.parametrize("seed", range(3))
 def test_first_requests_of_a_load_are_not_refused_before_any_stream_can_have_ended(seed):
     # With no release in four seconds, one place per second was expected of an engine with 16 slots: all that waited
