order: look up the requests that will be late by number

Cause: a poll counted all requests in time that will be late, so that its time grew with the number of waiting requests.

--- a/libs/arbutusrill_site/_service_line.py
+++ b/libs/arbutusrill_site/_service_line.py
@@ -32,6 +32,7 @@
 # that are last in line when it is full get late.
 _CAUTIOUS_DEVIATIONS = 1.0
 _SORT_KEY = operator.attrgetter("sort_key")
+_NUMBER = operator.attrgetter("number")
 
 
 class _Line:
@@ -59,7 +60,7 @@
         self.in_time_by_class: dict[tuple[int, bool], _Line] = SortedDict()
         self.late = SortedKeyList(key=_SORT_KEY)
         self.by_deadline = SortedKeyList(key=lambda ticket: (ticket.placement_deadline, ticket.number))  # in time
-        self.expected_late: set[Any] = set()  # tickets in time that will not be, by their expected wait
+        self.expected_late = SortedKeyList(key=_NUMBER)  # tickets in time that will not be, by their expected wait
         self.grant_count = 0
         self.arrivals = RateWindow(_FORECAST_WINDOW_S)  # of requests that can be in time
         self._recent_arrivals = RecentArrivals(_FORECAST_WINDOW_S)  # those that were not refused, by rank and job size
--- a/libs/arbutusrill_site/_waiting_queue.py
+++ b/libs/arbutusrill_site/_waiting_queue.py
@@ -228,7 +228,7 @@
             line.expected_late.discard(ticket)
             if now + longest_s <= ticket.placement_deadline:
                 return expected_s
-            late_ahead = len(line.late) + sum(other.number < ticket.number for other in line.expected_late)
+            late_ahead = len(line.late) + line.expected_late.bisect_left(ticket)
             line.expected_late.add(ticket)
         if ticket.continued:
             return (in_time_ahead + 1 + late_ahead) / rate
