order: a stream that goes on elsewhere does not wait behind those that will be late

A stream whose engine had failed expected to wait behind all requests in time that will be late: 5.55 s instead of 3.05 s behind 60 new ones at 20 places a second. It precedes them. Whether it will be in time is decided as before, not cautiously. A request that returned within 2 s of its first arrival was forgotten at the end of the window of the refused attempt. Tests: two new ones, both fail without the change; none changed.

--- a/libs/arbutusrill_site/_recent_arrivals.py
+++ b/libs/arbutusrill_site/_recent_arrivals.py
@@ -20,22 +20,26 @@
     (0.5, 1.0, 0.5)
     """
 
-    __slots__ = ("_arrivals", "_positions", "_window_s")
+    __slots__ = ("_arrivals", "_positions", "_time_by_position", "_window_s")
 
     def __init__(self, window_s: float):
         self._window_s = window_s
         self._arrivals: deque[tuple[float, Any]] = deque()
+        self._time_by_position: dict[Any, float] = {}
         self._positions = SortedList()
 
     def add(self, position: Any, now: float) -> None:
-        """Adds an arrival; lower positions go first."""
+        """Adds an arrival, once for each position; lower positions go first."""
         self._prune(now)
         self._arrivals.append((now, position))
-        self._positions.add(position)
+        if position not in self._time_by_position:
+            self._positions.add(position)
+        self._time_by_position[position] = now
 
     def discard(self, position: Any) -> None:
         """Forgets an arrival, if it is still in the window."""
-        self._positions.discard(position)
+        if self._time_by_position.pop(position, None) is not None:
+            self._positions.remove(position)
 
     def rate_ahead_of(self, position: Any, now: float) -> float:
         """Returns the arrivals per second whose position is below `position`."""
@@ -44,4 +48,7 @@
 
     def _prune(self, now: float) -> None:
         while self._arrivals and self._arrivals[0][0] < now - self._window_s:
-            self._positions.discard(self._arrivals.popleft()[1])
+            arrived_at, position = self._arrivals.popleft()
+            # A position that was discarded may have been added again since.
+            if self._time_by_position.get(position) == arrived_at:
+                self.discard(position)
--- a/libs/arbutusrill_site/_waiting_queue.py
+++ b/libs/arbutusrill_site/_waiting_queue.py
@@ -223,12 +223,14 @@
             rate_in_time = max(rate, line.young_release_rate(now))
             first_s = line.first_release_s(now)
             expected_s = longest_s = first_s + (in_time_ahead + 1) / rate_in_time
-            if is_new:
+            if is_new and not ticket.continued:
                 longest_s = first_s + line.cautious_wait_s(ticket, in_time_ahead, rate_in_time, now)
             line.expected_late.discard(ticket)
             if now + longest_s <= ticket.placement_deadline:
                 return expected_s
-            late_ahead = len(line.late) + line.expected_late.bisect_left(ticket)
+            late_ahead = len(line.late)
+            if not ticket.continued:  # which precedes those that will be late
+                late_ahead += line.expected_late.bisect_left(ticket)
             line.expected_late.add(ticket)
         if ticket.continued:
             return (in_time_ahead + 1 + late_ahead) / rate
--- a/libs/arbutusrill_site/tests/test_order.py
+++ b/libs/arbutusrill_site/tests/test_order.py
@@ -6,6 +6,7 @@
 import pytest
 from arbutusrill_wire import messages
 
+from arbutusrill_site._recent_arrivals import RecentArrivals
 from arbutusrill_site._waiting_queue import WaitingQueue
 
 from .test_placement import OBJECTIVE_S, Replay
@@ -253,6 +254,27 @@
     assert queue.expected_wait_s(other, 1.0, 4, is_new=True) > 0.7
 
 
+def test_stream_that_goes_on_elsewhere_does_not_wait_behind_those_that_will_be_late():
+    # A stream whose engine had failed expected to wait behind all new requests that will be late, which it precedes.
+    queue = WaitingQueue()
+    for number in range(80):
+        queue.record_release("model", number / 40, 2.0)
+    for number in range(60):
+        queue.expected_wait_s(waiting(queue, f"new {number}", 2.0), 2.0, 4, is_new=True)
+    continued = waiting(queue, "continued", 2.0, continued=True)
+    assert queue.expected_wait_s(continued, 2.0, 4, is_new=True) < 3.2  # 61 places at 20 a second
+
+
+def test_arrival_that_returns_after_a_refusal_counts_until_its_own_time_has_passed():
+    # The end of the window of the refused attempt removed the attempt that followed.
+    arrivals = RecentArrivals(2.0)
+    arrivals.add(5, 0.0)
+    arrivals.discard(5)
+    arrivals.add(5, 1.0)
+    assert arrivals.rate_ahead_of(9, 2.5) == 0.5
+    assert arrivals.rate_ahead_of(9, 3.5) == 0.0
+
+
 @pytest.mark.parametrize("seed", range(3))
 def test_first_requests_of_a_load_are_not_refused_before_any_stream_can_have_ended(seed):
     # With no release in four seconds, one place per second was expected of an engine with 16 slots: all that waited
