http: a chunked body without room waits unread

Cause: a chunked body was read in pieces of 64 KiB and reserved room afterwards, so that each connection that waited held its first piece outside the budget: 90 of them 6 MB. Change: a read takes no more than what is reserved; one byte beyond it tells that the body goes on. Four reads are decoded without a turn, as a small body of one chunk takes that many now. Ruled out: stacks of threads (1.1 MB for 97) and bodies beyond their reservations (two of 4 MiB, as reserved).

--- a/libs/arbutusrill_http/_handler.py
+++ b/libs/arbutusrill_http/_handler.py
@@ -25,7 +25,9 @@
 
 _RESERVED_HEADER_TIMEOUT_S = 2.0
 _FIRST_REQUEST_WAIT_S = 0.5  # for the first request of a connection, which is served even if the server drains
-_CHUNKED_RESERVE_BYTES = 64 * 1024  # for a small body without a stated length
+# A body without a stated length takes no reservation up to the first size, and is small up to the second.
+_FREE_CHUNKED_BYTES = 8 * 1024
+_CHUNKED_RESERVE_BYTES = 64 * 1024
 _HEADER_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 _RAW_HEADER_FACTOR = 2  # optional whitespace does not count towards the limit of the headers
 _IDLE_MARGIN_S = 1.0  # between the idle time that responses state and the limit, for requests on their way
@@ -35,7 +37,7 @@
 # Input that is discarded is not copied, so nothing is ever written here.
 _DISCARD_BUFFER = bytearray(1024 * 1024)
 _MAX_CHUNK_READ_BYTES = 65_536
-_FEW_CHUNK_READS = 2  # decoded without a turn: small bodies do not wait for those of others
+_FEW_CHUNK_READS = 4  # decoded without a turn: small bodies do not wait for those of others
 _log = PartLog("http")
 
 
@@ -314,15 +316,16 @@
             raise _RequestError(503, "body_memory", "too many large requests at the moment")
         self._socket_reader.deadline += time.monotonic() - started
 
-    def _reserve_chunk(self, reservation: BodyReservation, size: int, limit: int) -> None:
-        """Reserves memory for a body that has grown to `size` bytes and may grow on to `limit`.
+    def _reserve_chunk(self, reservation: BodyReservation, size: int, limit: int) -> int:
+        """Reserves memory for a body that has grown to `size` bytes and may grow on to `limit`; returns the new size.
 
         Once it is not small any more, the largest size is reserved: bodies that hold a part and wait for more would
         block each other.
         """
-        if size > reservation.size:
-            small = min(limit, _CHUNKED_RESERVE_BYTES)
-            self._reserve(reservation, size if size <= small // 8 else small if size <= small else limit)
+        reserved = next(step for step in (_FREE_CHUNKED_BYTES, _CHUNKED_RESERVE_BYTES, limit) if size <= step)
+        reserved = min(reserved, limit)
+        self._reserve(reservation, reserved)
+        return reserved
 
     def _send_continue(self) -> None:
         if "100-continue" in self.headers.get("Expect", "").lower():
@@ -331,19 +334,23 @@
     def _read_chunked(self, limit: int, reservation: BodyReservation) -> bytes:
         # Unlike a bytearray, it hands its content over without a copy.
         body, size, read_count = io.BytesIO(), 0, 0
+        reserved = min(limit, _FREE_CHUNKED_BYTES)
         reader = ChunkedReader(self.rfile, _RAW_HEADER_FACTOR * self.server.limits.header_bytes)
         try:
             while True:
                 reader.wait()
                 read_count += 1
+                # Beyond what is reserved, one byte tells whether the body goes on: the rest waits unread.
+                read_bytes = min(_MAX_CHUNK_READ_BYTES, max(1, reserved - size))
                 with self.server.decoding_turn if read_count > _FEW_CHUNK_READS else contextlib.nullcontext():
-                    chunk = reader.read_buffered(_MAX_CHUNK_READ_BYTES)
-                if not chunk and not (chunk := reader.read(_MAX_CHUNK_READ_BYTES)):
+                    chunk = reader.read_buffered(read_bytes)
+                if not chunk and not (chunk := reader.read(read_bytes)):
                     break
                 size += len(chunk)
                 if size > limit:
                     raise _RequestError(413, "body_too_large", f"the body exceeds {limit} bytes", "body")
-                self._reserve_chunk(reservation, size, limit)
+                if size > reserved:
+                    reserved = self._reserve_chunk(reservation, size, limit)
                 body.write(chunk)
         except ValueError as error:
             raise _RequestError(400, "bad_chunk", f"the chunked body is malformed: {error}", "body") from None
