gateway: responses of unknown size do not block each other

Cause: a response without a stated length took memory in steps that double, so that several held a part and waited 1.8 s for the rest, until all but one were forwarded for want of memory. Change: beyond 64 KiB it takes room for all that is buffered (1 MiB) or waits with its first part.

--- a/libs/arbutusrill_gateway/_plain.py
+++ b/libs/arbutusrill_gateway/_plain.py
@@ -21,6 +21,7 @@
 __all__ = ["relay_plain"]
 
 _MAX_BUFFERED_BYTES = 1_048_576  # a larger response is forwarded while it arrives and cannot be retried
+_SMALL_BYTES = 64 * 1024  # up to this size, a response of unknown size takes memory in steps
 _MAX_REFUSAL_BYTES = 64 * 1024  # of the body of a statement that the request has not run, which is not kept
 _MAX_UNREACHED = 4  # unreachable backend servers per request
 _MAX_REFUSED = 3  # servers that state of one request that they have not run it
@@ -93,12 +94,19 @@
             self._end_buffering(reason, self._exchange.pool.is_avoided(self._candidate.record))
 
     def _has_room(self) -> bool:
-        """Reserves memory for the whole body if its size is stated: parts of bodies would block each other."""
+        """Reserves memory for the whole body, or for all that is buffered unless its size is stated or it is small.
+
+        Bodies that hold a part and wait for more would block each other.
+        """
+        if self._size_bytes <= self._exchange.memory.size:
+            return True
         wait_s = min(self._memory_wait_s, _MEMORY_WAIT_FRACTION * self._exchange.remaining_s())
         if self._size_bytes <= self._stated_bytes:
             has_room = self._exchange.memory.grow(self._stated_bytes, wait_s)
-        else:
+        elif self._size_bytes <= _SMALL_BYTES:
             has_room = self._exchange.has_room_for(self._size_bytes, wait_s)
+        else:
+            has_room = self._exchange.memory.grow(_MAX_BUFFERED_BYTES, wait_s)
         now = time.monotonic()
         self._memory_wait_s = max(0.0, self._memory_wait_s - (now - self._progress_at))
         self._progress_at = now
--- a/libs/arbutusrill_gateway/tests/test_response_relay.py
+++ b/libs/arbutusrill_gateway/tests/test_response_relay.py
@@ -1,6 +1,8 @@
 """Guards against responses of plain services that take more memory than their size, or keep it from each other."""
 
+import time
 import tracemalloc
+from concurrent.futures import ThreadPoolExecutor
 from types import SimpleNamespace
 
 from arbutusrill_http import BodyBudget
@@ -11,7 +13,7 @@
 LENGTH = {"content-length": str(SIZE)}
 
 
-def new_relay(budget, headers_by_name):
+def new_relay(budget, headers_by_name, remaining_s=0.0):
     """Returns a relay whose head has arrived, and the parts that it has forwarded to its caller."""
     response = SimpleNamespace(status=200, headers=[], not_run=False)
     memory, forwarded = budget.open("", is_response=True), []
@@ -22,7 +24,7 @@
         responder=responder,
         memory=memory,
         has_room_for=lambda size, wait_s: memory.grow(size, wait_s),
-        remaining_s=lambda: 0.0,
+        remaining_s=lambda: remaining_s,
         pool=SimpleNamespace(is_avoided=lambda record: False),
     )
     race = SimpleNamespace(claim=lambda sender: True)
@@ -58,6 +60,26 @@
     assert len(relays[0][0].take_body()) == SIZE
 
 
+def test_responses_of_unknown_size_do_not_hold_parts_that_block_each_other():
+    # Each took memory in steps and waited for more while the others held the rest, for 1.8 s.
+    budget = BodyBudget(5 * 2**20)
+    relays = [new_relay(budget, {}, remaining_s=10.0) for _ in range(3)]
+    bodies = []
+
+    def receive(relay):
+        for _ in range(SIZE // PART):
+            relay.on_data(bytes(PART))
+            time.sleep(0.001)
+        bodies.append(len(relay.take_body()))
+        relay._exchange.memory.shrink(0)
+
+    started = time.monotonic()
+    with ThreadPoolExecutor(3) as pool:
+        list(pool.map(receive, (relay for relay, _ in relays)))
+    assert bodies == [SIZE] * 3
+    assert time.monotonic() - started < 1.5
+
+
 def test_response_beyond_its_stated_size_is_not_held_without_room():
     # Only libcurl and the parser of responses see that a body does not fit its head.
     budget = BodyBudget(4 * SIZE)
