http: parts of large responses are sent one at a time

Cause: all threads that forward large responses contend for the interpreter lock at each read and send, and a request of another service waits behind them at each of its own. Change: parts of 8 KiB and more of a response whose body has begun take a turn of the server for a send that does not block; what the reader does not take at once is sent without the turn. Events and buffered responses take none. Ruled out: that the turn removes the contention: it does not cover reads and polls.

--- a/libs/arbutusrill_http/_server.py
+++ b/libs/arbutusrill_http/_server.py
@@ -82,6 +82,7 @@
         # Bodies in many chunks are decoded one at a time: a thread that serves another caller would otherwise wait for
         # a switch interval of each thread that decodes.
         self.decoding_turn = threading.Lock()
+        self.bulk_turn = threading.Lock()  # for parts of large responses that are forwarded, see `ResponseWriter`
         self._lock = threading.Lock()
         self._idle_since: dict[socket.socket, float] = {}
         self._reserved_by_connection: dict[socket.socket, bool] = {}  # open connections
--- a/libs/arbutusrill_http/_writer.py
+++ b/libs/arbutusrill_http/_writer.py
@@ -4,6 +4,7 @@
 
 import socket
 from collections.abc import Callable
+from contextlib import AbstractContextManager, nullcontext
 from typing import Any
 
 from ._slow_connections import Stage
@@ -14,6 +15,10 @@
 # Larger parts of a body are sent without a copy that joins them to their head, and in pieces of this size, so that the
 # progress of their reader is known.
 _MAX_JOINED_BYTES = 64 * 1024
+# Parts from this size on, after the first one, are bulk data: they are sent one at a time, so that the threads that
+# forward large responses wait for a lock rather than for the processor. Events are smaller.
+_MIN_BULK_BYTES = 8 * 1024
+_NO_TURN = nullcontext()
 _DO_NOT_WAIT, _MORE = int(socket.MSG_DONTWAIT), int(socket.MSG_MORE)  # combining the enums takes longer than a send
 
 
@@ -30,6 +35,7 @@
         self._headers: list[tuple[str, str]] = []
         self._chunked = False
         self._has_body = True
+        self._has_begun_body = False  # whether a part of the body was sent
         self.head_sent = False
         self.has_failed = False  # whether a send failed, that is, the caller is gone or does not read
         self.ends_with_connection = False  # whether only the end of the connection marks the end of the body
@@ -73,17 +79,20 @@
         head = b"" if self.head_sent else self._build_head()
         if not self._has_body:
             data = b""
+        is_bulk = self._has_begun_body and len(data) >= _MIN_BULK_BYTES
+        turn = self._handler.server.bulk_turn if is_bulk else _NO_TURN
         tail = b""
         if data and self._chunked:
             head, tail = b"%b%x\r\n" % (head, len(data)), b"\r\n"
         if len(data) > _MAX_JOINED_BYTES:
             if head:
                 self._send(head, _MORE)
-            self._send(data, _MORE if tail else 0)
+            self._send(data, _MORE if tail else 0, turn)
             if tail:
                 self._send(tail)
         elif head or data:
-            self._send(b"%b%b%b" % (head, data, tail) if head else data)
+            self._send(b"%b%b%b" % (head, data, tail) if head else data, turn=turn)
+        self._has_begun_body = self._has_begun_body or bool(data)
 
     def finish(self) -> None:
         """Writes the head if it has not been sent, and the final chunk of a chunked body."""
@@ -99,11 +108,12 @@
         except BlockingIOError:
             return 0
 
-    def _send(self, data: bytes, flags: int = 0) -> None:
+    def _send(self, data: bytes, flags: int = 0, turn: AbstractContextManager = _NO_TURN) -> None:
         handler = self._handler
         try:
             if len(data) <= _MAX_JOINED_BYTES:
-                sent = self._send_now(data, flags)
+                with turn:
+                    sent = self._send_now(data, flags)
                 if sent < len(data):
                     with handler.waiting(Stage.RESPONSE):
                         handler.connection.sendall(memoryview(data)[sent:], flags)
@@ -112,7 +122,12 @@
                 for start in range(0, len(data), _MAX_JOINED_BYTES):
                     piece = view[start : start + _MAX_JOINED_BYTES]
                     more = flags if start + _MAX_JOINED_BYTES >= len(data) else flags | _MORE
-                    handler.connection.sendall(piece, more)
+                    sent = 0
+                    if turn is not _NO_TURN:
+                        with turn:
+                            sent = self._send_now(piece, more)
+                    if sent < len(piece):
+                        handler.connection.sendall(piece[sent:], more)
                     handler.record_progress(len(piece))
         except OSError as error:
             self.has_failed = True
