http: the buffer for discarded input takes no memory

Cause: the buffer into which rejected input is discarded was a bytearray of 1 MiB, whose zeros were written once, in each process. test_crowd_at_an_entry_vm[many descriptors-slow readers] had 64.07 MB with a bound of 64. Change: an anonymous mapping, whose pages are never touched, since the kernel does not copy what is discarded. The margin for slow readers is small: their peak varies by 4 MB.

--- a/libs/arbutusrill_http/_handler.py
+++ b/libs/arbutusrill_http/_handler.py
@@ -5,6 +5,7 @@
 import contextlib
 import io
 import json
+import mmap
 import re
 import select
 import socket
@@ -34,8 +35,8 @@
 _MAX_DISCARD_S, _DISCARD_PAUSE_S = 10.0, 1.0  # of input after a rejection: at most, and without any
 _PENDING_INPUT_WAIT_S = 0.001  # for bytes that are already in the receive buffer
 _BUFFER_BYTES = 16 * 1024  # of each connection; larger reads of a body go past it
-# Input that is discarded is not copied, so nothing is ever written here.
-_DISCARD_BUFFER = bytearray(1024 * 1024)
+# Input that is discarded is not copied, so nothing is ever written here: the pages of this mapping take no memory.
+_DISCARD_BUFFER = mmap.mmap(-1, 1024 * 1024)
 _MAX_CHUNK_READ_BYTES = 65_536
 _FEW_CHUNK_READS = 4  # decoded without a turn: small bodies do not wait for those of others
 _log = PartLog("http")
