--- a/libs/arbutusrill_http/_handler.py
+++ b/libs/arbutusrill_http/_handler.py
@@ -323,8 +323,7 @@
         Once it is not small any more, the largest size is reserved: bodies that hold a part and wait for more would
         block each other.
         """
-        reserved = next(step for step in (_FREE_CHUNKED_BYTES, _CHUNKED_RESERVE_BYTES, limit) if size <= step)
-        reserved = min(reserved, limit)
+        reserved = min(limit, _CHUNKED_RESERVE_BYTES) if size <= _CHUNKED_RESERVE_BYTES else limit
         self._reserve(reservation, reserved)
         return reserved
 
