--- a/libs/arbutusrill_gateway/_second_sender.py
+++ b/libs/arbutusrill_gateway/_second_sender.py
@@ -170,7 +170,6 @@
         self._lock = threading.Lock()
         self._user_count = 1
         self._began_at = time.monotonic()
-        self._objective_s = max(0.0, exchange.objective_remaining_s())  # at the first send
         self.race = Race()
         self.delay_s = None if sender is None else sender.delay_s(exchange, first)
         self.wake_up = None if self.delay_s is None else os.eventfd(0, os.EFD_NONBLOCK)
@@ -225,7 +224,8 @@
         policy = self._sender.policy
         if not policy.is_sooner(expected_s, took_s):
             return "no_gain"
-        return "" if policy.is_in_time(expected_s, took_s, self._objective_s) else "too_late"
+        elapsed_s = time.monotonic() - self._exchange.started
+        return "" if policy.is_in_time(expected_s, elapsed_s, self._exchange.route.objective_s) else "too_late"
 
     def _record_withheld(self, reason: str) -> None:
         self._sender.count(reason)
--- a/libs/arbutusrill_gateway/_second_sends.py
+++ b/libs/arbutusrill_gateway/_second_sends.py
@@ -114,7 +114,7 @@
         return expected_s < took_s
 
     def is_in_time(self, expected_s: float, took_s: float, objective_s: float) -> bool:
-        """Whether a copy is expected within what is left of the objective, or the request is very slow by now.
+        """Whether a copy is expected within the objective, or the request, which arrived `took_s` ago, is very slow.
 
         Between the two, a copy would use up the limit for an answer that is late in any case.
         """
--- a/libs/arbutusrill_gateway/tests/test_second_sender.py
+++ b/libs/arbutusrill_gateway/tests/test_second_sender.py
@@ -12,7 +12,7 @@
 from arbutusrill_site import RouteKind
 
 from arbutusrill_gateway._backends import BackendPool
-from arbutusrill_gateway._second_sender import SecondSender
+from arbutusrill_gateway._second_sender import SecondSend, SecondSender
 
 from .test_faulty_backends import WHOLE, Backend, head, relay, sends
 
@@ -206,3 +206,13 @@
     while len(closed_after_s) < 2 and time.monotonic() < deadline:
         time.sleep(0.01)
     assert len(closed_after_s) == 2 and max(closed_after_s) < 1.0
+
+
+def test_request_that_had_waited_is_very_slow_by_its_whole_time(sender):
+    """Guards against late copies of requests that had little of their objective left when they were first sent."""
+    exchange = SimpleNamespace(
+        started=time.monotonic() - 0.98, route=SimpleNamespace(objective_s=0.9), objective_remaining_s=lambda: 0.02
+    )
+    second = SecondSend(None, exchange, None)
+    second._sender = sender
+    assert second._delay_reason(expected_s=0.03, took_s=0.1) == "too_late"
