--- a/libs/arbutusrill_daemon/tests/test_memory.py
+++ b/libs/arbutusrill_daemon/tests/test_memory.py
@@ -12,6 +12,8 @@
 from arbutusrill_bench import LocalSite
 from arbutusrill_http import Transfer, fetch
 
+pytestmark = pytest.mark.alone
+
 MEMORY_MB = 150
 CALLERS = 200
 HELD_S = 6.0  # for which a faulty server keeps the rest of its answer back
