http: a waiting body passes one whose owner has taken the rest of its share

A reservation that is raised may leave the first waiting body no share of its owner. Those behind it were then looked at only when another body ended, and were refused with room for them.

--- a/libs/arbutusrill_http/_body_budget.py
+++ b/libs/arbutusrill_http/_body_budget.py
@@ -134,6 +134,7 @@
                 self._make_large(reservation)
             if self._has_room(reservation):
                 self._account(reservation, size)
+                self._grant()  # others may be first now
                 return True
             if size * _COPIES <= self._large_limit() and self._wait(reservation, wait_s):
                 return True
@@ -166,19 +167,26 @@
             reservation.granted.wait(remaining_s)
         return True
 
-    def _grant(self, only_small: bool = False) -> None:
-        """Raises the waiting reservations that have room, and wakes the threads of these only."""
-        is_first = True
+    def _grant(self) -> None:
+        """Raises the waiting reservations that have room, and wakes the threads of these only.
+
+        A reservation that is raised may leave an earlier one no share of its owner, so that others may pass that one.
+        """
+        while self._waiting and self._grant_in_order():
+            pass
+
+    def _grant_in_order(self) -> bool:
+        """Looks at each waiting reservation once; returns whether one was raised."""
+        is_first, has_raised = True, False
         for reservation in list(self._waiting):
-            is_small = reservation.wanted <= _SMALL_BYTES
-            if only_small and not is_small:
-                continue
             if self._has_room(reservation, is_first):
                 self._waiting.remove(reservation)
                 self._account(reservation, reservation.wanted)
                 reservation.granted.notify()
-            elif not is_small and self._is_within_share(reservation):
+                has_raised = True
+            elif reservation.wanted > _SMALL_BYTES and self._is_within_share(reservation):
                 is_first = False
+        return has_raised
 
     def _large_limit(self) -> float:
         return (1 - _SMALL_FRACTION) * self.total_bytes
@@ -221,7 +229,7 @@
         reservation.is_large = True
         self._account(reservation, held)
         if held:
-            self._grant(only_small=True)
+            self._grant()
 
     def _account(self, reservation: BodyReservation, size: int) -> None:
         added = (size - reservation.size) * _COPIES
--- a/libs/arbutusrill_http/tests/test_body_budget.py
+++ b/libs/arbutusrill_http/tests/test_body_budget.py
@@ -198,3 +198,39 @@
         for thread in threads:
             thread.join(2.0)
         assert grown == [False, True]
+
+
+@pytest.mark.parametrize("is_waiting", [False, True], ids=["at once", "after a wait"])
+def test_body_passes_one_whose_owner_takes_the_rest_of_its_share(budget, is_waiting):
+    # The body behind it waited in vain for up to 0.8 s, with room for it, unless another one ended meanwhile.
+    grown = []
+
+    def start(owner, size, is_response=False):
+        def wait():
+            with budget.open(owner, is_response) as body:
+                grown.append((owner, body.grow(size, 2.0)))
+                done.wait(5.0)
+
+        waiting = len(budget._waiting)
+        threads.append(threading.Thread(target=wait))
+        threads[-1].start()
+        while len(budget._waiting) == waiting:
+            time.sleep(0.01)
+
+    threads, done = [], threading.Event()
+    with budget.open("z") as other, budget.open("x") as held, budget.open("x") as small:
+        assert other.grow(2 * MB, 0) and held.grow(3 * MB, 0)
+        with budget.open("r", is_response=True) as response:
+            assert not is_waiting or response.grow(2 * MB, 0)
+            start("x", 3 * MB)
+            start("y", 1 * MB)
+            if is_waiting:
+                start("x", 1 * MB, is_response=True)
+        assert is_waiting or small.grow(50_000, 0)
+        threads[1].join(0.5)
+        early = list(grown)
+        done.set()
+        for thread in threads:
+            thread.join()
+    assert ("y", True) in early
+    assert budget.held_bytes == 0
