gateway: a response of unknown size takes its size while there is room

From 64 KiB on, each took 1 MiB: on the smallest VM, eleven of 80 kB made the twelfth wait for 1.8 s, and those that paused meanwhile were ended. A step is taken while the largest body has room beside it, so that one can always end.

--- a/libs/arbutusrill_gateway/_plain.py
+++ b/libs/arbutusrill_gateway/_plain.py
@@ -94,9 +94,10 @@
             self._end_buffering(reason, self._exchange.pool.is_avoided(self._candidate.record))
 
     def _has_room(self) -> bool:
-        """Reserves memory for the whole body, or for all that is buffered unless its size is stated or it is small.
+        """Reserves memory for the whole body if its size is stated, otherwise in steps.
 
-        Bodies that hold a part and wait for more would block each other.
+        Bodies that hold a part and wait for more would block each other: beyond a small one, a step is only taken if
+        there is room for the largest body beside it. A body that finds none waits for all that may be buffered.
         """
         if self._size_bytes <= self._exchange.memory.size:
             return True
@@ -106,7 +107,8 @@
         elif self._size_bytes <= _SMALL_BYTES:
             has_room = self._exchange.has_room_for(self._size_bytes, wait_s)
         else:
-            has_room = self._exchange.memory.grow(_MAX_BUFFERED_BYTES, wait_s)
+            memory, step = self._exchange.memory, 1 << (self._size_bytes - 1).bit_length()
+            has_room = memory.grow_beside(step, _MAX_BUFFERED_BYTES) or memory.grow(_MAX_BUFFERED_BYTES, wait_s)
         now = time.monotonic()
         self._memory_wait_s = max(0.0, self._memory_wait_s - (now - self._progress_at))
         self._progress_at = now
--- a/libs/arbutusrill_gateway/tests/test_response_relay.py
+++ b/libs/arbutusrill_gateway/tests/test_response_relay.py
@@ -80,6 +80,18 @@
     assert time.monotonic() - started < 1.5
 
 
+def test_responses_of_unknown_size_take_their_size_while_there_is_room():
+    # Each took 1 MiB from 64 KiB on: the twelfth of 80 kB waited for 1.8 s on the smallest VM, and others that paused
+    # meanwhile were ended.
+    budget = BodyBudget.of_process(150)
+    relays = [new_relay(budget, {})[0] for _ in range(60)]
+    for _ in range(8):
+        for relay in relays:
+            relay.on_data(bytes(PART))
+    assert not any(relay.lacks_memory for relay in relays)
+    assert [len(relay.take_body()) for relay in relays] == [8 * PART] * 60
+
+
 def test_response_beyond_its_stated_size_is_not_held_without_room():
     # Only libcurl and the parser of responses see that a body does not fit its head.
     budget = BodyBudget(4 * SIZE)
--- a/libs/arbutusrill_http/_body_budget.py
+++ b/libs/arbutusrill_http/_body_budget.py
@@ -72,6 +72,10 @@
         """Raises the reservation to a body of `size` bytes, waiting at most `wait_s` seconds; returns False in vain."""
         return size <= max(self.size, _FREE_BYTES) or self._budget.acquire(self, size, wait_s)
 
+    def grow_beside(self, size: int, spare: int) -> bool:
+        """Raises the reservation to `size` bytes if it can be raised by `spare` bytes more later; does not wait."""
+        return size <= max(self.size, _FREE_BYTES) or self._budget.acquire_beside(self, size, spare)
+
     def shrink(self, size: int) -> None:
         """Lowers the reservation to the actual size of the body."""
         if size < self.size:
@@ -141,6 +145,21 @@
             self._record_refusal(reservation)
             return False
 
+    def acquire_beside(self, reservation: BodyReservation, size: int, spare: int) -> bool:
+        """Raises a reservation to `size` bytes if `spare` bytes stay free; see `BodyReservation.grow_beside`."""
+        if self.total_bytes is None:
+            return True
+        with self._lock:
+            reservation.wanted = size + spare
+            if reservation.wanted > _SMALL_BYTES and not reservation.is_large:
+                self._make_large(reservation)
+            has_room = self._has_room(reservation)
+            reservation.wanted = size
+            if has_room:
+                self._account(reservation, size)
+                self._grant()  # others may be first now
+            return has_room
+
     def release(self, reservation: BodyReservation, kept: int = 0) -> None:
         """Gives back what a reservation holds beyond `kept` bytes of a body."""
         if not reservation.size:
