--- a/libs/arbutusrill_http/_body_budget.py
+++ b/libs/arbutusrill_http/_body_budget.py
@@ -55,7 +55,7 @@
         self.is_response = is_response
         self.size = self.wanted = 0
         self.is_large = False
-        self.granted: threading.Condition | None = None  # while it waits for room
+        self.granted: threading.Condition | None = None  # of its last wait for room
 
     def __enter__(self) -> BodyReservation:
         return self
--- a/libs/arbutusrill_http/_writer.py
+++ b/libs/arbutusrill_http/_writer.py
@@ -16,7 +16,7 @@
 # progress of their reader is known.
 _MAX_JOINED_BYTES = 64 * 1024
 # Parts from this size on, after the first one, are bulk data: they are sent one at a time, so that the threads that
-# forward large responses wait for a lock rather than for the processor. Events are smaller.
+# forward large responses wait for a lock rather than for the processor. Most events are smaller.
 _MIN_BULK_BYTES = 8 * 1024
 _NO_TURN = nullcontext()
 _DO_NOT_WAIT, _MORE = int(socket.MSG_DONTWAIT), int(socket.MSG_MORE)  # combining the enums takes longer than a send
