--- a/libs/arbutusrill_http/_body_budget.py
+++ b/libs/arbutusrill_http/_body_budget.py
@@ -55,7 +55,7 @@
         self.is_response = is_response
         self.size = self.wanted = 0
         self.is_large = False
-        self.granted: threading.Condition | None = None  # while it waits for room
+        self.granted: threading.Condition | None = None  # of its last wait for room
 
     def __enter__(self) -> BodyReservation:
         return self
@@ -72,6 +72,10 @@
         """Raises the reservation to a body of `size` bytes, waiting at most `wait_s` seconds; returns False in vain."""
         return size <= max(self.size, _FREE_BYTES) or self._budget.acquire(self, size, wait_s)
 
+    def grow_beside(self, size: int, spare: int) -> bool:
+        """Raises the reservation to `size` bytes if it can be raised by `spare` bytes more later; does not wait."""
+        return size <= max(self.size, _FREE_BYTES) or self._budget.acquire_beside(self, size, spare)
+
     def shrink(self, size: int) -> None:
         """Lowers the reservation to the actual size of the body."""
         if size < self.size:
@@ -134,12 +138,28 @@
                 self._make_large(reservation)
             if self._has_room(reservation):
                 self._account(reservation, size)
+                self._grant()  # others may be first now
                 return True
             if size * _COPIES <= self._large_limit() and self._wait(reservation, wait_s):
                 return True
             self._record_refusal(reservation)
             return False
 
+    def acquire_beside(self, reservation: BodyReservation, size: int, spare: int) -> bool:
+        """Raises a reservation to `size` bytes if `spare` bytes stay free; see `BodyReservation.grow_beside`."""
+        if self.total_bytes is None:
+            return True
+        with self._lock:
+            reservation.wanted = size + spare
+            if reservation.wanted > _SMALL_BYTES and not reservation.is_large:
+                self._make_large(reservation)
+            has_room = self._has_room(reservation)
+            reservation.wanted = size
+            if has_room:
+                self._account(reservation, size)
+                self._grant()  # others may be first now
+            return has_room
+
     def release(self, reservation: BodyReservation, kept: int = 0) -> None:
         """Gives back what a reservation holds beyond `kept` bytes of a body."""
         if not reservation.size:
@@ -166,19 +186,26 @@
             reservation.granted.wait(remaining_s)
         return True
 
-    def _grant(self, only_small: bool = False) -> None:
-        """Raises the waiting reservations that have room, and wakes the threads of these only."""
-        is_first = True
+    def _grant(self) -> None:
+        """Raises the waiting reservations that have room, and wakes the threads of these only.
+
+        A reservation that is raised may leave an earlier one no share of its owner, so that others may pass that one.
+        """
+        while self._waiting and self._grant_in_order():
+            pass
+
+    def _grant_in_order(self) -> bool:
+        """Looks at each waiting reservation once; returns whether one was raised."""
+        is_first, has_raised = True, False
         for reservation in list(self._waiting):
-            is_small = reservation.wanted <= _SMALL_BYTES
-            if only_small and not is_small:
-                continue
             if self._has_room(reservation, is_first):
                 self._waiting.remove(reservation)
                 self._account(reservation, reservation.wanted)
                 reservation.granted.notify()
-            elif not is_small and self._is_within_share(reservation):
+                has_raised = True
+            elif reservation.wanted > _SMALL_BYTES and self._is_within_share(reservation):
                 is_first = False
+        return has_raised
 
     def _large_limit(self) -> float:
         return (1 - _SMALL_FRACTION) * self.total_bytes
@@ -221,7 +248,7 @@
         reservation.is_large = True
         self._account(reservation, held)
         if held:
-            self._grant(only_small=True)
+            self._grant()
 
     def _account(self, reservation: BodyReservation, size: int) -> None:
         added = (size - reservation.size) * _COPIES
