--- a/review/9/play.py
+++ b/review/9/play.py
@@ -13,15 +13,16 @@
 
 from rig_2 import TROUBLE, Deployment, Record, Runner, configuration, request_head, run_case, running
 
-REQUESTS, REQUESTS_PER_S = 800, 40
-SPOILED_INTERVAL = 50  # one answer in so many of the faulty runner: `garble` spoils x = 0.02 of the answers
+REQUESTS, REQUESTS_PER_S = 2000, 80
+WORK_S = 0.045
+SPOILED_INTERVAL = 50  # one answer in so many of the faulty runners: `garble` spoils x = 0.02 of the answers
 # What a field and a status line may hold, RFC 9110 (5.1, 5.5, 5.6.2) and RFC 9112 (4, 5).
 _STATUS_LINE = re.compile(rb"HTTP/1\.1 [1-5][0-9]{2} [\t \x21-\x7e\x80-\xff]*")
 _FIELD = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+:[\t \x21-\x7e\x80-\xff]*")
 
 
 class _Faulty:
-    """Answers like a sound runner, but spoils a byte in the name of a field of every 50th answer."""
+    """Answers like a sound runner, but spoils a byte in the name of a field of every 50th answer of the faulty ones."""
 
     def __init__(self, record: Record):
         self._record = record
@@ -30,7 +31,7 @@
 
     def work(self, runner: Runner, handler) -> None:
         """Answers one request."""
-        time.sleep(0.01)
+        time.sleep(WORK_S)
         with self._lock:
             self._count += 1
             is_spoiled = TROUBLE and self._count % SPOILED_INTERVAL == 0
@@ -63,13 +64,14 @@
 
 def play(record: Record, folder: Path) -> bool:
     """Returns whether a client got bytes that are no answer in the protocol."""
-    faulty = Runner("i-faulty", "desk", record, work=_Faulty(record).work)
-    sound = Runner("i-sound", "desk", record, work_s=0.01)
+    work = _Faulty(record).work
+    faulty = [Runner(f"i-faulty{number}", "desk", record, work=work) for number in range(2)]
+    sound = [Runner(f"i-sound{number}", "desk", record, work_s=WORK_S) for number in range(2)]
     problems: list[str] = []
     statuses: dict[bytes, int] = {}
-    with running(faulty, sound), Deployment(folder, entries=1) as site:
+    with running(*faulty, *sound), Deployment(folder, entries=1) as site:
         site.configure(configuration(1))
-        site.announce(faulty, sound)
+        site.announce(*faulty, *sound)
         host, _, port = site.callers(site.entries[0]).rpartition(":")
 
         def ask(number: int) -> None:
