http: one parser refuses malformed fields in responses of servers, for both clients

Cause: the parser for kept connections noted a malformed name and went on; the code on libcurl took any text before a colon for a name. Two parsers refused different things: also chunk lines, trailers and interim heads.

Change: libcurl hands its bytes over unchanged (HTTP_TRANSFER_DECODING 0), and ResponseParser decides for both clients. Malformed fields, chunk lines and line ends end the transfer with the error "malformed": the caller gets the retry that its route allows, else 502; nothing is concluded about whether the request has run, nor about a crash of the engine.

--- a/libs/arbutusrill_gateway/tests/test_faulty_backends.py
+++ b/libs/arbutusrill_gateway/tests/test_faulty_backends.py
@@ -209,6 +209,9 @@
     "incomplete head": sends(b"HTTP/1.1 503 X\r\nId: r\r\nRefused: 1\r\n"),
     "incomplete body": sends(head(503, "Refused: 1", "Content-Length: 9") + b"abc"),
     "status without the statement": sends(head(503, "Content-Length: 0")),
+    "malformed name of a field": sends(head(503, *REFUSAL_FIELDS, "Served By: s")),
+    "control character in a field": sends(head(503, *REFUSAL_FIELDS, "Served-By: \x01")),
+    "malformed interim head": sends(b"HTTP/1.1 103 X\r\nServed By: s\r\n\r\n" + head(503, *REFUSAL_FIELDS)),
     "in a trailer": sends(STREAM + chunk(b"x") + b"0\r\nHTTP/1.1 503 X\r\nRefused: 1\r\n\r\n"),
 }
 
@@ -223,6 +226,48 @@
     assert caller.status not in (408, 421, 429, 503)
 
 
+SPOILED_ANSWERS = {
+    "name of a field": head(200, "Stamp: 1", "Served By: s", "Content-Length: 14") + b"id: 1\ndata: x\n\n",
+    "value of a field": head(200, "Stamp: 1", "Served-By: \x01s", "Content-Length: 14") + b"id: 1\ndata: x\n\n",
+    "interim head": b"HTTP/1.1 103 X\r\nServed By: s\r\n\r\n" + STREAM + event(1) + b"0\r\n\r\n",
+    "trailer": STREAM + event(1) + b"0\r\nServed By: s\r\n\r\n",
+}
+
+
+@pytest.mark.parametrize("name", SPOILED_ANSWERS)
+@pytest.mark.parametrize("kind", list(RouteKind))
+def test_answer_with_a_malformed_field_is_not_forwarded_as_a_success(kind, name):
+    # A field name with a space reached the caller inside a success.
+    faulty, sound = Backend(sends(SPOILED_ANSWERS[name])), Backend(sends(STREAM + event(1) + event(2) + b"0\r\n\r\n"))
+    caller, exchange, aborted = relay(faulty, sound, kind=kind)
+    assert faulty.requests and exchange.verdict is not Verdict.NOT_RUN
+    if kind is RouteKind.NON_IDEMPOTENT:
+        assert (caller.status, sound.requests) == (502, [])
+    else:
+        assert (caller.status, aborted, len(sound.requests)) == (200, False, 1)
+        assert caller.body == b"id: 1\ndata: x\n\nid: 2\ndata: x\n\n"
+
+
+def test_malformed_answer_is_not_taken_for_a_crash_of_its_engine():
+    # Three such answers to prompts with one part in common would bar the part.
+    class Guard:
+        lost = []
+
+        def check(self, request):
+            pass
+
+        def record_events(self, request, count, streamed_s):
+            return False
+
+        def record_attempt(self, request, candidate, result, event_count):
+            self.lost.append(result.connection_lost)
+
+    relay(
+        Backend(sends(SPOILED_ANSWERS["name of a field"])), kind=RouteKind.STREAM, max_attempts=1, prompt_guard=Guard()
+    )
+    assert Guard.lost == [False]
+
+
 def test_refusal_of_this_request_is_believed_and_sent_to_another_server():
     backends = [Backend(sends(head(503, *REFUSAL_FIELDS))), Backend(sends(WHOLE))]
     caller, _, _ = relay(*backends)
--- a/libs/arbutusrill_http/_response_parser.py
+++ b/libs/arbutusrill_http/_response_parser.py
@@ -8,12 +8,14 @@
 
 __all__ = ["ResponseParser", "ResponseRefusedError"]
 
-_STATUS_LINE = re.compile(rb"HTTP/1\.([01]) ([1-9][0-9]{2})(?: [^\r\n]*)?")
-_FIELD_NAME = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
-_CHUNK_LINE = re.compile(rb"([0-9A-Fa-f]{1,16})[ \t]*(?:;[^\r\n]*)?")
+_TEXT = rb"[\t \x21-\x7e\x80-\xff]*"  # of a field value, a reason phrase or a chunk extension: no control characters
+_STATUS_LINE = re.compile(rb"HTTP/1\.([01]) ([1-9][0-9]{2})(?: %b)?" % _TEXT)
+_FIELD = re.compile(rb"([!#$%%&'*+.^_`|~0-9A-Za-z-]+):(%b)" % _TEXT)
+_CHUNK_LINE = re.compile(rb"([0-9A-Fa-f]{1,16})[ \t]*(?:;%b)?" % _TEXT)
 _LENGTH = re.compile(r"[0-9]{1,18}")
 _PROTOCOL = b"HTTP/1."
 _MAX_CHUNK_LINE_BYTES = 1024  # size and extensions
+_MAX_QUOTED_BYTES = 80  # of a malformed line, in the detail of the error
 
 
 class ResponseRefusedError(Exception):
@@ -28,6 +30,8 @@
 class ResponseParser:
     """Passes the interim responses and one final response to a `TransferState`.
 
+    Status lines, fields and chunk lines that RFC 9112 does not allow end the transfer with the error ``malformed``,
+    wherever they stand: a caller could not read them, and a response that was spoiled proves nothing.
     `is_complete` is true once the response is complete, `is_reusable` if its connection may then be used again: its
     end was framed without any doubt, and the server neither closes the connection nor sent bytes beyond the response.
     """
@@ -83,10 +87,9 @@
             return None
         line = bytes(self._buffer[: end + 1])
         del self._buffer[: end + 1]
-        if line.endswith(b"\r\n"):
-            return line[:-2]
-        self.is_reusable = False
-        return line[:-1]
+        if not line.endswith(b"\r\n"):
+            raise ResponseRefusedError("malformed", "a line does not end with CR LF")
+        return line[:-2]
 
     def _head_line(self) -> bytes | None:
         """Like `_line`, for the lines of heads and trailers."""
@@ -99,13 +102,13 @@
     def _read_status(self) -> bool:
         start = bytes(self._buffer[: len(_PROTOCOL)])
         if not _PROTOCOL.startswith(start):
-            raise ResponseRefusedError("broken", "the bytes are no HTTP/1 response")
+            raise ResponseRefusedError("malformed", "the bytes are no HTTP/1 response")
         line = self._head_line()
         if line is None:
             return False
         match = _STATUS_LINE.fullmatch(line)
         if match is None:
-            raise ResponseRefusedError("broken", "the status line is malformed")
+            raise ResponseRefusedError("malformed", "the status line is malformed")
         if match.group(1) == b"0":
             self.is_reusable = False
         self._state.begin_head(int(match.group(2)))
@@ -119,18 +122,16 @@
         if not line:
             self._end_head()
             return True
-        name, colon, value = line.partition(b":")
-        if not colon or line[:1] in b" \t" or b"\r" in line or b"\0" in line:
-            raise ResponseRefusedError("broken", "a field of the head is malformed")
-        if not _FIELD_NAME.fullmatch(name):
-            self.is_reusable = False
-        self._state.add_header(name.decode("latin-1"), value.decode("latin-1"))
+        match = _FIELD.fullmatch(line)
+        if match is None:
+            raise ResponseRefusedError("malformed", f"the field {line[:_MAX_QUOTED_BYTES]!r} of the head")
+        self._state.add_header(match[1].decode("latin-1"), match[2].decode("latin-1"))
         return True
 
     def _end_head(self) -> None:
         status = self._state.result.status
         if status == 101:
-            raise ResponseRefusedError("broken", "the server switches protocols")
+            raise ResponseRefusedError("malformed", "the server switches protocols")
         reads = self._read_status if status < 200 else self._body_reader(status, self._state.result.headers_by_name)
         self._check(self._state.end_head())
         self._reads = reads
@@ -150,14 +151,14 @@
             return self._read_body
         if coding is not None:
             if coding.lower() != "chunked":
-                raise ResponseRefusedError("broken", f"transfer coding {coding[:40]!r}")
+                raise ResponseRefusedError("malformed", f"transfer coding {coding[:40]!r}")
             if length is not None:
                 self.is_reusable = False
             return self._read_chunk_line
         if length is not None:
             values = [value.strip() for value in length.split(",")]  # it may be repeated
             if not all(_LENGTH.fullmatch(value) for value in values) or len({int(value) for value in values}) > 1:
-                raise ResponseRefusedError("broken", f"content length {length[:40]!r}")
+                raise ResponseRefusedError("malformed", f"content length {length[:40]!r}")
             self._left = int(values[0])
             return self._read_body
         self.is_reusable = False
@@ -191,12 +192,12 @@
         return False
 
     def _read_chunk_line(self) -> bool:
-        line = self._line(_MAX_CHUNK_LINE_BYTES, "broken", "the size of a chunk is malformed")
+        line = self._line(_MAX_CHUNK_LINE_BYTES, "malformed", "the size of a chunk is malformed")
         if line is None:
             return False
         match = _CHUNK_LINE.fullmatch(line)
         if match is None:
-            raise ResponseRefusedError("broken", "the size of a chunk is malformed")
+            raise ResponseRefusedError("malformed", "the size of a chunk is malformed")
         self._left = int(match.group(1), 16)
         self._reads = self._read_chunk if self._left else self._read_trailer
         return True
@@ -210,7 +211,7 @@
         if len(self._buffer) < 2:
             return False
         if self._buffer[:2] != b"\r\n":
-            raise ResponseRefusedError("broken", "a chunk has another length than stated")
+            raise ResponseRefusedError("malformed", "a chunk has another length than stated")
         del self._buffer[:2]
         self._reads = self._read_chunk_line
         return True
@@ -220,7 +221,7 @@
         line = self._head_line()
         if line is None:
             return False
-        if line and not _FIELD_NAME.fullmatch(line.partition(b":")[0]):
-            raise ResponseRefusedError("broken", "a field of the trailer is malformed")
+        if line and not _FIELD.fullmatch(line):
+            raise ResponseRefusedError("malformed", f"the field {line[:_MAX_QUOTED_BYTES]!r} of the trailer")
         self.is_complete = not line
         return True
--- a/libs/arbutusrill_http/_transfer.py
+++ b/libs/arbutusrill_http/_transfer.py
@@ -15,6 +15,7 @@
 from ._body_budget import BodyReservation
 from ._connection_pool import ServerConnections
 from ._request_target import encoded, split_url
+from ._response_parser import ResponseParser, ResponseRefusedError
 from ._socket_transfer import SocketTransfer
 from ._transfer_state import TransferState
 
@@ -27,6 +28,7 @@
 _TCP_USER_TIMEOUT_MS = 2000
 _MAX_POLL_MS = 250  # interval at which `should_stop`, `stall_s` and `timeout_s` are checked at the latest
 _CURLE_TOO_LARGE = 100  # a line beyond libcurl's own limit of 100 kB; pycurl has no name for this code
+_CURLE_WEIRD_SERVER_REPLY = pycurl.E_FTP_WEIRD_SERVER_REPLY  # its earlier name, which pycurl has kept
 _LIBCURL_HEADERS = ("Accept", "Content-Type", "User-Agent")
 _thread_local = threading.local()
 
@@ -85,8 +87,9 @@
 
     `error` is empty for a complete response, else ``connect``, ``timeout``, ``stall``, ``gone`` (the caller closed
     its connection), ``stopped`` (by `should_stop`), ``too_large`` (a head or the body exceeds its limit), ``no_memory``
-    (the body finds no room), ``callback`` or ``broken`` (any other error); `detail` describes it. `verdict` says
-    whether the server may have run the request. `reused` is true if the connection was kept from an earlier transfer,
+    (the body finds no room), ``callback``, ``malformed`` (the server sent bytes that are no HTTP response) or
+    ``broken`` (any other error); `detail` describes it. `verdict` says whether the server may have run the request,
+    of which a malformed response tells nothing. `reused` is true if the connection was kept from an earlier transfer,
     `lost_reused` if such a connection ended before one byte of a response to this one.
     """
 
@@ -172,11 +175,16 @@
 
 
 class _TransferRun(TransferState):
-    """One transfer on libcurl while it runs."""
+    """One transfer on libcurl while it runs.
+
+    libcurl connects, sends and finds the end of the response. What it receives goes unchanged to a `ResponseParser`,
+    which decides what a response is for both kinds of transfer: libcurl accepts more than RFC 9112 allows. Only a field
+    that is folded over several lines reaches the parser as one line.
+    """
 
     def __init__(self, transfer: Transfer):
         super().__init__(transfer, TransferResult())
-        self._in_head = False  # whether the status line of the current head has been read
+        self._parser = ResponseParser(self, transfer.method)
 
     def run(self) -> TransferResult:
         loop = _current_loop()
@@ -214,42 +222,39 @@
                 return
 
     def _has_ended(self, loop: _EventLoop, easy: pycurl.Curl) -> bool:
-        """Stores the outcome of a transfer that libcurl has ended; returns whether it has."""
+        """Stores the outcome of a transfer that has ended; returns whether it has."""
         _, done, failed = loop.multi.info_read()
-        if done:
+        if self._parser.is_complete or done:
             self._end(easy)
         elif failed:
             error, detail = self.refusal or (_error_from_code(failed[0][1]), failed[0][2])
             self._fail(easy, error, detail)
-        return bool(done or failed)
+        return self._parser.is_complete or bool(done or failed)
 
     def _end(self, easy: pycurl.Curl) -> None:
         """Stores the outcome of a response that libcurl takes for complete, as it does for a head that breaks off."""
-        if not self.headers_done:
-            self._fail(easy, "broken", "the connection was closed within the head")
-        elif not self._has_stated_length():
-            self._fail(easy, "broken", "the body has another length than stated")
+        try:
+            self._parser.end()
+        except ResponseRefusedError as error:
+            self._fail(easy, error.error, error.detail)
         else:
-            self.result.status = easy.getinfo(pycurl.RESPONSE_CODE)
             self.result.verdict = Verdict.RAN
 
-    def _has_stated_length(self) -> bool:
-        """Whether the body has the length in the head; libcurl ignores a length that exceeds 64 bits."""
-        headers = self.result.headers_by_name
-        has_no_body = self.transfer.method == "HEAD" or self.result.status in (204, 304)
-        if has_no_body or "transfer-encoding" in headers or "content-length" not in headers:
-            return True
-        lengths = {length.strip().lstrip("0") for length in headers["content-length"].split(",")}  # it may be repeated
-        return lengths == {str(self.received_bytes or "")}
-
     def _fail(self, easy: pycurl.Curl, error: str, detail: str) -> None:
         # REQUEST_SIZE is the number of bytes sent: if it is 0, the server cannot have run the request.
         sent = easy.getinfo(pycurl.REQUEST_SIZE) > 0
         self.result.error = error
         self.result.detail = detail
-        self.result.status = easy.getinfo(pycurl.RESPONSE_CODE)
         self.result.verdict = Verdict.MAY_HAVE_RUN if sent else Verdict.NOT_RUN
 
+    def _feed(self, data: bytes) -> int | None:
+        """Parses bytes of the response as they were received; returns -1 to end the transfer if they are refused."""
+        try:
+            self._parser.feed(data)
+        except ResponseRefusedError as error:
+            return self.refuse(error.error, error.detail)
+        return None
+
     def _make_easy_handle(self) -> pycurl.Curl:
         transfer = self.transfer
         easy = pycurl.Curl()
@@ -267,8 +272,9 @@
         easy.setopt(pycurl.TCP_KEEPIDLE, _KEEPALIVE_IDLE_S)
         easy.setopt(pycurl.TCP_KEEPINTVL, _KEEPALIVE_INTERVAL_S)
         easy.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
-        easy.setopt(pycurl.WRITEFUNCTION, self.add_data)
-        easy.setopt(pycurl.HEADERFUNCTION, self._on_header)
+        easy.setopt(pycurl.HTTP_TRANSFER_DECODING, 0)
+        easy.setopt(pycurl.WRITEFUNCTION, self._feed)
+        easy.setopt(pycurl.HEADERFUNCTION, self._feed)
         if transfer.body or transfer.method in ("POST", "PUT", "PATCH"):
             easy.setopt(pycurl.POST, 1)
             easy.setopt(pycurl.POSTFIELDS, transfer.body)
@@ -285,24 +291,6 @@
         easy.setopt(pycurl.HTTPHEADER, [encoded(line) for line in headers])
         return easy
 
-    def _on_header(self, line: bytes) -> int | None:
-        outcome = self.count_head_bytes(len(line))
-        if outcome is not None or self.headers_done:
-            # Trailer fields: merged into the head, they could turn a response into a refusal after it was delivered.
-            return outcome
-        if not line.endswith(b"\n"):  # the connection was closed within this line, possibly the empty one
-            return None
-        text = line.decode("latin-1").strip()
-        if not self._in_head:
-            self._in_head = True
-            self.begin_head(int(text.split(None, 2)[1]))
-        elif ":" in text:
-            self.add_header(*text.split(":", 1))
-        elif not text:
-            self._in_head = self.result.status >= 200
-            return self.end_head()
-        return None
-
 
 def _on_socket_created(descriptor: int, _purpose: int) -> int:
     # With family and type given, Python makes no system calls to find them out.
@@ -325,4 +313,6 @@
         return "callback"
     if code == _CURLE_TOO_LARGE:
         return "too_large"
+    if code in (pycurl.E_UNSUPPORTED_PROTOCOL, _CURLE_WEIRD_SERVER_REPLY):
+        return "malformed"
     return "broken"
--- a/libs/arbutusrill_http/_transfer_state.py
+++ b/libs/arbutusrill_http/_transfer_state.py
@@ -52,7 +52,7 @@
 
     def add_header(self, name: str, value: str) -> None:
         """Adds a header field; the values of a repeated field are combined (RFC 9110, 5.3), except for cookies."""
-        name, value = name.strip().lower(), value.strip()
+        name, value = name.lower(), value.strip(" \t")
         earlier = self.result.headers_by_name.get(name)
         if earlier is not None and name != "set-cookie":
             value = f"{earlier}, {value}"
--- a/libs/arbutusrill_http/tests/test_transfer.py
+++ b/libs/arbutusrill_http/tests/test_transfer.py
@@ -276,7 +276,8 @@
         (CHUNKED + b"5\r\nwholeX\r\n0\r\n\r\n", False),
         (CHUNKED + b"fffffffffffffffff\r\nwhole\r\n", False),
         (b"\r\nwhole", True),
-        (b"HTTP/1.1: 503 X\r\nContent-Length: 5\r\n\r\nwhole", True),
+        (b"HTTP: 503 X\r\nContent-Length: 5\r\n\r\nwhole", True),
+        (b"HTTP/1.1: 503 X\r\nContent-Length: 5\r\n\r\nwhole", False),
     ],
 )
 def test_body_is_complete_only_with_valid_framing(rest, is_complete):
@@ -293,6 +294,47 @@
         assert (heads, result.headers_by_name["id"], result.body) == ([200], "r", b"whole")
 
 
+OK = b"HTTP/1.1 200 OK\r\n"
+PLAIN = b"Content-Length: 5\r\n\r\nwhole"
+
+
+@pytest.mark.parametrize(
+    "response",
+    [
+        OK + b"Served By: s\r\n" + PLAIN,
+        OK + b"Served-By : s\r\n" + PLAIN,
+        OK + b"Served\x00By: s\r\n" + PLAIN,
+        OK + b"Served\xc3By: s\r\n" + PLAIN,
+        OK + b": s\r\n" + PLAIN,
+        OK + b"Served-By s\r\n" + PLAIN,
+        OK + b"Served-By: a\x01b\r\n" + PLAIN,
+        OK + b"Served-By: a\x7f\r\n" + PLAIN,
+        OK + b"Served-By: \x1b\r\n" + PLAIN,
+        OK + b"Served-By: a\rb\r\n" + PLAIN,
+        OK + b"Served-By: s\n" + PLAIN,
+        b"HTTP/1.1 103 Early Hints\r\nBad Hint: 1\r\n\r\n" + OK + PLAIN,
+        b"HTTP/1.1 103 Early Hints\r\nHint: \x02\r\n\r\n" + OK + PLAIN,
+        OK + CHUNKED + b"5\r\nwhole\r\n0\r\nSum of: 1\r\n\r\n",
+        OK + CHUNKED + b"5\r\nwhole\r\n0\r\nSum: \x03\r\n\r\n",
+        OK + CHUNKED + b"5\r\nwhole\r\n0\r\nSum: 1\n\r\n",
+        OK + CHUNKED + b"5;a=\x04\r\nwhole\r\n0\r\n\r\n",
+        OK + CHUNKED + b"5\nwhole\r\n0\r\n\r\n",
+        OK + CHUNKED + b"5 5\r\nwhole\r\n0\r\n\r\n",
+    ],
+)
+def test_malformed_field_or_chunk_line_makes_no_answer(response):
+    # A field name with a space, or a value with a control character, reached the caller inside a success.
+    url = serve_once(lambda connection: (connection.recv(9999), connection.sendall(response)))
+    result = fetch(Transfer("POST", url, body=b"x", timeout_s=5))
+    assert (result.error, result.verdict) == ("malformed", Verdict.MAY_HAVE_RUN), result
+
+
+def test_field_values_may_hold_any_text_and_lose_only_spaces_and_tabs_around_it():
+    response = OK + b"By: \t\xa0\xe9 b\t \r\n" + PLAIN
+    result = fetch(Transfer("GET", serve_once(lambda c: (c.recv(9999), c.sendall(response)))))
+    assert (result.is_complete, result.headers_by_name["by"]) == (True, "\xa0\xe9 b")
+
+
 def test_body_that_ends_with_its_connection_is_complete_unless_the_connection_is_reset():
     def reset(connection):
         connection.recv(9999)
