http: requests with control characters in their head are rejected

What servers saw: control characters in names of targets and in values as callers sent them; a single CR in a value began another header, since http.client takes it for the end of a line.

Change: HeadReader and the request line refuse control characters other than tabs with 400 (not run), in trailers too.

--- a/libs/arbutusrill_http/_handler.py
+++ b/libs/arbutusrill_http/_handler.py
@@ -18,7 +18,14 @@
 from werkzeug.serving import WSGIRequestHandler
 
 from ._body_budget import BodyReservation
-from ._request_reader import ChunkedReader, HeadReader, HeadTooLargeError, end_of_input_error
+from ._request_reader import (
+    ChunkedReader,
+    HeadReader,
+    HeadTooLargeError,
+    MalformedHeadError,
+    check_head_line,
+    end_of_input_error,
+)
 from ._slow_connections import Stage
 from ._writer import ResponseWriter
 
@@ -202,7 +209,10 @@
         limits, stream = self.server.limits, self.rfile
         self.rfile = HeadReader(stream, _RAW_HEADER_FACTOR * limits.header_bytes)
         try:
+            check_head_line(self.raw_requestline)
             return self.parse_request()
+        except MalformedHeadError as error:
+            raise _RequestError(400, "bad_header", str(error), "headers") from None
         except HeadTooLargeError:
             raise _RequestError(
                 431, "headers_too_large", f"headers exceed {limits.header_bytes} bytes", "headers"
--- a/libs/arbutusrill_http/_request_reader.py
+++ b/libs/arbutusrill_http/_request_reader.py
@@ -6,11 +6,19 @@
 from io import BufferedReader
 from typing import BinaryIO
 
-__all__ = ["ChunkedReader", "HeadReader", "HeadTooLargeError", "end_of_input_error"]
+__all__ = [
+    "ChunkedReader",
+    "HeadReader",
+    "HeadTooLargeError",
+    "MalformedHeadError",
+    "check_head_line",
+    "end_of_input_error",
+]
 
 _MAX_CHUNK_LINE_BYTES = 4096  # size and extensions of a chunk
 _CHUNK_SIZE = re.compile(rb"([0-9A-Fa-f]{1,15})[ \t]*(;.*)?\r?\n", re.DOTALL)
 _EMPTY_LINES = (b"\r\n", b"\n")
+_HEAD_LINE = re.compile(rb"[\t\x20-\x7e\x80-\xff]*\r?\n?")
 # Of all chunks of a body: each costs the time to read it, and a body may have as many chunks as bytes.
 _MAX_EXTENSION_BYTES = 64 * 1024
 _WHOLE_CHUNK = re.compile(rb"0{0,11}([0-9A-Fa-f]{1,4})\r\n")
@@ -25,11 +33,21 @@
     """The header fields of a request exceed their limit."""
 
 
+class MalformedHeadError(ValueError):
+    """A line of the head or trailer of a request holds control characters, with which its readers could differ."""
+
+
 def end_of_input_error() -> ConnectionResetError:
     """Returns the error for a request that breaks off: the rest of it is missing, which says nothing of its form."""
     return ConnectionResetError("the connection ended before the end of the request")
 
 
+def check_head_line(line: bytes) -> None:
+    """Raises `MalformedHeadError` if a line of the head of a request holds control characters."""
+    if not _HEAD_LINE.fullmatch(line):
+        raise MalformedHeadError("a line of the head holds control characters")
+
+
 class HeadReader:
     r"""Reads the lines of header fields, at most `limit_bytes` in all.
 
@@ -50,7 +68,8 @@
     def readline(self, size: int = -1) -> bytes:
         """Returns the next line; raises `HeadTooLargeError` if it exceeds the rest of the limit.
 
-        Raises `ConnectionResetError` at the end of the input, which `http.client` takes for the end of the fields.
+        Raises `MalformedHeadError` if it holds control characters, since `http.client` takes a single CR for the end of
+        a line, and `ConnectionResetError` at the end of the input, which it takes for the end of the fields.
         """
         largest = self._remaining_bytes + 1
         line = self._stream.readline(largest if size < 0 else min(size, largest))
@@ -59,6 +78,7 @@
         self._remaining_bytes -= len(line)
         if self._remaining_bytes < 0:
             raise HeadTooLargeError(f"the headers exceed {self._limit_bytes} bytes")
+        check_head_line(line)
         return line
 
 
--- a/libs/arbutusrill_http/tests/test_rejections.py
+++ b/libs/arbutusrill_http/tests/test_rejections.py
@@ -98,3 +98,29 @@
             connection.shutdown(socket.SHUT_WR)
         assert connection.makefile("rb").read() == b""
     assert app.bodies == []
+
+
+@pytest.mark.parametrize(
+    "head",
+    [
+        get("/x", "Name: a\rTenant: other\r\n"),
+        get("/x", "Name: a\x01b\r\n"),
+        get("/x", "Name: a\x7f\r\n"),
+        get("/x", "Name: \x0b\r\n"),
+        get("/x\x01"),
+        get("/x\x7f?q"),
+        b"POST /x HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nSum: \x01\r\n\r\n",
+    ],
+)
+def test_control_character_in_a_request_is_rejected(head):
+    # Servers got the character as it was, and a single CR began a header of its own.
+    app = App()
+    with HttpServer("127.0.0.1", 0, app, LIMITS) as server:
+        response = exchange(server, head)
+    assert response.startswith(b"HTTP/1.1 400 ") and b'"verdict": "not_run"' in response
+    assert not app.bodies
+
+
+def test_tabs_and_bytes_beyond_ascii_in_a_header_are_accepted():
+    with HttpServer("127.0.0.1", 0, App(), LIMITS) as server:
+        assert exchange(server, get("/x", "Name: a\tb \xc3\xa9\r\n")).startswith(b"HTTP/1.1 200 ")
