http: a head that is no response is never written to a caller

The writer sent any status and any header that it was given, so that a single place decided what callers get. It now raises ValueError before anything is sent, and the caller gets 500, which promises nothing.

--- a/libs/arbutusrill_http/_writer.py
+++ b/libs/arbutusrill_http/_writer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 import socket
 from collections.abc import Callable
 from contextlib import AbstractContextManager, nullcontext
@@ -19,6 +20,9 @@
 # forward large responses wait for a lock rather than for the processor. Most events are smaller.
 _MIN_BULK_BYTES = 8 * 1024
 _NO_TURN = nullcontext()
+_MAX_QUOTED_CHARACTERS = 60
+_STATUS = re.compile(r"[1-5][0-9]{2} [\t\x20-\x7e\x80-\xff]*")
+_FIELD = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+:[\t\x20-\x7e\x80-\U0010ffff]*")
 _DO_NOT_WAIT, _MORE = int(socket.MSG_DONTWAIT), int(socket.MSG_MORE)  # combining the enums takes longer than a send
 
 
@@ -41,9 +45,17 @@
         self.ends_with_connection = False  # whether only the end of the connection marks the end of the body
 
     def start(self, status: str, headers: list[tuple[str, str]], exc_info: Any = None) -> Callable[[bytes], None]:
-        """Implements `start_response` of WSGI: stores status and headers until the first write."""
+        """Implements `start_response` of WSGI: stores status and headers until the first write.
+
+        Raises `ValueError` for a status or a header that HTTP does not allow, before anything is sent.
+        """
         if self.head_sent:
             raise RuntimeError("start_response called after the response head was sent")
+        if not _STATUS.fullmatch(status):
+            raise ValueError(f"{status[:_MAX_QUOTED_CHARACTERS]!r} is no status of a response")
+        for name, value in headers:
+            if not _FIELD.fullmatch(f"{name}: {value}"):
+                raise ValueError(f"the header {name[:_MAX_QUOTED_CHARACTERS]!r} has an invalid name or value")
         self._status, self._headers = status, headers
         return self.write
 
--- a/libs/arbutusrill_http/tests/test_rejections.py
+++ b/libs/arbutusrill_http/tests/test_rejections.py
@@ -124,3 +124,28 @@
 def test_tabs_and_bytes_beyond_ascii_in_a_header_are_accepted():
     with HttpServer("127.0.0.1", 0, App(), LIMITS) as server:
         assert exchange(server, get("/x", "Name: a\tb \xc3\xa9\r\n")).startswith(b"HTTP/1.1 200 ")
+
+
+@pytest.mark.parametrize(
+    ("status", "headers"),
+    [
+        ("000 X", []),
+        ("99 X", []),
+        ("600 X", []),
+        ("2000 X", []),
+        ("200 a\x01", []),
+        ("200 OK", [("Served By", "s")]),
+        ("200 OK", [("Served-By", "a\x01")]),
+        ("200 OK", [("Served-By", "a\r\nOther: b")]),
+        ("200 OK", [("Served-By", "a\x7f")]),
+    ],
+)
+def test_head_that_is_no_response_is_never_written(status, headers):
+    # The writer sent what it was given, as a response that no caller can read.
+    def app(environ, start):
+        start(status, headers)
+        return [b"whole"]
+
+    with HttpServer("127.0.0.1", 0, app, LIMITS) as server:
+        response = exchange(server, get("/x"))
+    assert response.startswith(b"HTTP/1.1 500 ") and b'"verdict": "may_have_run"' in response
