prompts: a part that crashes engines is found wherever it stands in the prompt

Cause: lists were cut short silently and decisions taken on the rest.

Tables are bounded in bytes, and parts with the same crashes are kept or dropped together, since a set that has lost a part bars requests without that part. Reports of crashes hold the times of the latest answers of their parts (new optional field answered_ago_ms), so that shared parts are cleared without a list of them. Parts of a request stay one text until they are needed.

The bound of 2,048 parts of the leader's table is one of bytes (16,384 parts of eight digits), tested with 40,000 parts in place of 4,000.

--- a/libs/arbutusrill_gateway/__init__.py
+++ b/libs/arbutusrill_gateway/__init__.py
@@ -8,7 +8,7 @@
 from ._placement import PlacementClient
 from ._planned_stop import stop_in_time
 from ._prompt_guard import PromptBarredError, PromptGuard
-from ._protocol import BackendProtocol, BackendRequest, CallerRequest, KvCacheHandle, ResponseHead
+from ._protocol import BackendProtocol, BackendRequest, CallerRequest, KvCacheHandle, PromptParts, ResponseHead
 from ._reply import Refusal, Responder
 from ._second_sender import SecondSender
 
@@ -25,6 +25,7 @@
     "PlacementClient",
     "PromptBarredError",
     "PromptGuard",
+    "PromptParts",
     "Refusal",
     "Responder",
     "SecondSender",
--- a/libs/arbutusrill_gateway/_prompt_guard.py
+++ b/libs/arbutusrill_gateway/_prompt_guard.py
@@ -23,7 +23,10 @@
 _SOUND_EVENTS = 3
 _SOUND_STREAM_S = 2.0
 _ANSWERED_S = 30.0  # for so long after an answer, a part counts as answered lately
-_MAX_ANSWERED_PARTS = 8192
+# Bounds of memory, with the bytes that one part takes beside its ID.
+_MAX_ANSWERED_BYTES = 1_048_576
+_MAX_QUEUED_BYTES = 1_048_576
+_PART_BYTES = 100
 _MAX_QUEUED_CRASHES = 64
 _REPORT_TIMEOUT_S = 0.3
 _LEADER_BACKOFF_S = 0.4  # after a failed report, further ones are queued without a call for this time
@@ -46,10 +49,15 @@
     request_id: str
     backend: Any
     parts: tuple[str, ...]
-    answered_parts: tuple[str, ...]  # those of the prompt that were answered lately, but not since `began`
+    answered_at_by_part: dict[str, float]  # those of the prompt that were answered lately, but not since `began`
     began: float
     ended: float
 
+    @property
+    def size(self) -> int:
+        """Approximate memory of the parts in bytes."""
+        return _size_of(self.parts) + _size_of(self.answered_at_by_part)
+
 
 class PromptGuard:
     """Refuses requests by the leader's bars, and reports crashes and answers of prompts to the leader.
@@ -66,7 +74,8 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._answered_at_by_part: OrderedDict[str, float] = OrderedDict()
-        self._queued_crashes: deque[_Crash] = deque(maxlen=_MAX_QUEUED_CRASHES)
+        self._answered_bytes = 0
+        self._queued_crashes: deque[_Crash] = deque()
         self._reported_at_by_part: dict[str, float] = {}  # time of the latest answer that was reported
         self._leader_unavailable_until = float("-inf")
 
@@ -113,13 +122,26 @@
                 part: self._answered_at_by_part.get(part, float("-inf")) for part in request.prompt_parts
             }
         parts = tuple(part for part, at in answered_at_by_part.items() if at < min(began, now - _ANSWERED_S))
-        answered_parts = tuple(part for part, at in answered_at_by_part.items() if now - _ANSWERED_S <= at < began)
-        if not (parts or answered_parts):
+        answered = {part: at for part, at in answered_at_by_part.items() if now - _ANSWERED_S <= at < began}
+        if not (parts or answered):
             return
-        crash = _Crash(request.id, candidate.record, parts, answered_parts, began, now)
+        crash = _Crash(request.id, candidate.record, parts, answered, began, now)
         if now < self._leader_unavailable_until or not self._report([crash], {}):
-            with self._lock:
-                self._queued_crashes.append(crash)
+            self._queue(crash)
+
+    def _queue(self, crash: _Crash) -> None:
+        """Keeps a crash until the leader answers; drops the oldest ones beyond the bounds."""
+        dropped = []
+        with self._lock:
+            self._queued_crashes.append(crash)
+            total = sum(queued.size for queued in self._queued_crashes)
+            while len(self._queued_crashes) > 1 and (
+                total > _MAX_QUEUED_BYTES or len(self._queued_crashes) > _MAX_QUEUED_CRASHES
+            ):
+                dropped.append(self._queued_crashes.popleft())
+                total -= dropped[-1].size
+        for oldest in dropped:
+            _events.emit("crash_not_reported", request=oldest.request_id, backend=oldest.backend.id, queued_bytes=total)
 
     def flush(self) -> None:
         """Reports queued crashes, and the suspected parts that were answered lately."""
@@ -150,13 +172,16 @@
             }
 
     def _record_answer(self, parts: Iterable[str]) -> None:
-        now = self._clock.monotonic()
+        now, answered = self._clock.monotonic(), self._answered_at_by_part
         with self._lock:
             for part in parts:
-                self._answered_at_by_part[part] = now
-                self._answered_at_by_part.move_to_end(part)
-            while len(self._answered_at_by_part) > _MAX_ANSWERED_PARTS:
-                self._answered_at_by_part.popitem(last=False)
+                if part in answered:
+                    answered.move_to_end(part)
+                else:
+                    self._answered_bytes += len(part) + _PART_BYTES
+                answered[part] = now
+            while self._answered_bytes > _MAX_ANSWERED_BYTES:
+                self._answered_bytes -= len(answered.popitem(last=False)[0]) + _PART_BYTES
 
     def _report(self, crashes: list[_Crash], answered_at_by_part: dict[str, float]) -> bool:
         """Sends a report to the leader; returns whether it was accepted."""
@@ -169,7 +194,8 @@
                 int((now - crash.began) * 1000),
                 int((now - crash.ended) * 1000),
                 crash.request_id,
-                list(crash.answered_parts),
+                list(crash.answered_at_by_part),
+                [int((now - at) * 1000) for at in crash.answered_at_by_part.values()],
             )
             for crash in crashes
         ]
@@ -186,3 +212,7 @@
             return False
         self._view.apply_prompt_bars(reply)
         return True
+
+
+def _size_of(parts: Iterable[str]) -> int:
+    return sum(len(part) + _PART_BYTES for part in parts)
--- a/libs/arbutusrill_gateway/_protocol.py
+++ b/libs/arbutusrill_gateway/_protocol.py
@@ -4,6 +4,7 @@
 
 import abc
 import socket
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -13,7 +14,38 @@
 _OUTPUT_ESTIMATE_MARGIN_TOKENS = 100
 MIN_RETRY_AFTER_S = 0.05
 
-__all__ = ["MIN_RETRY_AFTER_S", "BackendProtocol", "BackendRequest", "CallerRequest", "KvCacheHandle", "ResponseHead"]
+__all__ = [
+    "MIN_RETRY_AFTER_S",
+    "BackendProtocol",
+    "BackendRequest",
+    "CallerRequest",
+    "KvCacheHandle",
+    "PromptParts",
+    "ResponseHead",
+]
+
+
+class PromptParts:
+    """The IDs of the parts of a prompt, which `decode` reads from a text each time that they are needed.
+
+    A prompt may have thousands of parts: as separate texts, they would take ten times the memory.
+
+    >>> parts = PromptParts("5c1e,91bd", lambda text: text.split(","))
+    >>> bool(parts), list(parts)
+    (True, ['5c1e', '91bd'])
+    """
+
+    __slots__ = ("_decode", "_text")
+
+    def __init__(self, text: str, decode: Callable[[str], list[str]]):
+        self._text = text
+        self._decode = decode
+
+    def __bool__(self) -> bool:
+        return bool(self._text)
+
+    def __iter__(self) -> Iterator[str]:
+        return iter(self._decode(self._text))
 
 
 @dataclass(slots=True)
@@ -24,7 +56,8 @@
     the API key. `deadline_s` is the time for which the caller waits, or None if it sent no deadline. `prompt_tokens`
     and `output_tokens` (the maximum) are None for requests without token counts. `resume_after` is the id of the last
     event that the caller received. `connection` is the caller's socket, which is monitored for a disconnect.
-    `prompt_parts` are the IDs of the parts of the prompt in order, which other requests may share.
+    `prompt_parts` are the IDs of the parts of the prompt in order, which other requests may share. They can be read
+    several times, and are true if there may be any.
     """
 
     id: str
@@ -41,7 +74,7 @@
     expected_output_tokens: int | None = None
     resume_after: str = ""
     connection: socket.socket | None = None
-    prompt_parts: tuple[str, ...] = ()
+    prompt_parts: Iterable[str] = ()
 
     @property
     def path(self) -> str:
--- a/libs/arbutusrill_gateway/tests/test_prompt_guard.py
+++ b/libs/arbutusrill_gateway/tests/test_prompt_guard.py
@@ -161,3 +161,31 @@
             guard.check(request("D"))
     view.apply_prompt_bars(messages.PromptReply(3, 1, 1, [], []))
     guard.check(request("D"))
+
+
+def test_answers_of_parts_are_reported_with_the_crash_and_their_age(guard, leader, clock):
+    guard.record_events(request("F", "a"), 3, 2.0)
+    clock.advance(1.5)
+    guard.record_attempt(request("F", "D", "b"), CANDIDATE, CRASHED, 0)
+    (crash,) = leader.reports[0].crashes
+    assert (crash.parts, crash.answered_parts, crash.answered_ago_ms) == (["D", "b"], ["F"], [1500])
+
+
+def test_crashes_that_wait_for_a_leader_are_bounded_in_memory_and_the_latest_are_kept(guard, leader, clock):
+    leader.available = False
+    for number in range(100):
+        guard.record_attempt(request(*(f"{number}-{part}" for part in range(2700))), CANDIDATE, CRASHED, 0)
+    leader.available = True
+    clock.advance(2.0)
+    guard.flush()
+    parts = [part for _, _, parts in leader.crashes() for part in parts]
+    assert "99-2699" in parts and sum(map(len, parts)) + 100 * len(parts) <= 1_048_576
+
+
+def test_shared_parts_count_as_answered_beside_many_others(guard, leader, clock):
+    for number in range(50):
+        guard.record_events(request("F", *(f"{number}-{part}" for part in range(2700))), 3, 2.0)
+    clock.advance(1.0)
+    guard.record_attempt(request("F", "D"), CANDIDATE, CRASHED, 0)
+    (crash,) = leader.reports[0].crashes
+    assert (crash.parts, crash.answered_parts) == (["D"], ["F"])
--- a/libs/arbutusrill_site/_prompt_bars.py
+++ b/libs/arbutusrill_site/_prompt_bars.py
@@ -40,7 +40,10 @@
         >>> bars.barred_set_in(["a", "c"]) is None, bars.barred_set_in(["b", "a"]).crashes
         (True, 3)
         """
-        return next((barred for barred in self.barred if barred.parts.issubset(parts)), None)
+        if not self.barred:
+            return None
+        parts = frozenset(parts)
+        return next((barred for barred in self.barred if barred.parts <= parts), None)
 
 
 def decode_prompt_bars(reply: Any, now: float) -> PromptBars:
--- a/libs/arbutusrill_site/_prompt_ledger.py
+++ b/libs/arbutusrill_site/_prompt_ledger.py
@@ -62,6 +62,7 @@
             now = self._clock.monotonic()
             for crash in report.crashes or []:
                 began, ended = now - crash.began_ago_ms / 1000, now - crash.ended_ago_ms / 1000
+                self._suspects.record_answers(_times(crash.answered_parts, crash.answered_ago_ms, now), now)
                 self._suspects.record_crash(
                     crash.backend,
                     crash.started_ms,
@@ -72,8 +73,7 @@
                     crash.answered_parts or [],
                 )
             ages_ms = report.sound_ago_ms or [0] * len(report.sound or [])
-            for part, age_ms in zip(report.sound or [], ages_ms, strict=False):
-                self._suspects.record_success([part], now - age_ms / 1000, now)
+            self._suspects.record_answers(_times(report.sound, ages_ms, now), now)
         if self._notify() and not self.save():
             raise messages.Refused("unavailable", "the bar is not in the log yet", messages.Verdict.MAY_HAVE_RUN)
 
@@ -116,3 +116,8 @@
             self.bars_revision = self._suspects.bars_revision
             self._changed.notify_all()
         return True
+
+
+def _times(parts: list[str] | None, ages_ms: list[int] | None, now: float) -> dict[str, float]:
+    """Returns the time of the latest answer of each part for which an age was sent."""
+    return {part: now - age_ms / 1000 for part, age_ms in zip(parts or [], ages_ms or [], strict=False)}
--- a/libs/arbutusrill_site/_prompt_suspects.py
+++ b/libs/arbutusrill_site/_prompt_suspects.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -20,11 +20,14 @@
 _MAX_DOUBLINGS = 10
 _EVIDENCE_S = 1800.0  # a part that is not barred is forgotten so long after its last crash
 _EXPIRY_INTERVAL_S = 5.0
-_MAX_PARTS = 2048
-_EVICTED_PARTS = 256  # at once, when there are more
+# Bounds in bytes of IDs, with `_PART_BYTES` for each part and `_CRASH_BYTES` for each of its crashes.
+_MAX_TABLE_BYTES = 512 * 1024
+_EVICTED_FRACTION = 0.125  # at once, when there are more
+_MAX_SAVED_BYTES = 256 * 1024
+_MAX_LISTED_BYTES = 16 * 1024
+_PART_BYTES = 24
+_CRASH_BYTES = 8
 _MAX_CRASHES_PER_PART = 256
-_MAX_SAVED_PARTS = 512
-_MAX_LISTED_PARTS = 256
 _MAX_LOGGED_PARTS = 8
 _events = EventLog("prompts")
 
@@ -75,12 +78,16 @@
     explained by that one and is not barred. Only consecutive crashes count, so that a failure of many engines at the
     same time bars nothing.
 
+    A prompt may have thousands of parts, of which the table keeps as many as its bound in bytes allows. Parts with the
+    same crashes are kept or dropped together: a set that had lost a part would bar requests without that part.
+
     All times are passed in, in seconds of one clock. `revision` changes with the table, `bars_revision` with the bars,
     `save_revision` when the table should be saved.
     """
 
     def __init__(self) -> None:
         self._part_by_id: dict[str, _Part] = {}
+        self._table_bytes = 0  # sum of the sizes of the parts
         self._bars: dict[frozenset[str], Bar] = {}
         self._expired_at = -math.inf
         self._listed: tuple[int, list[str]] = (-1, [])  # revision and result of `suspected`
@@ -94,9 +101,18 @@
         return list(self._bars.values())
 
     def suspected(self) -> list[str]:
-        """Returns the IDs of the parts with a crash since their last success, those with most crashes first."""
+        """Returns the IDs of the parts with a crash since their last success, those with most crashes first.
+
+        Reports of crashes also hold the answers of their own parts, so that those beyond the bound are cleared too.
+        """
         if self._listed[0] != self.revision:
-            self._listed = (self.revision, self._heaviest(_MAX_LISTED_PARTS))
+            ids, left = [], _MAX_LISTED_BYTES
+            for id_ in sorted(self._part_by_id, key=self._weight, reverse=True):
+                left -= len(id_) + _PART_BYTES
+                if left < 0:
+                    break
+                ids.append(id_)
+            self._listed = (self.revision, ids)
         return self._listed[1]
 
     def record_crash(
@@ -117,7 +133,10 @@
         added = []
         answered_parts = set(answered_parts)
         for id_ in (*parts, *answered_parts):
-            part = self._part_by_id.setdefault(id_, _Part())
+            part = self._part_by_id.get(id_)
+            if part is None:
+                part = self._part_by_id[id_] = _Part()
+                self._table_bytes += self._size(id_)
             part.answered_lately = part.answered_lately or id_ in answered_parts
             crash = part.crashes.get(key)
             if crash is not None:
@@ -126,6 +145,7 @@
             if len(part.crashes) >= _MAX_CRASHES_PER_PART:
                 continue
             part.crashes[key] = _Crash(began, ended)
+            self._table_bytes += _CRASH_BYTES
             part.last_at = now
             added.append(id_)
         if not added:
@@ -150,17 +170,23 @@
 
         Crashes that came later still count.
         """
+        self.record_answers(dict.fromkeys(parts, answered_at), now)
+
+    def record_answers(self, answered_at_by_part: Mapping[str, float], now: float) -> None:
+        """Records for each part when a request with it was last answered, like `record_success`."""
         cleared = {}
-        for id_ in parts:
+        for id_, answered_at in answered_at_by_part.items():
             part = self._part_by_id.get(id_)
             if part is None:
                 continue
             later = {key: crash for key, crash in part.crashes.items() if crash.ended > answered_at}
             if len(later) == len(part.crashes):
                 continue
+            self._table_bytes -= self._size(id_)
             cleared[id_] = self._part_by_id.pop(id_)
             if later:
                 self._part_by_id[id_] = _Part(later, part.last_at, answered_lately=True)
+                self._table_bytes += self._size(id_)
         if not cleared:
             return
         self.revision += 1
@@ -187,7 +213,8 @@
 
     def record(self) -> Any:
         """Returns the table as a `PutPromptSuspects` message; times are in milliseconds."""
-        kept = self._heaviest(_MAX_SAVED_PARTS)
+        repeated = [id_ for id_, part in self._part_by_id.items() if len(part.crashes) > 1 or part.bars]
+        kept = self._heaviest(repeated, _MAX_SAVED_BYTES)
         crashes_by_id = {
             id_: [
                 (*key, int(crash.began * 1000), int(crash.ended * 1000))
@@ -228,26 +255,46 @@
                 for crash in (crashes[position],)
             }
             self._part_by_id[saved.id] = _Part(crash_by_key, now, saved.bars, until, saved.answered_lately)
+        self._table_bytes = sum(map(self._size, self._part_by_id))
         self.revision += 1
         self.bars_revision += 1
         self._update_bars(now, ())
         if self._part_by_id:
             _events.emit("suspects_restored", parts=len(self._part_by_id), bars=len(self._bars))
 
-    def _heaviest(self, limit: int) -> list[str]:
-        """Returns at most `limit` IDs of parts: the barred ones first, then those with most and latest crashes."""
-        return sorted(self._part_by_id, key=self._weight, reverse=True)[:limit]
+    def _heaviest(self, ids: Iterable[str], max_bytes: int) -> list[str]:
+        """Returns the parts that `max_bytes` allow, the heaviest first, and all or none of those with equal crashes."""
+        ids_by_crashes: dict[frozenset[_CrashKey], list[str]] = {}
+        for id_ in ids:
+            ids_by_crashes.setdefault(frozenset(self._part_by_id[id_].crashes), []).append(id_)
+        kept, left = [], max_bytes
+        for group in sorted(ids_by_crashes.values(), key=lambda ids: max(map(self._weight, ids)), reverse=True):
+            left -= sum(map(self._size, group))
+            if left < 0:
+                break
+            kept += group
+        return kept
 
     def _weight(self, id_: str) -> tuple[float, int, int, float]:
+        """Returns a key that is greater for the barred parts, then for those with most and latest crashes."""
         part = self._part_by_id[id_]
         return part.barred_until, part.bars, len(part.crashes), part.last_at
 
+    def _size(self, id_: str) -> int:
+        return len(id_) + _PART_BYTES + _CRASH_BYTES * len(self._part_by_id[id_].crashes)
+
     def _evict(self) -> None:
-        if len(self._part_by_id) > _MAX_PARTS:
-            self._drop(self._heaviest(len(self._part_by_id))[_MAX_PARTS - _EVICTED_PARTS :])
+        if self._table_bytes <= _MAX_TABLE_BYTES:
+            return
+        before = self._table_bytes
+        kept = set(self._heaviest(self._part_by_id, int(_MAX_TABLE_BYTES * (1 - _EVICTED_FRACTION))))
+        dropped = [id_ for id_ in self._part_by_id if id_ not in kept]
+        self._drop(dropped)
+        _events.emit("parts_evicted", count=len(dropped), kept=len(kept), before=before, bytes=self._table_bytes)
 
     def _drop(self, ids: list[str]) -> None:
         for id_ in ids:
+            self._table_bytes -= self._size(id_)
             del self._part_by_id[id_]
         self.revision += 1
         self.save_revision += 1
--- a/libs/arbutusrill_site/tests/test_prompt_ledger.py
+++ b/libs/arbutusrill_site/tests/test_prompt_ledger.py
@@ -121,3 +121,26 @@
     reporter.start()
     assert SiteService._wait_for_change(service, poll, 1)
     reporter.join()
+
+
+def test_answers_in_a_report_of_a_crash_clear_its_parts_however_many_are_suspected(group):
+    # Only answers of listed parts were reported: the others seemed to explain the crashes of the deadly part.
+    shared = [f"{number:04x}" for number in range(1500)]
+    ledger = group.leader()
+    for number in range(1, 4):
+        crash = messages.PromptCrash("other", number, shared, 1000 - number * 100, 950 - number * 100)
+        ledger.report(messages.PromptReport("vm", [crash], []))
+        ledger.report(messages.PromptReport("vm", [], shared[:300], [940 - number * 100] * 300))
+    for number in range(1, 4):
+        crash = messages.PromptCrash("e", number, ["dead"], 600 - number * 100, 550 - number * 100, "r", shared)
+        crash.answered_ago_ms = [610 - number * 100] * len(shared)
+        ledger.report(messages.PromptReport("vm", [crash], []))
+    assert [barred.parts for barred in reply(ledger).barred] == [["dead"]]
+
+
+def test_crash_of_an_earlier_version_has_no_ages(group):
+    ledger = group.leader()
+    for number in range(1, 4):
+        crash = messages.PromptCrash("e", number, ["D"], 1000 - number * 100, 950 - number * 100, "r", ["F"])
+        ledger.report(messages.PromptReport("vm", [crash], []))
+    assert [barred.parts for barred in reply(ledger).barred] == [["D"]]
--- a/libs/arbutusrill_site/tests/test_prompt_suspects.py
+++ b/libs/arbutusrill_site/tests/test_prompt_suspects.py
@@ -190,14 +190,45 @@
 def test_table_is_bounded_and_keeps_barred_parts(replay):
     for number in range(3):
         replay.crash(f"D {number}")
-    for number in range(400):
-        replay.crash(" ".join(f"p-{number}-{part}" for part in range(10)))
-    assert len(replay.suspects) <= 2048
+    for number in range(1000):
+        replay.crash(" ".join(f"p-{number}-{part}" for part in range(40)), pause_s=0.1)
+    assert len(replay.suspects) <= 512 * 1024 / 32
     assert replay.barred() == ["D"]
-    assert replay.suspects.suspected()[0] == "D" and len(replay.suspects.suspected()) <= 256
+    assert replay.suspects.suspected()[0] == "D" and sum(map(len, replay.suspects.suspected())) <= 16 * 1024
     assert len(encode(replay.suspects.record())) < 100_000
 
 
+@pytest.mark.parametrize("count", [8, 65, 300, 2700])
+@pytest.mark.parametrize("position", [0, 0.5, 1])
+def test_deadly_part_is_barred_wherever_it_stands_in_a_long_prompt(replay, count, position):
+    # Parts beyond the 64th were not looked at, nor those beyond the 2048th that were suspected at a time.
+    shared = [f"{number:03x}" for number in range(count)]
+
+    def prompt(*parts):
+        return " ".join([*shared[: int(count * position)], *parts, *shared[int(count * position) :]])
+
+    for number in range(3):
+        replay.crash(prompt("dead", f"own-{number}"))
+    assert replay.is_refused(prompt("dead", "own-9")) and not replay.is_refused(prompt("own-9"))
+    record = replay.suspects.record()
+    after = Replay()
+    after.suspects.restore(decode(type(record), encode(record)), after.now)
+    assert after.is_refused(prompt("dead", "own-9")) and not after.is_refused(prompt("own-9"))
+    replay.answer(prompt("own-9"))
+    assert replay.barred() == ["dead"]
+
+
+def test_bars_of_long_prompts_do_not_grow_when_the_table_is_full(replay):
+    # A barred set that had lost its deadly part would bar sound requests that share its other parts.
+    shared = " ".join(f"{number:03x}" for number in range(2000))
+    for number in range(3):
+        replay.crash(f"{shared} dead own-{number}")
+    for number in range(20):
+        replay.crash(" ".join(f"p-{number}-{part}" for part in range(2700)))
+        assert replay.is_refused(f"{shared} dead own-9") and not replay.is_refused(f"{shared} own-9")
+    assert len(replay.suspects) <= 512 * 1024 / 32
+
+
 def test_next_leader_has_the_bars_and_starts_their_periods_anew(replay):
     for number in range(3):
         replay.crash(f"F D {number}")
--- a/libs/arbutusrill_wire/arbutusrill.thrift
+++ b/libs/arbutusrill_wire/arbutusrill.thrift
@@ -598,7 +598,8 @@
   4: i64 began_ago_ms = 0,
   5: i64 ended_ago_ms = 0,
   6: string request_id = "",
-  7: list<string> answered_parts       // those that were answered lately, but not since the request was sent
+  7: list<string> answered_parts,      // those that were answered lately, but not since the request was sent
+  8: list<i32> answered_ago_ms         // time since the latest answer of each of them; earlier versions do not send it
 }
 
 // Crashes of engines, and parts of prompts that were answered: `sound_ago_ms` has the time since the latest answer of each
