http: a body without a length is not complete if the connection was reset during the upload

Cause: the kernel reports a reset once; the write of the upload took the error and ignored it, so that the next read looked like an end in order. Only on kept connections: libcurl fails at the write.

Change: after a failed write, the end of the input ends no response. Framed responses that are whole still count.

--- a/libs/arbutusrill_gateway/tests/test_faulty_backends.py
+++ b/libs/arbutusrill_gateway/tests/test_faulty_backends.py
@@ -143,6 +143,7 @@
     second_sender=None,
     connection=None,
     objective_s=0.9,
+    body=b"body",
 ):
     """Relays one request to `backends`; returns the caller, the exchange and whether the response was aborted.
 
@@ -166,7 +167,7 @@
             pool.record_success(record, event_s * min(number + 1, 2))
     route = Route("r", "h", "/", kind, deadline_s, objective_s, (Target("s", 1.0),), max_attempts, False, stream, 0.3)
     exchange = Exchange(
-        CallerRequest(id, method, "h", "/x", [], b"body" if method == "POST" else b"", connection=connection),
+        CallerRequest(id, method, "h", "/x", [], body if method == "POST" else b"", connection=connection),
         Responder(caller.start, []),
         route,
         Service("s", None if placements is None else Engine(8, 1000, 0.5)),
--- a/libs/arbutusrill_http/_socket_transfer.py
+++ b/libs/arbutusrill_http/_socket_transfer.py
@@ -53,6 +53,7 @@
         self._request = memoryview(_encode_request(transfer))
         self._sent_bytes = 0
         self._can_send = True
+        self._send_error = ""
         self._has_input = False  # whether any byte of a response has arrived
         self._previous_id = ""  # of the request before this one on the connection
         self._drops = False  # whether the response that arrives belongs to that request
@@ -191,14 +192,17 @@
         return select.POLLIN | (select.POLLOUT if self._can_send else 0)
 
     def _send(self, connection: socket.socket) -> None:
-        """Writes what the connection takes; after an error, a response may still be there to be read."""
+        """Writes what the connection takes; after an error, a response may still be there to be read.
+
+        The error is remembered: the kernel reports it once, and the end of the input then looks like an orderly one.
+        """
         try:
             while self._sent_bytes < len(self._request):
                 self._sent_bytes += connection.send(self._request[self._sent_bytes :])
         except BlockingIOError:
             return
-        except OSError:
-            pass
+        except OSError as error:
+            self._send_error = str(error)
         self._can_send = False
 
     def _receive(self, connection: socket.socket) -> None:
@@ -211,6 +215,8 @@
         if data:
             self._has_input = True
             self._parser.feed(data)
+        elif self._send_error:
+            raise _EndedError("broken", f"the connection was lost while the request was sent: {self._send_error}")
         else:
             self._parser.end()
         if self._parser.is_complete and self._drops:
