http: responses with a status line that RFC 9112 does not allow are refused

Cause: the grammar of the status line took any three digits that do not begin with 0, and no second space.

--- a/libs/arbutusrill_gateway/tests/test_faulty_backends.py
+++ b/libs/arbutusrill_gateway/tests/test_faulty_backends.py
@@ -228,6 +228,9 @@
 
 
 SPOILED_ANSWERS = {
+    "status 000": head("000", "Stamp: 1", "Content-Length: 14") + b"id: 1\ndata: x\n\n",
+    "status 600": head(600, "Stamp: 1", "Content-Length: 14") + b"id: 1\ndata: x\n\n",
+    "status 2000": head(2000, "Stamp: 1", "Content-Length: 14") + b"id: 1\ndata: x\n\n",
     "name of a field": head(200, "Stamp: 1", "Served By: s", "Content-Length: 14") + b"id: 1\ndata: x\n\n",
     "value of a field": head(200, "Stamp: 1", "Served-By: \x01s", "Content-Length: 14") + b"id: 1\ndata: x\n\n",
     "interim head": b"HTTP/1.1 103 X\r\nServed By: s\r\n\r\n" + STREAM + event(1) + b"0\r\n\r\n",
@@ -237,8 +240,8 @@
 
 @pytest.mark.parametrize("name", SPOILED_ANSWERS)
 @pytest.mark.parametrize("kind", list(RouteKind))
-def test_answer_with_a_malformed_field_is_not_forwarded_as_a_success(kind, name):
-    # A field name with a space reached the caller inside a success.
+def test_malformed_answer_is_not_forwarded(kind, name):
+    # A field name with a space reached the caller inside a success, and a status beyond 599 as the server's.
     faulty, sound = Backend(sends(SPOILED_ANSWERS[name])), Backend(sends(STREAM + event(1) + event(2) + b"0\r\n\r\n"))
     caller, exchange, aborted = relay(faulty, sound, kind=kind)
     assert faulty.requests and exchange.verdict is not Verdict.NOT_RUN
--- a/libs/arbutusrill_http/_response_parser.py
+++ b/libs/arbutusrill_http/_response_parser.py
@@ -9,7 +9,7 @@
 __all__ = ["ResponseParser", "ResponseRefusedError"]
 
 _TEXT = rb"[\t \x21-\x7e\x80-\xff]*"  # of a field value, a reason phrase or a chunk extension: no control characters
-_STATUS_LINE = re.compile(rb"HTTP/1\.([01]) ([1-9][0-9]{2})(?: %b)?" % _TEXT)
+_STATUS_LINE = re.compile(rb"HTTP/1\.([01]) ([1-5][0-9]{2}) %b" % _TEXT)
 _FIELD = re.compile(rb"([!#$%%&'*+.^_`|~0-9A-Za-z-]+):(%b)" % _TEXT)
 _CHUNK_LINE = re.compile(rb"([0-9A-Fa-f]{1,16})[ \t]*(?:;%b)?" % _TEXT)
 _LENGTH = re.compile(r"[0-9]{1,18}")
@@ -108,7 +108,7 @@
             return False
         match = _STATUS_LINE.fullmatch(line)
         if match is None:
-            raise ResponseRefusedError("malformed", "the status line is malformed")
+            raise ResponseRefusedError("malformed", f"the status line {line[:_MAX_QUOTED_BYTES]!r}")
         if match.group(1) == b"0":
             self.is_reusable = False
         self._state.begin_head(int(match.group(2)))
--- a/libs/arbutusrill_http/tests/test_transfer.py
+++ b/libs/arbutusrill_http/tests/test_transfer.py
@@ -329,6 +329,45 @@
     assert (result.error, result.verdict) == ("malformed", Verdict.MAY_HAVE_RUN), result
 
 
+@pytest.mark.parametrize(
+    "line",
+    [
+        b"HTTP/1.1 000 X",
+        b"HTTP/1.1 001 X",
+        b"HTTP/1.1 099 X",
+        b"HTTP/1.1 99 X",
+        b"HTTP/1.1 600 X",
+        b"HTTP/1.1 999 X",
+        b"HTTP/1.1 2000 X",
+        b"HTTP/1.1 -20 X",
+        b"HTTP/1.1 2x0 X",
+        b"HTTP/1.1 200",
+        b"HTTP/1.1 200X",
+        b"HTTP/1.1  200 X",
+        b"HTTP/1.1\t200 X",
+        b"HTTP/1.1 200 X\x01",
+        b"HTTP/1.1 200 \x7f",
+        b"HTTP/1.1 200 X\r",
+        b"HTTP/1 200 X",
+        b"HTTP/2 200 X",
+        b"HTTP/2.0 200 X",
+        b"http/1.1 200 X",
+        b"HTTP/1.1 ",
+        b"200 X",
+    ],
+)
+@pytest.mark.parametrize("interim", [b"", b"HTTP/1.1 103 Early Hints\r\n\r\n"])
+def test_status_line_that_http_does_not_allow_makes_no_answer(interim, line):
+    # An answer with a status that does not exist reached the caller as one of the server.
+    response = interim + line + b"\r\n" + PLAIN
+    heads = []
+    url = serve_once(lambda connection: (connection.recv(9999), connection.sendall(response)))
+    transfer = Transfer("POST", url, body=b"x", timeout_s=5, on_head=lambda *head: heads.append(head))
+    result = fetch(transfer)
+    assert (result.is_complete, result.verdict, heads) == (False, Verdict.MAY_HAVE_RUN, []), result
+    assert result.error in ("malformed", "broken")
+
+
 def test_field_values_may_hold_any_text_and_lose_only_spaces_and_tabs_around_it():
     response = OK + b"By: \t\xa0\xe9 b\t \r\n" + PLAIN
     result = fetch(Transfer("GET", serve_once(lambda c: (c.recv(9999), c.sendall(response)))))
