--- a/libs/arbutusrill_entry/_services.py
+++ b/libs/arbutusrill_entry/_services.py
@@ -7,7 +7,7 @@
 from contextlib import ExitStack
 
 from arbutusrill_base import Failure, FailureError, Verdict
-from arbutusrill_http import AbortStreamError, BodyReservation, Transfer, TransferResult, fetch
+from arbutusrill_http import AbortStreamError, BodyReservation, Transfer, TransferResult, fetch, field_text
 from arbutusrill_limits import Charge
 from werkzeug.wrappers import Request
 
@@ -201,7 +201,7 @@
         query = forwarded_query(self.request)
         headers = [*forwarded_headers(self.request), f"X-Request-Id: {self._call.request_id}"]
         if self._guard.workspace:
-            headers.append(f"X-Workspace: {self._guard.workspace}")
+            headers.append(f"X-Workspace: {field_text(self._guard.workspace)}")
         transfer = Transfer(
             self.request.method,
             f"{reservation.assignment.decode_address}/{self._path}" + (f"?{query}" if query else ""),
--- a/libs/arbutusrill_entry/tests/test_services.py
+++ b/libs/arbutusrill_entry/tests/test_services.py
@@ -8,6 +8,7 @@
 from contextlib import ExitStack
 
 import pytest
+from arbutusrill_base import hash_key
 from arbutusrill_http import BodyBudget, HttpServer
 from arbutusrill_state import ControlUnavailableError
 from arbutusrill_wire import messages
@@ -123,6 +124,15 @@
     assert not {"Authorization", "Cookie", "X-Old"} & set(seen)
 
 
+@pytest.mark.parametrize("name", ["Caf\xe9 Patan", "Nh\xe0 Ph\u1ea1m Gia"])
+def test_name_of_a_workspace_is_sent_in_utf_8(rig, service, name):
+    # The encoding depended on the letters, so that two workspaces could have the same bytes.
+    rig.follower.apply(messages.PutWorkspace(name, 100.0, 1000.0))
+    rig.follower.apply(messages.IssueKey("k2", hash_key("ak-" + "n" * 43), name))
+    assert rig.call("GET", "/services/seats/stops", key="ak-" + "n" * 43)[0] == 201
+    assert service.seen[0][2]["X-Workspace"].encode("latin-1") == name.encode()
+
+
 def test_key_on_an_open_route_is_not_forwarded(rig, service):
     assert rig.call("GET", "/services/seats/open", headers=["X-Workspace: forged"])[0] == 201
     assert KEY not in json.dumps(service.seen[0][2]) and "X-Workspace" not in service.seen[0][2]
--- a/libs/arbutusrill_http/__init__.py
+++ b/libs/arbutusrill_http/__init__.py
@@ -14,6 +14,7 @@
 from ._handler import AbortStreamError
 from ._json import error_body, failure_response, json_response
 from ._metrics_app import MetricsApp
+from ._request_target import field_text
 from ._server import HttpLimits, HttpServer
 from ._sockets import peer_closed
 
@@ -34,6 +35,7 @@
     "error_body",
     "failure_response",
     "fetch",
+    "field_text",
     "json_response",
     "peer_closed",
 ]
