gateway: metrics by route are kept for the routes used last

Cause: the children of the metrics with the label route were never dropped, 5 KB each.

Change: they are kept for the 512 routes used last; a counter says how many were dropped.

--- a/libs/arbutusrill_gateway/_metrics.py
+++ b/libs/arbutusrill_gateway/_metrics.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import threading
+from collections import OrderedDict
+
 from arbutusrill_http import BodyBudget, ConnectionEndings
 from arbutusrill_site import SiteView
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
@@ -11,14 +14,26 @@
 
 __all__ = ["GatewayMetrics"]
 
+_MAX_ROUTES = 512  # with metrics of their own
 _BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5, 0.9, 1.5, 3.0, 6.0, 14.0)
 
 
 class GatewayMetrics:
-    """Prometheus metrics of one entry VM."""
+    """Prometheus metrics of one entry VM.
+
+    Those with the label ``route`` are kept for the `_MAX_ROUTES` routes that were used last: routes come and go with the
+    configuration, and each takes some kilobytes. A route that is used again afterwards starts from zero.
+    """
 
     def __init__(self) -> None:
         self.registry = CollectorRegistry()
+        self._lock = threading.Lock()
+        self._statuses_by_route: OrderedDict[str, set[str]] = OrderedDict()  # the route used last comes last
+        self._routes_dropped = Counter(
+            "arbutusrill_route_metrics_dropped",
+            "Routes whose metrics were dropped since others were used after them.",
+            registry=self.registry,
+        )
         self._requests = Counter(
             "arbutusrill_requests", "Requests by route and status.", ["route", "status"], registry=self.registry
         )
@@ -172,10 +187,22 @@
 
     def record_request(self, route: str, status: int, took_s: float, first_event_s: float | None) -> None:
         """Counts a finished request; `status` 0 means that its connection was closed without a response."""
-        self._requests.labels(route, str(status)).inc()
-        self._duration.labels(route).observe(took_s)
-        if first_event_s is not None:
-            self._time_to_first_event.labels(route).observe(first_event_s)
+        with self._lock:
+            self._statuses_by_route.setdefault(route, set()).add(str(status))
+            self._statuses_by_route.move_to_end(route)
+            self._requests.labels(route, str(status)).inc()
+            self._duration.labels(route).observe(took_s)
+            if first_event_s is not None:
+                self._time_to_first_event.labels(route).observe(first_event_s)
+            if len(self._statuses_by_route) > _MAX_ROUTES:
+                self._drop_route(*self._statuses_by_route.popitem(last=False))
+
+    def _drop_route(self, route: str, statuses: set[str]) -> None:
+        for status in statuses:
+            self._requests.remove(route, status)
+        self._duration.remove(route)
+        self._time_to_first_event.remove(route)
+        self._routes_dropped.inc()
 
     def expose(
         self,
