--- a/libs/arbutusrill_gateway/_metrics.py
+++ b/libs/arbutusrill_gateway/_metrics.py
@@ -21,8 +21,8 @@
 class GatewayMetrics:
     """Prometheus metrics of one entry VM.
 
-    Those with the label ``route`` are kept for the `_MAX_ROUTES` routes that were used last: routes come and go with the
-    configuration, and each takes some kilobytes. A route that is used again afterwards starts from zero.
+    Those with the label ``route`` are kept for the `_MAX_ROUTES` routes that were used last: routes come and go with
+    the configuration, and each takes some kilobytes. A route that is used again afterwards starts from zero.
     """
 
     def __init__(self) -> None:
