http: header lines of a request are limited by their size only

Cause: http.client reads at most 100 lines, whatever their size.

Change: HeadReader, which bounds the size, returns many short lines together.

Evidence: test_number_of_header_lines_is_limited_by_their_size_only fails on the commit before from 99 lines on (two more are sent).

--- a/libs/arbutusrill_http/_request_reader.py
+++ b/libs/arbutusrill_http/_request_reader.py
@@ -18,6 +18,8 @@
 _MAX_CHUNK_LINE_BYTES = 4096  # size and extensions of a chunk
 _CHUNK_SIZE = re.compile(rb"([0-9A-Fa-f]{1,15})[ \t]*(;.*)?\r?\n", re.DOTALL)
 _EMPTY_LINES = (b"\r\n", b"\n")
+_SINGLE_LINES = 64
+_BLOCK_BYTES = 16 * 1024  # of lines that are returned together
 _HEAD_LINE = re.compile(rb"[\t\x20-\x7e\x80-\xff]*\r?\n?")
 # Of all chunks of a body: each costs the time to read it, and a body may have as many chunks as bytes.
 _MAX_EXTENSION_BYTES = 64 * 1024
@@ -51,6 +53,9 @@
 class HeadReader:
     r"""Reads the lines of header fields, at most `limit_bytes` in all.
 
+    Many short lines are returned together, since `http.client` accepts no more than 100 lines, and parses them all the
+    same. The empty line at the end is returned alone.
+
     >>> import io
     >>> reader = HeadReader(io.BytesIO(b"Host: a\r\nX-Long: bbbbbbbb\r\n"), 12)
     >>> reader.readline()
@@ -64,8 +69,24 @@
     def __init__(self, stream: BinaryIO, limit_bytes: int):
         self._stream = stream
         self._limit_bytes = self._remaining_bytes = limit_bytes
+        self._count = 0
+        self._end = b""  # the empty line, if it has been read
 
     def readline(self, size: int = -1) -> bytes:
+        """Returns the next line, or from the `_SINGLE_LINES`th on a block of lines of `_BLOCK_BYTES`."""
+        if self._end:
+            return self._end
+        self._count += 1
+        block = line = self._read_line(size)
+        while self._count >= _SINGLE_LINES and line not in _EMPTY_LINES and len(block) < _BLOCK_BYTES:
+            line = self._read_line(_BLOCK_BYTES)
+            if line in _EMPTY_LINES:
+                self._end = line
+                break
+            block += line
+        return block
+
+    def _read_line(self, size: int) -> bytes:
         """Returns the next line; raises `HeadTooLargeError` if it exceeds the rest of the limit.
 
         Raises `MalformedHeadError` if it holds control characters, since `http.client` takes a single CR for the end of
--- a/libs/arbutusrill_http/tests/test_rejections.py
+++ b/libs/arbutusrill_http/tests/test_rejections.py
@@ -121,6 +121,23 @@
     assert not app.bodies
 
 
+@pytest.mark.parametrize("count", [1, 63, 64, 65, 99, 100, 101, 250])
+def test_number_of_header_lines_is_limited_by_their_size_only(count):
+    # A request with more than 100 lines inside the limit of their size was answered 431.
+    seen = []
+
+    def app(environ, start):
+        seen.append([name for name, _ in environ["arbutusrill.headers"]])
+        return App()(environ, start)
+
+    lines = "".join(f"N{number}: \r\n" for number in range(count))
+    with HttpServer("127.0.0.1", 0, app, LIMITS) as server:
+        assert exchange(server, get("/x", lines)).endswith(b"whole")
+        assert exchange(server, get("/x", lines + "N: " + "x" * 2000 + "\r\n")).startswith(b"HTTP/1.1 431 ")
+        assert exchange(server, get("/x", lines + "N \r\n")).startswith(b"HTTP/1.1 400 ")
+    assert seen == [["Host", "Connection", *(f"N{number}" for number in range(count))]]
+
+
 def test_tabs_and_bytes_beyond_ascii_in_a_header_are_accepted():
     with HttpServer("127.0.0.1", 0, App(), LIMITS) as server:
         assert exchange(server, get("/x", "Name: a\tb \xc3\xa9\r\n")).startswith(b"HTTP/1.1 200 ")
