--- a/libs/arbutusrill_site/_prompt_suspects.py
+++ b/libs/arbutusrill_site/_prompt_suspects.py
@@ -270,7 +270,7 @@
         kept, left = [], max_bytes
         for group in sorted(ids_by_crashes.values(), key=lambda ids: max(map(self._weight, ids)), reverse=True):
             left -= sum(map(self._size, group))
-            if left < 0:
+            if left < 0:  # a lighter group could be one whose crashes this one explains
                 break
             kept += group
         return kept
