--- a/libs/arbutusrill_site/tests/test_prompt_ledger.py
+++ b/libs/arbutusrill_site/tests/test_prompt_ledger.py
@@ -144,3 +144,18 @@
         crash = messages.PromptCrash("e", number, ["D"], 1000 - number * 100, 950 - number * 100, "r", ["F"])
         ledger.report(messages.PromptReport("vm", [crash], []))
     assert [barred.parts for barred in reply(ledger).barred] == [["D"]]
+
+
+@pytest.mark.parametrize("count", [2, 70, 1500])
+def test_part_of_a_long_prompt_is_barred_by_the_crashes_before_and_after_a_change_of_leader(group, count):
+    # The record of a leader was cut after 512 parts, so that the next one counted the crashes of the others anew.
+    shared = [f"{number:04x}" for number in range(count)]
+    first = group.leader()
+    for number in (1, 2):
+        first.report(report(*shared, "dead", f"own-{number}", number=number))
+    first.save()
+    second = group.leader()
+    assert not reply(second).barred
+    second.report(report(*shared, "dead", "own-3", number=3))
+    for ledger in (second, group.leader()):
+        assert [sorted(barred.parts) for barred in reply(ledger).barred] == [sorted([*shared, "dead"])]
