--- a/libs/arbutusrill_site/_cold_limits.py
+++ b/libs/arbutusrill_site/_cold_limits.py
@@ -47,9 +47,9 @@
     slack: float
 
     @classmethod
-    def of(cls, overage: float | None, slack: float) -> ColdRules | None:
+    def of(cls, overage: float | None, slack: float | None) -> ColdRules | None:
         """Returns the rules, None for a deployment that bounds nothing."""
-        return None if overage is None else cls(overage, slack)
+        return None if overage is None else cls(overage, slack or 0.0)
 
     def bound(self, service: Service | None) -> int | None:
         """Returns the requests that a cold server of `service` may get in one second, None for any number."""
