http: a transfer leaves nothing to the garbage collector

Cause: since the state of a transfer on libcurl and its parser refer to each other, and the parser to itself by a bound method, so that the body of each request stayed until a garbage collection.

Change: the parser holds functions in place of its own methods, and a transfer drops its parser at its end.

--- a/libs/arbutusrill_http/_response_parser.py
+++ b/libs/arbutusrill_http/_response_parser.py
@@ -43,7 +43,9 @@
         self._is_head_request = method == "HEAD"
         self._buffer = bytearray()
         self._left = 0  # bytes that are still due of the body or the chunk
-        self._reads = self._read_status
+        # A function rather than a method: a reference to this object would leave what the transfer holds, such as a
+        # large body, to the garbage collector.
+        self._reads = ResponseParser._read_status
         self.is_complete = False
         self.is_reusable = True
 
@@ -54,17 +56,17 @@
 
     def feed(self, data: bytes) -> None:
         """Parses bytes; raises `ResponseRefusedError` if they are no response."""
-        if not self._buffer and self._reads in (self._read_body, self._read_until_end):
+        if not self._buffer and self._reads in (ResponseParser._read_body, ResponseParser._read_until_end):
             data = self._pass_body(data)  # without copies through the buffer
         self._buffer += data
-        while not self.is_complete and self._reads():
+        while not self.is_complete and self._reads(self):
             pass
         if self.is_complete and self._buffer:
             self.is_reusable = False
 
     def end(self) -> None:
         """Ends the input; raises `ResponseRefusedError` if the response is not complete."""
-        if self._reads == self._read_until_end:
+        if self._reads is ResponseParser._read_until_end:
             self.is_complete = True
         if self.is_complete:
             self.is_reusable = False
@@ -112,7 +114,7 @@
         if match.group(1) == b"0":
             self.is_reusable = False
         self._state.begin_head(int(match.group(2)))
-        self._reads = self._read_field
+        self._reads = ResponseParser._read_field
         return True
 
     def _read_field(self) -> bool:
@@ -132,10 +134,14 @@
         status = self._state.result.status
         if status == 101:
             raise ResponseRefusedError("malformed", "the server switches protocols")
-        reads = self._read_status if status < 200 else self._body_reader(status, self._state.result.headers_by_name)
+        reads = (
+            ResponseParser._read_status
+            if status < 200
+            else self._body_reader(status, self._state.result.headers_by_name)
+        )
         self._check(self._state.end_head())
         self._reads = reads
-        if status >= 200 and reads == self._read_body and not self._left:
+        if status >= 200 and reads is ResponseParser._read_body and not self._left:
             self.is_complete = True
 
     def _body_reader(self, status: int, headers_by_name: dict[str, str]) -> object:
@@ -148,21 +154,21 @@
             if status == 204 and (length or coding):
                 self.is_reusable = False
             self._left = 0
-            return self._read_body
+            return ResponseParser._read_body
         if coding is not None:
             if coding.lower() != "chunked":
                 raise ResponseRefusedError("malformed", f"transfer coding {coding[:40]!r}")
             if length is not None:
                 self.is_reusable = False
-            return self._read_chunk_line
+            return ResponseParser._read_chunk_line
         if length is not None:
             values = [value.strip() for value in length.split(",")]  # it may be repeated
             if not all(_LENGTH.fullmatch(value) for value in values) or len({int(value) for value in values}) > 1:
                 raise ResponseRefusedError("malformed", f"content length {length[:40]!r}")
             self._left = int(values[0])
-            return self._read_body
+            return ResponseParser._read_body
         self.is_reusable = False
-        return self._read_until_end
+        return ResponseParser._read_until_end
 
     def _take(self, count: int) -> None:
         """Passes up to `count` buffered bytes on."""
@@ -173,10 +179,10 @@
 
     def _pass_body(self, data: bytes) -> bytes:
         """Passes the bytes that belong to the body on and returns those beyond it."""
-        count = len(data) if self._reads == self._read_until_end else min(self._left, len(data))
+        count = len(data) if self._reads is ResponseParser._read_until_end else min(self._left, len(data))
         self._left -= count
         self._check(self._state.add_data(data[:count]))
-        self.is_complete = self._reads == self._read_body and not self._left
+        self.is_complete = self._reads is ResponseParser._read_body and not self._left
         return data[count:]
 
     def _read_body(self) -> bool:
@@ -199,7 +205,7 @@
         if match is None:
             raise ResponseRefusedError("malformed", "the size of a chunk is malformed")
         self._left = int(match.group(1), 16)
-        self._reads = self._read_chunk if self._left else self._read_trailer
+        self._reads = ResponseParser._read_chunk if self._left else ResponseParser._read_trailer
         return True
 
     def _read_chunk(self) -> bool:
@@ -213,7 +219,7 @@
         if self._buffer[:2] != b"\r\n":
             raise ResponseRefusedError("malformed", "a chunk has another length than stated")
         del self._buffer[:2]
-        self._reads = self._read_chunk_line
+        self._reads = ResponseParser._read_chunk_line
         return True
 
     def _read_trailer(self) -> bool:
--- a/libs/arbutusrill_http/_socket_transfer.py
+++ b/libs/arbutusrill_http/_socket_transfer.py
@@ -77,6 +77,7 @@
             if connection is not None:
                 self.result.reused = connection.use_count > 0
                 self._leave(connection)
+            del self._parser  # which refers to this object, and so would keep the bodies until a garbage collection
         return self.finish()
 
     def _leave(self, connection: KeptConnection) -> None:
--- a/libs/arbutusrill_http/_transfer.py
+++ b/libs/arbutusrill_http/_transfer.py
@@ -207,6 +207,7 @@
             if self.transfer.wake_up is not None:
                 loop.poller.unregister(self.transfer.wake_up)
             easy.close()
+            del self._parser  # which refers to this object, and so would keep the bodies until a garbage collection
         return self.finish()
 
     def _wait_for_end(self, loop: _EventLoop, easy: pycurl.Curl, caller_descriptor: int) -> None:
--- a/libs/arbutusrill_http/tests/test_transfer.py
+++ b/libs/arbutusrill_http/tests/test_transfer.py
@@ -1,10 +1,12 @@
 """Tests the verdicts of failed transfers and the timeouts of unresponsive connections."""
 
 import contextlib
+import gc
 import resource
 import socket
 import threading
 import time
+import weakref
 
 import pytest
 from arbutusrill_base import Verdict
@@ -465,3 +467,19 @@
     started = time.monotonic()
     result = fetch(transfer)
     assert (result.error, result.body) == ("", b"ab")
+
+
+@pytest.mark.parametrize("ending", ["complete", "malformed", "broken"])
+def test_transfer_leaves_nothing_to_the_garbage_collector(ending):
+    # Its parser and its state referred to each other, so that the bodies of 200 uploads took 269 MB of 150.
+    response = {"complete": OK + PLAIN, "malformed": OK + b"Served By: s\r\n" + PLAIN, "broken": OK + b"Content-Le"}
+    url = serve_once(lambda connection: (connection.recv(9999), connection.sendall(response[ending])))
+    transfer = Transfer("POST", url, body=b"x" * 1000, on_data=lambda data: None)
+    freed = weakref.ref(transfer.on_data)
+    gc.disable()
+    try:
+        result = fetch(transfer)
+        del transfer
+        assert (result.error, freed()) == ("" if ending == "complete" else ending, None)
+    finally:
+        gc.enable()
