--- a/review/rig_3.py
+++ b/review/rig_3.py
@@ -1,4 +1,4 @@
-"""Stand-ins and a small deployment for the scripts of the third review: platform, runners and clients, standard library only.
+"""Stand-ins and a small deployment for the scripts of the third review, with the standard library only.
 
 Every address is a loopback address. `Deployment` starts the programs with the commands of the deploy file.
 """
@@ -197,7 +197,7 @@
 
 
 def document(version: int = 1) -> dict:
-    """Returns a desired state with bookings that may run once, look-ups, and streams that may and may not be resumed."""
+    """Returns a desired state with bookings that may run once, look-ups, and streams that may not be resumed."""
 
     def route(name: str, kind: str, service: str, **more: object) -> dict:
         return {
@@ -320,7 +320,7 @@
 
 
 class Runner:
-    """A sound runner of a plain service, or of one stage of a service with engines; it reports while its context is open."""
+    """A sound runner of a plain service, or of one stage of one with engines; it reports while its context is open."""
 
     def __init__(self, record: Record, deployment: Deployment, name: str, service: str, stage: str = ""):
         self.record, self._deployment, self.name, self._service, self.stage = record, deployment, name, service, stage
