--- a/review/rig_3.py
+++ b/review/rig_3.py
@@ -271,7 +271,9 @@
     def do_POST(self) -> None:
         self.rfile.read(int(self.headers.get("Content-Length", 0)))
         runner, request = self.server.runner, self.headers.get("Request-Id", "")
-        if self.headers.get("Expect-Instance", runner.name) != runner.name:
+        if not runner.is_running:
+            self.close_connection = True
+        elif self.headers.get("Expect-Instance", runner.name) != runner.name:
             self._answer(421, b"")
         elif self.headers.get("Serving-Stage") == "prefill":
             handle = {"kvHandle": os.urandom(6).hex(), "tokens": 1000, "version": 1}
@@ -329,7 +331,9 @@
         self._server = _RunnerServer((f"127.{random.SystemRandom().randint(2, 250)}.0.9", 0), _RunnerHandler)
         self._server.runner = self
         self._address = "{}:{}".format(*self._server.server_address[:2])
-        self._born = int(time.time() * 1000)
+        self._born, self._sequence, self.state = int(time.time() * 1000), 0, "ready"
+        self._lock = threading.Lock()
+        self.is_running = True  # false between its end and its next start
         self._stopping = threading.Event()
         self._threads = [
             threading.Thread(target=self._server.serve_forever, args=(0.05,), daemon=True),
@@ -347,27 +351,50 @@
         self._server.server_close()
 
     def _report(self) -> None:
-        sequence = 0
         while not self._stopping.is_set():
-            sequence += 1
+            if self.is_running:
+                self.report()
+            self._stopping.wait(HEARTBEAT_S)
+
+    def report(self) -> int:
+        """Sends a liveness report, to another node after a second without an answer; returns the last status."""
+        with self._lock:
+            self._sequence += 1
             value = {
                 "service": self._service,
                 "addr": self._address,
                 "zone": "hcm-a",
                 "version": "v1",
                 "slots": 64 if self.stage else 6,
-                "state": "ready",
+                "state": self.state,
                 "coldRemainingMs": 0,
-                "seq": sequence,
+                "seq": self._sequence,
                 "born": self._born,
             }
-            if self.stage:
-                value |= {"stage": self.stage, "models": [{"name": "m", "version": 1, "adapters": []}]}
-            for ip in random.sample(self._deployment.controls, len(self._deployment.controls)):
-                status, _ = ask("PUT", self._deployment.address(ip, "control"), f"/instances/{self.name}", value)
-                if 200 <= status < 300:
-                    break
-            self._stopping.wait(HEARTBEAT_S)
+        if self.stage:
+            value |= {"stage": self.stage, "models": [{"name": "m", "version": 1, "adapters": []}]}
+        return self.call_control("PUT", value, random.sample(self._deployment.controls, 3))
+
+    def call_control(self, method: str, value: object, ips: list[str]) -> int:
+        """Calls nodes in turn until one acknowledges; returns the last status."""
+        status = 0
+        for ip in ips:
+            status, _ = ask(method, self._deployment.address(ip, "control"), f"/instances/{self.name}", value)
+            if 200 <= status < 300:
+                break
+        return status
+
+    def end(self) -> None:
+        """Ends the process of the runner: it reports no more and closes channels until `start_again`."""
+        self.is_running = False
+        self.record.write(f"{self.name} ends")
+
+    def start_again(self) -> None:
+        """Starts it again under its id, as a new boot: its counts start anew."""
+        with self._lock:
+            self._born, self._sequence, self.state = int(time.time() * 1000), 0, "ready"
+        self.is_running = True
+        self.record.write(f"{self.name} starts again, born {self._born}")
 
 
 class Client:
