--- a/review/rig_3.py
+++ b/review/rig_3.py
@@ -320,6 +320,9 @@
     daemon_threads = True
     request_queue_size = 512
 
+    def handle_error(self, *_: object) -> None:
+        pass  # a machine that is killed resets its channels
+
 
 class Runner:
     """A sound runner of a plain service, or of one stage of one with engines; it reports while its context is open."""
