--- a/review/12/case.py
+++ b/review/12/case.py
@@ -19,7 +19,7 @@
     document,
 )
 
-KILL_AFTER_S = 0.2  # after the start of all machines
+KILL_AFTER_S = 0.1  # after the start of all machines
 RESTART_S = 0.5
 WAIT_S = 60.0  # five times the bound for recovery
 
