--- a/review/rig_3.py
+++ b/review/rig_3.py
@@ -334,7 +334,7 @@
         self._server = _RunnerServer((f"127.{random.SystemRandom().randint(2, 250)}.0.9", 0), _RunnerHandler)
         self._server.runner = self
         self._address = "{}:{}".format(*self._server.server_address[:2])
-        self._born, self._sequence, self.state = int(time.time() * 1000), 0, "ready"
+        self.born, self._sequence, self.state = int(time.time() * 1000), 0, "ready"
         self._lock = threading.Lock()
         self.is_running = True  # false between its end and its next start
         self._stopping = threading.Event()
@@ -372,7 +372,7 @@
                 "state": self.state,
                 "coldRemainingMs": 0,
                 "seq": self._sequence,
-                "born": self._born,
+                "born": self.born,
             }
         if self.stage:
             value |= {"stage": self.stage, "models": [{"name": "m", "version": 1, "adapters": []}]}
@@ -395,9 +395,9 @@
     def start_again(self) -> None:
         """Starts it again under its id, as a new boot: its counts start anew."""
         with self._lock:
-            self._born, self._sequence, self.state = int(time.time() * 1000), 0, "ready"
+            self.born, self._sequence, self.state = int(time.time() * 1000), 0, "ready"
         self.is_running = True
-        self.record.write(f"{self.name} starts again, born {self._born}")
+        self.record.write(f"{self.name} starts again, born {self.born}")
 
 
 class Client:
