--- a/review/12/case.py
+++ b/review/12/case.py
@@ -35,6 +35,7 @@
     began_at = time.monotonic()
     if TROUBLE:
         deployment.signal(frozen, signal.SIGSTOP)
+    runner.nodes = others  # its reports meet the two others; only the call with which it leaves meets the frozen node
     runner.state = "draining"
     status = runner.report()
     record.write(f"{runner.name} reports that it drains: {status}")
--- a/review/rig_3.py
+++ b/review/rig_3.py
@@ -335,6 +335,7 @@
         self._server.runner = self
         self._address = "{}:{}".format(*self._server.server_address[:2])
         self.born, self._sequence, self.state = int(time.time() * 1000), 0, "ready"
+        self.nodes = list(deployment.controls)  # among which it picks for its reports
         self._lock = threading.Lock()
         self.is_running = True  # false between its end and its next start
         self._stopping = threading.Event()
@@ -376,7 +377,7 @@
             }
         if self.stage:
             value |= {"stage": self.stage, "models": [{"name": "m", "version": 1, "adapters": []}]}
-        return self.call_control("PUT", value, random.sample(self._deployment.controls, 3))
+        return self.call_control("PUT", value, random.sample(self.nodes, len(self.nodes)))
 
     def call_control(self, method: str, value: object, ips: list[str]) -> int:
         """Calls nodes in turn until one acknowledges; returns the last status."""
