--- a/review/11/case.py
+++ b/review/11/case.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import signal
 import subprocess
 import sys
@@ -24,6 +25,7 @@
     document,
 )
 
+HUP = os.environ.get("HUP", "0") != "0"  # SIGHUP directly before SIGTERM takes the place of the freeze
 FREEZE_S = 2.0
 TERM_AFTER_S = 1.0  # after the begin of the freeze
 RESTART_S = 1.0
@@ -32,12 +34,15 @@
 def stop(deployment: Deployment, record: Record, ip: str) -> dict:
     """Stops and restarts one machine; returns the times of the stop."""
     times = {"to": deployment.address(ip, "callers"), "thawed_at": float("-inf")}
-    if TROUBLE:
+    if TROUBLE and HUP:
+        deployment.process_by_ip[ip].send_signal(signal.SIGHUP)
+    elif TROUBLE:
         deployment.signal(ip, signal.SIGSTOP)
         time.sleep(TERM_AFTER_S)
-    deployment.signal(ip, signal.SIGTERM)
+    deployment.process_by_ip[ip].send_signal(signal.SIGTERM)
     times["term_at"] = time.monotonic()
-    if TROUBLE:
+    record.write(f"SIGTERM to {ip}")
+    if TROUBLE and not HUP:
         time.sleep(FREEZE_S - TERM_AFTER_S)
         deployment.signal(ip, signal.SIGCONT)
         times["thawed_at"] = time.monotonic()
