--- a/review/11/case.py
+++ b/review/11/case.py
@@ -83,7 +83,7 @@
     with contextlib.ExitStack() as stack:
         deployment = stack.enter_context(Deployment(record, entries=3))
         deployment.start_all()
-        if not deployment.configure(document(), 20.0) or not deployment.wait_ready():
+        if not deployment.configure(document(), 10.0) or not deployment.wait_ready():
             return 2
         runners = [
             stack.enter_context(Runner(record, deployment, *names))
--- a/review/12/case.py
+++ b/review/12/case.py
@@ -64,7 +64,7 @@
     with contextlib.ExitStack() as stack:
         deployment = stack.enter_context(Deployment(record, entries=2))
         deployment.start_all()
-        if not deployment.configure(document(), 20.0) or not deployment.wait_ready():
+        if not deployment.configure(document(), 10.0) or not deployment.wait_ready():
             return 2
         names = (("i-desk1", "desk"), ("i-pre1", "models", "prefill"), ("i-dec1", "models", "decode"))
         runners = [stack.enter_context(Runner(record, deployment, *each)) for each in names]
--- a/review/rig_3.py
+++ b/review/rig_3.py
@@ -57,12 +57,6 @@
             self._file.flush()
 
 
-def _free_port(address: str) -> int:
-    with socket.socket() as probe:
-        probe.bind((address, 0))
-        return probe.getsockname()[1]
-
-
 def ask(method: str, address: str, path: str, value: object = None, timeout: float = 1.0) -> tuple[int, bytes]:
     """Makes one call; returns status and body, status 0 if there is no answer."""
     host, _, port = address.rpartition(":")
@@ -177,7 +171,7 @@
             time.sleep(0.1)
         return False
 
-    def wait_ready(self, limit_s: float = 20.0) -> bool:
+    def wait_ready(self, limit_s: float = 8.0) -> bool:
         """Waits until all entry processes say that they are ready."""
         deadline = time.monotonic() + limit_s
         while time.monotonic() < deadline:
