End control VMs and stand-ins beside half a request

Cause: the end of HttpServer's context closed the listener and the idle connections and joined the threads of the others, which read for up to 30 s.

Evidence: test_control_vm_does_not_wait_for_half_a_request on: the process had not ended 8 s after SIGTERM. With the change it passes.

Change: the end of the context is HttpServer.finish: requests in progress have a limited time, then their connections are closed.

--- a/libs/arbutusrill_gateway/_planned_stop.py
+++ b/libs/arbutusrill_gateway/_planned_stop.py
@@ -21,7 +21,6 @@
 # Before the connections are closed: requests without a backend server are refused, then requests without a response.
 _REFUSE_WAITING_S, _REFUSE_WAITING_FRACTION = 0.45, 0.15  # at most, and of the time until the process is killed
 _REFUSE_S, _REFUSE_FRACTION = 0.3, 0.05
-_POLL_INTERVAL_S = 0.02
 _events = EventLog("process")
 
 
@@ -40,16 +39,12 @@
     listen_s = min(_DIRECTORY_TTL_FACTOR * directory_ttl_s + _DIRECTORY_MARGIN_S, _LISTEN_FRACTION * grace_s)
     time.sleep(max(0.0, started + listen_s - time.monotonic()))
     server.stop_listening()
-    _wait_for_connections(server, started + shutdown_s - min(_REFUSE_WAITING_S, _REFUSE_WAITING_FRACTION * grace_s))
+    shutdown_at = started + shutdown_s
+    refuse_waiting_s = min(_REFUSE_WAITING_S, _REFUSE_WAITING_FRACTION * grace_s)
+    server.wait_until_closed(shutdown_at - refuse_waiting_s - time.monotonic())
     gateway.stop_waiting()
-    _wait_for_connections(server, started + shutdown_s)
+    server.wait_until_closed(shutdown_at - time.monotonic())
     cancelled_count = server.cancel_requests()
-    _wait_for_connections(server, time.monotonic() + min(_REFUSE_S, _REFUSE_FRACTION * grace_s))
+    server.wait_until_closed(min(_REFUSE_S, _REFUSE_FRACTION * grace_s))
     aborted_count = server.abort_connections()
     _events.emit("drained", cancelled=cancelled_count, cut=aborted_count, took_s=round(time.monotonic() - started, 2))
-
-
-def _wait_for_connections(server: HttpServer, deadline: float) -> None:
-    """Waits until all connections are closed, at most until `deadline` on the monotonic clock."""
-    while server.open_connections() and time.monotonic() < deadline:
-        time.sleep(_POLL_INTERVAL_S)
--- a/libs/arbutusrill_http/_server.py
+++ b/libs/arbutusrill_http/_server.py
@@ -14,7 +14,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from arbutusrill_base import PartLog, TaskGroup
+from arbutusrill_base import BootClock, PartLog, TaskGroup
 from werkzeug.serving import BaseWSGIServer
 
 from ._body_budget import BodyBudget
@@ -26,6 +26,8 @@
 __all__ = ["HttpLimits", "HttpServer"]
 
 _SHUTDOWN_POLL_S = 0.1
+_REFUSE_S = 0.2  # for the responses of requests that were cancelled
+_CLOSED_POLL_S = 0.02
 _TCP_USER_TIMEOUT_S = 10.0
 _MAX_LINGERING = 256  # rejected connections kept open until their caller has read the response
 _LINGER_S = 1.0
@@ -57,6 +59,7 @@
     reserve: int = 16
     reserved_paths: tuple[str, ...] = ()
     body_wait_s: float = 0.8  # for memory; callers give a request up that is not read within a second
+    finish_s: float = 5.0  # for the requests in progress when the server's context ends
 
 
 class _Server(BaseWSGIServer):
@@ -326,7 +329,7 @@
     ``environ["werkzeug.socket"]``. Bodies take memory from `body_budget`; `body_owner` returns the owner of a request,
     such as its workspace, from its field ``Authorization``. `endings` counts how its connections end.
     The application may raise `AbortStreamError` after the response has begun. On exit from the context, requests in
-    progress finish, unless `abort_connections` is called.
+    progress have `HttpLimits.finish_s` to finish, see `finish`.
     """
 
     def __init__(
@@ -359,7 +362,7 @@
         self._server.evict_slowest(holding_memory=True)
 
     def __exit__(self, *_: object) -> None:
-        self.stop_listening()
+        self.finish(self._server.limits.finish_s)
         self._server.tasks.close()
         self._server.body_budget.on_shortage.remove(self._relieve)
 
@@ -370,6 +373,27 @@
             self._server.shutdown()
             self._server.server_close()
 
+    def wait_until_closed(self, seconds: float) -> bool:
+        """Waits at most `seconds`, a suspension included, until no connection is open; returns whether none is."""
+        clock = BootClock()
+        deadline = clock.monotonic() + seconds
+        while self._server.open_connections() and clock.monotonic() < deadline:
+            time.sleep(_CLOSED_POLL_S)
+        return not self._server.open_connections()
+
+    def finish(self, seconds: float) -> int:
+        """Stops listening and waits at most `seconds` for the requests in progress; then closes all connections.
+
+        A request that has not been read completely by then is not served: its caller could keep the server open for as
+        long as it sends. Returns how many requests were in progress at the end.
+        """
+        self.stop_listening()
+        if self.wait_until_closed(seconds):
+            return 0
+        self._server.cancel_requests()
+        self.wait_until_closed(_REFUSE_S)
+        return self._server.abort_connections()
+
     @property
     def limits(self) -> HttpLimits:
         """The limits in force."""
