Act on every stop signal in every process

Control VMs, arbutusrilld and test_drain.py showed the same.

Cause: Python runs a signal handler when the main thread next executes bytecode. A signal that another thread takes does not wake the main thread from the lock in which it waits without a time limit.

Change: ProcessSignals lets the interpreter write each signal to a pipe, which works in any thread, and a thread of its own reads it. Both roles of the platform, arbutusrilld and the stand-ins use it; the demo and the benchmark end their sites on SIGTERM and SIGHUP too. A signal that is noticed after a suspension counts from its start, and the steps of a stop are fractions of what is left. A process that is still there at the end of that time exits.

--- a/libs/arbutusrill_base/__init__.py
+++ b/libs/arbutusrill_base/__init__.py
@@ -1,4 +1,4 @@
-"""Common types and helpers: clocks, identifiers, logs, settings, retry budgets and task groups."""
+"""Common types and helpers: clocks, identifiers, logs, settings, signals, retry budgets and task groups."""
 
 from ._addresses import is_ipv4_address, split_address
 from ._answer_times import AnswerTimes
@@ -11,7 +11,9 @@
 from ._json import MAX_INTEGER, load_json, whole_number
 from ._lease_times import CLOCK_DRIFT_S, VM_LEASE_S
 from ._logs import PartLog, configure_logs
+from ._pauses import PauseDetector
 from ._settings import Section, SettingsError, load_settings, parse_settings, read_settings
+from ._signals import EXIT_STOPPED_LATE, ProcessSignals
 from ._tasks import TaskGroup
 from ._verdict import Failure, FailureError, Verdict
 
@@ -24,6 +26,7 @@
     "BLOCK_BYTES",
     "BootClock",
     "Clock",
+    "EXIT_STOPPED_LATE",
     "EventLog",
     "EventWriter",
     "Failure",
@@ -31,6 +34,8 @@
     "MAX_INTEGER",
     "ManualClock",
     "PartLog",
+    "PauseDetector",
+    "ProcessSignals",
     "RetryBudget",
     "Section",
     "SettingsError",
--- a/libs/arbutusrill_bench/_site.py
+++ b/libs/arbutusrill_bench/_site.py
@@ -20,13 +20,29 @@
 from arbutusrill_cli import OperatorClient, OperatorError
 from arbutusrill_http import Transfer, fetch
 
-__all__ = ["LocalSite", "Member", "SiteError", "free_address"]
+__all__ = ["LocalSite", "Member", "SiteError", "free_address", "interrupt_on_stop_signals"]
 
 _START_TIMEOUT_S = 20.0
 _STOP_TIMEOUT_S = 15.0
 _SECOND_SIGTERM_AFTER_S = 0.3  # the second SIGTERM makes entry VMs stop draining
 
 
+def interrupt_on_stop_signals() -> None:
+    """Makes SIGTERM and SIGHUP raise `KeyboardInterrupt` like SIGINT, so that sites end their processes.
+
+    Further signals are ignored: they must not interrupt that.
+    """
+    numbers = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+
+    def interrupt(*_: object) -> None:
+        for number in numbers:
+            signal.signal(number, signal.SIG_IGN)
+        raise KeyboardInterrupt
+
+    for number in numbers:
+        signal.signal(number, interrupt)
+
+
 class SiteError(Exception):
     """The site did not reach an expected state in time, or an operation on it failed."""
 
--- a/libs/arbutusrill_bench/bench.py
+++ b/libs/arbutusrill_bench/bench.py
@@ -11,6 +11,7 @@
 from ._report import Report, commit_name, table_lines, write_report
 from ._runs import RunOptions, run_scenario
 from ._scenarios import POLICIES, QUICK_SCENARIOS, SCENARIOS, Scenario
+from ._site import interrupt_on_stop_signals
 from ._workload import Span
 
 __all__ = ["main"]
@@ -64,4 +65,5 @@
 
 
 if __name__ == "__main__":
+    interrupt_on_stop_signals()
     typer.run(main)
--- a/libs/arbutusrill_bench/demo.py
+++ b/libs/arbutusrill_bench/demo.py
@@ -9,7 +9,7 @@
 import typer
 from arbutusrill_http import Transfer, TransferResult, fetch
 
-from ._site import LocalSite, SiteError
+from ._site import LocalSite, SiteError, interrupt_on_stop_signals
 
 __all__ = ["main"]
 
@@ -126,7 +126,7 @@
     _print_line(f"  ARBUTUSRILL_CONTROL={control} ARBUTUSRILL_TOKEN={site.operator_token} bin/arbutusrill status")
     _print_line("Ctrl-C ends the site.")
     while True:
-        time.sleep(3600)
+        time.sleep(0.5)  # a signal that another thread takes is handled after it
 
 
 def main(keep: Annotated[bool, typer.Option(help="keep the site running and print commands to try")] = False) -> None:
@@ -147,4 +147,5 @@
 
 
 if __name__ == "__main__":
+    interrupt_on_stop_signals()
     typer.run(main)
--- a/libs/arbutusrill_bench/tests/test_demo.py
+++ b/libs/arbutusrill_bench/tests/test_demo.py
@@ -1,10 +1,13 @@
 """Checks that the demo succeeds and leaves no processes running."""
 
 import os
+import signal
 import subprocess
 import sys
 from pathlib import Path
 
+import pytest
+
 
 def test_demo_succeeds_and_leaves_no_process():
     marker = f"demo-test-{os.getpid()}"
@@ -17,6 +20,21 @@
     assert not processes_with(marker)
 
 
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGHUP, signal.SIGINT])
+def test_stopped_demo_leaves_no_process(number):
+    # SIGTERM ended the demo at once, and the processes of its site ran on.
+    marker = f"stopped-demo-test-{os.getpid()}"
+    environment = {**os.environ, "ARBUTUSRILL_DEMO_MARKER": marker}
+    command = [sys.executable, "-m", "arbutusrill_bench.demo", "--keep"]
+    with subprocess.Popen(command, env=environment, stdout=subprocess.PIPE, text=True) as demo:
+        while "Ctrl-C ends the site." not in (line := demo.stdout.readline()):
+            assert line, "the demo has ended"
+        for _ in range(3):
+            demo.send_signal(number)
+        assert demo.wait(60) == 0
+    assert not processes_with(marker)
+
+
 def processes_with(marker: str) -> list[str]:
     found = []
     for folder in Path("/proc").iterdir():
--- a/libs/arbutusrill_daemon/__main__.py
+++ b/libs/arbutusrill_daemon/__main__.py
@@ -1,5 +1,10 @@
 """Runs the daemon as ``python -m arbutusrill_daemon``."""
 
-from ._main import main
+import signal
+
+# Until the daemon handles the signal, which it ignores, it would end the process.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+from ._main import main  # noqa: E402
 
 main()
--- a/libs/arbutusrill_daemon/_roles.py
+++ b/libs/arbutusrill_daemon/_roles.py
@@ -7,7 +7,16 @@
 import threading
 from typing import Any
 
-from arbutusrill_base import Clock, PartLog, RetryBudget, SystemClock, TaskGroup, new_incarnation, split_address
+from arbutusrill_base import (
+    Clock,
+    PartLog,
+    ProcessSignals,
+    RetryBudget,
+    SystemClock,
+    TaskGroup,
+    new_incarnation,
+    split_address,
+)
 from arbutusrill_control import ControlService, OperatorApp, SharedStateMachine
 from arbutusrill_entry import (
     BURN_REPORT_INTERVAL_S,
@@ -42,18 +51,18 @@
 _RESERVED_CONNECTIONS = 32  # for announcements and health checks when callers use all other connections
 
 
-def run_roles(settings: DaemonSettings, stopping: threading.Event, force_stop: threading.Event) -> None:
-    """Serves all roles in `settings` until `stopping` is set, then shuts them down, the entry role first.
+def run_roles(settings: DaemonSettings, signals: ProcessSignals) -> None:
+    """Serves all roles in `settings` until a stop signal, then shuts them down, the entry role first.
 
-    The entry role drains before it stops; setting `force_stop` ends the drain early.
+    The entry role drains before it stops; a second stop signal ends the drain early.
     """
     with contextlib.ExitStack() as stack:
         body_budget = BodyBudget.of_process(settings.entry.memory_mb if settings.entry is not None else None)
         if settings.control is not None:
             stack.enter_context(_serve_control(settings, body_budget))
         if settings.entry is not None:
-            stack.enter_context(_serve_entry(settings, force_stop, body_budget))
-        stopping.wait()
+            stack.enter_context(_serve_entry(settings, signals.stop_forced, body_budget))
+        signals.stop_requested.wait()
 
 
 @contextlib.contextmanager
--- a/libs/arbutusrill_site/_membership.py
+++ b/libs/arbutusrill_site/_membership.py
@@ -19,7 +19,6 @@
 _JOIN_TIMEOUT_S = 1.0
 _LEAVE_REQUEST_TTL_S = 1.0  # a voter that stops repeats its request more often than that
 _LEAVE_INTERVAL_S = 0.1
-_LEAVE_TIMEOUT_S = 3.0  # a process that has not stopped within its grace period, mostly 8 s, is killed
 _events = EventLog("group")
 
 
@@ -142,12 +141,13 @@
         self._seeds = seeds
         self._is_stopping = False
 
-    def leave(self, timeout: float = _LEAVE_TIMEOUT_S) -> None:
+    def leave(self, timeout: float) -> None:
         """Lets another VM that asks to join replace this one if it is a voter; asks to join no more.
 
-        Returns once this VM is replaced, or at once if no other VM asks to join: the group does not shrink. Until then
-        it votes and stores entries as before, so that a planned stop takes nothing from what the group tolerates. A VM
-        that is no voter withdraws its request to join, and waits only while it is being made a voter.
+        Returns once this VM is replaced, after `timeout` seconds, or at once if no other VM asks to join: the group
+        does not shrink. Until then it votes and stores entries as before, so that a planned stop takes nothing from
+        what the group tolerates. A VM that is no voter withdraws its request to join, and waits only while it is being
+        made a voter.
         """
         self._is_stopping = True
         started = time.monotonic()
--- a/libs/arbutusrill_standins/_announcer.py
+++ b/libs/arbutusrill_standins/_announcer.py
@@ -14,8 +14,9 @@
 
 from ._prefix_cache import CacheChanges
 
-__all__ = ["Announcer", "CacheEventSender", "DelayedLoadReport"]
+__all__ = ["STOP_LIMIT_S", "Announcer", "CacheEventSender", "DelayedLoadReport"]
 
+STOP_LIMIT_S = 5.0  # for the process of a stand-in
 ANNOUNCE_INTERVAL_S = 0.5
 _RETRY_INTERVAL_S = 0.1
 
--- a/libs/arbutusrill_standins/engine.py
+++ b/libs/arbutusrill_standins/engine.py
@@ -6,14 +6,13 @@
 
 from __future__ import annotations
 
-import time
 from typing import Annotated, Any
 
 import typer
-from arbutusrill_base import TaskGroup, split_address
+from arbutusrill_base import ProcessSignals, TaskGroup, split_address
 from arbutusrill_http import HttpLimits, HttpServer
 
-from ._announcer import Announcer, CacheEventSender, DelayedLoadReport
+from ._announcer import STOP_LIMIT_S, Announcer, CacheEventSender, DelayedLoadReport
 from ._engine import Engine
 from ._options import EngineOptions
 
@@ -21,7 +20,7 @@
 
 _DEFAULTS = EngineOptions()
 _SAMPLE_INTERVAL_S = 0.05
-_HTTP_LIMITS = HttpLimits(connections=512, idle_s=600.0)
+_HTTP_LIMITS = HttpLimits(connections=512, idle_s=600.0, finish_s=0.2)
 
 
 def serve(
@@ -33,7 +32,7 @@
     event_lag_s: float,
     data_centre: str,
 ) -> None:
-    """Serves an engine and announces it to the entry VMs until the process is interrupted."""
+    """Serves an engine and announces it to the entry VMs until a stop signal."""
     report = DelayedLoadReport(report_lag_s, engine.load)
     identity = {"id": engine.name, "incarnation": engine.incarnation}
 
@@ -43,7 +42,11 @@
     def describe() -> dict[str, Any]:
         return {**describe_engine(engine, data_centre), "running": report.read()[0], "queued": report.read()[1]}
 
-    with HttpServer(*split_address(listen), engine, _HTTP_LIMITS) as server, TaskGroup("engine", 4) as tasks:
+    with (
+        ProcessSignals(stop_limit_s=STOP_LIMIT_S) as signals,
+        HttpServer(*split_address(listen), engine, _HTTP_LIMITS) as server,
+        TaskGroup("engine", 4) as tasks,
+    ):
         engine.own_address = f"http://{server.address}"
         engine.start(tasks)
         tasks.run_periodically(_SAMPLE_INTERVAL_S, report.sample)
@@ -52,8 +55,7 @@
             Announcer(entries, token, describe),
             CacheEventSender(entries, token, identity, event_lag_s, cache.take_changes, cache.snapshot, should_drop),
         ):
-            while True:
-                time.sleep(3600)
+            signals.stop_requested.wait()
 
 
 def describe_engine(engine: Engine, data_centre: str) -> dict[str, Any]:
@@ -107,7 +109,7 @@
     report_lag: Annotated[float, typer.Option(help="age of the load reports, seconds")] = 0.5,
     cache_event_lag: Annotated[float, typer.Option(help="delay of cache events, seconds")] = 0.25,
 ) -> None:
-    """Serves a model engine stand-in until it is interrupted."""
+    """Serves a model engine stand-in until a stop signal."""
     options = EngineOptions(
         prefill_tokens_per_s=prefill_rate,
         token_gap_s=token_gap,
--- a/libs/arbutusrill_standins/service.py
+++ b/libs/arbutusrill_standins/service.py
@@ -17,17 +17,17 @@
 from typing import Annotated, Any
 
 import typer
-from arbutusrill_base import new_incarnation, split_address
+from arbutusrill_base import ProcessSignals, new_incarnation, split_address
 from arbutusrill_http import HttpLimits, HttpServer, json_response
 from werkzeug.wrappers import Request
 
-from ._announcer import Announcer
+from ._announcer import STOP_LIMIT_S, Announcer
 from ._counters import Counters
 from ._faults import abort_connection
 
 __all__ = ["PlainService"]
 
-_HTTP_LIMITS = HttpLimits(connections=512, idle_s=600.0)
+_HTTP_LIMITS = HttpLimits(connections=512, idle_s=600.0, finish_s=0.2)
 
 
 class PlainService:
@@ -126,7 +126,7 @@
     slots: Annotated[int, typer.Option(help="announced number of concurrent requests")] = 32,
     work: Annotated[float, typer.Option(help="processing time per request, seconds")] = 0.0,
 ) -> None:
-    """Serves a plain service stand-in until it is interrupted."""
+    """Serves a plain service stand-in until a stop signal."""
     application = PlainService(server_id, work)
     incarnation = new_incarnation()
     host, port = split_address(listen)
@@ -144,11 +144,11 @@
         }
 
     with (
+        ProcessSignals(stop_limit_s=STOP_LIMIT_S) as signals,
         HttpServer(host, port, application, _HTTP_LIMITS) as server,
         Announcer(entries.split(","), announce_token, describe),
     ):
-        while True:
-            time.sleep(3600)
+        signals.stop_requested.wait()
 
 
 if __name__ == "__main__":
