Do not send requests whose callers have left on new connections

What callers saw: a request that a process read after its caller had given up, for example after a freeze, could reach a server, and a booking be made twice.

Cause: the transfer on kept connections looks at the caller before it sends, the one on libcurl only after its first poll, in which a connection that is accepted at once is written to as well.

Evidence: test_request_whose_caller_has_left_is_not_sent[libcurl] failed before (verdict may_have_run, the server got the request), [sockets] passed.

Change: the transfer on libcurl looks first, too.

--- a/libs/arbutusrill_http/_transfer.py
+++ b/libs/arbutusrill_http/_transfer.py
@@ -17,6 +17,7 @@
 from ._request_target import encoded, split_url
 from ._response_parser import ResponseParser, ResponseRefusedError
 from ._socket_transfer import SocketTransfer
+from ._sockets import peer_closed
 from ._transfer_state import TransferState
 
 __all__ = ["Transfer", "TransferResult", "fetch"]
@@ -158,11 +159,11 @@
 
     def run_once(self, caller_descriptor: int, wake_up: int | None, max_wait_s: float) -> bool:
         """Polls once and passes the events to libcurl; returns whether the caller has closed its connection."""
-        peer_closed = False
+        is_caller_gone = False
         timeout_ms = min(self._poll_timeout_ms(), max_wait_s * 1000)
         for descriptor, mask in self.poller.poll(timeout_ms):
             if descriptor in (caller_descriptor, wake_up):
-                peer_closed |= descriptor == caller_descriptor
+                is_caller_gone |= descriptor == caller_descriptor
                 continue
             action = pycurl.CSELECT_IN if mask & (select.POLLIN | select.POLLHUP) else 0
             action |= pycurl.CSELECT_OUT if mask & select.POLLOUT else 0
@@ -171,7 +172,7 @@
         if self._deadline is not None and time.monotonic() >= self._deadline:
             self._deadline = None
             self.multi.socket_action(pycurl.SOCKET_TIMEOUT, 0)
-        return peer_closed
+        return is_caller_gone
 
 
 class _TransferRun(TransferState):
@@ -187,11 +188,15 @@
         self._parser = ResponseParser(self, transfer.method)
 
     def run(self) -> TransferResult:
+        caller = self.transfer.caller_connection
+        if caller is not None and peer_closed(caller):
+            self.result.error, self.result.detail = "gone", "the caller closed its connection"
+            self.result.verdict = Verdict.NOT_RUN
+            del self._parser  # as at the end of a transfer
+            return self.finish()
         loop = _current_loop()
         easy = self._make_easy_handle()
-        caller_descriptor = (
-            self.transfer.caller_connection.fileno() if self.transfer.caller_connection is not None else -1
-        )
+        caller_descriptor = caller.fileno() if caller is not None else -1
         if caller_descriptor >= 0:
             loop.poller.register(caller_descriptor, select.POLLRDHUP)
         if self.transfer.wake_up is not None:
