--- a/libs/arbutusrill_base/_signals.py
+++ b/libs/arbutusrill_base/_signals.py
@@ -19,6 +19,7 @@
 EXIT_STOPPED_LATE = 4
 _POLL_INTERVAL_S = 0.25
 _MAX_READ_BYTES = 256
+_EXIT_RESERVE_S, _EXIT_RESERVE_FRACTION = 0.3, 0.04  # at most, and of the time until the process is killed
 _STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 _events = EventLog("process")
 
@@ -76,6 +77,11 @@
         self.stop_forced = threading.Event()
         self.late_exit_code = EXIT_STOPPED_LATE
 
+    @classmethod
+    def within(cls, grace_s: float, on_reload: Callable[[], None]) -> ProcessSignals:
+        """Returns the signals of a process that is killed `grace_s` seconds after a stop signal, and ends before."""
+        return cls(on_reload, grace_s - min(_EXIT_RESERVE_S, _EXIT_RESERVE_FRACTION * grace_s))
+
     def __enter__(self) -> ProcessSignals:
         self._read_end, self._write_end = os.pipe2(os.O_NONBLOCK | os.O_CLOEXEC)
         signal.set_wakeup_fd(self._write_end, warn_on_full_buffer=False)
--- a/libs/arbutusrill_site/__init__.py
+++ b/libs/arbutusrill_site/__init__.py
@@ -46,7 +46,7 @@
 from ._entries import EntryRegistry
 from ._evacuation_writer import EvacuationWriter
 from ._follower import FleetReport, SiteFollower, SiteView
-from ._membership import GroupJoinClient, MembershipManager
+from ._membership import GroupJoinClient, MembershipManager, leave_in_time
 from ._placement import PlacementScheduler
 from ._places import PlaceLedger
 from ._prompt_bars import BarredSet, PromptBars
@@ -116,6 +116,7 @@
     "Workspace",
     "check_document",
     "is_newer",
+    "leave_in_time",
     "printable",
 ]
 
--- a/libs/arbutusrill_site/_membership.py
+++ b/libs/arbutusrill_site/_membership.py
@@ -11,7 +11,7 @@
 from arbutusrill_state import ControlClient, ControlUnavailableError
 from arbutusrill_wire import messages
 
-__all__ = ["GroupJoinClient", "MembershipManager"]
+__all__ = ["GroupJoinClient", "MembershipManager", "leave_in_time"]
 
 _VOTER_TIMEOUT_S = 3.0  # a voter silent for longer may be replaced by a VM that asks to join
 _JOIN_REQUEST_TTL_S = 3.0  # validity of a request to join
@@ -19,6 +19,9 @@
 _JOIN_TIMEOUT_S = 1.0
 _LEAVE_REQUEST_TTL_S = 1.0  # a voter that stops repeats its request more often than that
 _LEAVE_INTERVAL_S = 0.1
+# Of a planned stop, at most, and of the time until the process is killed.
+_LEAVE_S, _LEAVE_FRACTION = 3.0, 0.4
+_FINISH_S, _FINISH_FRACTION = 1.5, 0.2
 _events = EventLog("group")
 
 
@@ -188,3 +191,13 @@
             self._client.set_addresses(sorted({*self._seeds(), *known, self._address}))
             return
         self._client.set_addresses([*members, self._address] if self._address not in members else members)
+
+
+def leave_in_time(join_client: GroupJoinClient, finish: Callable[[float], int], left_s: float) -> None:
+    """Leaves the group and ends the requests in progress before `left_s` seconds are over.
+
+    `finish` is called with the seconds for the requests and returns how many it has cut.
+    """
+    join_client.leave(min(_LEAVE_S, _LEAVE_FRACTION * left_s))
+    cut = finish(min(_FINISH_S, _FINISH_FRACTION * left_s))
+    _events.emit("drained", cut=cut, left_s=round(left_s, 2))
