Apply a late DELETE to the start that its caller meant

Cause: a DELETE without a start removed the latest start that the leader knew when the call was carried out, or all before its time of day, and outdated all reports of that start for good. Told apart from a late report and from an old list on the entry VMs by the leader's log: backend_dropped of the new start at the thaw, then announcement_outdated for each report.

Change: the VM that gets the call reads the start from the leader, looks whether the caller still waits, and names that start. A start that was looked up is barred for three more reports only, so that a server that goes on is used again. A leader that does not know the server has its followers drop it and wants two reports before it lists it again. A late draining report is refused like any other, a second draining is recorded.

--- a/libs/arbutusrill_site/__init__.py
+++ b/libs/arbutusrill_site/__init__.py
@@ -31,6 +31,7 @@
     Workspace,
 )
 from ._configuration_decoder import ConfigurationDecoder, ConfigurationFormat
+from ._departure_writer import DepartureWriter
 from ._directory import EntryDirectory
 from ._document_fields import (
     MAX_DURATION_S,
@@ -83,6 +84,7 @@
     "EngineRegistry",
     "EngineStatistics",
     "DocumentReport",
+    "DepartureWriter",
     "DocumentWriter",
     "EntryDirectory",
     "EntryRegistry",
--- a/libs/arbutusrill_site/_backends.py
+++ b/libs/arbutusrill_site/_backends.py
@@ -12,9 +12,11 @@
 
 from ._cold_limits import ColdServers
 from ._registry import Registry
+from ._unknown_departures import UnknownDepartures
 
 __all__ = ["BackendRegistry", "is_newer"]
 
+_MAX_START_MS = 2**62
 _events = EventLog("registry")
 
 
@@ -65,6 +67,7 @@
         self._departures = departures
         self._roster = roster
         self._id_by_address: dict[str, str] = {}
+        self._unknown_departures = UnknownDepartures()
         self.cold_servers = ColdServers()
 
     def _clear(self) -> None:
@@ -93,7 +96,7 @@
         """Registers an announcement; returns False when `_is_current` does not hold."""
         now = self._clock.monotonic()
         with self._changed:
-            if not self._is_current(record):
+            if not self._is_current(record) or not self._unknown_departures.admits(record, now):
                 _events.emit("announcement_outdated", backend=record.id, start=record.started_ms, seq=record.sequence)
                 return False
             known = self._record_by_id.get(record.id)
@@ -115,7 +118,9 @@
         known = self._record_by_id.get(record.id)
         if known is not None and not is_newer(record, known):
             return False
-        if not record.draining and self._departures.is_outdated(record.id, record.started_ms, record.sequence):
+        # A server that drains is listed until it leaves; the departure is that of its first announcement of it.
+        sequence = record.sequence + 1 if record.draining else record.sequence
+        if self._departures.is_outdated(record.id, record.started_ms, sequence):
             return False
         server_at_address = self._record_by_id.get(self._id_by_address.get(record.address, ""))
         return (
@@ -156,22 +161,43 @@
                 known.ordered_stage = stage
                 self._record_change(backend)
 
-    def started_ms_of(self, backend: str) -> int:
-        """Returns the start of a server in milliseconds of its wall clock, 0 for an unknown server."""
+    def has_announced(self, record: Any) -> bool:
+        """Returns whether the server that an announcement is from is registered with this one or a later one."""
+        with self._changed:
+            known = self._record_by_id.get(record.id)
+            return known is not None and known.started_ms == record.started_ms and known.sequence >= record.sequence
+
+    def is_draining(self, backend: str, started_ms: int) -> bool:
+        """Returns whether a server is registered as draining since that start."""
+        with self._changed:
+            known = self._record_by_id.get(backend)
+            return known is not None and known.started_ms == started_ms and known.draining
+
+    def latest_start(self, backend: str) -> tuple[int, int]:
+        """Returns the latest known start of a server and its latest announcement, zeros for an unknown server.
+
+        The start is in milliseconds of the server's wall clock. A server that is not registered may be known by its
+        departure.
+        """
         with self._changed:
             known = self._record_by_id.get(backend)
-            return known.started_ms if known else 0
+        start = (known.started_ms, known.sequence) if known else (0, 0)
+        return max(start, self._departures.latest_of(backend))
 
     def remove(self, backend: str, started_ms: int) -> None:
-        """Removes a departed server unless it started after `started_ms`; notifies followers of the departure."""
+        """Removes a departed server unless it started after `started_ms`; notifies followers of the departure.
+
+        With `started_ms` 0, no start of it is known: followers drop what they know of it from earlier terms.
+        """
         with self._changed:
             known = self._record_by_id.get(backend)
             if known is not None and known.started_ms <= started_ms:
                 self._drop(backend, "it has departed")
-            elif known is None and not self._has_departed(
-                backend, started_ms
-            ):  # known to followers from an earlier term
-                self._record_removal(backend, messages.BackendRecord(backend, started_ms))
+                return
+            if not started_ms:
+                self._unknown_departures.record(backend, self._clock.monotonic())
+            if known is None and not self._has_departed(backend, started_ms or _MAX_START_MS):
+                self._record_removal(backend, messages.BackendRecord(backend, started_ms or _MAX_START_MS))
 
     def _has_departed(self, backend: str, started_ms: int) -> bool:
         """Whether followers are told already that this start, or a later one, of a server has departed."""
--- a/libs/arbutusrill_site/_follower.py
+++ b/libs/arbutusrill_site/_follower.py
@@ -321,7 +321,7 @@
         return {
             id_: record
             for id_, record in merged.items()
-            if record.draining or (record.started_ms, record.sequence) > departed.get(id_, (-1, -1))
+            if (record.started_ms, record.sequence + record.draining) > departed.get(id_, (-1, -1))
         }
 
     @staticmethod
--- a/libs/arbutusrill_site/_registry.py
+++ b/libs/arbutusrill_site/_registry.py
@@ -20,7 +20,7 @@
 
     revision: int
     records: list[Any]
-    removed: list[Any]  # the last record of each server or VM that was removed
+    removed: list[Any]  # the last record of each server or VM that was removed; beside a whole list, in this term
     is_delta: bool
 
 
@@ -81,7 +81,8 @@
             if revision == self.revision:
                 return None
             if revision is None or not self._delta_from_revision <= revision < self.revision:
-                return RegistryChanges(self.revision, list(self._record_by_id.values()), [], False)
+                removed = [record for _, record in self._removed_by_id.values()]
+                return RegistryChanges(self.revision, list(self._record_by_id.values()), removed, False)
             records = [
                 self._record_by_id[id_] for id_, changed in self._changed_revision_by_id.items() if changed > revision
             ]
--- a/libs/arbutusrill_site/_service.py
+++ b/libs/arbutusrill_site/_service.py
@@ -34,6 +34,7 @@
 _MAX_LONG_POLL_S = 2.0
 _PATCHES_LOG_FORMAT = 1  # format of the replicated log from which on entries may be patches of the document
 _MAX_SEQUENCE = 2**62  # a departure with this number outdates all announcements that a server makes after one start
+_MAX_LATE_ANNOUNCEMENTS = 3  # of a server that has left: those on their way that the leader did not know then
 _SAVE_INTERVAL_S_PER_BACKEND = 0.05  # the interval grows with the list, which bounds the write rate of the log
 _COALESCING_DELAY_S = 0.005  # wait after a change, so that one reply carries the changes that come together
 _events = EventLog("site")
@@ -180,7 +181,9 @@
                     messages.PutDeparture(record.id, record.started_ms, _MAX_SEQUENCE) for record in backends.removed
                 ]
             else:
-                reply.departures = self._state.departures.records()
+                reply.departures = self._state.departures.records() + [
+                    messages.PutDeparture(record.id, record.started_ms, _MAX_SEQUENCE) for record in backends.removed
+                ]
         if entries is not None:
             reply.entries_revision, reply.entries = entries.revision, entries.records
             reply.entries_delta = entries.is_delta
@@ -206,20 +209,47 @@
             return self._changed.wait_for(is_behind, min(request.wait_ms / 1000, _MAX_LONG_POLL_S))
 
     def announce_backend(self, record: Any) -> None:
-        """Registers an announcement of a backend server; a departure is committed before the reply."""
+        """Registers an announcement of a backend server; a departure is committed before the reply.
+
+        Refuses with `outdated` what does not count: an acknowledgment would say that the server is in use.
+        """
         self._require_leadership()
-        if record.draining and not self._state.departures.is_outdated(record.id, record.started_ms, 0):
+        is_known = self.backends.is_draining(record.id, record.started_ms)
+        if record.draining and not is_known and not self._is_covered(record):
             self._propose(messages.PutDeparture(record.id, record.started_ms, record.sequence))
-        self.backends.announce(record)
+        is_registered = self.backends.announce(record)
+        self._confirm_leadership()
+        if not is_registered and not self.backends.has_announced(record):
+            raise messages.Refused("outdated", "the server has left, has started again or its address is in use")
+
+    def _is_covered(self, record: Any) -> bool:
+        return self._state.departures.is_outdated(record.id, record.started_ms, record.sequence)
+
+    def read_backend_start(self, backend: str) -> Any:
+        """Returns the latest known start of a backend server as a linearizable read."""
         self._confirm_leadership()
+        self._require_leadership()
+        return messages.BackendStart(*self.backends.latest_start(backend))
 
-    def remove_backend(self, backend: str, started_ms: int) -> None:
-        """Commits the departure of a backend server and drops it; `started_ms` 0 means its latest start."""
+    def remove_backend(self, backend: str, started_ms: int, sequence: int) -> None:
+        """Commits the departure of a backend server and drops it.
+
+        With `sequence` -1, `started_ms` is the start that the server has named. Otherwise the start was looked up, see
+        `read_backend_start`, and may be that of a server that runs: its announcements are ignored only as long as they
+        may have been on their way. `started_ms` 0 means the latest start that the leader knows.
+        """
         self._require_leadership()
-        start = started_ms or self.backends.started_ms_of(backend) or self._clock.wall_ms()
-        if not self._state.departures.is_outdated(backend, start, _MAX_SEQUENCE):
-            self._propose(messages.PutDeparture(backend, start, _MAX_SEQUENCE))
-        self.backends.remove(backend, start)
+        known_start, known_sequence = self.backends.latest_start(backend)
+        if not started_ms:
+            started_ms, sequence = known_start, known_sequence
+        elif sequence >= 0 and started_ms == known_start:
+            sequence = max(sequence, known_sequence)
+        if started_ms:
+            last = _MAX_SEQUENCE if sequence < 0 else min(_MAX_SEQUENCE, sequence + _MAX_LATE_ANNOUNCEMENTS)
+            if not self._state.departures.is_outdated(backend, started_ms, last):
+                self._propose(messages.PutDeparture(backend, started_ms, last))
+        _events.emit("backend_departure", backend=backend, start=started_ms, seq=sequence, known_start=known_start)
+        self.backends.remove(backend, started_ms)
         self._confirm_leadership()
 
     def place(self, request: Any) -> Any:
--- a/libs/arbutusrill_state/_departures.py
+++ b/libs/arbutusrill_state/_departures.py
@@ -41,6 +41,12 @@
             recorded = self._record_by_id.get(backend)
             return recorded is not None and (started_ms, sequence) <= (recorded.started_ms, recorded.sequence)
 
+    def latest_of(self, backend: str) -> tuple[int, int]:
+        """Returns start and sequence number of the recorded departure of a server, zeros without one."""
+        with self._lock:
+            recorded = self._record_by_id.get(backend)
+            return (recorded.started_ms, recorded.sequence) if recorded is not None else (0, 0)
+
     def records(self) -> list[Any]:
         """Returns all recorded departures."""
         with self._lock:
--- a/libs/arbutusrill_wire/arbutusrill.thrift
+++ b/libs/arbutusrill_wire/arbutusrill.thrift
@@ -154,6 +154,9 @@
 // Departure of a backend server: announcements of that start up to `sequence` are ignored.
 struct PutDeparture { 1: string id, 2: i64 started_ms, 3: i64 sequence }
 
+// Latest known start of a backend server, and its latest announcement; zeros for an unknown server.
+struct BackendStart { 1: i64 started_ms = 0, 2: i64 sequence = 0 }
+
 // Backend servers known to the leader, replicated for its successor.
 struct PutBackends { 1: list<BackendRecord> backends }
 
@@ -614,7 +617,9 @@
 service Site {
   SiteFollowReply follow_site(1: SiteFollowRequest request) throws (1: Refused refused),
   void announce_backend(1: BackendRecord record) throws (1: Refused refused),
-  void remove_backend(1: string id, 2: i64 started_ms) throws (1: Refused refused),
+  // `sequence` -1: the server itself has named its start. Otherwise both are what `read_backend_start` has returned, and the
+  // server counts as running again if its announcements go on.
+  void remove_backend(1: string id, 2: i64 started_ms, 3: i64 sequence = -1) throws (1: Refused refused),
   i64 put_document(1: SiteDocument document) throws (1: Refused refused),     // returns the version that applies
   i64 patch_document(1: PatchDocument patch) throws (1: Refused refused),     // refused with `stale_base` for another version
   SiteDocument read_document() throws (1: Refused refused),
@@ -629,5 +634,6 @@
   void order_evacuation(1: PutEvacuation order, 2: bool known, 3: i64 term = 0, 4: i64 order_number = -1)
     throws (1: Refused refused),
   Evacuations read_evacuations() throws (1: Refused refused),
-  bool second_send(1: string service_name) throws (1: Refused refused)        // whether the limit of the fleet allows one
+  bool second_send(1: string service_name) throws (1: Refused refused),       // whether the limit of the fleet allows one
+  BackendStart read_backend_start(1: string id) throws (1: Refused refused)
 }
