Refuse operators' changes whose callers have left

What operators could see on the project's own interface: a change that a frozen control VM carries out after its operator has given it up undoes a later one.

Change: the VM looks whether the caller still waits before it proposes a change or a replacement. A pause after that is covered by if_revision only.

Evidence: test_change_whose_caller_has_left_is_not_carried_out.

--- a/libs/arbutusrill_control/_changes.py
+++ b/libs/arbutusrill_control/_changes.py
@@ -21,6 +21,7 @@
     invalid_value_error,
     parse_if_revision,
     parse_json_body,
+    require_caller,
     struct_to_dict,
 )
 
@@ -52,6 +53,7 @@
         proposal = make_command(
             change, actor, self._clock.wall_ms(), f"{actor}/{request_id}", parse_if_revision(request)
         )
+        require_caller(request)
         outcome = self._propose(proposal, request_id)
         if not outcome.accepted:
             status = _STATUS_BY_CODE.get(outcome.code, 400)
--- a/libs/arbutusrill_control/_replicas.py
+++ b/libs/arbutusrill_control/_replicas.py
@@ -12,6 +12,8 @@
 from werkzeug.routing import Rule
 from werkzeug.wrappers import Request, Response
 
+from ._request_parsing import require_caller
+
 __all__ = ["ReplicaMethods", "ReplicaRoutes"]
 
 _REPLACE_TIMEOUT_S = 8.0  # one attempt by the leader; mostly the catch-up of the new replica
@@ -77,6 +79,7 @@
             if not isinstance(value, str) or not value:
                 message = f"{name} must be a text: a member ID or RPC address"
                 raise FailureError(Failure("bad_value", message, status=400, param=name))
+        require_caller(request)
         return json_response({"member": self._call("replace_replica", *members)})
 
     def _call(self, name: str, *arguments: str) -> Any:
--- a/libs/arbutusrill_control/_request_parsing.py
+++ b/libs/arbutusrill_control/_request_parsing.py
@@ -4,10 +4,11 @@
 
 from typing import Any
 
-from arbutusrill_base import MAX_INTEGER, Failure, FailureError, load_json
+from arbutusrill_base import MAX_INTEGER, Failure, FailureError, Verdict, load_json
+from arbutusrill_http import peer_closed
 from werkzeug.wrappers import Request
 
-__all__ = ["get_field", "get_number", "parse_if_revision", "parse_json_body", "struct_to_dict"]
+__all__ = ["get_field", "get_number", "parse_if_revision", "parse_json_body", "require_caller", "struct_to_dict"]
 
 
 def invalid_value_error(name: str | None, message: str, code: str = "bad_value") -> FailureError:
@@ -61,3 +62,10 @@
 def struct_to_dict(struct: Any) -> dict[str, Any]:
     """Returns the fields of a thrift struct as a dict for JSON."""
     return dict(vars(struct))
+
+
+def require_caller(request: Request) -> None:
+    """Refuses a change whose caller has left: it may have given it up and made another one at another VM meanwhile."""
+    connection = request.environ.get("werkzeug.socket")
+    if connection is not None and peer_closed(connection):
+        raise FailureError(Failure("caller_gone", "the caller has closed its connection", Verdict.NOT_RUN, 503))
--- a/libs/arbutusrill_control/tests/test_operator.py
+++ b/libs/arbutusrill_control/tests/test_operator.py
@@ -1,6 +1,7 @@
 """Guards against retried changes that are applied twice, ignored revision conditions and stale reads."""
 
 import json
+import socket
 
 import pytest
 from arbutusrill_base import hash_key
@@ -170,3 +171,24 @@
         "POST", "backends/e1/orders", {"action": "load_model", "pool": "p", "argument": argument}
     )
     assert response.status_code == 400 and not control.config.orders_by_id
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "body"),
+    [("PUT", "workspaces/w", {"rate": 1, "burst": 1}), ("POST", "replicas/replace", {"old": "a", "new": "b"})],
+)
+def test_change_whose_caller_has_left_is_not_carried_out(control, method, path, body):
+    # A VM that woke up carried out what its caller had given up, over a later change.
+    connection, caller = socket.socketpair()
+    caller.close()
+    before = control.log.proposal_count
+    with connection:
+        response = control.http.open(
+            f"/v1/operator/{path}",
+            method=method,
+            json=body,
+            headers={"Authorization": f"Bearer {TOKENS['ops']}"},
+            environ_overrides={"werkzeug.socket": connection},
+        )
+    assert response.status_code == 503 and response.json["error"]["verdict"] == "not_run"
+    assert control.log.proposal_count == before
