Form the control group though seeds are restarted during the first start

Cause: only the initial voter with the lowest address formed the group, and a restarted process did not know that it is an initial voter.

Change: an initial voter remembers the initial voters beside its member ID, and the one with the lowest address among those that know them forms the group. It still needs the answers of all, none of which may belong to a group. One that does not know them never learns them, so that two never form groups at once.

Left: a kill of all seeds before any has written its member ID.

--- a/libs/arbutusrill_raft/_elections.py
+++ b/libs/arbutusrill_raft/_elections.py
@@ -22,17 +22,20 @@
 class Elections:
     """Starts elections on election timeout; a leader that no quorum has acknowledged for `election_max_s` steps down.
 
-    A group forms once, when all initial voters answer and none belongs to a group. The initial voter whose address
-    sorts first as a string then appends the first membership, which holds the member IDs of all of them. A replica
-    that has lost its disk has a new member ID. It forms no second group, since others already belong to one, and has
-    no vote until it is added as a new member.
+    A group forms once, when all initial voters answer and none belongs to a group. One of them then appends the first
+    membership, which holds the member IDs of all: the one whose address sorts first as a string among those that know
+    the initial voters. A replica that is restarted before that with an empty disk may not know them. It does not learn
+    them later, so that two replicas never form a group at the same time. A replica that has lost its disk has a new
+    member ID. It forms no second group, since others already belong to one, and has no vote until it is added as a new
+    member.
     """
 
     def __init__(self, core: Core, transport: Transport, initial_addresses: list[str], own_address: str):
         self._core = core
         self._transport = transport
-        self._other_initial_addresses = [address for address in initial_addresses if address != own_address]
-        self._is_bootstrap_replica = bool(initial_addresses) and own_address == min(initial_addresses)
+        self._own_address = own_address
+        self._other_initial_addresses = sorted(address for address in initial_addresses if address != own_address)
+        self._is_initial_voter = own_address in initial_addresses
 
     def run(self) -> None:
         """Runs until the replica stops."""
@@ -42,7 +45,7 @@
                 if core.stopping or core.fault:
                     return
                 formed = core.membership is not None
-                if formed or not self._is_bootstrap_replica:
+                if formed or not self._is_initial_voter:
                     self._check_timers_and_wait()
                     continue
             self._form_group()
@@ -119,7 +122,7 @@
             core.elections_wakeup.notify_all()
 
     def _form_group(self) -> None:
-        """Appends the first membership if every initial voter answers and none belongs to a group."""
+        """Appends the first membership if every initial voter answers, none belongs to a group and none goes first."""
         core = self._core
         member_ids = [core.own_id]
         for address in self._other_initial_addresses:
@@ -129,6 +132,8 @@
                 reply = None
             if reply is None or reply.group or reply.fault:
                 break
+            if address < self._own_address and not reply.forms_no_group:
+                break
             member_ids.append(reply.member)
         with core.lock:
             all_can_join = len(member_ids) == len(self._other_initial_addresses) + 1
@@ -144,6 +149,7 @@
                 return
             membership = Membership(new_request_id("group")[:16], tuple(sorted(member_ids)))
             _log.info("%s forms group %s with voters %s", core.own_id, membership.group, ", ".join(membership.voters))
+            _events.emit("group_formed", replica=core.own_id, group=membership.group, voters=len(membership.voters))
             # This replica is not leader yet; the entry commits after it has won an election by the usual rules.
             core.append_as_leader(MEMBERSHIP, membership.encode())
             core.elections_wakeup.wait(core.timing.heartbeat_s)
--- a/libs/arbutusrill_raft/_receiver.py
+++ b/libs/arbutusrill_raft/_receiver.py
@@ -19,17 +19,19 @@
 class Receiver:
     """Implements the IDL's `Raft` service for one replica; its methods raise `messages.Refused`."""
 
-    def __init__(self, core: Core):
+    def __init__(self, core: Core, is_initial_voter: bool):
         self._core = core
+        self._is_initial_voter = is_initial_voter
         self._incoming_snapshot: tuple[str, int, int] | None = None  # leader, last index and last term
         self._received_bytes = 0
 
     def hello(self, caller: str) -> Any:
-        """Returns this replica's member ID, group ID and fault; the last two are empty when there is none."""
+        """Returns this replica's member ID, its group and fault, empty when there is none, and what it can do."""
         core = self._core
         with core.lock:
             members = core.membership
-            return messages.HelloReply(core.own_id, members.group if members else "", core.fault, LOG_FORMAT)
+            group = members.group if members else ""
+            return messages.HelloReply(core.own_id, group, core.fault, LOG_FORMAT, not self._is_initial_voter)
 
     def vote(self, request: Any) -> Any:
         """Grants or refuses a vote or pre-vote; a vote is made durable before the reply."""
--- a/libs/arbutusrill_raft/_replica.py
+++ b/libs/arbutusrill_raft/_replica.py
@@ -55,7 +55,8 @@
     """A replica of the log, used as a context manager: its threads run while the context is entered.
 
     `address` is its RPC address, where `handler` must be served as the IDL's `Raft` service. `initial_voters` lists
-    the RPC addresses of the group's first voters; it is used only until the group has formed. `exclusive_since` is a
+    the RPC addresses of the group's first voters; it is used only until the group has formed, and empty for a replica
+    that is to join one. `exclusive_since` is a
     time on `clock` (a `BootClock` by default) since which no other process has used `folder`, such as the start of
     this process; by default it is the current time. The replica grants no vote and starts no election until a lease
     that an earlier process may have extended before that time has expired. Raises `StorageError` when the files in
@@ -77,7 +78,7 @@
         self._transport = transport or RpcTransport()
         folder = _open_folder(folder) if isinstance(folder, str) else folder
         try:
-            self._storage = Storage(folder, address)
+            self._storage = Storage(folder, address, initial_voters)
             clock = clock or BootClock()
             self._core = Core(
                 self._storage,
@@ -91,12 +92,12 @@
         except BaseException:
             folder.close()
             raise
-        self._elections = Elections(self._core, self._transport, initial_voters, address)
+        self._elections = Elections(self._core, self._transport, self._storage.initial_voters, address)
         self._membership_changes = MembershipChanges(self._core, self._transport)
         self._peer_by_member: dict[str, Peer] = {}
         self._threads: list[threading.Thread] = []
         self._core.on_membership_change = self._update_peers
-        self.handler = Receiver(self._core)
+        self.handler = Receiver(self._core, address in self._storage.initial_voters)
 
     def __enter__(self) -> Replica:
         with self._core.lock:
--- a/libs/arbutusrill_raft/_storage.py
+++ b/libs/arbutusrill_raft/_storage.py
@@ -38,11 +38,13 @@
     """Files of one replica. Unless noted, changes are durable on return; all methods may raise `OSError`.
 
     `append`, `install_received_snapshot`, `remove_segments_before` and `remove_all_segments` must be called by one
-    thread at a time, and so must `save_term_and_vote`.
+    thread at a time, and so must `save_term_and_vote`. `initial_voters` are remembered from the first start in an empty
+    folder, since a process that is restarted before the group has formed may not be told them again.
     """
 
-    def __init__(self, folder: Folder, address: str):
+    def __init__(self, folder: Folder, address: str, initial_voters: list[str] | None = None):
         self._folder = folder
+        self.initial_voters = list(initial_voters or [])
         self._segments: list[str] = []
         self._segment_size = 0  # durable bytes of the last segment
         self._is_tail_uncertain = False  # a failed write may have left bytes after `_segment_size`
@@ -64,6 +66,7 @@
             try:
                 value = json.loads(self._folder.read(_IDENTITY_FILE))
                 known, disk_id = value["address"], value["disk_id"]
+                self.initial_voters = self.initial_voters or list(value.get("initial_voters") or [])
             except (ValueError, KeyError, TypeError):
                 raise StorageError(f"{_IDENTITY_FILE}: damaged; replace the disk of this replica") from None
             if known != address:
@@ -74,7 +77,8 @@
         if any(name == _META_FILE or name.startswith(("log-", "snapshot-")) for name in names):
             raise StorageError(f"{_IDENTITY_FILE}: missing beside log files; replace the disk of this replica")
         disk_id = secrets.token_hex(6)
-        self._folder.replace(_IDENTITY_FILE, json.dumps({"address": address, "disk_id": disk_id}).encode())
+        value = {"address": address, "disk_id": disk_id, "initial_voters": self.initial_voters}
+        self._folder.replace(_IDENTITY_FILE, json.dumps(value).encode())
         return disk_id
 
     def _load_term_and_vote(self) -> None:
--- a/libs/arbutusrill_raft/tests/group.py
+++ b/libs/arbutusrill_raft/tests/group.py
@@ -220,14 +220,13 @@
         for address in list(self.replicas):
             self.stop(address)
 
-    def start(self, address, clock: Clock | None = None, exclusive_since=None):
+    def start(self, address, clock: Clock | None = None, exclusive_since=None, is_first_start=True):
         disk = self.disks.setdefault(address, MemoryDisk())
         disk.max_sync_s = self.max_sync_s
         machine = self.machines[address] = ListMachine()
         transport = FaultyTransport(self, address)
-        replica = Replica(
-            address, self.initial_voters, disk, machine, transport, clock, self.timing, self.bounds, exclusive_since
-        )
+        voters = self.initial_voters if is_first_start else []
+        replica = Replica(address, voters, disk, machine, transport, clock, self.timing, self.bounds, exclusive_since)
         self.replicas[address] = replica
         return replica.__enter__()
 
--- a/libs/arbutusrill_raft/tests/test_replica.py
+++ b/libs/arbutusrill_raft/tests/test_replica.py
@@ -40,6 +40,30 @@
         group.__exit__()
 
 
+@pytest.mark.parametrize("restarted", [[0], [1], [0, 1], [0, 1, 2]])
+@pytest.mark.parametrize("disks_are_empty", [False, True])
+def test_group_forms_though_replicas_are_restarted_before_it(restarted, disks_are_empty):
+    # Only the first initial voter formed the group, and a restarted one did not know that it is one.
+    group = Group()
+    addresses = [group.initial_voters[number] for number in restarted]
+    for address in addresses:
+        group.start(address)
+        group.kill(address)
+        if disks_are_empty:
+            group.disks.pop(address)
+    try:
+        for address in group.initial_voters:
+            group.start(address, is_first_start=address not in addresses)
+        if disks_are_empty and len(restarted) == 3:
+            time.sleep(1.0)
+            assert not any(replica.status().voters for replica in group.replicas.values())
+        else:
+            assert group.propose(b"a") == b"1"
+            group.wait_equal([b"a"])
+    finally:
+        group.__exit__()
+
+
 def test_restart_of_all_keeps_everything():
     with Group() as group:
         items = entries(10)
--- a/libs/arbutusrill_wire/arbutusrill.thrift
+++ b/libs/arbutusrill_wire/arbutusrill.thrift
@@ -80,7 +80,8 @@
   1: string member,         // member ID of the replying replica
   2: string group = "",     // group of the replica, empty before it has joined one
   3: string fault = "",     // why the replica does not participate, empty if it does
-  4: i32 log_format = 0     // 1: knows entries that change the document by patches; 2: evacuations as well
+  4: i32 log_format = 0,    // 1: knows entries that change the document by patches; 2: evacuations as well
+  5: bool forms_no_group = false   // the replica has not been told the initial voters, and never will be
 }
 
 service Raft {
