--- a/libs/arbutusrill_bench/capacity.py
+++ b/libs/arbutusrill_bench/capacity.py
@@ -24,7 +24,7 @@
 from arbutusrill_wire import decode, encode, messages
 
 from ._report import commit_name
-from ._site import LocalSite
+from ._site import LocalSite, interrupt_on_stop_signals
 from ._tap import Tap
 from ._usage import Fit, fit, usage_over
 
@@ -368,4 +368,5 @@
 
 
 if __name__ == "__main__":
+    interrupt_on_stop_signals()
     typer.run(main)
--- a/libs/arbutusrill_bench/proof_config.py
+++ b/libs/arbutusrill_bench/proof_config.py
@@ -20,7 +20,7 @@
 from arbutusrill_cli import EXIT_NO_CONTROL, OperatorClient, OperatorError
 from arbutusrill_http import Transfer, fetch
 
-from ._site import LocalSite, SiteError
+from ._site import LocalSite, SiteError, interrupt_on_stop_signals
 
 __all__ = ["ConfigProof", "main", "prove"]
 
@@ -179,4 +179,5 @@
 
 
 if __name__ == "__main__":
+    interrupt_on_stop_signals()
     typer.run(main)
--- a/libs/arbutusrill_bench/proof_drain.py
+++ b/libs/arbutusrill_bench/proof_drain.py
@@ -19,7 +19,7 @@
 import typer
 from arbutusrill_http import Transfer, TransferResult, fetch
 
-from ._site import LocalSite, SiteError
+from ._site import LocalSite, SiteError, interrupt_on_stop_signals
 
 __all__ = ["DrainProof", "main", "prove"]
 
@@ -167,4 +167,5 @@
 
 
 if __name__ == "__main__":
+    interrupt_on_stop_signals()
     typer.run(main)
--- a/libs/arbutusrill_bench/proof_gone.py
+++ b/libs/arbutusrill_bench/proof_gone.py
@@ -17,7 +17,7 @@
 from arbutusrill_base import split_address
 from arbutusrill_http import Transfer, fetch
 
-from ._site import LocalSite, SiteError
+from ._site import LocalSite, SiteError, interrupt_on_stop_signals
 
 __all__ = ["GoneProof", "main", "prove"]
 
@@ -139,4 +139,5 @@
 
 
 if __name__ == "__main__":
+    interrupt_on_stop_signals()
     typer.run(main)
--- a/libs/arbutusrill_bench/proof_key.py
+++ b/libs/arbutusrill_bench/proof_key.py
@@ -20,7 +20,7 @@
 from arbutusrill_cli import OperatorError
 from arbutusrill_http import Transfer, fetch
 
-from ._site import LocalSite, Member, SiteError
+from ._site import LocalSite, Member, SiteError, interrupt_on_stop_signals
 
 __all__ = ["KeyProof", "main", "prove"]
 
@@ -158,4 +158,5 @@
 
 
 if __name__ == "__main__":
+    interrupt_on_stop_signals()
     typer.run(main)
--- a/libs/arbutusrill_bench/proof_limit.py
+++ b/libs/arbutusrill_bench/proof_limit.py
@@ -16,7 +16,7 @@
 import typer
 from arbutusrill_http import Transfer, fetch
 
-from ._site import LocalSite, SiteError
+from ._site import LocalSite, SiteError, interrupt_on_stop_signals
 
 __all__ = ["LimitProof", "main", "prove"]
 
@@ -136,4 +136,5 @@
 
 
 if __name__ == "__main__":
+    interrupt_on_stop_signals()
     typer.run(main)
--- a/libs/arbutusrill_bench/proof_once.py
+++ b/libs/arbutusrill_bench/proof_once.py
@@ -18,7 +18,7 @@
 from arbutusrill_http import Transfer, fetch
 
 from ._counting_service import CountingService
-from ._site import LocalSite, SiteError, free_address
+from ._site import LocalSite, SiteError, free_address, interrupt_on_stop_signals
 
 __all__ = ["OnceProof", "main"]
 
@@ -163,4 +163,5 @@
 
 
 if __name__ == "__main__":
+    interrupt_on_stop_signals()
     typer.run(main)
--- a/libs/arbutusrill_bench/proof_raft.py
+++ b/libs/arbutusrill_bench/proof_raft.py
@@ -22,7 +22,7 @@
 from arbutusrill_state import ControlClient, ControlUnavailableError, make_command
 from arbutusrill_wire import RpcClient, RpcError, messages
 
-from ._site import LocalSite, Member, SiteError
+from ._site import LocalSite, Member, SiteError, interrupt_on_stop_signals
 
 __all__ = ["Accepted", "RaftProof", "main", "prove"]
 
@@ -286,4 +286,5 @@
 
 
 if __name__ == "__main__":
+    interrupt_on_stop_signals()
     typer.run(main)
--- a/libs/arbutusrill_bench/proof_raft_speed.py
+++ b/libs/arbutusrill_bench/proof_raft_speed.py
@@ -22,7 +22,7 @@
 from arbutusrill_state import ControlClient, make_command
 from arbutusrill_wire import RpcClient, RpcError, messages
 
-from ._site import LocalSite, Member, SiteError
+from ._site import LocalSite, Member, SiteError, interrupt_on_stop_signals
 from .proof_raft import RaftProof
 
 __all__ = ["RaftSpeed", "main"]
@@ -217,4 +217,5 @@
 
 
 if __name__ == "__main__":
+    interrupt_on_stop_signals()
     typer.run(main)
--- a/libs/arbutusrill_bench/relay_speed.py
+++ b/libs/arbutusrill_bench/relay_speed.py
@@ -17,7 +17,7 @@
 import typer
 from arbutusrill_http import Transfer, fetch
 
-from ._site import LocalSite
+from ._site import LocalSite, interrupt_on_stop_signals
 from ._streams_client import StreamClient, StreamResult, Target
 
 __all__ = ["main"]
@@ -153,4 +153,5 @@
 
 
 if __name__ == "__main__":
+    interrupt_on_stop_signals()
     typer.run(main)
