Read signals only when there are any

Cause: the kernel's log has an invalid instruction in the C library, in the main thread, each time. Ruled out: the exit code of a late stop (no line on standard error, and the processes had just started).

Change: the pipe is read only when it has something to read.

--- a/libs/arbutusrill_base/_signals.py
+++ b/libs/arbutusrill_base/_signals.py
@@ -105,12 +105,11 @@
         poll = select.poll()
         poll.register(self._read_end, select.POLLIN)
         while True:
-            poll.poll(self._poll_timeout_s() * 1000)
+            is_readable = poll.poll(self._poll_timeout_s() * 1000)
             now = self._clock.monotonic()
             earliest = self._pauses.earliest(now)
-            with contextlib.suppress(BlockingIOError):
-                for number in os.read(self._read_end, _MAX_READ_BYTES):
-                    self._handle(number, earliest, now)
+            for number in os.read(self._read_end, _MAX_READ_BYTES) if is_readable else b"":
+                self._handle(number, earliest, now)
             self._exit_if_late(now)
 
     def _poll_timeout_s(self) -> float:
