--- a/libs/arbutusrill_site/_backends.py
+++ b/libs/arbutusrill_site/_backends.py
@@ -118,7 +118,7 @@
         known = self._record_by_id.get(record.id)
         if known is not None and not is_newer(record, known):
             return False
-        # A server that drains is listed until it leaves; the departure is that of its first announcement of it.
+        # A server that drains stays listed: the departure of the same number is its own.
         sequence = record.sequence + 1 if record.draining else record.sequence
         if self._departures.is_outdated(record.id, record.started_ms, sequence):
             return False
@@ -162,7 +162,7 @@
                 self._record_change(backend)
 
     def has_announced(self, record: Any) -> bool:
-        """Returns whether the server that an announcement is from is registered with this one or a later one."""
+        """Returns whether a server is registered with this announcement or a later one of the same start."""
         with self._changed:
             known = self._record_by_id.get(record.id)
             return known is not None and known.started_ms == record.started_ms and known.sequence >= record.sequence
--- a/libs/arbutusrill_site/_service.py
+++ b/libs/arbutusrill_site/_service.py
@@ -214,15 +214,15 @@
         Refuses with `outdated` what does not count: an acknowledgment would say that the server is in use.
         """
         self._require_leadership()
-        is_known = self.backends.is_draining(record.id, record.started_ms)
-        if record.draining and not is_known and not self._is_covered(record):
+        is_listed = self.backends.is_draining(record.id, record.started_ms)
+        if record.draining and not is_listed and not self._is_outdated(record):
             self._propose(messages.PutDeparture(record.id, record.started_ms, record.sequence))
         is_registered = self.backends.announce(record)
         self._confirm_leadership()
         if not is_registered and not self.backends.has_announced(record):
             raise messages.Refused("outdated", "the server has left, has started again or its address is in use")
 
-    def _is_covered(self, record: Any) -> bool:
+    def _is_outdated(self, record: Any) -> bool:
         return self._state.departures.is_outdated(record.id, record.started_ms, record.sequence)
 
     def read_backend_start(self, backend: str) -> Any:
