--- a/libs/arbutusrill_http/_socket_transfer.py
+++ b/libs/arbutusrill_http/_socket_transfer.py
@@ -14,7 +14,7 @@
 from ._connection_pool import KeptConnection, stated_idle_s
 from ._request_target import encoded, split_url
 from ._response_parser import ResponseParser, ResponseRefusedError
-from ._sockets import peer_closed, set_dead_peer_timeouts
+from ._sockets import set_dead_peer_timeouts
 from ._transfer_state import TransferState
 
 if TYPE_CHECKING:
@@ -65,8 +65,6 @@
         """Runs the transfer and returns its outcome."""
         connection = None
         try:
-            if self._caller >= 0 and peer_closed(self.transfer.caller_connection):
-                raise _EndedError("gone", "the caller closed its connection")
             connection = self._take_kept() or self._connect()
             self._exchange(connection.socket)
             self.result.verdict = Verdict.RAN
--- a/libs/arbutusrill_http/_transfer.py
+++ b/libs/arbutusrill_http/_transfer.py
@@ -112,8 +112,10 @@
 def fetch(transfer: Transfer) -> TransferResult:
     """Runs a transfer in the calling thread and returns its outcome; transfer errors are not raised.
 
-    An exception of `on_head` or `on_data` ends the transfer and is re-raised.
+    An exception of `on_head` or `on_data` ends the transfer and is re-raised. Nothing is sent if the caller has left.
     """
+    if transfer.caller_connection is not None and peer_closed(transfer.caller_connection):
+        return TransferResult(error="gone", detail="the caller closed its connection")
     if transfer.connections is not None:
         return SocketTransfer(transfer, TransferResult()).run()
     return _TransferRun(transfer).run()
@@ -188,14 +190,9 @@
         self._parser = ResponseParser(self, transfer.method)
 
     def run(self) -> TransferResult:
-        caller = self.transfer.caller_connection
-        if caller is not None and peer_closed(caller):
-            self.result.error, self.result.detail = "gone", "the caller closed its connection"
-            self.result.verdict = Verdict.NOT_RUN
-            del self._parser  # as at the end of a transfer
-            return self.finish()
         loop = _current_loop()
         easy = self._make_easy_handle()
+        caller = self.transfer.caller_connection
         caller_descriptor = caller.fileno() if caller is not None else -1
         if caller_descriptor >= 0:
             loop.poller.register(caller_descriptor, select.POLLRDHUP)
