Look departures up once, and only for reports that drain

Every report of a ready server took the registry's lock for a question that only concerns draining ones; the removed servers were turned into departures in two places. Behaviour is the same.

--- a/libs/arbutusrill_site/_backends.py
+++ b/libs/arbutusrill_site/_backends.py
@@ -196,8 +196,9 @@
                 return
             if not started_ms:
                 self._unknown_departures.record(backend, self._clock.monotonic())
-            if known is None and not self._has_departed(backend, started_ms or _MAX_START_MS):
-                self._record_removal(backend, messages.BackendRecord(backend, started_ms or _MAX_START_MS))
+            latest_ms = started_ms or _MAX_START_MS
+            if known is None and not self._has_departed(backend, latest_ms):
+                self._record_removal(backend, messages.BackendRecord(backend, latest_ms))
 
     def _has_departed(self, backend: str, started_ms: int) -> bool:
         """Whether followers are told already that this start, or a later one, of a server has departed."""
--- a/libs/arbutusrill_site/_service.py
+++ b/libs/arbutusrill_site/_service.py
@@ -176,14 +176,13 @@
         if backends is not None:
             reply.backends_revision, reply.backends = backends.revision, backends.records
             reply.backends_delta = backends.is_delta
+            removed = [
+                messages.PutDeparture(record.id, record.started_ms, _MAX_SEQUENCE) for record in backends.removed
+            ]
             if backends.is_delta:
-                reply.removed_backends = [
-                    messages.PutDeparture(record.id, record.started_ms, _MAX_SEQUENCE) for record in backends.removed
-                ]
+                reply.removed_backends = removed
             else:
-                reply.departures = self._state.departures.records() + [
-                    messages.PutDeparture(record.id, record.started_ms, _MAX_SEQUENCE) for record in backends.removed
-                ]
+                reply.departures = self._state.departures.records() + removed
         if entries is not None:
             reply.entries_revision, reply.entries = entries.revision, entries.records
             reply.entries_delta = entries.is_delta
@@ -214,17 +213,17 @@
         Refuses with `outdated` what does not count: an acknowledgment would say that the server is in use.
         """
         self._require_leadership()
-        is_listed = self.backends.is_draining(record.id, record.started_ms)
-        if record.draining and not is_listed and not self._is_outdated(record):
+        if (
+            record.draining
+            and not self.backends.is_draining(record.id, record.started_ms)
+            and not self._state.departures.is_outdated(record.id, record.started_ms, record.sequence)
+        ):
             self._propose(messages.PutDeparture(record.id, record.started_ms, record.sequence))
         is_registered = self.backends.announce(record)
         self._confirm_leadership()
         if not is_registered and not self.backends.has_announced(record):
             raise messages.Refused("outdated", "the server has left, has started again or its address is in use")
 
-    def _is_outdated(self, record: Any) -> bool:
-        return self._state.departures.is_outdated(record.id, record.started_ms, record.sequence)
-
     def read_backend_start(self, backend: str) -> Any:
         """Returns the latest known start of a backend server as a linearizable read."""
         self._confirm_leadership()
