--- a/libs/arbutusrill_raft/_receiver.py
+++ b/libs/arbutusrill_raft/_receiver.py
@@ -26,7 +26,7 @@
         self._received_bytes = 0
 
     def hello(self, caller: str) -> Any:
-        """Returns this replica's member ID, its group and fault, empty when there is none, and what it can do."""
+        """Returns this replica's member ID, its group and fault, empty without one, and whether it may form one."""
         core = self._core
         with core.lock:
             members = core.membership
--- a/libs/arbutusrill_raft/_replica.py
+++ b/libs/arbutusrill_raft/_replica.py
@@ -56,11 +56,10 @@
 
     `address` is its RPC address, where `handler` must be served as the IDL's `Raft` service. `initial_voters` lists
     the RPC addresses of the group's first voters; it is used only until the group has formed, and empty for a replica
-    that is to join one. `exclusive_since` is a
-    time on `clock` (a `BootClock` by default) since which no other process has used `folder`, such as the start of
-    this process; by default it is the current time. The replica grants no vote and starts no election until a lease
-    that an earlier process may have extended before that time has expired. Raises `StorageError` when the files in
-    `folder` cannot be used.
+    that is to join one. `exclusive_since` is a time on `clock` (a `BootClock` by default) since which no other process
+    has used `folder`, such as the start of this process; by default it is the current time. The replica grants no vote
+    and starts no election until a lease that an earlier process may have extended before that time has expired. Raises
+    `StorageError` when the files in `folder` cannot be used.
     """
 
     def __init__(
--- a/libs/arbutusrill_site/tests/test_departures.py
+++ b/libs/arbutusrill_site/tests/test_departures.py
@@ -13,29 +13,21 @@
 
 
 class _Log:
-    """Leads and commits at once."""
-
-    def __init__(self, state):
-        self.state = state
-        self.term = 1
+    """Leads all the time."""
 
     def is_leader(self):
         return True
 
     def leading_term(self):
-        return self.term
+        return 1
 
     def confirm(self, _timeout):
         pass
 
-    def log_format(self):
-        return 1
-
-    def propose(self, data, _timeout):
-        raise NotImplementedError
-
 
 class _Service(SiteService):
+    """Commits at once."""
+
     def _propose(self, change):
         if isinstance(change, messages.PutDeparture):
             self._state.departures.put(change)
@@ -48,7 +40,7 @@
     state = SharedState()
     clock = ManualClock()
     service = _Service(
-        _Log(state),
+        _Log(),
         state,
         threading.Condition(),
         clock,
